Add the design page, domain types, ticket codec and the check script

Every later part needs agreed types and one command that runs all checks, so they come before any process.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+GO ?= go
+BIN := bin/geraniumdeck
+SEED ?= 1
+FUZZ_CHECKS ?= 200
+
+.PHONY: build demo test fmt-check lint vet race prove fuzz measure slopes
+
+build:
+	$(GO) build -o $(BIN) .
+
+# demo starts the single-machine example on loopback and shows the system at work.
+demo: build
+	bash scripts/demo.sh
+
+# test runs every check; CI calls it.
+test: fmt-check vet lint race
+	bash scripts/known-red.sh
+
+fmt-check:
+	@out=$$(gofmt -l main.go internal); if [ -n "$$out" ]; then echo "gofmt needed:"; echo "$$out"; exit 1; fi
+
+vet:
+	$(GO) vet ./...
+
+lint:
+	$(GO) tool -modfile=tools/go.mod golangci-lint run ./...
+
+race:
+	bash scripts/test.sh
+
+# prove runs exactly the tests that docs/proof.md names.
+prove:
+	bash scripts/prove.sh
+
+# fuzz is a longer run of the stateful fuzz tests.
+fuzz:
+	FUZZ_CHECKS=5000 bash scripts/fuzz.sh
+
+measure: build
+	bash scripts/measure.sh
+
+slopes: build
+	bash scripts/slopes.sh
--- /dev/null
+++ b/internal/command/cli/doc.go
@@ -0,0 +1,2 @@
+// Package cli implements the geraniumdeck command and its subcommands.
+package cli
--- /dev/null
+++ b/internal/core/deck/doc.go
@@ -0,0 +1,2 @@
+// Package deck holds the domain types of geraniumdeck and the interfaces whose implementations vary.
+package deck
--- /dev/null
+++ b/internal/core/deck/log.go
@@ -0,0 +1,45 @@
+package deck
+
+import "context"
+
+// A Log is the replicated log as its users see it.
+type Log interface {
+	// Propose commits a command and returns the state machine's result; on error the command may still commit.
+	Propose(ctx context.Context, command []byte) ([]byte, error)
+
+	// Barrier returns once every command committed before the call is applied on this replica.
+	Barrier(ctx context.Context) error
+
+	// Status returns the replica's view of the log.
+	Status() LogStatus
+}
+
+// A StateMachine is the deterministic state that the replicated log drives.
+type StateMachine interface {
+	// Apply executes a committed command and returns its result.
+	Apply(index uint64, command []byte) []byte
+
+	// Restore replaces the state by a snapshot.
+	Restore(snapshot []byte) error
+
+	// Snapshot returns the whole state.
+	Snapshot() ([]byte, error)
+}
+
+// A ReplicaID identifies one life of a replica's disk: a replica that lost its data folder gets a new incarnation.
+type ReplicaID struct {
+	VM          VMName
+	Incarnation uint64
+}
+
+// A LogStatus is one replica's view of the log.
+type LogStatus struct {
+	Self     ReplicaID
+	Leader   ReplicaID // zero if unknown
+	Term     uint64
+	Commit   uint64
+	Applied  uint64
+	Voters   []ReplicaID
+	Learners []ReplicaID
+	Failed   string // why the replica no longer takes part, empty if it does
+}
--- /dev/null
+++ b/internal/core/deck/service.go
@@ -0,0 +1,65 @@
+package deck
+
+import "context"
+
+// A ServiceCall is a caller's call to a plain service.
+type ServiceCall struct {
+	Method  string
+	Path    string
+	Query   string
+	Headers map[string]string
+	Body    []byte
+	CallKey string // the caller's idempotency key; empty for repeatable calls
+}
+
+// A ServiceAnswer is what a plain service answered, or why nothing is known.
+type ServiceAnswer struct {
+	Outcome Outcome
+	Status  int
+	Headers map[string]string
+	Body    []byte
+	Reason  string // for outcomes other than OutcomeDone
+}
+
+// A ServiceClient sends calls to plain service instances.
+type ServiceClient interface {
+	// Call sends the call to the given address exactly once and returns its outcome.
+	Call(ctx context.Context, address string, call ServiceCall) ServiceAnswer
+}
+
+// A ClaimStatus says what the idempotency record of a key holds.
+type ClaimStatus int
+
+// The claim statuses; the zero value is ClaimUnavailable.
+const (
+	ClaimUnavailable ClaimStatus = iota // the log could not be reached and nothing was claimed by this call
+	ClaimGranted                        // the caller of Begin may send the call once
+	ClaimInProgress                     // another VM claimed the key and has not finished
+	ClaimFinished                       // the answer is recorded
+	ClaimUnknown                        // the call may have run and its answer is lost
+	ClaimMismatch                       // the key stands with another request
+)
+
+// A Claim is the answer to a request for an idempotency key.
+type Claim struct {
+	Status ClaimStatus
+	Answer ServiceAnswer // for ClaimFinished
+}
+
+// An IdempotencyStore keeps durable idempotency records.
+type IdempotencyStore interface {
+	// Begin claims the key durably before the call leaves.
+	Begin(ctx context.Context, key, digest string) Claim
+
+	// Finish records the answer; OutcomeNotRun releases the key.
+	Finish(ctx context.Context, key string, answer ServiceAnswer) error
+}
+
+// A PoisonStore keeps the digests of requests that crash backend servers.
+type PoisonStore interface {
+	// Refused reports whether requests with the digest are refused.
+	Refused(digest string) bool
+
+	// ReportCrash records that the request was running on a backend server that crashed.
+	ReportCrash(ctx context.Context, digest string, backend BackendName, alone bool) error
+}
--- /dev/null
+++ b/internal/test/decktest/doc.go
@@ -0,0 +1,2 @@
+// Package decktest holds helpers that tests of several packages share.
+package decktest
--- /dev/null
+++ b/internal/wire/ticket/codec.go
@@ -0,0 +1,98 @@
+package ticket
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// MaxBytes is the largest encoded ticket that is accepted.
+const MaxBytes = 4 << 20
+
+// DecodeJSON returns the ticket of a JSON document; unknown fields are errors.
+func DecodeJSON(data []byte) (deck.Ticket, error) {
+	var d Document
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&d); err != nil {
+		return deck.Ticket{}, errors.Wrap(err, "ticket")
+	}
+	return d.Ticket()
+}
+
+// DecodeYAML returns the ticket of a YAML document; errors name line and column.
+func DecodeYAML(data []byte) (deck.Ticket, error) {
+	var d Document
+	dec := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict())
+	if err := dec.Decode(&d); err != nil {
+		return deck.Ticket{}, errors.New(yaml.FormatError(err, false, true))
+	}
+	return d.Ticket()
+}
+
+// DecodeState returns the state of its JSON form.
+func DecodeState(data []byte) (deck.State, error) {
+	var d StateDocument
+	if err := json.Unmarshal(data, &d); err != nil {
+		return deck.State{}, errors.Wrap(err, "state")
+	}
+	t, err := d.Objects.Ticket()
+	if err != nil {
+		return deck.State{}, err
+	}
+	return deck.State{}.WithTicket(t, d.Version), nil
+}
+
+// Digest returns the digest of the ticket's canonical content, which does not depend on the order of its objects.
+func Digest(t deck.Ticket) deck.TicketDigest {
+	d := NewDocument(t)
+	slices.SortFunc(d.Models, func(a, b Model) int { return cmpString(a.Name, b.Name) })
+	slices.SortFunc(d.Adapters, func(a, b Adapter) int { return cmpString(a.Name, b.Name) })
+	slices.SortFunc(d.BackendServers, func(a, b BackendServer) int { return cmpString(a.Name, b.Name) })
+	slices.SortFunc(d.Services, func(a, b Service) int { return cmpString(a.Name, b.Name) })
+	sum := sha256.Sum256(mustMarshal(d))
+	return deck.TicketDigest(hex.EncodeToString(sum[:]))
+}
+
+// EncodeJSON returns the ticket's JSON form.
+func EncodeJSON(t deck.Ticket) []byte {
+	return mustMarshal(NewDocument(t))
+}
+
+// EncodeState returns the state's JSON form.
+func EncodeState(s deck.State) []byte {
+	t := deck.Ticket{
+		Models:         s.Models(),
+		Adapters:       s.Adapters(),
+		BackendServers: s.BackendServers(),
+		Services:       s.Services(),
+	}
+	return mustMarshal(StateDocument{Version: s.Version(), Objects: NewDocument(t)})
+}
+
+// mustMarshal encodes wire types, which hold no value that JSON can't express.
+func mustMarshal(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+func cmpString(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
