--- /dev/null
+++ b/internal/core/deck/router.go
@@ -0,0 +1,85 @@
+package deck
+
+import (
+	"context"
+	"time"
+)
+
+// A RequestInfo is what the routing decisions know about an inference request.
+type RequestInfo struct {
+	Digest       string // SHA-256 of the request's content, for poison-request detection
+	Caller       string // for fairness; empty for an anonymous caller
+	Model        ModelName
+	Adapter      AdapterName // empty for none
+	Class        Class
+	Prefixes     []uint64  // hashes of the model and of growing blocks of the prompt, shortest first
+	PromptTokens int       // estimated
+	MaxTokens    int       // 0 if the caller gave no limit
+	Deadline     time.Time // for the first token; zero for none
+}
+
+// A Refusal says why a request was not run and when it may be sent again.
+type Refusal struct {
+	Kind       RefusalKind
+	Reason     string
+	RetryAfter time.Duration // zero if sending it again does not help
+}
+
+// A RefusalKind is the class of a refusal.
+type RefusalKind int
+
+// The kinds of refusal; all of them mean that the request did not run.
+const (
+	RefusedOverload RefusalKind = iota // queue full or deadline can't be met
+	RefusedUnknownModel
+	RefusedNoBackend // the model has no reachable replica
+	RefusedPoison    // the request has crashed backend servers
+	RefusedDraining  // this VM is shutting down
+)
+
+// A Router admits inference requests and chooses backend servers for their attempts.
+type Router interface {
+	// Admit waits in the queue until the request may start, or returns a refusal.
+	Admit(ctx context.Context, r RequestInfo) (Admission, *Refusal)
+}
+
+// An Admission is an admitted request's hold on the router.
+type Admission interface {
+	// Choose returns the backend server for the next attempt, avoiding those given unless no other is left.
+	Choose(ctx context.Context, avoid []BackendName) (BackendServer, *Refusal)
+
+	// Observe tells the router what happened to an attempt.
+	Observe(o Observation)
+
+	// Preempted returns a channel that is closed when the request must cancel its attempt and call Choose again.
+	Preempted() <-chan struct{}
+
+	// Priority returns the priority for the next attempt; it falls with the tokens used and rises with the wait.
+	Priority() int
+
+	// Release ends the hold; it may be called more than once.
+	Release()
+}
+
+// An ObservationKind says what happened to an attempt.
+type ObservationKind int
+
+// The kinds of observation.
+const (
+	ObservedStart ObservationKind = iota
+	ObservedToken
+	ObservedEnd      // the answer is complete
+	ObservedCancel   // this VM ended the attempt
+	ObservedStall    // no byte arrived on the connection within the stall timeout
+	ObservedFailure  // the backend server answered with an error
+	ObservedCrash    // the connection was reset or the boot id changed
+	ObservedDraining // the backend server refused because it is leaving
+)
+
+// An Observation is an event of one attempt on a backend server.
+type Observation struct {
+	Kind    ObservationKind
+	Backend BackendName
+	At      time.Time
+	Tokens  int // tokens since the previous observation of the attempt
+}
