Add the wire types of the engine protocol

The client and the emulator of the engine protocol need one definition of its paths, headers and JSON bodies. deck.Operation gains NotAfter and the sizes that an engine needs to account for a load; deck.EngineError tells the outcomes of an attempt apart.

--- a/internal/core/deck/engine.go
+++ b/internal/core/deck/engine.go
@@ -40,9 +40,11 @@
 	Offset   int    // tokens already delivered; the stream continues after them
 	Path     string // inference API path that the caller used
 	Body     []byte // the caller's JSON body
+	Fresh    bool   // open a new connection instead of a pooled one
 }
 
-// A Token is one element of a token stream.
+// A Token is one element of a token stream. The end of the answer may come as an element of its own, which has no
+// data and whose offset is the number of tokens.
 type Token struct {
 	Offset int    // 0 for the first token of the answer
 	Data   []byte // the event's JSON payload
@@ -131,6 +133,11 @@
 	Version      VersionName
 	Adapter      AdapterName
 	Role         EngineRole
+	NotAfter     time.Time // the engine does not start it later; zero for no limit
+
+	WeightBytes    Bytes // read from the weight store
+	ResidentBytes  Bytes // held once the operation is finished
+	TransientBytes Bytes // additional memory while the operation runs
 }
 
 // An OperationResult is what the sender knows about an operation.
--- /dev/null
+++ b/internal/core/deck/engineerror.go
@@ -0,0 +1,50 @@
+package deck
+
+import "fmt"
+
+// An EngineErrorKind says what an engine's failure means for the attempt.
+type EngineErrorKind int
+
+// The kinds of engine error.
+const (
+	EngineFailed      EngineErrorKind = iota // the engine answered with an error or broke the protocol
+	EngineUnreachable                        // no connection was made, so nothing was sent
+	EngineStalled                            // no byte arrived on the connection within the stall timeout
+	EngineBroken                             // a pooled connection was closed, but the engine did not restart
+	EngineCrashed                            // the connection was reset or the boot id changed
+	EngineDraining                           // the engine refused because it is leaving; nothing ran
+	EngineRejected                           // the engine refused the request's content; nothing ran
+)
+
+// String returns the kind's name as used in logs.
+func (k EngineErrorKind) String() string {
+	names := [...]string{"failed", "unreachable", "stalled", "broken", "crashed", "draining", "rejected"}
+	if k < 0 || int(k) >= len(names) {
+		return "invalid"
+	}
+	return names[k]
+}
+
+// An EngineError is why a call to an engine gave no result.
+type EngineError struct {
+	Kind   EngineErrorKind
+	Status int    // HTTP status; 0 if there was none
+	Body   []byte // the engine's answer for EngineRejected, shortened
+	BootID string // boot id of the engine process that the attempt ran on; empty if unknown
+	Err    error
+}
+
+// Error implements error.Error.
+func (e *EngineError) Error() string {
+	return fmt.Sprintf("engine %s (status %d): %v", e.Kind, e.Status, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *EngineError) Unwrap() error {
+	return e.Err
+}
+
+// A BootIdentified value knows the boot id of the engine process that it came from.
+type BootIdentified interface {
+	BootID() string
+}
--- /dev/null
+++ b/internal/wire/engine/protocol.go
@@ -0,0 +1,111 @@
+package engine
+
+import "time"
+
+// Paths of the engine protocol; KVPrefix is followed by the request ID.
+const (
+	PathChatCompletions = "/v1/chat/completions"
+	PathCompletions     = "/v1/completions"
+	PathCancel          = "/engine/cancel"
+	PathOperations      = "/engine/operations"
+	PathReport          = "/engine/report"
+	PathCacheEvents     = "/engine/cache-events"
+	KVPrefix            = "/engine/kv/"
+)
+
+// Headers of requests to an engine; LastEventID holds the offset of the last token already delivered.
+const (
+	HeaderRequestID    = "Request-ID"
+	HeaderPriority     = "Priority"
+	HeaderModelVersion = "Model-Version"
+	HeaderAdapter      = "Adapter"
+	HeaderLastEventID  = "Last-Event-ID"
+)
+
+// Headers of an engine's responses; Draining is "true" on the 503 of an engine that is leaving.
+const (
+	HeaderBootID   = "Boot-ID"
+	HeaderDraining = "Draining"
+)
+
+// Done is the data of the event that ends a complete answer. The event's id, if it has one, is the number of tokens.
+const Done = "[DONE]"
+
+// EventError is the event name of an in-stream failure of the engine.
+const EventError = "error"
+
+// KeepAlive is the interval between comment lines on a stream that has no token to send.
+const KeepAlive = 500 * time.Millisecond
+
+// Limits of what is read from the other side.
+const (
+	MaxEventBytes = 1 << 20
+	MaxJSONBytes  = 4 << 20
+	MaxKVBytes    = 1 << 30
+)
+
+// A Cancel is the body of a cancel request.
+type Cancel struct {
+	RequestID string `json:"request-id"`
+}
+
+// An Operation is the body of an operation request.
+type Operation struct {
+	ID             string     `json:"id"`
+	Kind           string     `json:"kind"`
+	FencingToken   uint64     `json:"fencing-token"`
+	NotAfter       *time.Time `json:"not-after,omitempty"` // the engine refuses to start it later
+	Model          string     `json:"model,omitempty"`
+	Version        string     `json:"version,omitempty"`
+	Adapter        string     `json:"adapter,omitempty"`
+	Role           string     `json:"role,omitempty"`
+	WeightBytes    int64      `json:"weight-bytes,omitempty"`
+	ResidentBytes  int64      `json:"resident-bytes,omitempty"`
+	TransientBytes int64      `json:"transient-bytes,omitempty"`
+}
+
+// An OperationAnswer is the answer to an operation request.
+type OperationAnswer struct {
+	Accepted bool   `json:"accepted"`
+	Stale    bool   `json:"stale,omitempty"` // refused because of an old fencing token
+	Reason   string `json:"reason,omitempty"`
+}
+
+// A Report is an engine's load and memory report.
+type Report struct {
+	Backend      string          `json:"backend"`
+	BootID       string          `json:"boot-id"`
+	TakenAt      time.Time       `json:"taken-at"`
+	Running      int             `json:"running"`
+	Queued       int             `json:"queued"`
+	QueuedTokens int             `json:"queued-tokens"`
+	UsedBytes    int64           `json:"used-bytes"`
+	Models       []ResidentModel `json:"models,omitempty"`
+	Adapters     []string        `json:"adapters,omitempty"`
+	Role         string          `json:"role"`
+	Draining     bool            `json:"draining,omitempty"`
+	FencingToken uint64          `json:"fencing-token"`
+	Operations   []string        `json:"operations,omitempty"`
+}
+
+// A ResidentModel is a model version in a report.
+type ResidentModel struct {
+	Model   string `json:"model"`
+	Version string `json:"version"`
+	Ready   bool   `json:"ready"`
+	Bytes   int64  `json:"bytes"`
+}
+
+// CacheEvents are the answer to a request for cache events.
+type CacheEvents struct {
+	Events []CacheEvent `json:"events"`
+	Last   uint64       `json:"last"`
+	Gap    bool         `json:"gap,omitempty"`
+}
+
+// A CacheEvent is one prefix-cache event; the prefix is a string because its 64 bits don't fit a JSON number everywhere.
+type CacheEvent struct {
+	Sequence uint64 `json:"sequence"`
+	Prefix   uint64 `json:"prefix,string"`
+	Evicted  bool   `json:"evicted,omitempty"`
+}
