Add the client of the engine protocol

Requests to engines need failures told apart: a silent connection, a reset, a refused dial, a leaving engine and a refused request lead to different next steps. A reset of a pooled connection before the first byte is checked against the boot id, because a server may close idle connections at any time.

--- /dev/null
+++ b/internal/backend/engine/call_test.go
@@ -0,0 +1,88 @@
+package engine
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// TestOperate guards against an operation that may have run being reported as not run, and against a second send.
+func TestOperate(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		h       http.HandlerFunc
+		outcome deck.Outcome
+		stale   bool
+	}{
+		{"accepted", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, `{"accepted":true}`) }, deck.OutcomeDone, false},
+		{"stale", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, `{"stale":true}`) }, deck.OutcomeNotRun, true},
+		{"reset after send", func(w http.ResponseWriter, _ *http.Request) { hangUp(w) }, deck.OutcomeUnknown, false},
+		{"answer lost", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, deck.OutcomeUnknown, false},
+		{"truncated answer", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, `{"acc`) }, deck.OutcomeUnknown, false},
+		{"error", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }, deck.OutcomeUnknown, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var arrivals atomic.Int32
+			h := func(w http.ResponseWriter, r *http.Request) { arrivals.Add(1); tc.h(w, r) }
+			run(t, h, func(t *testing.T, r *rig) {
+				is := is.New(t)
+				res := r.client.Operate(t.Context(), deck.Operation{ID: "o", Kind: deck.OpFence})
+				is.Equal(res.Outcome, tc.outcome)
+				is.Equal(res.Stale, tc.stale)
+				is.Equal(arrivals.Load(), int32(1))
+			})
+		})
+	}
+	run(t, nil, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		_ = r.server.Close()
+		is.Equal(r.client.Operate(t.Context(), deck.Operation{ID: "o"}).Outcome, deck.OutcomeNotRun)
+	})
+}
+
+// TestCalls covers the requests that are read as a whole.
+func TestCalls(t *testing.T) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /engine/report", func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, `{"backend":"e","boot-id":"b","taken-at":"2026-03-01T00:00:00Z","running":2}`)
+	})
+	mux.HandleFunc("GET /engine/cache-events", func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprintf(w, `{"events":[{"sequence":8,"prefix":"9"}],"last":%s,"gap":true}`, r.FormValue("after"))
+	})
+	kv := map[string][]byte{}
+	mux.HandleFunc("POST /engine/kv/{id}", func(_ http.ResponseWriter, r *http.Request) {
+		kv[r.PathValue("id")], _ = io.ReadAll(r.Body)
+	})
+	mux.HandleFunc("GET /engine/kv/{id}", func(w http.ResponseWriter, r *http.Request) { _, _ = w.Write(kv[r.PathValue("id")]) })
+	var cancels atomic.Int32
+	mux.HandleFunc("POST /engine/cancel", func(w http.ResponseWriter, _ *http.Request) {
+		if cancels.Add(1) == 1 {
+			hangUp(w)
+		}
+	})
+	run(t, mux.ServeHTTP, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		ctx := t.Context()
+		report, err := r.client.Report(ctx)
+		is.NoErr(err)
+		is.Equal(report, deck.EngineReport{
+			Backend: "e", BootID: "b", Running: 2, TakenAt: time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC),
+		})
+		events, err := r.client.CacheEvents(ctx, 7)
+		is.NoErr(err)
+		is.Equal(events, deck.CacheEvents{Events: []deck.CacheEvent{{Sequence: 8, Prefix: 9}}, Last: 7, Gap: true})
+		is.NoErr(r.client.ImportKV(ctx, "r/1", []byte("kv")))
+		data, err := r.client.ExportKV(ctx, "r/1")
+		is.NoErr(err)
+		is.Equal(string(data), "kv")
+		is.NoErr(r.client.Cancel(ctx, "r1")) // a lost cancel is sent again
+		is.Equal(cancels.Load(), int32(2))
+	})
+}
--- /dev/null
+++ b/internal/backend/engine/client.go
@@ -0,0 +1,217 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	wire "github.com/geraniumdeck/geraniumdeck/internal/wire/engine"
+)
+
+// stallTimeout is four keep-alive intervals of the engine.
+const stallTimeout = 4 * wire.KeepAlive
+
+// maxRejection bounds what is kept of an engine's error answer.
+const maxRejection = 64 << 10
+
+// errStalled is the cause of a request that was ended because its connection was silent.
+var errStalled = errors.New("no byte arrived within the stall timeout")
+
+// A Client is a connection pool to one engine and implements deck.Engine.
+type Client struct {
+	address string
+	pool    *pool
+	boot    atomic.Pointer[string] // the latest boot id seen
+}
+
+var _ deck.Engine = (*Client)(nil)
+
+// New returns a client of the engine at the host:port address; a nil dial uses TCP.
+func New(address string, clock deck.Clock, dial DialFunc) *Client {
+	if dial == nil {
+		dial = (&net.Dialer{KeepAlive: stallTimeout}).DialContext
+	}
+	return &Client{address: address, pool: &pool{dial: dial, clock: clock}}
+}
+
+// Close closes idle connections; running streams go on.
+func (c *Client) Close() {
+	c.pool.closeIdle()
+}
+
+// Generate implements deck.Engine.Generate; failures are *deck.EngineError or the context's error.
+func (c *Client) Generate(ctx context.Context, g deck.Generation) (deck.TokenStream, error) {
+	run, cancel := context.WithCancelCause(ctx)
+	w := &watch{cancel: cancel}
+	var reused bool
+	traced := httptrace.WithClientTrace(run, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			reused = info.Reused
+			w.start(stallTimeout)
+		},
+	})
+	req, err := c.generation(traced, g)
+	if err != nil {
+		cancel(nil)
+		return nil, err
+	}
+	resp, err := c.transport(g.Fresh).RoundTrip(req)
+	w.stop()
+	if err != nil {
+		err = c.sendFailure(run, err, reused)
+		cancel(nil)
+		return nil, err
+	}
+	boot := c.noteBoot(resp)
+	if !isStream(resp) {
+		err := refusal(resp, boot)
+		_ = resp.Body.Close()
+		cancel(nil)
+		return nil, err
+	}
+	body := &watchedBody{body: resp.Body, watch: w}
+	return &stream{client: c, ctx: ctx, run: run, cancel: cancel, body: body, boot: boot, events: newEvents(body)}, nil
+}
+
+func (c *Client) generation(ctx context.Context, g deck.Generation) (*http.Request, error) {
+	if g.Path != wire.PathChatCompletions && g.Path != wire.PathCompletions {
+		return nil, &deck.EngineError{Kind: deck.EngineRejected, Err: errors.Newf("unknown path %q", g.Path)}
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url(g.Path), bytes.NewReader(g.Body))
+	if err != nil {
+		return nil, &deck.EngineError{Kind: deck.EngineUnreachable, Err: err}
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Accept", "text/event-stream")
+	req.Header.Set(wire.HeaderRequestID, string(g.ID))
+	req.Header.Set(wire.HeaderPriority, strconv.Itoa(g.Priority))
+	if g.Version != "" {
+		req.Header.Set(wire.HeaderModelVersion, string(g.Version))
+	}
+	if g.Adapter != "" {
+		req.Header.Set(wire.HeaderAdapter, string(g.Adapter))
+	}
+	if g.Offset > 0 {
+		req.Header.Set(wire.HeaderLastEventID, strconv.Itoa(g.Offset-1))
+	}
+	return req, nil
+}
+
+func (c *Client) transport(fresh bool) *http.Transport {
+	if fresh {
+		return c.pool.fresh()
+	}
+	return c.pool.pooled()
+}
+
+func (c *Client) url(path string) string {
+	return "http://" + c.address + path
+}
+
+// sendFailure says what a request without a response means.
+func (c *Client) sendFailure(ctx context.Context, err error, reused bool) error {
+	e := classify(ctx, err, c.lastBoot())
+	if e.Kind == deck.EngineStalled {
+		c.pool.closeIdle()
+	}
+	if e.Kind == deck.EngineCrashed && reused && c.sameBoot(ctx, e.BootID) {
+		e.Kind = deck.EngineBroken
+	}
+	if ctx.Err() != nil && e.Kind != deck.EngineStalled {
+		return context.Cause(ctx)
+	}
+	return e
+}
+
+// sameBoot reports whether the engine still answers with the boot id. A server may close a pooled connection at any
+// time, so that a reset before the first byte on one is no sign of a crash by itself.
+func (c *Client) sameBoot(ctx context.Context, boot string) bool {
+	var r wire.Report
+	if err := c.get(ctx, c.pool.fresh(), wire.PathReport, &r); err != nil {
+		return false
+	}
+	return boot == "" || r.BootID == boot
+}
+
+func (c *Client) lastBoot() string {
+	if p := c.boot.Load(); p != nil {
+		return *p
+	}
+	return ""
+}
+
+// noteBoot remembers the boot id of a response and returns it.
+func (c *Client) noteBoot(resp *http.Response) string {
+	boot := resp.Header.Get(wire.HeaderBootID)
+	if boot != "" {
+		c.boot.Store(&boot)
+	}
+	return boot
+}
+
+func isStream(resp *http.Response) bool {
+	return resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+}
+
+// refusal returns what an answer other than a token stream means.
+func refusal(resp *http.Response, boot string) error {
+	body, _ := io.ReadAll(io.LimitReader(resp.Body, maxRejection))
+	e := &deck.EngineError{
+		Kind:   deck.EngineFailed,
+		Status: resp.StatusCode,
+		Body:   body,
+		BootID: boot,
+		Err:    errors.Newf("the engine answered %s", resp.Status),
+	}
+	switch {
+	case isDraining(resp):
+		e.Kind = deck.EngineDraining
+	case isRejection(resp.StatusCode):
+		e.Kind = deck.EngineRejected
+	}
+	return e
+}
+
+func isDraining(resp *http.Response) bool {
+	return resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(wire.HeaderDraining) == "true"
+}
+
+// isRejection reports whether another engine would refuse the request as well.
+func isRejection(status int) bool {
+	switch status {
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
+		return true
+	default:
+		return false
+	}
+}
+
+// A watch ends a request whose connection is silent.
+type watch struct {
+	cancel context.CancelCauseFunc
+	timer  *time.Timer
+}
+
+func (w *watch) start(d time.Duration) {
+	if w.timer == nil {
+		w.timer = time.AfterFunc(d, func() { w.cancel(errStalled) })
+		return
+	}
+	w.timer.Reset(d)
+}
+
+func (w *watch) stop() {
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
--- /dev/null
+++ b/internal/backend/engine/doc.go
@@ -0,0 +1,2 @@
+// Package engine is a client of the engine protocol.
+package engine
--- a/internal/wire/engine/protocol.go
+++ b/internal/wire/engine/protocol.go
@@ -41,7 +41,7 @@
 const (
 	MaxEventBytes = 1 << 20
 	MaxJSONBytes  = 4 << 20
-	MaxKVBytes    = 1 << 30
+	MaxKVBytes    = 256 << 20
 )
 
 // A Cancel is the body of a cancel request.
