Serve the inference API with resumed streams

Callers need the whole answer although engines crash, leave, stall or lose a connection. A silent connection is replaced at the same server before the server is blamed. Retries and hedges share a budget; a retry waits for it instead of cutting an answer, which was preferred to a failure because a crash would otherwise cut most streams of a busy server.

--- /dev/null
+++ b/internal/api/caller/calls.go
@@ -0,0 +1,192 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// Limits of calls to plain services. They go on when the caller leaves, so that their outcome is recorded.
+const (
+	claimTimeout = 5 * time.Second
+	callTimeout  = 30 * time.Second
+	maxKey       = 255
+	maxRecorded  = 64 << 10
+)
+
+// headerKey carries the caller's idempotency key.
+const headerKey = "Idempotency-Key"
+
+// headerOmitted is "true" on a recorded answer whose body was too large for the record.
+const headerOmitted = "Body-Omitted"
+
+// repeatable sends a call that may run more than once; it is retried within the budget.
+func (h *Handler) repeatable(w http.ResponseWriter, r *http.Request, t target, call deck.ServiceCall) {
+	h.runner.Budget.Request()
+	answer := deck.ServiceAnswer{Outcome: deck.OutcomeNotRun, Reason: "the service has no instance"}
+	ran := false
+	for n, b := range h.instances(t.service) {
+		if n > 0 && !h.runner.Budget.Take() {
+			break
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+		answer = h.Services.Call(ctx, b.Address, call)
+		cancel()
+		if answer.Outcome == deck.OutcomeDone || r.Context().Err() != nil {
+			break
+		}
+		ran = ran || answer.Outcome == deck.OutcomeUnknown
+	}
+	if ran && answer.Outcome == deck.OutcomeNotRun {
+		answer.Outcome = deck.OutcomeUnknown
+	}
+	writeAnswer(w, answer)
+}
+
+// atMostOnce sends a call that may not run twice: it claims the key, sends the call and records the outcome, in this
+// order.
+func (h *Handler) atMostOnce(w http.ResponseWriter, r *http.Request, t target, call deck.ServiceCall) {
+	key := r.Header.Get(headerKey)
+	if !isKey(key) {
+		invalid("idempotency_key_required", "this call needs an Idempotency-Key of 1 to 255 visible ASCII characters").write(w)
+		return
+	}
+	record := string(t.service.Name) + "/" + key
+	call.CallKey = key
+	claim := h.begin(r.Context(), record, callDigest(r, t, call))
+	if problem := claimProblem(claim.Status); problem != nil {
+		problem.write(w)
+		return
+	}
+	if claim.Status == deck.ClaimFinished {
+		w.Header().Set("Idempotent-Replay", "true")
+		writeAnswer(w, claim.Answer)
+		return
+	}
+	answer := h.callOnce(r.Context(), t, call)
+	h.finish(r.Context(), record, answer)
+	writeAnswer(w, answer)
+}
+
+// callOnce sends the call until an instance may have run it: a second instance is tried only after proof that the first
+// did not.
+func (h *Handler) callOnce(ctx context.Context, t target, call deck.ServiceCall) deck.ServiceAnswer {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+	defer cancel()
+	answer := deck.ServiceAnswer{Outcome: deck.OutcomeNotRun, Reason: "the service has no instance"}
+	for _, b := range h.instances(t.service) {
+		answer = h.Services.Call(ctx, b.Address, call)
+		if answer.Outcome != deck.OutcomeNotRun {
+			break
+		}
+	}
+	return answer
+}
+
+func (h *Handler) begin(ctx context.Context, record, digest string) deck.Claim {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), claimTimeout)
+	defer cancel()
+	return h.Idempotency.Begin(ctx, record, digest)
+}
+
+// finish records the outcome. If that fails the record stays in progress and becomes unknown, so that the call is never
+// sent again.
+func (h *Handler) finish(ctx context.Context, record string, answer deck.ServiceAnswer) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), claimTimeout)
+	defer cancel()
+	_ = h.Idempotency.Finish(ctx, record, recorded(answer))
+}
+
+// recorded returns the answer as it is kept: without a body that is too large.
+func recorded(a deck.ServiceAnswer) deck.ServiceAnswer {
+	if len(a.Body) <= maxRecorded {
+		return a
+	}
+	headers := map[string]string{headerOmitted: "true"}
+	for k, v := range a.Headers {
+		headers[k] = v
+	}
+	a.Headers, a.Body = headers, nil
+	return a
+}
+
+// instances returns the instances of a service that take new work: those of the own data centre first, each group in
+// turn.
+func (h *Handler) instances(v deck.Service) []deck.BackendServer {
+	state := h.State.State()
+	var near, far []deck.BackendServer
+	for _, name := range v.Backends {
+		b, ok := state.BackendServer(name)
+		if !ok || b.Kind != deck.ServiceBackend || b.Leaving || h.Leaving != nil && h.Leaving(name) {
+			continue
+		}
+		if b.DataCentre == h.DataCentre {
+			near = append(near, b)
+			continue
+		}
+		far = append(far, b)
+	}
+	turn := h.turn.Add(1)
+	return append(rotated(near, turn), rotated(far, turn)...)
+}
+
+func rotated(list []deck.BackendServer, turn uint64) []deck.BackendServer {
+	if len(list) == 0 {
+		return nil
+	}
+	i := int(turn % uint64(len(list)))
+	return append(list[i:len(list):len(list)], list[:i]...)
+}
+
+// callDigest identifies the content of a call, including who makes it, so that a key shows its answer to no one else.
+func callDigest(r *http.Request, t target, call deck.ServiceCall) string {
+	return contentDigest([]byte(t.service.Name), []byte(call.Method), []byte(call.Path), []byte(call.Query),
+		[]byte(r.Header.Get("Authorization")), []byte(r.Header.Get("Content-Type")), call.Body)
+}
+
+// claimProblem returns why a claim does not allow the call; nil for a granted or finished one.
+func claimProblem(s deck.ClaimStatus) *problem {
+	switch s {
+	case deck.ClaimGranted, deck.ClaimFinished:
+		return nil
+	case deck.ClaimInProgress:
+		return &problem{status: http.StatusConflict, code: "in-progress", message: "a call with this key is in progress", retryAfter: retrySoon}
+	case deck.ClaimUnknown:
+		return &problem{status: http.StatusConflict, code: "outcome-unknown", message: "a call with this key may have run and its answer is lost"}
+	case deck.ClaimMismatch:
+		return refused(http.StatusUnprocessableEntity, "key-mismatch", "the key stands with another request", 0)
+	default:
+		return refused(http.StatusServiceUnavailable, "claim-unavailable", "the key could not be claimed", retrySoon)
+	}
+}
+
+// isKey reports whether an idempotency key has 1 to 255 visible ASCII characters.
+func isKey(key string) bool {
+	for i := range len(key) {
+		if key[i] <= ' ' || key[i] > '~' {
+			return false
+		}
+	}
+	return key != "" && len(key) <= maxKey
+}
+
+// writeAnswer passes a service's answer on, or says that there is none.
+func writeAnswer(w http.ResponseWriter, a deck.ServiceAnswer) {
+	switch a.Outcome {
+	case deck.OutcomeNotRun:
+		refused(http.StatusServiceUnavailable, "not-run", a.Reason, retrySoon).write(w)
+		return
+	case deck.OutcomeUnknown:
+		(&problem{status: http.StatusBadGateway, code: "outcome-unknown", message: a.Reason}).write(w)
+		return
+	}
+	for name, value := range a.Headers {
+		if !isConnectionHeader(http.CanonicalHeaderKey(name)) {
+			w.Header().Set(name, value)
+		}
+	}
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(a.Body) // a caller that left needs no answer
+}
--- /dev/null
+++ b/internal/api/caller/collector.go
@@ -0,0 +1,140 @@
+package caller
+
+import (
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/route/attempt"
+	wire "github.com/geraniumdeck/geraniumdeck/internal/wire/engine"
+)
+
+// maxWhole bounds an answer that is collected before it is sent.
+const maxWhole = 16 << 20
+
+// A collector puts the chunks of a stream together into one document.
+type collector struct {
+	doc  map[string]any
+	size int
+	err  error
+}
+
+var _ attempt.Sink = (*collector)(nil)
+
+// Heartbeat implements attempt.Sink.Heartbeat.
+func (*collector) Heartbeat() error {
+	return nil
+}
+
+// Token implements attempt.Sink.Token.
+func (c *collector) Token(t deck.Token) error {
+	c.size += len(t.Data)
+	if c.size > maxWhole {
+		c.err = errors.New("the answer is too large to be sent as a whole; ask for a stream")
+		return c.err
+	}
+	var chunk map[string]any
+	if err := json.Unmarshal(t.Data, &chunk); err != nil {
+		c.err = errors.New("the engine sent a chunk that is not an object")
+		return c.err
+	}
+	if c.doc == nil {
+		c.doc = make(map[string]any)
+	}
+	merge(c.doc, chunk)
+	return nil
+}
+
+// answer returns the whole document.
+func (c *collector) answer(path string) map[string]any {
+	if c.doc == nil {
+		c.doc = make(map[string]any)
+	}
+	object := "text_completion"
+	if path == wire.PathChatCompletions {
+		object = "chat.completion"
+	}
+	c.doc["object"] = object
+	choices, _ := c.doc["choices"].([]any)
+	for _, v := range choices {
+		if choice, ok := v.(map[string]any); ok && choice["delta"] != nil {
+			choice["message"] = choice["delta"]
+			delete(choice, "delta")
+		}
+	}
+	return c.doc
+}
+
+// merge adds a chunk to a document: texts that come in pieces are joined, list elements are matched by their index, and
+// other values replace earlier ones unless they are null.
+func merge(doc, chunk map[string]any) {
+	for k, v := range chunk {
+		doc[k] = merged(k, doc[k], v)
+	}
+}
+
+func merged(key string, old, v any) any {
+	switch v := v.(type) {
+	case nil:
+		return old
+	case string:
+		if before, ok := old.(string); ok && isText(key) {
+			return before + v
+		}
+		return v
+	case map[string]any:
+		before, ok := old.(map[string]any)
+		if !ok {
+			before = make(map[string]any)
+		}
+		merge(before, v)
+		return before
+	case []any:
+		return mergeLists(old, v)
+	default:
+		return v
+	}
+}
+
+// isText reports whether a field's pieces are to be joined.
+func isText(key string) bool {
+	switch key {
+	case "content", "text", "arguments", "refusal", "reasoning_content":
+		return true
+	default:
+		return false
+	}
+}
+
+func mergeLists(old any, list []any) any {
+	out, _ := old.([]any)
+	for _, v := range list {
+		element, ok := v.(map[string]any)
+		if i := position(out, element); ok && i >= 0 {
+			merge(out[i].(map[string]any), element)
+			continue
+		}
+		if ok {
+			copied := make(map[string]any)
+			merge(copied, element)
+			v = copied
+		}
+		out = append(out, v)
+	}
+	return out
+}
+
+// position returns where the list holds the element with the same index, or -1.
+func position(list []any, element map[string]any) int {
+	index, ok := element["index"].(float64)
+	if !ok {
+		return -1
+	}
+	for i, v := range list {
+		if other, ok := v.(map[string]any); ok && other["index"] == index {
+			return i
+		}
+	}
+	return -1
+}
--- /dev/null
+++ b/internal/api/caller/decode.go
@@ -0,0 +1,175 @@
+package caller
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	wire "github.com/geraniumdeck/geraniumdeck/internal/wire/engine"
+)
+
+// Bounds of a caller's input.
+const (
+	maxBody       = 4 << 20
+	maxModelName  = 256
+	maxTokens     = 1 << 20
+	maxDeadline   = 24 * time.Hour
+	bodyTimeout   = 30 * time.Second
+	bytesPerToken = 4 // rough average of common tokenisers
+)
+
+// An inference is a decoded request to the inference API.
+type inference struct {
+	model     string // as the caller names it
+	stream    bool
+	maxTokens int
+	prompt    string
+	fields    map[string]json.RawMessage
+}
+
+// decodeInference decodes the body of an inference request.
+func decodeInference(body []byte) (inference, error) {
+	var q inference
+	if err := json.Unmarshal(body, &q.fields); err != nil {
+		return q, errors.Newf("the body is not a JSON object: %v", err)
+	}
+	if err := q.field("model", &q.model, "a string"); err != nil {
+		return q, err
+	}
+	if q.model == "" || len(q.model) > maxModelName {
+		return q, errors.Newf("model must have 1 to %d bytes", maxModelName)
+	}
+	if err := q.field("stream", &q.stream, "a boolean"); err != nil {
+		return q, err
+	}
+	for _, name := range []string{"max_tokens", "max_completion_tokens"} {
+		if err := q.field(name, &q.maxTokens, "an integer"); err != nil {
+			return q, err
+		}
+		if q.maxTokens < 0 || q.maxTokens > maxTokens {
+			return q, errors.Newf("%s must be from 0 to %d", name, maxTokens)
+		}
+	}
+	prompt, err := wire.Prompt(q.fields)
+	q.prompt = prompt
+	return q, err
+}
+
+// field decodes an optional field.
+func (q *inference) field(name string, out any, kind string) error {
+	raw, ok := q.fields[name]
+	if !ok {
+		return nil
+	}
+	if err := json.Unmarshal(raw, out); err != nil {
+		return errors.Newf("%s must be %s", name, kind)
+	}
+	return nil
+}
+
+// engineBody returns the body for the engine, which always streams. Its top-level keys are sorted, so that equal
+// requests give equal bytes.
+func (q *inference) engineBody(model deck.ModelName) []byte {
+	q.fields["model"] = encode(string(model))
+	q.fields["stream"] = []byte("true")
+	return encode(q.fields)
+}
+
+// digest identifies a request's content for poison-request detection.
+func digest(path string, adapter deck.AdapterName, body []byte) string {
+	return contentDigest([]byte(path), []byte(adapter), body)
+}
+
+// contentDigest returns the SHA-256 of the parts, each with its length.
+func contentDigest(parts ...[]byte) string {
+	h := sha256.New()
+	for _, p := range parts {
+		_, _ = io.WriteString(h, strconv.Itoa(len(p))+":")
+		_, _ = h.Write(p)
+	}
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// readBody reads a request's body within the bounds of size and time.
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *problem) {
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout)) // test servers have none
+	defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
+	var b bytes.Buffer
+	_, err := b.ReadFrom(http.MaxBytesReader(w, r.Body, maxBody))
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return nil, refused(http.StatusRequestEntityTooLarge, "body_too_large", "the body exceeds 4 MiB", 0)
+	}
+	if err != nil {
+		return nil, invalid("body_unreadable", "the body could not be read")
+	}
+	return b.Bytes(), nil
+}
+
+// callerOf returns what fairness counts a request under: the hash of the bearer token or the remote address.
+func callerOf(r *http.Request) string {
+	if token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer "); ok && token != "" {
+		return contentDigest([]byte(token))[:32]
+	}
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
+
+// classOf returns the service class of a request.
+func classOf(r *http.Request, m deck.Model) (deck.Class, *problem) {
+	switch r.Header.Get("Service-Class") {
+	case "":
+		return m.Class, nil
+	case deck.Interactive.String():
+		return deck.Interactive, nil
+	case deck.Batch.String():
+		return deck.Batch, nil
+	default:
+		return 0, invalid("invalid_service_class", "Service-Class must be interactive or batch")
+	}
+}
+
+// deadlineOf returns the deadline for the first token; zero for none.
+func deadlineOf(r *http.Request, now time.Time) (time.Time, *problem) {
+	s := r.Header.Get("Deadline-Ms")
+	if s == "" {
+		return time.Time{}, nil
+	}
+	ms, err := strconv.ParseUint(s, 10, 63)
+	if err != nil || ms == 0 || ms > uint64(maxDeadline.Milliseconds()) {
+		return time.Time{}, invalid("invalid_deadline", "Deadline-Ms must be an integer from 1 to 86400000")
+	}
+	return now.Add(time.Duration(ms) * time.Millisecond), nil
+}
+
+// resolve finds a model by its name, or a model and one of its adapters by MODEL:ADAPTER.
+func resolve(s deck.State, name string) (deck.Model, deck.AdapterName, *problem) {
+	if m, ok := s.Model(deck.ModelName(name)); ok {
+		return m, "", nil
+	}
+	unknown := refused(http.StatusNotFound, "model_not_found", "there is no model "+strconv.Quote(name), 0)
+	i := strings.LastIndexByte(name, ':')
+	if i < 0 {
+		return deck.Model{}, "", unknown
+	}
+	m, ok := s.Model(deck.ModelName(name[:i]))
+	a, found := s.Adapter(deck.AdapterName(name[i+1:]))
+	if !ok || !found || a.Model != m.Name {
+		return deck.Model{}, "", unknown
+	}
+	return m, a.Name, nil
+}
--- /dev/null
+++ b/internal/api/caller/handler.go
@@ -0,0 +1,68 @@
+package caller
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/route/attempt"
+	wire "github.com/geraniumdeck/geraniumdeck/internal/wire/engine"
+)
+
+// maxStreams bounds the requests in progress unless Handler.MaxStreams says otherwise.
+const maxStreams = 4096
+
+// A Handler serves the callers' listener. Its fields are set before the first request.
+type Handler struct {
+	Router      deck.Router
+	Engine      func(deck.BackendServer) deck.Engine
+	State       deck.StateSource
+	Services    deck.ServiceClient
+	Idempotency deck.IdempotencyStore
+	Poison      deck.PoisonStore
+	Clock       deck.Clock
+	VM          deck.VMName
+	DataCentre  deck.DataCentre             // whose service instances are called first
+	Leaving     func(deck.BackendName) bool // instances known to be leaving besides the state in force; may be nil
+	MaxStreams  int                         // requests in progress; 0 for the default
+
+	once   sync.Once
+	mux    *http.ServeMux
+	runner *attempt.Runner
+	drain  drain
+	turn   atomic.Uint64 // rotates the service instances
+}
+
+var _ http.Handler = (*Handler)(nil)
+
+// ServeHTTP implements http.Handler.ServeHTTP.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.once.Do(h.init)
+	h.mux.ServeHTTP(w, r)
+}
+
+func (h *Handler) init() {
+	h.runner = attempt.NewRunner(h.Router, h.Engine, h.Poison, h.Clock, h.VM)
+	h.drain.limit = h.MaxStreams
+	if h.drain.limit == 0 {
+		h.drain.limit = maxStreams
+	}
+	h.mux = http.NewServeMux()
+	h.mux.HandleFunc("GET /v1/models", h.models)
+	h.mux.HandleFunc("POST "+wire.PathChatCompletions, h.held(h.infer))
+	h.mux.HandleFunc("POST "+wire.PathCompletions, h.held(h.infer))
+	h.mux.HandleFunc("/", h.held(h.service))
+}
+
+// held counts a request as in progress while f runs, unless the handler drains or is full.
+func (h *Handler) held(f http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if problem := h.drain.enter(); problem != nil {
+			problem.write(w)
+			return
+		}
+		defer h.drain.leave()
+		f(w, r)
+	}
+}
--- /dev/null
+++ b/internal/api/caller/infer.go
@@ -0,0 +1,139 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/route/attempt"
+	wire "github.com/geraniumdeck/geraniumdeck/internal/wire/engine"
+)
+
+// infer serves a request to the inference API.
+func (h *Handler) infer(w http.ResponseWriter, r *http.Request) {
+	body, problem := readBody(w, r)
+	if problem != nil {
+		problem.write(w)
+		return
+	}
+	q, err := decodeInference(body)
+	if err != nil {
+		invalid("invalid_request", err.Error()).write(w)
+		return
+	}
+	req, problem := h.request(r, q)
+	if problem != nil {
+		problem.write(w)
+		return
+	}
+	if q.stream {
+		h.stream(w, r, req)
+		return
+	}
+	h.whole(w, r, req)
+}
+
+// request returns what the attempts need to know.
+func (h *Handler) request(r *http.Request, q inference) (attempt.Request, *problem) {
+	model, adapter, problem := resolve(h.State.State(), q.model)
+	if problem != nil {
+		return attempt.Request{}, problem
+	}
+	class, problem := classOf(r, model)
+	if problem != nil {
+		return attempt.Request{}, problem
+	}
+	deadline, problem := deadlineOf(r, h.Clock.Now())
+	if problem != nil {
+		return attempt.Request{}, problem
+	}
+	body := q.engineBody(model.Name)
+	return attempt.Request{
+		Info: deck.RequestInfo{
+			Digest:       digest(r.URL.Path, adapter, body),
+			Caller:       callerOf(r),
+			Model:        model.Name,
+			Adapter:      adapter,
+			Class:        class,
+			Prefixes:     wire.Prefixes(string(model.Name), q.prompt),
+			PromptTokens: 1 + len(q.prompt)/bytesPerToken,
+			MaxTokens:    q.maxTokens,
+			Deadline:     deadline,
+		},
+		Version: func() deck.VersionName { return h.activeVersion(model) },
+		Path:    r.URL.Path,
+		Body:    body,
+	}, nil
+}
+
+// activeVersion returns the version in force; a model that was removed keeps its last one for requests under way.
+func (h *Handler) activeVersion(m deck.Model) deck.VersionName {
+	if now, ok := h.State.State().Model(m.Name); ok {
+		return now.Active
+	}
+	return m.Active
+}
+
+// stream answers with server-sent events.
+func (h *Handler) stream(w http.ResponseWriter, r *http.Request, req attempt.Request) {
+	sink := newStreamSink(w)
+	result := h.runner.Run(r.Context(), req, sink)
+	if result.Kind == attempt.Done {
+		sink.done()
+		return
+	}
+	if result.Kind == attempt.Gone {
+		return
+	}
+	if sink.begun {
+		sink.fail(failure(result))
+		return
+	}
+	writeFailure(w, result)
+}
+
+// whole answers with one JSON document.
+func (h *Handler) whole(w http.ResponseWriter, r *http.Request, req attempt.Request) {
+	var sink collector
+	result := h.runner.Run(r.Context(), req, &sink)
+	switch {
+	case result.Kind == attempt.Done:
+		writeJSON(w, http.StatusOK, sink.answer(req.Path))
+	case sink.err != nil:
+		(&problem{status: http.StatusBadGateway, code: "answer_unusable", message: sink.err.Error()}).write(w)
+	case result.Kind != attempt.Gone:
+		writeFailure(w, result)
+	}
+}
+
+// failure returns the problem of a request without a whole answer.
+func failure(r attempt.Result) *problem {
+	switch r.Kind {
+	case attempt.Refused:
+		return refusal(r.Refusal, r.NotRun)
+	case attempt.Rejected:
+		return &problem{status: r.Err.Status, code: "rejected", message: "the engine refused the request", notRun: r.NotRun}
+	default:
+		return &problem{status: http.StatusBadGateway, code: "answer_cut", message: "the answer is not whole: " + r.Reason}
+	}
+}
+
+// writeFailure answers a request of which nothing was sent; an engine's own error document is passed on.
+func writeFailure(w http.ResponseWriter, r attempt.Result) {
+	p := failure(r)
+	if r.Kind != attempt.Rejected || !isErrorDocument(r.Err.Body) {
+		p.write(w)
+		return
+	}
+	if p.notRun {
+		w.Header().Set(headerNotRun, "true")
+	}
+	writeJSON(w, p.status, json.RawMessage(r.Err.Body))
+}
+
+func isErrorDocument(data []byte) bool {
+	var d struct {
+		Error *json.RawMessage `json:"error"`
+	}
+	return json.Unmarshal(data, &d) == nil && d.Error != nil
+}
--- /dev/null
+++ b/internal/api/caller/infer_test.go
@@ -0,0 +1,110 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// TestStreamSurvivesFaults guards against an answer that is not whole, or in which a token repeats, after a fault of an
+// engine or of the path to it.
+func TestStreamSurvivesFaults(t *testing.T) {
+	for name, faults := range map[string][2][]string{
+		"none":                     {},
+		"refused":                  {{"status:500"}, {}},
+		"draining":                 {{"draining"}, {}},
+		"reset at start":           {{"reset:0"}, {}},
+		"reset in mid-stream":      {{"reset:3"}, {}},
+		"reset twice":              {{"reset:3", "reset:4"}, {"reset:4"}},
+		"silent, then reconnected": {{"silent:2"}, {}},
+		"silent twice":             {{"silent:2", "silent:2"}, {}},
+		"slow first token":         {{"slow:1500"}, {}},
+		"all at once":              {{"silent:1", "reset:2"}, {"status:503", "draining", "reset:4"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(t *testing.T, r *rig) {
+				is := is.New(t)
+				r.engines["e1"].faults, r.engines["e2"].faults = faults[0], faults[1]
+				a := r.post(t.Context(), chat, streamBody)
+				is.NoErr(a.err)
+				is.Equal(a.status, http.StatusOK)
+				is.Equal(withoutComments(a.body), wholeStream())
+				is.Equal(r.router.Released(), 1)
+			})
+		})
+	}
+}
+
+// TestCutAnswer guards against a cut answer that looks whole.
+func TestCutAnswer(t *testing.T) {
+	run(t, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		for _, e := range r.engines {
+			e.faults = append([]string{"reset:2"}, strings.Split(strings.Repeat("status:500,", 20), ",")...)
+		}
+		a := r.post(t.Context(), chat, streamBody)
+		is.Equal(a.status, http.StatusOK)
+		is.True(strings.Contains(a.body, "event: error\ndata: {\"error\":{"))
+		is.True(strings.Contains(a.body, `"code":"answer_cut"`))
+		is.True(!strings.Contains(a.body, "[DONE]"))
+		is.True(!strings.Contains(a.body, "not-run"))
+	})
+}
+
+// TestWholeAnswer guards against a document that lacks a token of the stream.
+func TestWholeAnswer(t *testing.T) {
+	run(t, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		r.engines["e1"].faults = []string{"reset:2"}
+		a := r.post(t.Context(), chat, wholeBody)
+		is.Equal(a.status, http.StatusOK)
+		var doc struct {
+			Object  string
+			Choices []struct{ Message struct{ Content string } }
+		}
+		is.NoErr(json.Unmarshal([]byte(a.body), &doc))
+		is.Equal(doc.Object, "chat.completion")
+		is.Equal(doc.Choices[0].Message.Content, answerText)
+	})
+}
+
+// TestHeartbeat guards against a caller that takes a long wait for a dead connection.
+func TestHeartbeat(t *testing.T) {
+	run(t, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		r.router.Servers = r.router.Servers[:1]
+		r.engines["e1"].faults = []string{"slow:12000"}
+		a := r.post(t.Context(), chat, streamBody)
+		is.Equal(withoutComments(a.body), wholeStream())
+		is.Equal(strings.Count(a.body, ": running\n\n"), 10) // two in each wait of 12 s
+	})
+}
+
+// TestCallerGone guards against an engine that goes on working for a caller that left.
+func TestCallerGone(t *testing.T) {
+	run(t, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		r.engines["e1"].faults = []string{"slow:1000"}
+		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+		defer cancel()
+		is.True(r.post(ctx, chat, streamBody).err != nil)
+		synctest.Wait()
+		is.Equal(len(r.engines["e1"].cancels), 1)
+		is.True(strings.Contains(r.engines["e1"].cancels[0], r.engines["e1"].seen[0].Header.Get("Request-ID")))
+		is.Equal(r.router.Observations("e1"), []deck.ObservationKind{deck.ObservedStart, deck.ObservedCancel})
+		is.Equal(r.router.Released(), 1)
+	})
+}
+
+// withoutComments drops heartbeats.
+func withoutComments(s string) string {
+	return strings.ReplaceAll(s, ": running\n\n", "")
+}
--- /dev/null
+++ b/internal/api/caller/models.go
@@ -0,0 +1,45 @@
+package caller
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// A modelList is the answer to a request for the models.
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// models lists the models in force, each followed by its adapters.
+func (h *Handler) models(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, listModels(h.State.State()))
+}
+
+func listModels(s deck.State) modelList {
+	list := modelList{Object: "list", Data: []modelItem{}}
+	for _, m := range s.Models() {
+		list.add(string(m.Name))
+	}
+	for _, a := range s.Adapters() {
+		if _, ok := s.Model(a.Model); ok {
+			list.add(string(a.Model) + ":" + string(a.Name))
+		}
+	}
+	slices.SortFunc(list.Data, func(a, b modelItem) int { return strings.Compare(a.ID, b.ID) })
+	return list
+}
+
+func (l *modelList) add(id string) {
+	l.Data = append(l.Data, modelItem{ID: id, Object: "model", OwnedBy: "geraniumdeck"})
+}
--- /dev/null
+++ b/internal/api/caller/problem.go
@@ -0,0 +1,118 @@
+package caller
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// Times after which a caller may send a refused request again.
+const (
+	retryElsewhere = time.Second // another VM can take it at once
+	retrySoon      = 2 * time.Second
+)
+
+// headerNotRun is "true" on an answer that proves that the request did not run.
+const headerNotRun = "Not-Run"
+
+// Error types of the inference API.
+const (
+	typeInvalid = "invalid_request_error"
+	typeServer  = "server_error"
+	typeLimit   = "rate_limit_error"
+)
+
+// A problem is an error answer.
+type problem struct {
+	status     int
+	code       string
+	message    string
+	notRun     bool
+	retryAfter time.Duration
+}
+
+// An errorBody is the shape of errors in the inference API.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    string `json:"code"`
+	NotRun  bool   `json:"not-run,omitempty"`
+}
+
+// invalid returns the problem of a request that the caller must change.
+func invalid(code, message string) *problem {
+	return &problem{status: http.StatusBadRequest, code: code, message: message, notRun: true}
+}
+
+// refused returns the problem of a request that did not run.
+func refused(status int, code, message string, retryAfter time.Duration) *problem {
+	return &problem{status: status, code: code, message: message, notRun: true, retryAfter: retryAfter}
+}
+
+// refusal returns the problem of a refusal by the router or the attempts.
+func refusal(r *deck.Refusal, notRun bool) *problem {
+	p := &problem{message: r.Reason, notRun: notRun, retryAfter: r.RetryAfter}
+	switch r.Kind {
+	case deck.RefusedOverload:
+		p.status, p.code = http.StatusTooManyRequests, "overloaded"
+	case deck.RefusedUnknownModel:
+		p.status, p.code = http.StatusNotFound, "model_not_found"
+	case deck.RefusedPoison:
+		p.status, p.code = http.StatusUnprocessableEntity, "poison_request"
+	case deck.RefusedDraining:
+		p.status, p.code = http.StatusServiceUnavailable, "draining"
+	default:
+		p.status, p.code = http.StatusServiceUnavailable, "no_backend"
+	}
+	return p
+}
+
+// write sends the problem as a whole response.
+func (p *problem) write(w http.ResponseWriter) {
+	if p.notRun {
+		w.Header().Set(headerNotRun, "true")
+	}
+	if p.retryAfter > 0 {
+		seconds := max(1, int(math.Ceil(p.retryAfter.Seconds())))
+		w.Header().Set("Retry-After", strconv.Itoa(seconds))
+	}
+	writeJSON(w, p.status, p.body())
+}
+
+func (p *problem) body() errorBody {
+	return errorBody{Error: errorDetail{Message: p.message, Type: p.kind(), Code: p.code, NotRun: p.notRun}}
+}
+
+func (p *problem) kind() string {
+	switch {
+	case p.status == http.StatusTooManyRequests:
+		return typeLimit
+	case p.status < http.StatusInternalServerError:
+		return typeInvalid
+	default:
+		return typeServer
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(encode(v)) // a caller that left needs no answer
+}
+
+// encode encodes a value that JSON can express.
+func encode(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
--- /dev/null
+++ b/internal/api/caller/services.go
@@ -0,0 +1,111 @@
+package caller
+
+import (
+	"net/http"
+	"path"
+	"strings"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// A target is the service and route that a path leads to.
+type target struct {
+	service    deck.Service
+	path       string // below the service's prefix, with a leading slash
+	repeatable bool
+}
+
+// service serves a call to a plain service.
+func (h *Handler) service(w http.ResponseWriter, r *http.Request) {
+	// Paths with more than one spelling could reach a route under the rules of another one.
+	if r.URL.RawPath != "" || !isClean(r.URL.Path) {
+		invalid("invalid_path", "the path must be in its shortest form, without escaped slashes").write(w)
+		return
+	}
+	t, ok := findTarget(h.State.State(), r.URL.Path)
+	if !ok {
+		refused(http.StatusNotFound, "not_found", "nothing is served under this path", 0).write(w)
+		return
+	}
+	body, problem := readBody(w, r)
+	if problem != nil {
+		problem.write(w)
+		return
+	}
+	call := newCall(r, t, body)
+	if t.repeatable {
+		h.repeatable(w, r, t, call)
+		return
+	}
+	h.atMostOnce(w, r, t, call)
+}
+
+func isClean(p string) bool {
+	return path.Clean(p) == strings.TrimSuffix(p, "/") || p == "/"
+}
+
+// findTarget returns the service with the longest prefix of the path and the mark of its longest matching route.
+func findTarget(s deck.State, p string) (target, bool) {
+	var best target
+	found := false
+	for _, v := range s.Services() {
+		rest, ok := below(p, v.Prefix)
+		if ok && (!found || len(v.Prefix) > len(best.service.Prefix)) {
+			best, found = target{service: v, path: rest}, true
+		}
+	}
+	best.repeatable = isRepeatable(best.service.Routes, best.path)
+	return best, found
+}
+
+// isRepeatable returns the mark of the longest route; a path without a route is not repeatable.
+func isRepeatable(routes []deck.ServiceRoute, p string) bool {
+	longest, repeatable := -1, false
+	for _, route := range routes {
+		_, ok := below(p, route.Path)
+		switch n := len(strings.TrimSuffix(route.Path, "/")); {
+		case !ok || n < longest:
+		case n == longest:
+			repeatable = repeatable && route.Repeatable
+		default:
+			longest, repeatable = n, route.Repeatable
+		}
+	}
+	return repeatable
+}
+
+// below returns the part of the path after the prefix; ok is false if the prefix does not end at a segment.
+func below(p, prefix string) (rest string, ok bool) {
+	rest, ok = strings.CutPrefix(p, strings.TrimSuffix(prefix, "/"))
+	if !ok || rest != "" && rest[0] != '/' {
+		return "", false
+	}
+	if rest == "" {
+		rest = "/"
+	}
+	return rest, true
+}
+
+// newCall returns the call for the service, without the headers that concern only the caller's connection.
+func newCall(r *http.Request, t target, body []byte) deck.ServiceCall {
+	headers := make(map[string]string)
+	for name, values := range r.Header {
+		if !isConnectionHeader(name) {
+			headers[name] = strings.Join(values, ", ")
+		}
+	}
+	return deck.ServiceCall{Method: r.Method, Path: t.path, Query: r.URL.RawQuery, Headers: headers, Body: body}
+}
+
+// isConnectionHeader reports whether a header is not passed on. Idempotency-Key is one, because net/http sends requests
+// that carry it again by itself.
+func isConnectionHeader(name string) bool {
+	switch name {
+	case "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
+		"Transfer-Encoding", "Upgrade", "Content-Length", "Accept-Encoding", "Expect", "Idempotency-Key",
+		"X-Idempotency-Key", "Call-Key", headerNotRun:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/backend/engine/client.go
+++ b/internal/backend/engine/client.go
@@ -80,7 +80,16 @@
 		return nil, err
 	}
 	body := &watchedBody{body: resp.Body, watch: w}
-	return &stream{client: c, ctx: ctx, run: run, cancel: cancel, body: body, boot: boot, events: newEvents(body)}, nil
+	return &stream{
+		client: c,
+		ctx:    ctx,
+		run:    run,
+		cancel: cancel,
+		body:   body,
+		events: newEvents(body),
+		boot:   boot,
+		next:   g.Offset,
+	}, nil
 }
 
 func (c *Client) generation(ctx context.Context, g deck.Generation) (*http.Request, error) {
--- a/internal/backend/engine/client_test.go
+++ b/internal/backend/engine/client_test.go
@@ -41,11 +41,13 @@
 		})}
 		l := r.net.Listen(address)
 		go func() { _ = r.server.Serve(l) }()
+		t.Cleanup(func() {
+			r.client.Close()
+			_ = r.server.Close()
+			time.Sleep(time.Minute) // lets the transport's timers end inside the bubble
+			synctest.Wait()
+		})
 		test(t, r)
-		r.client.Close()
-		_ = r.server.Close()
-		time.Sleep(time.Minute) // lets the transport's timers end inside the bubble
-		synctest.Wait()
 	})
 }
 
--- /dev/null
+++ b/internal/route/attempt/runner.go
@@ -0,0 +1,130 @@
+package attempt
+
+import (
+	"context"
+	"crypto/rand"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// Times of a running request.
+const (
+	hedgeAfter    = 600 * time.Millisecond // leaves the second engine 0.4 s of the 1 s allowed for a first token
+	heartbeat     = 5 * time.Second
+	cancelTimeout = 5 * time.Second
+	crashTimeout  = 10 * time.Second
+)
+
+// maxBackground bounds the cancels and crash reports in flight.
+const maxBackground = 256
+
+// A Runner carries requests through their attempts.
+type Runner struct {
+	Router     deck.Router
+	Engine     func(deck.BackendServer) deck.Engine
+	Poison     deck.PoisonStore
+	Clock      deck.Clock
+	Budget     *Budget
+	Suspects   *Suspects
+	VM         deck.VMName
+	HedgeAfter time.Duration // wait for the first token before a hedge; 0 for the default
+
+	background errgroup.Group
+	limit      chan struct{}
+}
+
+// A Request is an inference request of a caller.
+type Request struct {
+	Info    deck.RequestInfo
+	Version func() deck.VersionName // version that serves new requests
+	Path    string
+	Body    []byte // sent to the engine
+}
+
+// A Sink takes an answer; its methods are called from one goroutine.
+type Sink interface {
+	// Heartbeat tells the caller that the request is still running.
+	Heartbeat() error
+
+	// Token passes a token on; each offset comes once and in order.
+	Token(t deck.Token) error
+}
+
+// NewRunner returns a runner with its own budget and suspects.
+func NewRunner(router deck.Router, engine func(deck.BackendServer) deck.Engine, poison deck.PoisonStore, clock deck.Clock, vm deck.VMName) *Runner {
+	return &Runner{
+		Router:   router,
+		Engine:   engine,
+		Poison:   poison,
+		Clock:    clock,
+		Budget:   &Budget{Clock: clock},
+		Suspects: &Suspects{Clock: clock},
+		VM:       vm,
+		limit:    make(chan struct{}, maxBackground),
+	}
+}
+
+// Run admits the request and passes its answer to the sink. The caller is gone when ctx ends or the sink fails.
+func (r *Runner) Run(ctx context.Context, req Request, sink Sink) Result {
+	if r.refused(req.Info.Digest) {
+		return Result{Kind: Refused, Refusal: poisonRefusal(), NotRun: true}
+	}
+	adm, refusal := r.Router.Admit(ctx, req.Info)
+	if refusal != nil {
+		return Result{Kind: Refused, Refusal: refusal, NotRun: true}
+	}
+	defer adm.Release()
+	r.Budget.Request()
+	ctx, cancel := context.WithCancel(ctx)
+	x := &run{
+		runner:  r,
+		req:     req,
+		adm:     adm,
+		sink:    sink,
+		ctx:     ctx,
+		events:  make(chan message),
+		handles: make(map[int]*handle),
+		servers: make(map[deck.BackendName]deck.BackendServer),
+	}
+	result := x.loop()
+	cancel()
+	_ = x.group.Wait()
+	return result
+}
+
+// Wait returns once the cancels and crash reports of ended requests are done.
+func (r *Runner) Wait() {
+	_ = r.background.Wait()
+}
+
+// refused reports whether the digest is that of a poison request.
+func (r *Runner) refused(digest string) bool {
+	return r.Poison.Refused(digest) || r.Suspects.Refused(digest)
+}
+
+// behind runs f after the request that it belongs to; at the limit it runs at once.
+func (r *Runner) behind(f func()) {
+	select {
+	case r.limit <- struct{}{}:
+	default:
+		f()
+		return
+	}
+	r.background.Go(func() error {
+		defer func() { <-r.limit }()
+		f()
+		return nil
+	})
+}
+
+// newID returns a request ID that no other VM uses.
+func (r *Runner) newID() deck.RequestID {
+	return deck.RequestID(string(r.VM) + "-" + rand.Text())
+}
+
+func poisonRefusal() *deck.Refusal {
+	return &deck.Refusal{Kind: deck.RefusedPoison, Reason: "this request has crashed backend servers"}
+}
--- /dev/null
+++ b/internal/test/decktest/router.go
@@ -0,0 +1,112 @@
+package decktest
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// A Router is a deck.Router that admits everything and chooses the first server that is not to be avoided.
+type Router struct {
+	Servers []deck.BackendServer
+	Refusal *deck.Refusal // answers every Admit if set
+
+	mu        sync.Mutex
+	seen      []deck.Observation
+	admitted  []deck.RequestInfo
+	released  int
+	preempted chan struct{}
+}
+
+var _ deck.Router = (*Router)(nil)
+
+// Admit implements deck.Router.Admit.
+func (r *Router) Admit(_ context.Context, info deck.RequestInfo) (deck.Admission, *deck.Refusal) {
+	if r.Refusal != nil {
+		return nil, r.Refusal
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.admitted = append(r.admitted, info)
+	return &admission{r}, nil
+}
+
+// Admitted returns the requests admitted so far.
+func (r *Router) Admitted() []deck.RequestInfo {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.admitted)
+}
+
+// Observations returns what was observed on the server, without single tokens.
+func (r *Router) Observations(server deck.BackendName) []deck.ObservationKind {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []deck.ObservationKind
+	for _, o := range r.seen {
+		if o.Backend == server && o.Kind != deck.ObservedToken {
+			out = append(out, o.Kind)
+		}
+	}
+	return out
+}
+
+// Preempt takes the backend server away from the running requests.
+func (r *Router) Preempt() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.preempted != nil {
+		close(r.preempted)
+		r.preempted = nil
+	}
+}
+
+// Released returns how often an admission was released.
+func (r *Router) Released() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.released
+}
+
+type admission struct{ r *Router }
+
+var _ deck.Admission = (*admission)(nil)
+
+func (a *admission) Choose(_ context.Context, avoid []deck.BackendName) (deck.BackendServer, *deck.Refusal) {
+	for _, s := range a.r.Servers {
+		if !slices.Contains(avoid, s.Name) {
+			return s, nil
+		}
+	}
+	if len(a.r.Servers) == 0 {
+		return deck.BackendServer{}, &deck.Refusal{Kind: deck.RefusedNoBackend, Reason: "no backend server"}
+	}
+	return a.r.Servers[0], nil
+}
+
+func (a *admission) Observe(o deck.Observation) {
+	a.r.mu.Lock()
+	defer a.r.mu.Unlock()
+	a.r.seen = append(a.r.seen, o)
+}
+
+func (a *admission) Preempted() <-chan struct{} {
+	a.r.mu.Lock()
+	defer a.r.mu.Unlock()
+	if a.r.preempted == nil {
+		a.r.preempted = make(chan struct{})
+	}
+	return a.r.preempted
+}
+
+func (a *admission) Priority() int {
+	return 1
+}
+
+func (a *admission) Release() {
+	a.r.mu.Lock()
+	defer a.r.mu.Unlock()
+	a.r.released++
+}
--- /dev/null
+++ b/internal/test/decktest/stores.go
@@ -0,0 +1,78 @@
+package decktest
+
+import (
+	"context"
+	"sync"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// A StateSource is a deck.StateSource with a fixed state.
+type StateSource struct {
+	Current deck.State
+}
+
+var _ deck.StateSource = StateSource{}
+
+// State implements deck.StateSource.State.
+func (s StateSource) State() deck.State {
+	return s.Current
+}
+
+// Changed implements deck.StateSource.Changed.
+func (StateSource) Changed() <-chan struct{} {
+	return nil
+}
+
+// Proven implements deck.StateSource.Proven.
+func (StateSource) Proven() bool {
+	return true
+}
+
+// A PoisonStore is a deck.PoisonStore in memory; its zero value refuses nothing.
+type PoisonStore struct {
+	mu      sync.Mutex
+	refused map[string]bool
+	reports []CrashReport
+}
+
+var _ deck.PoisonStore = (*PoisonStore)(nil)
+
+// A CrashReport is a call to PoisonStore.ReportCrash.
+type CrashReport struct {
+	Digest  string
+	Backend deck.BackendName
+	Alone   bool
+}
+
+// Refuse makes the store refuse the digest.
+func (s *PoisonStore) Refuse(digest string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refused == nil {
+		s.refused = make(map[string]bool)
+	}
+	s.refused[digest] = true
+}
+
+// Refused implements deck.PoisonStore.Refused.
+func (s *PoisonStore) Refused(digest string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refused[digest]
+}
+
+// ReportCrash implements deck.PoisonStore.ReportCrash.
+func (s *PoisonStore) ReportCrash(_ context.Context, digest string, backend deck.BackendName, alone bool) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reports = append(s.reports, CrashReport{digest, backend, alone})
+	return nil
+}
+
+// Reports returns the crash reports so far.
+func (s *PoisonStore) Reports() []CrashReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reports
+}
