Add the client of plain services

A booking or index commit may run at most once, and net/http sends some requests again by itself. A call with a key gets a connection of its own, no GetBody, no Idempotency-Key header and no redirect. It counts as not run only if no connection was made or the service's own 503 says so; each other failure is unknown.

--- /dev/null
+++ b/internal/backend/service/client.go
@@ -0,0 +1,162 @@
+package service
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// Limits of a call.
+const (
+	dialTimeout = 2 * time.Second
+	idleTimeout = 10 * time.Second
+	maxIdle     = 16
+	maxAnswer   = 8 << 20
+)
+
+// Headers of the protocol between the system and plain services.
+const (
+	HeaderCallKey = "Call-Key" // the caller's idempotency key
+	HeaderNotRun  = "Not-Run"  // "true" on a 503 by which the service says that it did not run the call
+)
+
+// A DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// A Client calls plain services and implements deck.ServiceClient.
+type Client struct {
+	once   *http.Transport // a new connection for each call
+	pooled *http.Transport
+}
+
+var _ deck.ServiceClient = (*Client)(nil)
+
+// New returns a client; a nil dial uses TCP.
+func New(dial DialFunc) *Client {
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	dial = limited(dial)
+	return &Client{
+		once: &http.Transport{
+			DialContext:        dial,
+			DisableCompression: true,
+			DisableKeepAlives:  true,
+		},
+		pooled: &http.Transport{
+			DialContext:         dial,
+			DisableCompression:  true,
+			IdleConnTimeout:     idleTimeout,
+			MaxIdleConnsPerHost: maxIdle,
+		},
+	}
+}
+
+// limited bounds a dial, which net/http lets outlive the request's context.
+func limited(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		return dial(ctx, network, address)
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	c.pooled.CloseIdleConnections()
+}
+
+// Call implements deck.ServiceClient.Call.
+func (c *Client) Call(ctx context.Context, address string, call deck.ServiceCall) deck.ServiceAnswer {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	req, err := newRequest(ctx, address, call)
+	if err != nil {
+		return deck.ServiceAnswer{Outcome: deck.OutcomeNotRun, Reason: err.Error()}
+	}
+	// RoundTrip follows no redirect, which would send the call again.
+	resp, err := c.transport(call).RoundTrip(req)
+	if err != nil {
+		return deck.ServiceAnswer{Outcome: failureOutcome(connected.Load()), Reason: err.Error()}
+	}
+	defer resp.Body.Close()
+	return answer(resp)
+}
+
+// transport returns a transport that never sends the call twice. net/http may send a request again if it meets a pooled
+// connection that the server closed, so a call with a key gets a connection of its own.
+func (c *Client) transport(call deck.ServiceCall) *http.Transport {
+	if call.CallKey != "" {
+		return c.once
+	}
+	return c.pooled
+}
+
+// failureOutcome says what a call without an answer did: without a connection nothing was sent.
+func failureOutcome(connected bool) deck.Outcome {
+	if connected {
+		return deck.OutcomeUnknown
+	}
+	return deck.OutcomeNotRun
+}
+
+func newRequest(ctx context.Context, address string, call deck.ServiceCall) (*http.Request, error) {
+	u := url.URL{Scheme: "http", Host: address, Path: call.Path, RawQuery: call.Query}
+	req, err := http.NewRequestWithContext(ctx, call.Method, u.String(), bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, err
+	}
+	req.GetBody = nil
+	for name, value := range call.Headers {
+		req.Header.Set(name, value)
+	}
+	// net/http takes either header as leave to send the request again.
+	req.Header.Del("Idempotency-Key")
+	req.Header.Del("X-Idempotency-Key")
+	req.Header.Del(HeaderCallKey)
+	if call.CallKey != "" {
+		req.Header.Set(HeaderCallKey, call.CallKey)
+	}
+	return req, nil
+}
+
+// answer reads a response; an answer that can't be read to its end is lost, and the call may have run.
+func answer(resp *http.Response) deck.ServiceAnswer {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	if isNotRun(resp) {
+		return deck.ServiceAnswer{Outcome: deck.OutcomeNotRun, Reason: "the service refused: " + shortened(body)}
+	}
+	if err != nil {
+		return deck.ServiceAnswer{Reason: errors.Wrap(err, "answer").Error()}
+	}
+	if len(body) > maxAnswer {
+		return deck.ServiceAnswer{Reason: "the answer exceeds 8 MiB"}
+	}
+	headers := make(map[string]string, len(resp.Header))
+	for name, values := range resp.Header {
+		headers[name] = strings.Join(values, ", ")
+	}
+	return deck.ServiceAnswer{Outcome: deck.OutcomeDone, Status: resp.StatusCode, Headers: headers, Body: body}
+}
+
+func isNotRun(resp *http.Response) bool {
+	return resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderNotRun) == "true"
+}
+
+func shortened(body []byte) string {
+	const limit = 200
+	return strings.ToValidUTF8(string(body[:min(len(body), limit)]), "")
+}
--- /dev/null
+++ b/internal/backend/service/client_test.go
@@ -0,0 +1,168 @@
+package service
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/test/decktest"
+)
+
+const address = "s1:80"
+
+var keyed = deck.ServiceCall{
+	Method:  http.MethodPost,
+	Path:    "/bookings",
+	Query:   "stand=4",
+	Headers: map[string]string{"Content-Type": "text/plain", "Idempotency-Key": "k1", "X-Idempotency-Key": "k1"},
+	Body:    []byte("forklift"),
+	CallKey: "k1",
+}
+
+func hangUp(w http.ResponseWriter, _ *http.Request) {
+	if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+		_ = conn.Close()
+	}
+}
+
+// TestOutcomes guards against a claim of "not run" without proof, and against a call that arrives twice.
+func TestOutcomes(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		h       http.HandlerFunc
+		outcome deck.Outcome
+	}{
+		{"done", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ok") }, deck.OutcomeDone},
+		{"error answer", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }, deck.OutcomeDone},
+		{"redirect", func(w http.ResponseWriter, r *http.Request) {
+			http.Redirect(w, r, "/bookings", http.StatusTemporaryRedirect)
+		}, deck.OutcomeDone},
+		{"refused as not run", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Not-Run", "true")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, deck.OutcomeNotRun},
+		{"503 without proof", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }, deck.OutcomeDone},
+		{"reset after send", hangUp, deck.OutcomeUnknown},
+		{"answer lost", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, deck.OutcomeUnknown},
+		{"answer cut", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			fmt.Fprint(w, "half")
+			_ = http.NewResponseController(w).Flush()
+			hangUp(w, r)
+		}, deck.OutcomeUnknown},
+		{"answer too large", func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprint(w, strings.Repeat("x", maxAnswer+1))
+		}, deck.OutcomeUnknown},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			run(t, tc.h, func(t *testing.T, c *Client, arrivals *atomic.Int32) {
+				is := is.New(t)
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
+				is.Equal(c.Call(ctx, address, keyed).Outcome, tc.outcome)
+				is.Equal(arrivals.Load(), int32(1))
+			})
+		})
+	}
+}
+
+// TestNothingSent guards against a failure before the first byte that blocks a key for good.
+func TestNothingSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		for name, dial := range map[string]DialFunc{
+			"refused": (&decktest.PipeNetwork{}).Dial,
+			"silent": func(ctx context.Context, _, _ string) (net.Conn, error) {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			},
+		} {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			a := New(dial).Call(ctx, address, keyed)
+			cancel()
+			if a.Outcome != deck.OutcomeNotRun {
+				t.Errorf("%s: outcome %s", name, a.Outcome)
+			}
+		}
+		time.Sleep(dialTimeout)
+		bad := keyed
+		bad.Headers = map[string]string{"A": "line\nbreak"}
+		is.Equal(New((&decktest.PipeNetwork{}).Dial).Call(t.Context(), address, bad).Outcome, deck.OutcomeNotRun)
+	})
+}
+
+// TestNoReplay guards against net/http sending a call again on its own: after a first call left a pooled connection, the
+// server closes each connection on which a second call arrives.
+func TestNoReplay(t *testing.T) {
+	for _, key := range []string{"", "k2"} {
+		var n atomic.Int32
+		h := func(w http.ResponseWriter, r *http.Request) {
+			if n.Add(1) > 1 {
+				hangUp(w, r)
+			}
+		}
+		run(t, h, func(t *testing.T, c *Client, arrivals *atomic.Int32) {
+			is := is.New(t)
+			first, second := keyed, keyed
+			first.CallKey, second.CallKey = "", key
+			is.Equal(c.Call(t.Context(), address, first).Outcome, deck.OutcomeDone)
+			is.Equal(c.Call(t.Context(), address, second).Outcome, deck.OutcomeUnknown)
+			is.Equal(arrivals.Load(), int32(2))
+		})
+	}
+}
+
+// TestContent guards against a call that reaches the service changed.
+func TestContent(t *testing.T) {
+	var got *http.Request
+	h := func(w http.ResponseWriter, r *http.Request) {
+		got = r
+		w.Header().Add("Booking", "1")
+		w.WriteHeader(http.StatusCreated)
+		_, _ = io.Copy(w, r.Body)
+	}
+	run(t, h, func(t *testing.T, c *Client, _ *atomic.Int32) {
+		is := is.New(t)
+		a := c.Call(t.Context(), address, keyed)
+		is.Equal(a.Status, http.StatusCreated)
+		is.Equal(a.Headers["Booking"], "1")
+		is.Equal(string(a.Body), "forklift")
+		is.Equal(got.Method+" "+got.URL.String(), "POST /bookings?stand=4")
+		is.Equal(got.Header.Get("Call-Key"), "k1")
+		is.Equal(got.Header.Get("Content-Type"), "text/plain")
+		is.Equal(got.Header.Get("Idempotency-Key"), "")
+	})
+}
+
+// run calls test in a synctest bubble with a service whose handler is h and a count of the calls that arrived.
+func run(t *testing.T, h http.HandlerFunc, test func(t *testing.T, c *Client, arrivals *atomic.Int32)) {
+	synctest.Test(t, func(t *testing.T) {
+		var network decktest.PipeNetwork
+		var arrivals atomic.Int32
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			arrivals.Add(1)
+			data, _ := io.ReadAll(r.Body)
+			r.Body = io.NopCloser(strings.NewReader(string(data)))
+			h(w, r)
+		})}
+		l := network.Listen(address)
+		go func() { _ = server.Serve(l) }()
+		c := New(network.Dial)
+		t.Cleanup(func() {
+			c.Close()
+			_ = server.Close()
+			synctest.Wait()
+		})
+		test(t, c, &arrivals)
+	})
+}
