--- /dev/null
+++ b/internal/route/attempt/run_test.go
@@ -0,0 +1,290 @@
+package attempt
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+	"pgregory.net/rapid"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/test/decktest"
+)
+
+// A caller is one request of the fuzz test.
+type caller struct {
+	body   string
+	sink   recorder
+	leaves time.Duration // 0 for a caller that stays
+	class  deck.Class
+	result Result
+}
+
+var faults = []string{
+	"", "", "unreachable", "draining", "rejected", "failed", "crashed", "stalled", "early-end", "crash-engine",
+}
+
+func drawBehaviour(t *rapid.T) behaviour {
+	return behaviour{
+		fail:  rapid.SampledFrom(faults).Draw(t, "fail"),
+		after: rapid.IntRange(0, 6).Draw(t, "after"),
+		delay: time.Duration(rapid.IntRange(0, 900).Draw(t, "delay")) * time.Millisecond,
+		noise: rapid.Bool().Draw(t, "noise"),
+		late:  rapid.Bool().Draw(t, "late"),
+	}
+}
+
+func drawCaller(t *rapid.T, n int) *caller {
+	return &caller{
+		body:   fmt.Sprintf("r%d", n),
+		class:  deck.Class(rapid.IntRange(0, 1).Draw(t, "class")),
+		leaves: time.Duration(rapid.SampledFrom([]int{0, 0, 0, 5, 700, 2500}).Draw(t, "leaves")) * time.Millisecond,
+		sink: recorder{
+			limit: rapid.SampledFrom([]int{0, 0, 0, 1, 3}).Draw(t, "limit"),
+			pause: time.Duration(rapid.SampledFrom([]int{0, 0, 40}).Draw(t, "pause")) * time.Millisecond,
+		},
+	}
+}
+
+// TestRunFuzz guards against faults of engines, hedges, preemptions and departures that together give a caller something
+// else than its own answer once or a true refusal, or that leave something running.
+func TestRunFuzz(t *testing.T) {
+	decktest.Check(t, func(rt *rapid.T) {
+		length := rapid.IntRange(0, 7).Draw(rt, "length")
+		f := newFixture(rapid.IntRange(1, 3).Draw(rt, "engines"), answerOf(length))
+		poisoned := rapid.Bool().Draw(rt, "poison")
+		for _, s := range f.router.Servers {
+			e := f.engines[s.Name]
+			e.plan = rapid.SliceOfN(rapid.Custom(drawBehaviour), 0, 6).Draw(rt, "plan")
+			e.poison = func(body string) bool { return poisoned && body == "r1" }
+		}
+		var callers []*caller
+		for n := range rapid.IntRange(1, 4).Draw(rt, "callers") {
+			callers = append(callers, drawCaller(rt, n+1))
+		}
+		preempt := time.Duration(rapid.IntRange(0, 3000).Draw(rt, "preempt")) * time.Millisecond
+		synctest.Test(t, func(*testing.T) { f.serve(callers, preempt) })
+		for _, c := range callers {
+			f.check(rt, c, words(c.body, length))
+		}
+		f.checkRest(rt, len(callers))
+	})
+}
+
+// serve runs the callers at once.
+func (f *fixture) serve(callers []*caller, preempt time.Duration) {
+	var group errgroup.Group
+	for _, c := range callers {
+		group.Go(func() error {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			if c.leaves > 0 {
+				defer time.AfterFunc(c.leaves, cancel).Stop()
+			}
+			req := f.request(c.body)
+			req.Info.Class = c.class
+			c.result = f.runner.Run(ctx, req, &c.sink)
+			return nil
+		})
+	}
+	timer := time.AfterFunc(preempt, f.router.Preempt)
+	_ = group.Wait()
+	timer.Stop()
+	f.runner.Wait()
+}
+
+// check compares what a caller got with its own answer.
+func (f *fixture) check(t *rapid.T, c *caller, want []string) {
+	for i, token := range c.sink.tokens {
+		if i >= len(want) || token.Offset != i || string(token.Data) != want[i] {
+			t.Fatalf("%s got token %d %q at place %d", c.body, token.Offset, token.Data, i)
+		}
+	}
+	if c.result.Kind == Done && len(c.sink.tokens) != len(want) {
+		t.Fatalf("%s: done after %d of %d tokens", c.body, len(c.sink.tokens), len(want))
+	}
+	if c.result.NotRun && f.ran(c.body) > 0 {
+		t.Fatalf("%s: called not run after %d attempts", c.body, f.ran(c.body))
+	}
+	if c.result.Kind == Gone && c.leaves == 0 && c.sink.limit == 0 {
+		t.Fatalf("%s: called gone", c.body)
+	}
+	if c.result.Kind == Refused && c.result.Refusal == nil {
+		t.Fatalf("%s: refused without a reason", c.body)
+	}
+}
+
+// checkRest looks for what the requests left behind.
+func (f *fixture) checkRest(t *rapid.T, callers int) {
+	if f.router.Released() != callers {
+		t.Fatalf("%d of %d admissions released", f.router.Released(), callers)
+	}
+	for name, e := range f.engines {
+		if len(e.open) > 0 {
+			t.Fatalf("%d streams of %s are not closed", len(e.open), name)
+		}
+		starts, ends := 0, 0
+		for _, kind := range f.router.Observations(name) {
+			if kind == deck.ObservedStart {
+				starts++
+				continue
+			}
+			ends++
+		}
+		if starts != ends {
+			t.Fatalf("%s: %d attempts started, %d ended", name, starts, ends)
+		}
+	}
+	if n := len(f.runner.Suspects.running); n > 0 {
+		t.Fatalf("suspects are still registered on %d servers", n)
+	}
+}
+
+func answerOf(n int) func(string) []string {
+	return func(body string) []string { return words(body, n) }
+}
+
+// TestHedge states when a second engine is tried for a slow first token, and that the loser is cancelled.
+func TestHedge(t *testing.T) {
+	slow := behaviour{delay: 5 * time.Second}
+	for _, tc := range []struct {
+		name    string
+		class   deck.Class
+		first   behaviour
+		second  behaviour
+		spent   bool // the budget is used up
+		e2      int  // attempts on the second engine
+		winner  deck.BackendName
+		elapsed time.Duration
+	}{
+		{"first is fast", deck.Interactive, behaviour{}, behaviour{}, false, 0, "e1", 5 * time.Millisecond},
+		{"second wins", deck.Interactive, slow, behaviour{}, false, 1, "e2", 605 * time.Millisecond},
+		{"first wins", deck.Interactive, behaviour{delay: time.Second}, slow, false, 1, "e1", 1005 * time.Millisecond},
+		{"second fails", deck.Interactive, behaviour{delay: time.Second}, behaviour{fail: "failed"}, false, 1, "e1", 1005 * time.Millisecond},
+		{"batch waits", deck.Batch, behaviour{delay: time.Second}, behaviour{}, false, 0, "e1", 1005 * time.Millisecond},
+		{"no budget", deck.Interactive, behaviour{delay: time.Second}, behaviour{}, true, 0, "e1", 1005 * time.Millisecond},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFixture(2, answerOf(3))
+				f.engines["e1"].plan = []behaviour{tc.first}
+				f.engines["e2"].plan = []behaviour{tc.second}
+				for tc.spent && f.runner.Budget.Take() {
+				}
+				req := f.request("r")
+				req.Info.Class = tc.class
+				start := time.Now()
+				var sink recorder
+				is.Equal(f.runner.Run(t.Context(), req, &sink).Kind, Done)
+				is.Equal(len(sink.tokens), 3)
+				is.Equal(len(f.engines["e2"].calls), tc.e2)
+				is.Equal(time.Since(start).Round(5*time.Millisecond), tc.elapsed)
+				f.runner.Wait()
+				for name, e := range f.engines {
+					lost := len(e.calls) > 0 && name != tc.winner && tc.second.fail == ""
+					is.Equal(len(e.canceled) > 0, lost || name == "e2" && tc.second.fail != "")
+				}
+			})
+		})
+	}
+}
+
+// TestBudget guards against retries that multiply the load of engines that fail.
+func TestBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(2, answerOf(3))
+		failing := make([]behaviour, 2000)
+		for i := range failing {
+			failing[i] = behaviour{fail: "failed"}
+		}
+		for _, e := range f.engines {
+			e.plan = failing
+		}
+		const requests = 300
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		var group errgroup.Group
+		for n := range requests {
+			group.Go(func() error {
+				// Hundreds of timers due at one instant of a bubble make the race detector's runtime fail.
+				time.Sleep(time.Duration(n) * time.Millisecond)
+				f.runner.Run(ctx, f.request(fmt.Sprint("r", n)), &recorder{})
+				return nil
+			})
+		}
+		_ = group.Wait()
+		calls := len(f.engines["e1"].calls) + len(f.engines["e2"].calls)
+		is.Equal(calls, requests+requests/10)
+	})
+}
+
+// TestBudgetWindow guards against a budget that never refills or that forgets retries early.
+func TestBudgetWindow(t *testing.T) {
+	is := is.New(t)
+	var clock decktest.ManualClock
+	clock.Advance(time.Hour)
+	b := &Budget{Clock: &clock}
+	take := func() (n int) {
+		for b.Take() {
+			n++
+		}
+		return n
+	}
+	is.Equal(take(), 10) // the floor
+	clock.Advance(9 * time.Second)
+	for range 250 {
+		b.Request()
+	}
+	is.Equal(take(), 15)
+	clock.Advance(time.Second)
+	is.Equal(take(), 10) // the first ten are out of the window
+	clock.Advance(time.Minute)
+	is.Equal(take(), 10)
+}
+
+// TestPreemption guards against a preempted request that loses or repeats tokens, or that counts as a retry.
+func TestPreemption(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(1, answerOf(200))
+		for f.runner.Budget.Take() {
+		}
+		for i := range 3 {
+			defer time.AfterFunc(time.Duration(20+i*30)*time.Millisecond, f.router.Preempt).Stop()
+		}
+		var sink recorder
+		is.Equal(f.runner.Run(t.Context(), f.request("r"), &sink).Kind, Done)
+		is.Equal(len(sink.tokens), 200)
+		is.Equal(len(f.engines["e1"].calls), 4)
+		f.runner.Wait()
+		is.Equal(len(f.engines["e1"].canceled), 3)
+	})
+}
+
+// TestVersionPinned guards against an answer whose parts come from two versions of a model.
+func TestVersionPinned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(2, answerOf(5))
+		f.engines["e1"].plan = []behaviour{{fail: "failed"}, {}}
+		f.engines["e2"].plan = []behaviour{{fail: "failed", after: 2}}
+		versions := []deck.VersionName{"v1", "v2", "v3"}
+		req := f.request("r")
+		req.Version = func() deck.VersionName {
+			v := versions[0]
+			versions = versions[1:]
+			return v
+		}
+		is.Equal(f.runner.Run(t.Context(), req, &recorder{}).Kind, Done)
+		is.Equal(f.engines["e1"].calls[0].Version, deck.VersionName("v1"))
+		is.Equal(f.engines["e2"].calls[0].Version, deck.VersionName("v2"))
+		is.Equal(f.engines["e1"].calls[1].Version, deck.VersionName("v2"))
+		is.Equal(f.engines["e1"].calls[1].Offset, 2)
+	})
+}
--- /dev/null
+++ b/internal/route/attempt/suspects_test.go
@@ -0,0 +1,210 @@
+package attempt
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+	"pgregory.net/rapid"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/test/decktest"
+)
+
+// A suspectModel is the oracle of TestSuspectsFuzz.
+type suspectModel struct {
+	crashes map[string]int
+	alone   map[string]bool
+	last    map[string]time.Time
+	running map[deck.BackendName][]*Run
+}
+
+// forget drops what is older than ten minutes.
+func (m *suspectModel) forget(now time.Time) {
+	for d, at := range m.last {
+		if now.Sub(at) > 10*time.Minute {
+			delete(m.crashes, d)
+			delete(m.alone, d)
+			delete(m.last, d)
+		}
+	}
+}
+
+// allowed reports whether the digest may enter: a suspect of two crashes is the only suspect on its server.
+func (m *suspectModel) allowed(digest string, server deck.BackendName) bool {
+	for _, r := range m.running[server] {
+		if r.digest == digest {
+			continue
+		}
+		if m.crashes[digest] >= 2 && m.crashes[r.digest] >= 1 || m.crashes[digest] >= 1 && r.alone {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *suspectModel) crash(server deck.BackendName, now time.Time) {
+	seen := make(map[string]bool)
+	for _, r := range m.running[server] {
+		m.alone[r.digest] = m.alone[r.digest] || r.alone
+		if !seen[r.digest] {
+			m.crashes[r.digest]++
+			m.last[r.digest] = now
+		}
+		seen[r.digest] = true
+	}
+}
+
+// TestSuspectsFuzz guards against a suspect of two crashes beside another suspect, one crash counted twice, and a
+// refusal without three crashes or one alone.
+func TestSuspectsFuzz(t *testing.T) {
+	decktest.Check(t, func(t *rapid.T) {
+		var clock decktest.ManualClock
+		clock.Advance(time.Hour)
+		s := &Suspects{Clock: &clock}
+		m := &suspectModel{
+			crashes: make(map[string]int), alone: make(map[string]bool), last: make(map[string]time.Time),
+			running: make(map[deck.BackendName][]*Run),
+		}
+		digests := rapid.SampledFrom([]string{"d1", "d2", "d3", "d4"})
+		servers := rapid.SampledFrom([]deck.BackendName{"e1", "e2"})
+		boots := 0
+		t.Repeat(map[string]func(*rapid.T){
+			"enter": func(t *rapid.T) {
+				digest, server := digests.Draw(t, "digest"), servers.Draw(t, "server")
+				r, ok := s.TryEnter(digest, server)
+				if ok != m.allowed(digest, server) {
+					t.Fatalf("%s on %s: entered %v", digest, server, ok)
+				}
+				if ok {
+					m.running[server] = append(m.running[server], r)
+				}
+			},
+			"crash": func(t *rapid.T) {
+				server := servers.Draw(t, "server")
+				m.crash(server, clock.Now())
+				boots++
+				for _, r := range m.running[server] {
+					r.Crash(fmt.Sprint(boots))
+					r.Leave()
+				}
+				delete(m.running, server)
+			},
+			"leave": func(t *rapid.T) {
+				server := servers.Draw(t, "server")
+				if list := m.running[server]; len(list) > 0 {
+					list[0].Leave()
+					m.running[server] = list[1:]
+				}
+			},
+			"clear": func(t *rapid.T) {
+				digest := digests.Draw(t, "digest")
+				s.Clear(digest)
+				m.last[digest] = time.Time{}
+				m.forget(clock.Now())
+			},
+			"wait": func(t *rapid.T) {
+				clock.Advance(time.Duration(rapid.IntRange(1, 6).Draw(t, "minutes")) * time.Minute)
+				m.forget(clock.Now())
+			},
+			"": func(t *rapid.T) {
+				for _, d := range []string{"d1", "d2", "d3", "d4"} {
+					want := m.crashes[d] >= 3 || m.crashes[d] >= 2 && m.alone[d]
+					if s.Refused(d) != want {
+						t.Fatalf("%s refused %v after %d crashes", d, !want, m.crashes[d])
+					}
+				}
+			},
+		})
+	})
+}
+
+// TestPoisonRequest guards against a request that crashes one engine after another, and against its neighbours being
+// lost or blamed with it.
+func TestPoisonRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(4, answerOf(6))
+		for _, e := range f.engines {
+			e.poison = func(body string) bool { return body == "poison" }
+			e.plan = make([]behaviour, 20)
+			for i := range e.plan {
+				e.plan[i] = behaviour{delay: 300 * time.Millisecond}
+			}
+		}
+		results := make(map[string]*caller)
+		var group errgroup.Group
+		for _, body := range []string{"a", "b", "poison", "c"} {
+			c := &caller{body: body}
+			results[body] = c
+			group.Go(func() error {
+				c.result = f.runner.Run(t.Context(), f.request(body), &c.sink)
+				return nil
+			})
+		}
+		_ = group.Wait()
+		f.runner.Wait()
+		for body, c := range results {
+			if body != "poison" {
+				is.Equal(c.result.Kind, Done)
+				is.Equal(len(c.sink.tokens), 6)
+			}
+		}
+		is.Equal(results["poison"].result.Refusal.Kind, deck.RefusedPoison)
+		is.True(!results["poison"].result.NotRun)
+		is.Equal(f.ran("poison"), 3)
+		reports := f.poison.Reports()
+		count := 0
+		for _, r := range reports {
+			if r.Digest == "poison" {
+				count++
+				is.Equal(r.Alone, count == 3)
+			}
+		}
+		is.Equal(count, 3)
+		again := f.runner.Run(t.Context(), f.request("poison"), &recorder{})
+		is.True(again.NotRun)
+		is.Equal(f.ran("poison"), 3)
+	})
+}
+
+// TestRefusedElsewhere guards against a poison request that another VM already found out.
+func TestRefusedElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(2, answerOf(6))
+		f.engines["e1"].plan = []behaviour{{fail: "crashed", after: 1}}
+		time.AfterFunc(time.Millisecond, func() { f.poison.Refuse("r") })
+		result := f.runner.Run(t.Context(), f.request("r"), &recorder{})
+		is.Equal(result.Kind, Refused)
+		is.True(!result.NotRun) // it ran on e1
+		is.Equal(f.ran("r"), 1)
+	})
+}
+
+// TestSuspectWaits guards against a suspect that waits for good for a server that became free, or after its caller left.
+func TestSuspectWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &Suspects{Clock: deck.SystemClock{}}
+		for boot := range 2 {
+			for _, digest := range []string{"d1", "d2"} {
+				r, _ := s.TryEnter(digest, deck.BackendName(fmt.Sprint("old", digest)))
+				is.True(r.Crash(fmt.Sprint(boot)))
+				is.True(!r.Crash(fmt.Sprint(boot))) // one crash counts once
+				r.Leave()
+			}
+		}
+		first, ok := s.TryEnter("d1", "e1")
+		is.True(ok)
+		time.AfterFunc(time.Second, first.Leave)
+		start := time.Now()
+		second, err := s.Enter(t.Context(), "d2", "e1")
+		is.NoErr(err)
+		is.True(second.Alone())
+		is.Equal(time.Since(start), time.Second)
+	})
+}
