--- /dev/null
+++ b/internal/settings/yaml/check.go
@@ -0,0 +1,304 @@
+package yaml
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml/ast"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// Defaults of settings that a file leaves out.
+const (
+	defaultMaxBodyBytes  = 4 << 20
+	defaultMaxStreams    = 2000
+	defaultQueuePerModel = 256
+	defaultHeaderTimeout = 5 * time.Second
+	defaultDrainTimeout  = 5 * time.Minute
+	defaultClockDrift    = 0.01
+	defaultOpLifetime    = 10 * time.Second
+	defaultRetention     = 24 * time.Hour
+	defaultTarget        = 0.95
+)
+
+// Largest values that make sense.
+const (
+	maxControlVMs = 7
+	maxClockDrift = 0.1
+	maxBodyBytes  = 64 << 20
+	maxStreams    = 100_000
+)
+
+var nameRule = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+
+// A checker maps the wire form to Settings and collects faults.
+type checker struct {
+	name  string
+	tree  *ast.File
+	found []error
+}
+
+func (c *checker) add(path, format string, args ...any) {
+	c.found = append(c.found, &Error{File: c.name, Line: line(c.tree, path), Path: path, Text: fmt.Sprintf(format, args...)})
+}
+
+func (c *checker) err() error {
+	return errors.Join(c.found...)
+}
+
+func (c *checker) settings(f file) Settings {
+	s := Settings{Deployment: f.Deployment}
+	c.identifier("deployment", f.Deployment)
+	regions := c.regions(f.Regions)
+	s.VMs = c.vms(f.VMs, regions)
+	s.Platform = c.platform(f.Platform)
+	s.Limits = c.limits(f.Limits)
+	s.Objectives = c.objectives(f.Objectives)
+	s.ClockDrift = f.Safety.ClockDrift
+	if s.ClockDrift == 0 {
+		s.ClockDrift = defaultClockDrift
+	}
+	if s.ClockDrift < 0 || s.ClockDrift > maxClockDrift {
+		c.add("safety.clock-drift", "got %v, expected a share from 0 to %v", s.ClockDrift, maxClockDrift)
+	}
+	s.OpLifetime = c.duration("safety.operation-lifetime", f.Safety.OpLifetime, defaultOpLifetime, time.Second, time.Hour)
+	s.Retention = c.duration("safety.idempotency-retention", f.Safety.Retention, defaultRetention, time.Minute, 30*24*time.Hour)
+	return s
+}
+
+func (c *checker) regions(rs []region) map[deck.DataCentre]deck.Region {
+	out := make(map[deck.DataCentre]deck.Region)
+	if len(rs) == 0 {
+		c.add("regions", "none given, expected at least one region with its data centres")
+	}
+	for i, r := range rs {
+		p := fmt.Sprintf("regions[%d]", i)
+		c.identifier(p+".name", r.Name)
+		for j, d := range r.DataCentres {
+			dp := fmt.Sprintf("%s.data-centres[%d]", p, j)
+			c.identifier(dp, d)
+			if other, ok := out[deck.DataCentre(d)]; ok {
+				c.add(dp, "data centre %q already belongs to region %q", d, other)
+			}
+			out[deck.DataCentre(d)] = deck.Region(r.Name)
+		}
+	}
+	return out
+}
+
+func (c *checker) vms(vs []vm, regions map[deck.DataCentre]deck.Region) []VM {
+	out := make([]VM, 0, len(vs))
+	names := make(map[string]bool)
+	addresses := make(map[string]string)
+	control := 0
+	for i, v := range vs {
+		p := fmt.Sprintf("vms[%d]", i)
+		d := c.vm(p, v, regions)
+		if names[v.Name] {
+			c.add(p+".name", "VM %q is listed twice", v.Name)
+		}
+		names[v.Name] = true
+		c.listen(p+".listen", d, addresses)
+		if d.Has(RoleControl) {
+			control++
+		}
+		out = append(out, d)
+	}
+	c.controlCount(control)
+	return out
+}
+
+func (c *checker) controlCount(n int) {
+	switch {
+	case n == 0:
+		c.add("vms", "no VM has the role control, expected 1, 3, 5 or 7")
+	case n%2 == 0 || n > maxControlVMs:
+		c.add("vms", "%d VMs have the role control, expected 1, 3, 5 or 7", n)
+	}
+}
+
+func (c *checker) vm(p string, v vm, regions map[deck.DataCentre]deck.Region) VM {
+	c.identifier(p+".name", v.Name)
+	r, ok := regions[deck.DataCentre(v.DataCentre)]
+	if !ok {
+		c.add(p+".data-centre", "data centre %q is in no region, expected one listed under regions", v.DataCentre)
+	}
+	d := VM{Name: deck.VMName(v.Name), DataCentre: deck.DataCentre(v.DataCentre), Region: r, DataFolder: v.DataFolder, Listen: Listen(v.Listen)}
+	if len(v.Roles) == 0 {
+		c.add(p+".roles", "none given, expected entry, control or both")
+	}
+	for j, x := range v.Roles {
+		switch Role(x) {
+		case RoleEntry, RoleControl:
+			d.Roles = append(d.Roles, Role(x))
+		default:
+			c.add(fmt.Sprintf("%s.roles[%d]", p, j), "got %q, expected entry or control", x)
+		}
+	}
+	if d.Has(RoleControl) && v.DataFolder == "" {
+		c.add(p, "role control needs a data-folder on a disk")
+	}
+	if v.DataFolder != "" && !filepath.IsAbs(v.DataFolder) {
+		c.add(p+".data-folder", "got %q, expected an absolute path", v.DataFolder)
+	}
+	return d
+}
+
+func (c *checker) listen(p string, v VM, taken map[string]string) {
+	needs := []struct {
+		key, value string
+		required   bool
+	}{
+		{"callers", v.Listen.Callers, v.Has(RoleEntry)},
+		{"peers", v.Listen.Peers, true},
+		{"operators", v.Listen.Operators, true},
+	}
+	for _, n := range needs {
+		kp := p + "." + n.key
+		if n.value == "" {
+			if n.required {
+				c.add(kp, "missing, expected IP:port")
+			}
+			continue
+		}
+		ap, err := netip.ParseAddrPort(n.value)
+		if err != nil || ap.Port() == 0 {
+			c.add(kp, "got %q, expected IP:port with a port from 1 to 65535", n.value)
+			continue
+		}
+		if other, ok := taken[n.value]; ok {
+			c.add(kp, "address %s is already used by %s", n.value, other)
+		}
+		taken[n.value] = kp
+	}
+}
+
+func (c *checker) platform(p platform) Platform {
+	out := Platform{
+		VMList: p.VMList, WeightStore: p.WeightStore.Address, LoadsPerSecond: p.WeightStore.LoadsPerSecond,
+		ConcurrentLoads: p.WeightStore.ConcurrentLoads, AdapterLoads: p.Adapter,
+	}
+	c.url("platform.vm-list", p.VMList)
+	c.url("platform.weight-store.address", p.WeightStore.Address)
+	if out.LoadsPerSecond <= 0 {
+		c.add("platform.weight-store.loads-per-second", "got %v, expected a number above 0", out.LoadsPerSecond)
+	}
+	if out.ConcurrentLoads <= 0 {
+		c.add("platform.weight-store.concurrent-loads", "got %d, expected a whole number above 0", out.ConcurrentLoads)
+	}
+	if out.AdapterLoads <= 0 {
+		c.add("platform.adapter-loads-in-flight", "got %d, expected a whole number above 0", out.AdapterLoads)
+	}
+	return out
+}
+
+func (c *checker) limits(l limits) Limits {
+	out := Limits{
+		MaxBodyBytes:  c.size("limits.max-body", l.MaxBody, defaultMaxBodyBytes, maxBodyBytes),
+		MaxStreams:    c.count("limits.max-streams", l.MaxStreams, defaultMaxStreams, maxStreams),
+		QueuePerModel: c.count("limits.queue-per-model", l.QueuePerModel, defaultQueuePerModel, maxStreams),
+		HeaderTimeout: c.duration("limits.header-timeout", l.HeaderTimeout, defaultHeaderTimeout, 100*time.Millisecond, time.Minute),
+		DrainTimeout:  c.duration("limits.drain-timeout", l.DrainTimeout, defaultDrainTimeout, time.Second, time.Hour),
+	}
+	return out
+}
+
+func (c *checker) objectives(os []objective) []Objective {
+	if len(os) == 0 {
+		return []Objective{{Class: deck.Interactive, FirstToken: time.Second, BetweenTokens: 47 * time.Millisecond, Target: defaultTarget}}
+	}
+	out := make([]Objective, 0, len(os))
+	seen := make(map[string]bool)
+	for i, o := range os {
+		p := fmt.Sprintf("objectives[%d]", i)
+		d := Objective{Target: o.Target}
+		switch o.Class {
+		case deck.Interactive.String():
+		case deck.Batch.String():
+			d.Class = deck.Batch
+		default:
+			c.add(p+".class", "got %q, expected interactive or batch", o.Class)
+		}
+		if seen[o.Class] {
+			c.add(p+".class", "class %q is listed twice", o.Class)
+		}
+		seen[o.Class] = true
+		d.FirstToken = c.duration(p+".first-token", o.FirstToken, time.Second, time.Millisecond, time.Hour)
+		d.BetweenTokens = c.duration(p+".between-tokens", o.BetweenTokens, 47*time.Millisecond, time.Millisecond, time.Minute)
+		if o.Target <= 0 || o.Target >= 1 {
+			c.add(p+".target", "got %v, expected a share above 0 and below 1", o.Target)
+		}
+		out = append(out, d)
+	}
+	return out
+}
+
+func (c *checker) identifier(path, name string) {
+	if !nameRule.MatchString(name) {
+		c.add(path, "got %q, expected lower-case letters, digits and hyphens, 1 to 63 characters", name)
+	}
+}
+
+func (c *checker) url(path, s string) {
+	if s == "" {
+		return
+	}
+	u, err := url.Parse(s)
+	if err != nil || u.Scheme != "http" || u.Host == "" {
+		c.add(path, "got %q, expected http://IP:port", s)
+	}
+}
+
+func (c *checker) duration(path, s string, def, low, high time.Duration) time.Duration {
+	if s == "" {
+		return def
+	}
+	d, err := time.ParseDuration(s)
+	if err != nil {
+		c.add(path, "got %q, expected a duration with a unit such as 500ms or 10s", s)
+		return def
+	}
+	if d < low || d > high {
+		c.add(path, "got %s, expected %s to %s", d, low, high)
+		return def
+	}
+	return d
+}
+
+func (c *checker) count(path string, n, def, high int) int {
+	if n == 0 {
+		return def
+	}
+	if n < 0 || n > high {
+		c.add(path, "got %d, expected 1 to %d", n, high)
+		return def
+	}
+	return n
+}
+
+func (c *checker) size(path, s string, def, high int64) int64 {
+	if s == "" {
+		return def
+	}
+	for suffix, unit := range map[string]int64{"KiB": 1 << 10, "MiB": 1 << 20} {
+		digits, ok := strings.CutSuffix(s, suffix)
+		if !ok {
+			continue
+		}
+		n, err := strconv.ParseInt(strings.TrimSpace(digits), 10, 32)
+		if err != nil || n <= 0 || n*unit > high {
+			break
+		}
+		return n * unit
+	}
+	c.add(path, "got %q, expected a size in KiB or MiB up to %d MiB, such as 512KiB", s, high>>20)
+	return def
+}
--- /dev/null
+++ b/internal/settings/yaml/read.go
@@ -0,0 +1,122 @@
+package yaml
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"regexp"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+)
+
+// An Error is a fault of a settings file.
+type Error struct {
+	File string
+	Line int    // 1 is the first line
+	Path string // the setting, such as vms[2].listen.peers; empty if the file is not valid YAML
+	Text string // what was found and what was expected
+}
+
+// Error implements error.Error.
+func (e *Error) Error() string {
+	if e.Path == "" {
+		return fmt.Sprintf("%s:%d: %s", e.File, e.Line, e.Text)
+	}
+	return fmt.Sprintf("%s:%d: %s: %s", e.File, e.Line, e.Path, e.Text)
+}
+
+// Read returns the checked settings of a file; all faults that could be found are returned, joined.
+func Read(name string) (Settings, error) {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "settings")
+	}
+	return Parse(name, data)
+}
+
+// Parse returns the checked settings in data; name is used in errors.
+func Parse(name string, data []byte) (Settings, error) {
+	tree, err := parser.ParseBytes(data, 0)
+	if err != nil {
+		return Settings{}, syntaxError(name, err)
+	}
+	var f file
+	dec := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict())
+	if err := dec.Decode(&f); err != nil {
+		return Settings{}, syntaxError(name, err)
+	}
+	c := checker{name: name, tree: tree}
+	s := c.settings(f)
+	return s, c.err()
+}
+
+// syntaxError maps the YAML library's error, which knows the token, to an Error.
+func syntaxError(name string, err error) error {
+	var ye yaml.Error
+	e := &Error{File: name, Line: 1, Text: err.Error()}
+	if errors.As(err, &ye) {
+		e.Text = ye.GetMessage()
+		if t := ye.GetToken(); t != nil && t.Position != nil {
+			e.Line = t.Position.Line
+		}
+	}
+	e.Text = expectation(e.Text)
+	return e
+}
+
+// typeFault matches the library's message on a value of the wrong type.
+var typeFault = regexp.MustCompile(`cannot unmarshal (\w+) into Go (?:struct field \S+|value) of type (\w+)`)
+
+// expectation rewrites the library's messages on Go types into what a settings author must write.
+func expectation(text string) string {
+	text = strings.ReplaceAll(text, "unknown field", "unknown key")
+	m := typeFault.FindStringSubmatch(text)
+	if m == nil {
+		return text
+	}
+	expected := map[string]string{"int": "a whole number", "float64": "a number", "string": "text", "bool": "true or false"}[m[2]]
+	if expected == "" {
+		expected = "a list or a group of keys"
+	}
+	return fmt.Sprintf("got a %s, expected %s", m[1], expected)
+}
+
+// line returns the line of the nearest existing node at or above the path.
+func line(tree *ast.File, path string) int {
+	for p := path; p != ""; p = parent(p) {
+		yp, err := yaml.PathString("$." + p)
+		if err != nil {
+			continue
+		}
+		n, err := yp.FilterFile(tree)
+		if err != nil || n == nil {
+			continue
+		}
+		return startLine(n)
+	}
+	return 1
+}
+
+func startLine(n ast.Node) int {
+	switch v := n.(type) {
+	case *ast.MappingNode:
+		if len(v.Values) > 0 {
+			return v.Values[0].Key.GetToken().Position.Line
+		}
+	case *ast.MappingValueNode:
+		return v.Key.GetToken().Position.Line
+	}
+	return n.GetToken().Position.Line
+}
+
+func parent(path string) string {
+	i := strings.LastIndexAny(path, ".[")
+	if i < 0 {
+		return ""
+	}
+	return path[:i]
+}
