--- a/internal/settings/yaml/check.go
+++ b/internal/settings/yaml/check.go
@@ -46,7 +46,7 @@
 	found []error
 }
 
-func (c *checker) add(path, format string, args ...any) {
+func (c *checker) addf(path, format string, args ...any) {
 	c.found = append(c.found, &Error{File: c.name, Line: line(c.tree, path), Path: path, Text: fmt.Sprintf(format, args...)})
 }
 
@@ -67,7 +67,7 @@
 		s.ClockDrift = defaultClockDrift
 	}
 	if s.ClockDrift < 0 || s.ClockDrift > maxClockDrift {
-		c.add("safety.clock-drift", "got %v, expected a share from 0 to %v", s.ClockDrift, maxClockDrift)
+		c.addf("safety.clock-drift", "got %v, expected a share from 0 to %v", s.ClockDrift, maxClockDrift)
 	}
 	s.OpLifetime = c.duration("safety.operation-lifetime", f.Safety.OpLifetime, defaultOpLifetime, time.Second, time.Hour)
 	s.Retention = c.duration("safety.idempotency-retention", f.Safety.Retention, defaultRetention, time.Minute, 30*24*time.Hour)
@@ -77,7 +77,7 @@
 func (c *checker) regions(rs []region) map[deck.DataCentre]deck.Region {
 	out := make(map[deck.DataCentre]deck.Region)
 	if len(rs) == 0 {
-		c.add("regions", "none given, expected at least one region with its data centres")
+		c.addf("regions", "none given, expected at least one region with its data centres")
 	}
 	for i, r := range rs {
 		p := fmt.Sprintf("regions[%d]", i)
@@ -86,7 +86,7 @@
 			dp := fmt.Sprintf("%s.data-centres[%d]", p, j)
 			c.identifier(dp, d)
 			if other, ok := out[deck.DataCentre(d)]; ok {
-				c.add(dp, "data centre %q already belongs to region %q", d, other)
+				c.addf(dp, "data centre %q already belongs to region %q", d, other)
 			}
 			out[deck.DataCentre(d)] = deck.Region(r.Name)
 		}
@@ -103,7 +103,7 @@
 		p := fmt.Sprintf("vms[%d]", i)
 		d := c.vm(p, v, regions)
 		if names[v.Name] {
-			c.add(p+".name", "VM %q is listed twice", v.Name)
+			c.addf(p+".name", "VM %q is listed twice", v.Name)
 		}
 		names[v.Name] = true
 		c.listen(p+".listen", d, addresses)
@@ -119,9 +119,9 @@
 func (c *checker) controlCount(n int) {
 	switch {
 	case n == 0:
-		c.add("vms", "no VM has the role control, expected 1, 3, 5 or 7")
+		c.addf("vms", "no VM has the role control, expected 1, 3, 5 or 7")
 	case n%2 == 0 || n > maxControlVMs:
-		c.add("vms", "%d VMs have the role control, expected 1, 3, 5 or 7", n)
+		c.addf("vms", "%d VMs have the role control, expected 1, 3, 5 or 7", n)
 	}
 }
 
@@ -129,25 +129,25 @@
 	c.identifier(p+".name", v.Name)
 	r, ok := regions[deck.DataCentre(v.DataCentre)]
 	if !ok {
-		c.add(p+".data-centre", "data centre %q is in no region, expected one listed under regions", v.DataCentre)
+		c.addf(p+".data-centre", "data centre %q is in no region, expected one listed under regions", v.DataCentre)
 	}
 	d := VM{Name: deck.VMName(v.Name), DataCentre: deck.DataCentre(v.DataCentre), Region: r, DataFolder: v.DataFolder, Listen: Listen(v.Listen)}
 	if len(v.Roles) == 0 {
-		c.add(p+".roles", "none given, expected entry, control or both")
+		c.addf(p+".roles", "none given, expected entry, control or both")
 	}
 	for j, x := range v.Roles {
 		switch Role(x) {
 		case RoleEntry, RoleControl:
 			d.Roles = append(d.Roles, Role(x))
 		default:
-			c.add(fmt.Sprintf("%s.roles[%d]", p, j), "got %q, expected entry or control", x)
+			c.addf(fmt.Sprintf("%s.roles[%d]", p, j), "got %q, expected entry or control", x)
 		}
 	}
 	if d.Has(RoleControl) && v.DataFolder == "" {
-		c.add(p, "role control needs a data-folder on a disk")
+		c.addf(p, "role control needs a data-folder on a disk")
 	}
 	if v.DataFolder != "" && !filepath.IsAbs(v.DataFolder) {
-		c.add(p+".data-folder", "got %q, expected an absolute path", v.DataFolder)
+		c.addf(p+".data-folder", "got %q, expected an absolute path", v.DataFolder)
 	}
 	return d
 }
@@ -165,17 +165,17 @@
 		kp := p + "." + n.key
 		if n.value == "" {
 			if n.required {
-				c.add(kp, "missing, expected IP:port")
+				c.addf(kp, "missing, expected IP:port")
 			}
 			continue
 		}
 		ap, err := netip.ParseAddrPort(n.value)
 		if err != nil || ap.Port() == 0 {
-			c.add(kp, "got %q, expected IP:port with a port from 1 to 65535", n.value)
+			c.addf(kp, "got %q, expected IP:port with a port from 1 to 65535", n.value)
 			continue
 		}
 		if other, ok := taken[n.value]; ok {
-			c.add(kp, "address %s is already used by %s", n.value, other)
+			c.addf(kp, "address %s is already used by %s", n.value, other)
 		}
 		taken[n.value] = kp
 	}
@@ -189,13 +189,13 @@
 	c.url("platform.vm-list", p.VMList)
 	c.url("platform.weight-store.address", p.WeightStore.Address)
 	if out.LoadsPerSecond <= 0 {
-		c.add("platform.weight-store.loads-per-second", "got %v, expected a number above 0", out.LoadsPerSecond)
+		c.addf("platform.weight-store.loads-per-second", "got %v, expected a number above 0", out.LoadsPerSecond)
 	}
 	if out.ConcurrentLoads <= 0 {
-		c.add("platform.weight-store.concurrent-loads", "got %d, expected a whole number above 0", out.ConcurrentLoads)
+		c.addf("platform.weight-store.concurrent-loads", "got %d, expected a whole number above 0", out.ConcurrentLoads)
 	}
 	if out.AdapterLoads <= 0 {
-		c.add("platform.adapter-loads-in-flight", "got %d, expected a whole number above 0", out.AdapterLoads)
+		c.addf("platform.adapter-loads-in-flight", "got %d, expected a whole number above 0", out.AdapterLoads)
 	}
 	return out
 }
@@ -225,16 +225,16 @@
 		case deck.Batch.String():
 			d.Class = deck.Batch
 		default:
-			c.add(p+".class", "got %q, expected interactive or batch", o.Class)
+			c.addf(p+".class", "got %q, expected interactive or batch", o.Class)
 		}
 		if seen[o.Class] {
-			c.add(p+".class", "class %q is listed twice", o.Class)
+			c.addf(p+".class", "class %q is listed twice", o.Class)
 		}
 		seen[o.Class] = true
 		d.FirstToken = c.duration(p+".first-token", o.FirstToken, time.Second, time.Millisecond, time.Hour)
 		d.BetweenTokens = c.duration(p+".between-tokens", o.BetweenTokens, 47*time.Millisecond, time.Millisecond, time.Minute)
 		if o.Target <= 0 || o.Target >= 1 {
-			c.add(p+".target", "got %v, expected a share above 0 and below 1", o.Target)
+			c.addf(p+".target", "got %v, expected a share above 0 and below 1", o.Target)
 		}
 		out = append(out, d)
 	}
@@ -243,7 +243,7 @@
 
 func (c *checker) identifier(path, name string) {
 	if !nameRule.MatchString(name) {
-		c.add(path, "got %q, expected lower-case letters, digits and hyphens, 1 to 63 characters", name)
+		c.addf(path, "got %q, expected lower-case letters, digits and hyphens, 1 to 63 characters", name)
 	}
 }
 
@@ -253,7 +253,7 @@
 	}
 	u, err := url.Parse(s)
 	if err != nil || u.Scheme != "http" || u.Host == "" {
-		c.add(path, "got %q, expected http://IP:port", s)
+		c.addf(path, "got %q, expected http://IP:port", s)
 	}
 }
 
@@ -263,11 +263,11 @@
 	}
 	d, err := time.ParseDuration(s)
 	if err != nil {
-		c.add(path, "got %q, expected a duration with a unit such as 500ms or 10s", s)
+		c.addf(path, "got %q, expected a duration with a unit such as 500ms or 10s", s)
 		return def
 	}
 	if d < low || d > high {
-		c.add(path, "got %s, expected %s to %s", d, low, high)
+		c.addf(path, "got %s, expected %s to %s", d, low, high)
 		return def
 	}
 	return d
@@ -278,7 +278,7 @@
 		return def
 	}
 	if n < 0 || n > high {
-		c.add(path, "got %d, expected 1 to %d", n, high)
+		c.addf(path, "got %d, expected 1 to %d", n, high)
 		return def
 	}
 	return n
@@ -299,6 +299,6 @@
 		}
 		return n * unit
 	}
-	c.add(path, "got %q, expected a size in KiB or MiB up to %d MiB, such as 512KiB", s, high>>20)
+	c.addf(path, "got %q, expected a size in KiB or MiB up to %d MiB, such as 512KiB", s, high>>20)
 	return def
 }
--- a/internal/settings/yaml/read_test.go
+++ b/internal/settings/yaml/read_test.go
@@ -22,7 +22,8 @@
 }
 
 func lineOf(text, marker string) int {
-	return 1 + strings.Count(text[:strings.Index(text, marker)], "\n")
+	before, _, _ := strings.Cut(text, marker)
+	return 1 + strings.Count(before, "\n")
 }
 
 // Guards against examples that the checker would refuse.
