--- /dev/null
+++ b/internal/emulate/engine/batch.go
@@ -0,0 +1,65 @@
+package engine
+
+import (
+	"context"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// A request is one generation in the engine.
+type request struct {
+	id       deck.RequestID
+	priority int
+	tokens   int // still to generate
+	ctx      context.Context
+	cancel   context.CancelFunc
+	turn     chan struct{} // closed when the request enters the batch
+}
+
+// batch is the continuous batch with its priority queue.
+type batch struct {
+	running map[deck.RequestID]*request // all requests, those waiting included
+	waiting []*request                  // highest priority first, first come first served within one
+}
+
+// add puts the request into the batch, or into the queue if the batch is full.
+func (b *batch) add(r *request, limit int) {
+	b.running[r.id] = r
+	if len(b.running)-len(b.waiting) <= limit {
+		close(r.turn)
+		return
+	}
+	i := len(b.waiting)
+	for i > 0 && b.waiting[i-1].priority < r.priority {
+		i--
+	}
+	b.waiting = append(b.waiting, nil)
+	copy(b.waiting[i+1:], b.waiting[i:])
+	b.waiting[i] = r
+}
+
+func (b *batch) queuedTokens() int {
+	n := 0
+	for _, r := range b.waiting {
+		n += r.tokens
+	}
+	return n
+}
+
+// remove takes the request out and lets the next one in.
+func (b *batch) remove(r *request, limit int) {
+	if b.running[r.id] != r {
+		return
+	}
+	delete(b.running, r.id)
+	for i, w := range b.waiting {
+		if w == r {
+			b.waiting = append(b.waiting[:i], b.waiting[i+1:]...)
+			break
+		}
+	}
+	for len(b.waiting) > 0 && len(b.running)-len(b.waiting) < limit {
+		close(b.waiting[0].turn)
+		b.waiting = b.waiting[1:]
+	}
+}
--- /dev/null
+++ b/internal/emulate/engine/engine_test.go
@@ -0,0 +1,145 @@
+package engine
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	wire "github.com/geraniumdeck/geraniumdeck/internal/wire/engine"
+)
+
+func load(id deck.OperationID, model deck.ModelName, bytes deck.Bytes, token uint64) deck.Operation {
+	return deck.Operation{
+		ID: id, Kind: deck.OpLoadModel, Model: model, Version: "v1", ResidentBytes: bytes, FencingToken: token,
+	}
+}
+
+func waitFor(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	tick := time.NewTicker(time.Millisecond)
+	defer tick.Stop()
+	for !cond() {
+		select {
+		case <-ctx.Done():
+			t.Fatalf("timed out waiting for %s", what)
+		case <-tick.C:
+		}
+	}
+}
+
+func started(t *testing.T, cfg Config) (*Engine, *httptest.Server) {
+	t.Helper()
+	cfg.LoadTime, cfg.PrefillTime, cfg.TokenInterval = time.Millisecond, time.Millisecond, time.Millisecond
+	e := New(cfg)
+	srv := httptest.NewServer(e.Handler())
+	t.Cleanup(func() {
+		srv.CloseClientConnections()
+		e.Close()
+		srv.Close()
+	})
+	return e, srv
+}
+
+func generate(t *testing.T, url, body, lastEventID string) (string, error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+wire.PathCompletions, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if lastEventID != "" {
+		req.Header.Set(wire.HeaderLastEventID, lastEventID)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return string(data), err
+}
+
+// Guards against an emulator that hides an overcommit from the tests that look for one.
+func TestReportsOvercommit(t *testing.T) {
+	is := is.New(t)
+	e, _ := started(t, Config{MemoryBytes: 10})
+	is.True(e.accept(load("a", "m1", 6, 1)).Accepted)
+	is.True(e.accept(load("b", "m2", 6, 1)).Accepted)
+	waitFor(t, "overcommit", func() bool { return e.Overcommits() > 0 })
+}
+
+// Guards against a fencing switch without effect, and against an operation that runs twice.
+func TestFencingAndRepeats(t *testing.T) {
+	for name, checks := range map[string]bool{"checks tokens": true, "ignores tokens": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e, _ := started(t, Config{MemoryBytes: 100, ChecksFencing: checks})
+			e.SetFaults(Faults{RepeatOperations: true})
+			is.True(e.accept(load("a", "m1", 6, 5)).Accepted)
+			waitFor(t, "load", func() bool { return len(e.Report().Models) == 1 })
+			is.Equal(e.accept(load("b", "m2", 6, 4)).Stale, checks)
+			is.Equal(e.Report().Operations[0], deck.OperationID("a"))
+		})
+	}
+}
+
+// Guards against a resumed stream that repeats or skips tokens.
+func TestResumesAtOffset(t *testing.T) {
+	is := is.New(t)
+	e, srv := started(t, Config{MemoryBytes: 100})
+	e.accept(load("a", "m", 6, 1))
+	waitFor(t, "load", func() bool { return e.Report().Models[0].Ready })
+	body := `{"model":"m","max_tokens":4}`
+	whole, err := generate(t, srv.URL, body, "")
+	is.NoErr(err)
+	is.Equal(strings.Count(whole, "id: "), 5)
+	rest, err := generate(t, srv.URL, body, "1")
+	is.NoErr(err)
+	is.True(strings.HasPrefix(rest, "id: 2\n"))
+	is.True(strings.HasSuffix(rest, "data: [DONE]\n\n"))
+}
+
+// Guards against a crash that leaves connections or memory behind.
+func TestCrashDropsEverything(t *testing.T) {
+	is := is.New(t)
+	e, srv := started(t, Config{MemoryBytes: 100})
+	e.accept(load("a", "m", 6, 1))
+	waitFor(t, "load", func() bool { return e.Report().Models[0].Ready })
+	boot := e.Report().BootID
+	e.SetFaults(Faults{CrashOn: "poison"})
+	_, err := generate(t, srv.URL, `{"model":"m","prompt":"poison"}`, "")
+	is.True(err != nil)
+	is.True(e.Report().BootID != boot)
+	is.Equal(len(e.Report().Models), 0)
+}
+
+// Guards against a lag switch that gives out fresh reports.
+func TestLaggingReport(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	reports := []timedReport{
+		{now, deck.EngineReport{Running: 1}}, {now.Add(time.Second), deck.EngineReport{Running: 2}},
+	}
+	is.Equal(lagging(reports, now.Add(500*time.Millisecond)).Running, 1)
+	is.Equal(lagging(reports, now.Add(2*time.Second)).Running, 2)
+}
+
+// Guards against lost events that the reader does not hear about.
+func TestCacheEventGaps(t *testing.T) {
+	is := is.New(t)
+	l := eventLog{known: make(map[uint64]bool)}
+	for i := range uint64(5) {
+		l.store(i, 3)
+	}
+	is.True(l.after(0).Gap)
+	is.True(!l.after(3).Gap)
+	is.Equal(len(l.after(0).Events), 4)
+}
--- /dev/null
+++ b/internal/emulate/weightstore/doc.go
@@ -0,0 +1,2 @@
+// Package weightstore emulates the rate-limited store of model weights.
+package weightstore
