--- a/internal/emulate/engine/engine_test.go
+++ b/internal/emulate/engine/engine_test.go
@@ -36,6 +36,11 @@
 	}
 }
 
+func ready(e *Engine) bool {
+	m := e.Report().Models
+	return len(m) > 0 && m[0].Ready
+}
+
 func started(t *testing.T, cfg Config) (*Engine, *httptest.Server) {
 	t.Helper()
 	cfg.LoadTime, cfg.PrefillTime, cfg.TokenInterval = time.Millisecond, time.Millisecond, time.Millisecond
@@ -96,7 +101,7 @@
 	is := is.New(t)
 	e, srv := started(t, Config{MemoryBytes: 100})
 	e.accept(load("a", "m", 6, 1))
-	waitFor(t, "load", func() bool { return e.Report().Models[0].Ready })
+	waitFor(t, "load", func() bool { return ready(e) })
 	body := `{"model":"m","max_tokens":4}`
 	whole, err := generate(t, srv.URL, body, "")
 	is.NoErr(err)
@@ -112,7 +117,7 @@
 	is := is.New(t)
 	e, srv := started(t, Config{MemoryBytes: 100})
 	e.accept(load("a", "m", 6, 1))
-	waitFor(t, "load", func() bool { return e.Report().Models[0].Ready })
+	waitFor(t, "load", func() bool { return ready(e) })
 	boot := e.Report().BootID
 	e.SetFaults(Faults{CrashOn: "poison"})
 	_, err := generate(t, srv.URL, `{"model":"m","prompt":"poison"}`, "")
