--- /dev/null
+++ b/internal/report/burn/doc.go
@@ -0,0 +1,2 @@
+// Package burn computes the service-level burn report: how fast each class uses up its error budget.
+package burn
--- /dev/null
+++ b/internal/report/telemetry/doc.go
@@ -0,0 +1,2 @@
+// Package telemetry provides logs and OpenTelemetry metrics.
+package telemetry
--- /dev/null
+++ b/internal/report/telemetry/served.go
@@ -0,0 +1,56 @@
+package telemetry
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// A ServedMetrics records finished requests and passes them on.
+type ServedMetrics struct {
+	next          deck.ServedRecorder
+	requests      metric.Int64Counter
+	tokens        metric.Int64Counter
+	attempts      metric.Int64Counter
+	firstToken    metric.Float64Histogram
+	betweenTokens metric.Float64Histogram
+}
+
+var _ deck.ServedRecorder = (*ServedMetrics)(nil)
+
+// NewServedMetrics returns a recorder that feeds the meter's instruments and then next.
+func NewServedMetrics(meter metric.Meter, next deck.ServedRecorder) (*ServedMetrics, error) {
+	s := &ServedMetrics{next: next}
+	var errs [5]error
+	s.requests, errs[0] = meter.Int64Counter("geraniumdeck.requests",
+		metric.WithUnit("{request}"), metric.WithDescription("Finished inference requests by class and result."))
+	s.tokens, errs[1] = meter.Int64Counter("geraniumdeck.tokens",
+		metric.WithUnit("{token}"), metric.WithDescription("Tokens delivered to callers."))
+	s.attempts, errs[2] = meter.Int64Counter("geraniumdeck.attempts",
+		metric.WithUnit("{attempt}"), metric.WithDescription("Attempts at engines, retries and hedges included."))
+	s.firstToken, errs[3] = meter.Float64Histogram("geraniumdeck.first_token.duration",
+		metric.WithUnit("s"), metric.WithDescription("Time from arrival to the first token."),
+		metric.WithExplicitBucketBoundaries(0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 1.5, 2, 5, 10))
+	s.betweenTokens, errs[4] = meter.Float64Histogram("geraniumdeck.between_tokens.duration",
+		metric.WithUnit("s"), metric.WithDescription("95th percentile between tokens of each request."),
+		metric.WithExplicitBucketBoundaries(0.01, 0.02, 0.03, 0.04, 0.047, 0.06, 0.1, 0.2, 1))
+	return s, errors.Join(errs[:]...)
+}
+
+// Record implements ServedRecorder.Record.
+func (s *ServedMetrics) Record(v deck.Served) {
+	ctx := context.Background()
+	class := attribute.String("class", v.Class.String())
+	s.requests.Add(ctx, 1, metric.WithAttributes(class, attribute.String("result", v.Result.String())))
+	s.tokens.Add(ctx, int64(v.Tokens), metric.WithAttributes(class))
+	s.attempts.Add(ctx, int64(v.Attempts), metric.WithAttributes(class))
+	if v.Tokens > 0 {
+		s.firstToken.Record(ctx, v.FirstToken.Seconds(), metric.WithAttributes(class))
+		s.betweenTokens.Record(ctx, v.BetweenTokens.Seconds(), metric.WithAttributes(class))
+	}
+	s.next.Record(v)
+}
--- /dev/null
+++ b/internal/report/telemetry/telemetry.go
@@ -0,0 +1,57 @@
+package telemetry
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+const meterName = "github.com/geraniumdeck/geraniumdeck"
+
+// NewLogger returns a logger that writes JSON lines with the VM's name.
+func NewLogger(w io.Writer, vm deck.VMName) logr.Logger {
+	h := slog.NewJSONHandler(w, &slog.HandlerOptions{Level: slog.LevelInfo})
+	return logr.FromSlogHandler(h).WithValues("vm", string(vm))
+}
+
+// A Metrics holds the process's meter and its scrape endpoint.
+type Metrics struct {
+	provider *sdk.MeterProvider
+	registry *prom.Registry
+}
+
+// NewMetrics returns the metrics of a process.
+func NewMetrics() (*Metrics, error) {
+	reg := prom.NewRegistry()
+	exp, err := prometheus.New(prometheus.WithRegisterer(reg))
+	if err != nil {
+		return nil, errors.Wrap(err, "metrics")
+	}
+	return &Metrics{provider: sdk.NewMeterProvider(sdk.WithReader(exp)), registry: reg}, nil
+}
+
+// Drain stops the provider.
+func (m *Metrics) Drain(ctx context.Context) error {
+	return m.provider.Shutdown(ctx)
+}
+
+// Handler returns the scrape endpoint.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Meter returns the meter that parts create their instruments with.
+func (m *Metrics) Meter() metric.Meter {
+	return m.provider.Meter(meterName)
+}
--- /dev/null
+++ b/internal/report/telemetry/telemetry_test.go
@@ -0,0 +1,29 @@
+package telemetry
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// Guards against instruments without name or unit on the scrape endpoint.
+func TestServedMetricsAreScraped(t *testing.T) {
+	is := is.New(t)
+	m, err := NewMetrics()
+	is.NoErr(err)
+	s, err := NewServedMetrics(m.Meter(), deck.NullServedRecorder{})
+	is.NoErr(err)
+	s.Record(deck.Served{FirstToken: time.Second, Tokens: 3, Attempts: 2})
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), "GET", "/metrics", nil))
+	for _, want := range []string{
+		"geraniumdeck_requests_total", `result="complete"`, "geraniumdeck_first_token_duration_seconds_bucket",
+	} {
+		is.True(strings.Contains(w.Body.String(), want))
+	}
+}
