Add the operators' listener and the command line

Operators drive the system by tickets only, so apply, ticket, state, burn, replica and check share one way to reach any VM and documented exit codes.

--- /dev/null
+++ b/internal/api/operator/client.go
@@ -0,0 +1,93 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/report/burn"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/ticket"
+)
+
+// maxAnswerBytes bounds an answer that the client reads.
+const maxAnswerBytes = 64 << 20
+
+// A Client talks to one VM's operators' listener; its zero HTTP client is http.DefaultClient.
+type Client struct {
+	Address string // IP:port
+	HTTP    *http.Client
+}
+
+// ApplyTicket submits a ticket; an error means that its fate is unknown or that it was not sent.
+func (c Client) ApplyTicket(ctx context.Context, t deck.Ticket) (deck.TicketAnswer, error) {
+	var w answerWire
+	if err := c.do(ctx, http.MethodPost, "/operator/tickets", ticket.EncodeJSON(t), &w); err != nil {
+		return deck.TicketAnswer{}, err
+	}
+	return w.answer()
+}
+
+// Burn returns the VM's burn report.
+func (c Client) Burn(ctx context.Context) (burn.Report, error) {
+	var w burnWire
+	if err := c.do(ctx, http.MethodGet, "/operator/burn", nil, &w); err != nil {
+		return burn.Report{}, err
+	}
+	return w.report()
+}
+
+// ChangeReplica changes the membership of the replicated log.
+func (c Client) ChangeReplica(ctx context.Context, ch deck.ReplicaChange) error {
+	body, err := json.Marshal(replicaChangeWire{Action: actionNames[ch.Action], Replica: newReplica(ch.Replica)})
+	if err != nil {
+		return errors.Wrap(err, "replica change")
+	}
+	return c.do(ctx, http.MethodPost, "/operator/replicas", body, &struct{}{})
+}
+
+// StateJSON returns the VM's overview as JSON.
+func (c Client) StateJSON(ctx context.Context) ([]byte, error) {
+	var raw json.RawMessage
+	err := c.do(ctx, http.MethodGet, "/operator/state", nil, &raw)
+	return raw, err
+}
+
+// TicketStatus returns what became of a ticket.
+func (c Client) TicketStatus(ctx context.Context, number uint64) (deck.TicketStatus, error) {
+	var w statusWire
+	if err := c.do(ctx, http.MethodGet, fmt.Sprintf("/operator/tickets/%d", number), nil, &w); err != nil {
+		return deck.TicketStatus{}, err
+	}
+	return w.status()
+}
+
+func (c Client) do(ctx context.Context, method, path string, body []byte, out any) error {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.Address+path, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, c.Address)
+	}
+	hc := c.HTTP
+	if hc == nil {
+		hc = http.DefaultClient
+	}
+	resp, err := hc.Do(req)
+	if err != nil {
+		return errors.Wrap(err, c.Address)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return errors.Wrap(err, c.Address)
+	}
+	var e errorWire
+	if resp.StatusCode >= http.StatusBadRequest && json.Unmarshal(data, &e) == nil && e.Error != "" {
+		return errors.Newf("%s: %s", c.Address, e.Error)
+	}
+	return errors.Wrap(json.Unmarshal(data, out), c.Address)
+}
--- /dev/null
+++ b/internal/api/operator/doc.go
@@ -0,0 +1,2 @@
+// Package operator serves the operators' listener and holds its client.
+package operator
--- /dev/null
+++ b/internal/api/operator/handler.go
@@ -0,0 +1,151 @@
+package operator
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/report/burn"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/ticket"
+)
+
+// A Readiness says whether a VM should receive callers' requests.
+type Readiness struct {
+	Ready bool
+	Notes []string // such as state-unproven or draining
+}
+
+// A Handler serves the operators' listener.
+type Handler struct {
+	System  deck.System
+	Burn    func() burn.Report
+	Ready   func() Readiness
+	Metrics http.Handler
+}
+
+// Mux returns the listener's routes.
+func (h *Handler) Mux() *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /operator/tickets", h.applyTicket)
+	mux.HandleFunc("GET /operator/tickets/{number}", h.ticketStatus)
+	mux.HandleFunc("GET /operator/state", h.overview)
+	mux.HandleFunc("POST /operator/replicas", h.changeReplica)
+	mux.HandleFunc("GET /operator/burn", h.burnReport)
+	mux.HandleFunc("GET /livez", h.live)
+	mux.HandleFunc("GET /readyz", h.readiness)
+	mux.Handle("GET /metrics", h.Metrics)
+	return mux
+}
+
+func (h *Handler) applyTicket(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, ticket.MaxBytes))
+	if err != nil {
+		writeError(w, http.StatusRequestEntityTooLarge, err.Error())
+		return
+	}
+	t, err := ticket.DecodeJSON(data)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	a, err := h.System.ApplyTicket(r.Context(), t)
+	if err != nil {
+		writeError(w, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	writeJSON(w, statusCode(a.Verdict), newAnswer(a))
+}
+
+func statusCode(v deck.TicketVerdict) int {
+	switch v {
+	case deck.TicketAccepted:
+		return http.StatusOK
+	case deck.TicketRefused:
+		return http.StatusUnprocessableEntity
+	case deck.TicketConflict, deck.TicketSuperseded:
+		return http.StatusConflict
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+func (h *Handler) ticketStatus(w http.ResponseWriter, r *http.Request) {
+	n, err := strconv.ParseUint(r.PathValue("number"), 10, 64)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, "ticket number: expected a whole number")
+		return
+	}
+	s, err := h.System.TicketStatus(r.Context(), n)
+	if err != nil {
+		writeError(w, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	writeJSON(w, http.StatusOK, newStatus(s))
+}
+
+func (h *Handler) overview(w http.ResponseWriter, r *http.Request) {
+	o, err := h.System.Overview(r.Context())
+	if err != nil {
+		writeError(w, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	writeJSON(w, http.StatusOK, newOverview(o))
+}
+
+func (h *Handler) changeReplica(w http.ResponseWriter, r *http.Request) {
+	var c replicaChangeWire
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, 1<<16))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&c); err != nil {
+		writeError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	action, err := ParseAction(c.Action)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	id, err := c.Replica.replica()
+	if err != nil {
+		writeError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	if err := h.System.ChangeReplica(r.Context(), deck.ReplicaChange{Action: action, Replica: id}); err != nil {
+		writeError(w, http.StatusConflict, err.Error())
+		return
+	}
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
+func (h *Handler) burnReport(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, newBurn(h.Burn()))
+}
+
+func (h *Handler) live(w http.ResponseWriter, _ *http.Request) {
+	_, _ = io.WriteString(w, "ok\n")
+}
+
+func (h *Handler) readiness(w http.ResponseWriter, _ *http.Request) {
+	r := h.Ready()
+	if !r.Ready {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	if len(r.Notes) == 0 && r.Ready {
+		_, _ = io.WriteString(w, "ok\n")
+	}
+	for _, n := range r.Notes {
+		_, _ = io.WriteString(w, n+"\n")
+	}
+}
+
+func writeError(w http.ResponseWriter, code int, text string) {
+	writeJSON(w, code, errorWire{text})
+}
+
+func writeJSON(w http.ResponseWriter, code int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/command/cli/check.go
@@ -0,0 +1,29 @@
+package cli
+
+import (
+	"fmt"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	settings "github.com/geraniumdeck/geraniumdeck/internal/settings/yaml"
+)
+
+const checkHelp = `Check a settings file; each fault is printed with file, line and what was expected.
+
+Example: geraniumdeck check deployment.yaml`
+
+func (c *config) addCheck(app *kingpin.Application) {
+	var file string
+	cmd := app.Command("check", checkHelp)
+	cmd.Arg("file", "Settings file in YAML.").Required().StringVar(&file)
+	cmd.Action(func(*kingpin.ParseContext) error { return c.check(file) })
+}
+
+func (c *config) check(file string) error {
+	s, err := settings.Read(file)
+	if err != nil {
+		return exit(ExitUsage, err)
+	}
+	fmt.Fprintf(c.stdout, "%s: valid, %d VMs, %d with role control\n", file, len(s.VMs), len(s.ControlVMs()))
+	return nil
+}
--- a/internal/command/cli/cli.go
+++ b/internal/command/cli/cli.go
@@ -1,8 +1,141 @@
 package cli
 
-import "io"
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/api/operator"
+	settings "github.com/geraniumdeck/geraniumdeck/internal/settings/yaml"
+)
+
+// Exit codes of the command.
+const (
+	ExitOK          = 0
+	ExitFailed      = 1 // refused, or failed with the reason on standard error
+	ExitUsage       = 2 // wrong arguments, settings or ticket file
+	ExitNotInForce  = 3 // the ticket is accepted but was not in force everywhere in time
+	ExitUnreachable = 4 // no VM answered
+)
+
+const help = `geraniumdeck serves many models from fewer accelerators.
+
+Exit codes: 0 success, 1 refused or failed, 2 wrong arguments or files,
+3 accepted but not in force in time, 4 no VM reachable.`
+
+// An exitError carries the exit code of a failure.
+type exitError struct {
+	code int
+	err  error
+}
+
+// Error implements error.Error.
+func (e *exitError) Error() string {
+	return e.err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *exitError) Unwrap() error {
+	return e.err
+}
+
+func exit(code int, err error) error {
+	if err == nil {
+		return nil
+	}
+	return &exitError{code, err}
+}
+
+// A config holds what the subcommands share; each subcommand is a method of it in a file of its own.
+type config struct {
+	stdout io.Writer
+	stderr io.Writer
+
+	settingsFile string
+	address      string
+	json         bool
+	timeout      time.Duration
+}
 
 // Run executes the command line and returns the exit code.
-func Run(_ []string, _, _ io.Writer) int {
-	return 0
+func Run(args []string, stdout, stderr io.Writer) int {
+	c := &config{stdout: stdout, stderr: stderr}
+	app := kingpin.New("geraniumdeck", help)
+	stopped := -1
+	app.Terminate(func(code int) { stopped = code })
+	app.UsageWriter(stdout)
+	app.ErrorWriter(stderr)
+	app.HelpFlag.Short('h')
+	for _, add := range []func(*kingpin.Application){
+		c.addApply, c.addTicket, c.addState, c.addBurn, c.addReplica, c.addCheck, c.addServe, c.addEmulate, c.addVersion,
+	} {
+		add(app)
+	}
+	_, err := app.Parse(args)
+	if stopped >= 0 {
+		return stopped
+	}
+	return c.code(err)
+}
+
+// code reports a failure and returns its exit code.
+func (c *config) code(err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	var e *exitError
+	if errors.As(err, &e) {
+		fmt.Fprintf(c.stderr, "geraniumdeck: %v\n", e.err)
+		return e.code
+	}
+	fmt.Fprintf(c.stderr, "geraniumdeck: %v (see geraniumdeck --help)\n", err)
+	return ExitUsage
+}
+
+// connectFlags adds the flags that say which VMs to ask.
+func (c *config) connectFlags(cmd *kingpin.CmdClause) {
+	cmd.Flag("settings", "Settings file; its VMs are asked in order.").Short('s').StringVar(&c.settingsFile)
+	cmd.Flag("address", "Operators' listener of one VM as IP:port.").Short('a').StringVar(&c.address)
+	cmd.Flag("timeout", "How long to wait for an answer.").Default("10s").DurationVar(&c.timeout)
+}
+
+func (c *config) jsonFlag(cmd *kingpin.CmdClause) {
+	cmd.Flag("json", "Write JSON for scripts.").BoolVar(&c.json)
+}
+
+// clients returns a client for each VM that may be asked.
+func (c *config) clients() ([]operator.Client, error) {
+	if c.address != "" {
+		return []operator.Client{{Address: c.address}}, nil
+	}
+	if c.settingsFile == "" {
+		return nil, exit(ExitUsage, errors.New("--settings or --address is required"))
+	}
+	s, err := settings.Read(c.settingsFile)
+	if err != nil {
+		return nil, exit(ExitUsage, err)
+	}
+	var out []operator.Client
+	for _, v := range s.VMs {
+		out = append(out, operator.Client{Address: v.Listen.Operators})
+	}
+	return out, nil
+}
+
+// ask calls f for one VM after the other until one answers.
+func (c *config) ask(f func(operator.Client) error) error {
+	clients, err := c.clients()
+	if err != nil {
+		return err
+	}
+	var last error
+	for _, cl := range clients {
+		if last = f(cl); last == nil {
+			return nil
+		}
+	}
+	return exit(ExitUnreachable, last)
 }
--- /dev/null
+++ b/internal/command/cli/emulate.go
@@ -0,0 +1,101 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/emulate/engine"
+	"github.com/geraniumdeck/geraniumdeck/internal/emulate/platform"
+	"github.com/geraniumdeck/geraniumdeck/internal/emulate/service"
+	"github.com/geraniumdeck/geraniumdeck/internal/emulate/weightstore"
+)
+
+const emulateHelp = `Emulate a part outside the system, for tests and demos.
+
+Fault switches are set by POST /emulate/faults; see docs/developing.md.
+
+Example: geraniumdeck emulate engine --listen 127.0.0.1:17301 --name engine-1 --memory-gib 32`
+
+// emulateHeaderTimeout bounds how long an emulator waits for a request's header.
+const emulateHeaderTimeout = 5 * time.Second
+
+func (c *config) addEmulate(app *kingpin.Application) {
+	cmd := app.Command("emulate", emulateHelp)
+	var listen string
+	cmd.Flag("listen", "Address as IP:port.").Required().StringVar(&listen)
+	c.addEmulateEngine(cmd, &listen)
+	svc := cmd.Command("service", "Emulate a plain service that counts how often each call ran.")
+	svc.Action(func(*kingpin.ParseContext) error { return c.emulate(listen, (&service.Service{}).Handler()) })
+	p := &platform.Platform{}
+	pl := cmd.Command("platform", "Emulate the platform's list of VMs.")
+	pl.Flag("lag", "Age of the list that is given out.").DurationVar(&p.Lag)
+	pl.Action(func(*kingpin.ParseContext) error { return c.emulate(listen, p.Handler()) })
+	c.addEmulateWeightStore(cmd, &listen)
+}
+
+func (c *config) addEmulateEngine(parent *kingpin.CmdClause, listen *string) {
+	var cfg engine.Config
+	var name string
+	var gib int64
+	cmd := parent.Command("engine", "Emulate a model engine.")
+	cmd.Flag("name", "Name of the backend server.").Required().StringVar(&name)
+	cmd.Flag("memory-gib", "Memory over all accelerators in GiB.").Default("32").Int64Var(&gib)
+	cmd.Flag("checks-fencing", "Refuse operations with an old fencing token.").BoolVar(&cfg.ChecksFencing)
+	cmd.Flag("max-batch", "Requests generated at once.").Default("32").IntVar(&cfg.MaxBatch)
+	cmd.Flag("token-interval", "Time between tokens at a batch of one.").Default("10ms").DurationVar(&cfg.TokenInterval)
+	cmd.Flag("load-time", "Time to load a model without a weight store.").Default("200ms").DurationVar(&cfg.LoadTime)
+	cmd.Flag("weight-store", "Base URL of the weight store.").StringVar(&cfg.WeightStore)
+	cmd.Action(func(*kingpin.ParseContext) error {
+		cfg.Backend = deck.BackendName(name)
+		cfg.MemoryBytes = deck.Bytes(gib) * deck.GiB
+		e := engine.New(cfg)
+		defer e.Close()
+		return c.emulate(*listen, e.Handler())
+	})
+}
+
+func (c *config) addEmulateWeightStore(parent *kingpin.CmdClause, listen *string) {
+	var rate, gbps float64
+	var concurrent int
+	cmd := parent.Command("weight-store", "Emulate the weight store.")
+	cmd.Flag("loads-per-second", "Rate of loads.").Default("3").Float64Var(&rate)
+	cmd.Flag("concurrent-loads", "Loads at full speed.").Default("9").IntVar(&concurrent)
+	cmd.Flag("gib-per-second", "Bandwidth of one load.").Default("20").Float64Var(&gbps)
+	cmd.Action(func(*kingpin.ParseContext) error {
+		return c.emulate(*listen, weightstore.New(rate, concurrent, gbps*float64(deck.GiB)).Handler())
+	})
+}
+
+// emulate serves a handler until the process is told to stop.
+func (c *config) emulate(address string, h http.Handler) error {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+	if err != nil {
+		return exit(ExitFailed, err)
+	}
+	fmt.Fprintf(c.stdout, "listening on %s\n", l.Addr())
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: emulateHeaderTimeout}
+	var g errgroup.Group
+	g.Go(func() error {
+		<-ctx.Done()
+		return srv.Close()
+	})
+	err = srv.Serve(l)
+	cancel()
+	_ = g.Wait()
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return exit(ExitFailed, err)
+}
--- /dev/null
+++ b/internal/command/cli/ticket.go
@@ -0,0 +1,45 @@
+package cli
+
+import (
+	"context"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/api/operator"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+const ticketHelp = `Show what became of a ticket, and on which VMs it is in force.
+
+Example: geraniumdeck ticket -s deployment.yaml --json 17`
+
+func (c *config) addTicket(app *kingpin.Application) {
+	var number uint64
+	cmd := app.Command("ticket", ticketHelp)
+	c.connectFlags(cmd)
+	c.jsonFlag(cmd)
+	cmd.Arg("number", "Ticket number.").Required().Uint64Var(&number)
+	cmd.Action(func(*kingpin.ParseContext) error { return c.ticket(number) })
+}
+
+func (c *config) ticket(number uint64) error {
+	ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
+	defer cancel()
+	var s deck.TicketStatus
+	err := c.ask(func(cl operator.Client) error {
+		var err error
+		s, err = cl.TicketStatus(ctx, number)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	if err := c.printStatus(s); err != nil {
+		return err
+	}
+	if s.Answer.Verdict != deck.TicketAccepted {
+		return exit(ExitFailed, errors.Newf("ticket %d is %s", number, s.Answer.Verdict))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/command/cli/version.go
@@ -0,0 +1,30 @@
+package cli
+
+import (
+	"fmt"
+	"runtime"
+	"runtime/debug"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// Version is the release's version.
+const Version = "0.1.0"
+
+func (c *config) addVersion(app *kingpin.Application) {
+	cmd := app.Command("version", "Show the version.")
+	cmd.Action(func(*kingpin.ParseContext) error { return c.version() })
+}
+
+func (c *config) version() error {
+	revision := "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				revision = s.Value
+			}
+		}
+	}
+	_, err := fmt.Fprintf(c.stdout, "geraniumdeck %s, revision %s, %s\n", Version, revision, runtime.Version())
+	return err
+}
