--- /dev/null
+++ b/internal/test/deployment/client.go
@@ -0,0 +1,150 @@
+package deployment
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// An Answer is what a caller received on a stream.
+type Answer struct {
+	Tokens   int
+	Complete bool // the stream ended with [DONE]
+	Text     string
+}
+
+// A Caller sends requests to the callers' listener of one VM.
+type Caller struct {
+	Address string
+	HTTP    *http.Client
+}
+
+// NewCaller returns a caller with connections of its own.
+func NewCaller(address string) Caller {
+	return Caller{Address: address, HTTP: &http.Client{Transport: &http.Transport{}}}
+}
+
+type chatWire struct {
+	Model     string        `json:"model"`
+	MaxTokens int           `json:"max_tokens"`
+	Stream    bool          `json:"stream"`
+	Messages  []messageWire `json:"messages"`
+}
+
+type messageWire struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type chunkWire struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+}
+
+// Chat streams an answer; onToken, if given, is called after each token.
+func (c Caller) Chat(ctx context.Context, model, prompt string, maxTokens int, onToken func(n int)) (Answer, error) {
+	body, err := json.Marshal(chatWire{
+		Model: model, MaxTokens: maxTokens, Stream: true, Messages: []messageWire{{"user", prompt}},
+	})
+	if err != nil {
+		return Answer{}, errors.Wrap(err, "chat")
+	}
+	resp, err := c.send(ctx, "/v1/chat/completions", body, nil)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return Answer{}, statusError(resp)
+	}
+	return readStream(resp.Body, onToken)
+}
+
+// Post sends a call to a plain service and returns status and body.
+func (c Caller) Post(ctx context.Context, path, key string, body []byte) (int, string, error) {
+	resp, err := c.send(ctx, path, body, map[string]string{"Idempotency-Key": key})
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(data), err
+}
+
+func (c Caller) send(ctx context.Context, path string, body []byte, headers map[string]string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.Address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, path)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	for k, v := range headers {
+		req.Header.Set(k, v)
+	}
+	resp, err := c.HTTP.Do(req)
+	return resp, errors.Wrap(err, path)
+}
+
+func readStream(r io.Reader, onToken func(int)) (Answer, error) {
+	var a Answer
+	sc := bufio.NewScanner(r)
+	sc.Buffer(nil, 1<<20)
+	for sc.Scan() {
+		data, ok := strings.CutPrefix(sc.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			a.Complete = true
+			continue
+		}
+		var ch chunkWire
+		if err := json.Unmarshal([]byte(data), &ch); err != nil {
+			return a, errors.Wrapf(err, "event %q", data)
+		}
+		if len(ch.Choices) == 0 {
+			return a, errors.Newf("unexpected event %q", data)
+		}
+		a.Text += ch.Choices[0].Delta.Content
+		a.Tokens++
+		if onToken != nil {
+			onToken(a.Tokens)
+		}
+	}
+	return a, sc.Err()
+}
+
+func statusError(resp *http.Response) error {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, 1<<16))
+	if err != nil {
+		return err
+	}
+	return errors.Newf("status %d: %s", resp.StatusCode, strings.TrimSpace(string(data)))
+}
+
+// Get returns the body of a GET; a status other than 200 is an error.
+func Get(ctx context.Context, address, path string) (string, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s%s", address, path), nil)
+	if err != nil {
+		return "", errors.Wrap(err, path)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return "", errors.Wrap(err, path)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return "", statusError(resp)
+	}
+	data, err := io.ReadAll(resp.Body)
+	return string(data), err
+}
--- /dev/null
+++ b/internal/test/deployment/deployment.go
@@ -0,0 +1,230 @@
+package deployment
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"maps"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// A Deployment is a set of running processes; Close ends all of them.
+type Deployment struct {
+	Binary   string // the geraniumdeck binary
+	Folder   string // settings, tickets, logs and data
+	Settings string // the settings file in Folder
+	Ticket   string // the ticket file in Folder
+
+	mu    sync.Mutex
+	procs map[string]*process
+	ports map[string]string // address in the example -> address in use
+}
+
+type process struct {
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error
+}
+
+var (
+	addressRule = regexp.MustCompile(`127\.0\.0\.1:\d+`)
+	folderRule  = regexp.MustCompile(`/tmp/geraniumdeck/`)
+)
+
+// New prepares a deployment from an example's settings and ticket, with ports chosen by the system.
+func New(binary, settings, ticket string) (*Deployment, error) {
+	dir, err := os.MkdirTemp("", "geraniumdeck-")
+	if err != nil {
+		return nil, errors.Wrap(err, "deployment")
+	}
+	d := &Deployment{Binary: binary, Folder: dir, procs: make(map[string]*process), ports: make(map[string]string)}
+	if d.Settings, err = d.copyFile(settings); err != nil {
+		return nil, err
+	}
+	if d.Ticket, err = d.copyFile(ticket); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// Address returns the address in use for an address of the example.
+func (d *Deployment) Address(example string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.address(example)
+}
+
+// Close kills all processes and removes the folder.
+func (d *Deployment) Close() error {
+	d.mu.Lock()
+	names := make([]string, 0, len(d.procs))
+	for n := range d.procs {
+		names = append(names, n)
+	}
+	d.mu.Unlock()
+	for _, n := range names {
+		d.Kill(n)
+	}
+	return os.RemoveAll(d.Folder)
+}
+
+// Exec runs the binary to its end and returns its standard output and exit code.
+func (d *Deployment) Exec(ctx context.Context, args ...string) (string, int, error) {
+	var out, errs bytes.Buffer
+	cmd := exec.CommandContext(ctx, d.Binary, args...)
+	cmd.Stdout, cmd.Stderr = &out, &errs
+	err := cmd.Run()
+	var ee *exec.ExitError
+	if err != nil && !errors.As(err, &ee) {
+		return "", -1, errors.Wrap(err, strings.Join(args, " "))
+	}
+	if err != nil {
+		return out.String(), ee.ExitCode(), errors.Newf("%s: %s", strings.Join(args, " "), strings.TrimSpace(errs.String()))
+	}
+	return out.String(), 0, nil
+}
+
+// Kill ends a process at once and waits for it.
+func (d *Deployment) Kill(name string) {
+	if p := d.take(name); p != nil {
+		_ = p.cmd.Process.Kill()
+		<-p.done
+	}
+}
+
+// Log returns what a process wrote.
+func (d *Deployment) Log(name string) string {
+	data, err := os.ReadFile(filepath.Join(d.Folder, name+".log"))
+	if err != nil {
+		return ""
+	}
+	return string(data)
+}
+
+// Serve starts the VM's process.
+func (d *Deployment) Serve(vm string) error {
+	return d.Start(vm, "serve", "--settings", d.Settings, "--vm", vm)
+}
+
+// Signal sends a signal to a process.
+func (d *Deployment) Signal(name string, sig syscall.Signal) error {
+	d.mu.Lock()
+	p := d.procs[name]
+	d.mu.Unlock()
+	if p == nil {
+		return errors.Newf("no process %q", name)
+	}
+	return errors.Wrap(p.cmd.Process.Signal(sig), name)
+}
+
+// Start starts a process of the binary under a name; its output goes to NAME.log in the folder.
+func (d *Deployment) Start(name string, args ...string) error {
+	log, err := os.OpenFile(filepath.Join(d.Folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Wrap(err, name)
+	}
+	defer log.Close()
+	cmd := exec.CommandContext(context.Background(), d.Binary, args...)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return errors.Wrap(err, name)
+	}
+	p := &process{cmd: cmd, done: make(chan struct{})}
+	wait := sync.WaitGroup{}
+	wait.Go(func() {
+		p.err = cmd.Wait()
+		close(p.done)
+	})
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.procs[name] = p
+	return nil
+}
+
+// Stop asks a process to drain and waits until it has ended or ctx is done.
+func (d *Deployment) Stop(ctx context.Context, name string) error {
+	if err := d.Signal(name, syscall.SIGTERM); err != nil {
+		return err
+	}
+	p := d.take(name)
+	select {
+	case <-p.done:
+		return errors.Wrap(p.err, name)
+	case <-ctx.Done():
+		_ = p.cmd.Process.Kill()
+		<-p.done
+		return errors.Wrapf(ctx.Err(), "%s did not drain", name)
+	}
+}
+
+func (d *Deployment) take(name string) *process {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.procs[name]
+	delete(d.procs, name)
+	return p
+}
+
+// copyFile copies an example into the folder with its addresses and data folders replaced.
+func (d *Deployment) copyFile(name string) (string, error) {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return "", errors.Wrap(err, "deployment")
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	text := addressRule.ReplaceAllStringFunc(string(data), d.address)
+	text = folderRule.ReplaceAllString(text, d.Folder+"/data/")
+	out := filepath.Join(d.Folder, filepath.Base(name))
+	return out, errors.Wrap(os.WriteFile(out, []byte(text), 0o600), "deployment")
+}
+
+func (d *Deployment) address(example string) string {
+	if a, ok := d.ports[example]; ok {
+		return a
+	}
+	a := freeAddress()
+	for slices.Contains(slices.Collect(maps.Values(d.ports)), a) {
+		a = freeAddress()
+	}
+	d.ports[example] = a
+	return a
+}
+
+// freeAddress returns a loopback address whose port the system has just given out.
+func freeAddress() string {
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(fmt.Sprintf("no free loopback port: %v", err))
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// Eventually calls f until it returns nil or ctx ends, and then returns its last error.
+func Eventually(ctx context.Context, f func() error) error {
+	t := time.NewTicker(50 * time.Millisecond)
+	defer t.Stop()
+	for {
+		err := f()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-t.C:
+		}
+	}
+}
