--- /dev/null
+++ b/internal/api/peer/doc.go
@@ -0,0 +1,2 @@
+// Package peer holds the peers' listener and the clients that reach it.
+package peer
--- /dev/null
+++ b/internal/api/peer/replicaclient.go
@@ -0,0 +1,66 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/replication"
+)
+
+// maxErrorBody bounds what is read of a peer's refusal.
+const maxErrorBody = 4 << 10
+
+// A ReplicaClient sends messages to other replicas over HTTP.
+type ReplicaClient struct {
+	// Address returns the host:port of a VM's peers' listener.
+	Address func(vm deck.VMName) (address string, ok bool)
+
+	// Client sends the requests; nil for http.DefaultClient.
+	Client *http.Client
+}
+
+var _ deck.ReplicaTransport = (*ReplicaClient)(nil)
+
+// Send implements deck.ReplicaTransport.Send.
+func (c *ReplicaClient) Send(ctx context.Context, m deck.ReplicaMessage) error {
+	address, ok := c.Address(m.To.VM)
+	if !ok {
+		return errors.Newf("no address for VM %s", m.To.VM)
+	}
+	body, err := replication.EncodeMessage(m)
+	if err != nil {
+		return errors.Wrap(err, "encode replica message")
+	}
+	url := "http://" + address + replicaPath
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "request to replica")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	return c.do(req)
+}
+
+func (c *ReplicaClient) do(req *http.Request) error {
+	client := c.Client
+	if client == nil {
+		client = http.DefaultClient
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "request to replica")
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
+	if err != nil {
+		return errors.Wrap(err, "answer of replica")
+	}
+	if resp.StatusCode != http.StatusAccepted {
+		return errors.Newf("replica answered %d: %s", resp.StatusCode, bytes.TrimSpace(text))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/core/deck/transport.go
@@ -0,0 +1,63 @@
+package deck
+
+import "context"
+
+// A ReplicaMessageKind says what a message between replicas asks or answers.
+type ReplicaMessageKind int
+
+// The kinds of message between replicas.
+const (
+	MessageHello ReplicaMessageKind = iota + 1 // asks a founder for its identity
+	MessageHelloAnswer
+	MessagePreVote
+	MessagePreVoteAnswer
+	MessageVote
+	MessageVoteAnswer
+	MessageHeartbeat
+	MessageHeartbeatAnswer
+	MessageAppend
+	MessageAppendAnswer
+	MessageSnapshot
+	MessageSnapshotAnswer
+	MessageBarrier // asks the leader for a read barrier
+	MessageBarrierAnswer
+	MessageTransfer // tells a voter to campaign at once
+)
+
+// A ReplicaMessage is a one-way message between replicas; answers are messages of their own.
+type ReplicaMessage struct {
+	Kind       ReplicaMessageKind
+	Deployment string
+	From       ReplicaID
+	To         ReplicaID // incarnation 0 in MessageHello only
+	Term       uint64
+	Index      uint64 // entry before Entries, last entry of a candidate, highest entry held or snapshot index
+	LogTerm    uint64 // term of the entry at Index
+	Commit     uint64
+	Round      uint64 // heartbeat round or barrier ID, repeated in the answer
+	Reject     bool
+	Transfer   bool // the vote is asked for by order of the leader
+	Entries    []LogEntry
+	Chunk      SnapshotChunk
+}
+
+// A SnapshotChunk is a part of a snapshot; in an answer only Offset is set, to the next byte wanted.
+type SnapshotChunk struct {
+	Offset     int
+	Total      int    // bytes of the whole snapshot
+	Checksum   uint32 // CRC32C of the whole snapshot
+	Membership Membership
+	Data       []byte
+}
+
+// A ReplicaTransport carries messages to other replicas.
+type ReplicaTransport interface {
+	// Send delivers the message at most once; an error says that it may be lost.
+	Send(ctx context.Context, m ReplicaMessage) error
+}
+
+// A ReplicaReceiver takes messages from other replicas.
+type ReplicaReceiver interface {
+	// Receive queues the message; an error says that it was dropped.
+	Receive(ctx context.Context, m ReplicaMessage) error
+}
--- /dev/null
+++ b/internal/state/disk/recover.go
@@ -0,0 +1,186 @@
+package disk
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/replication"
+)
+
+const (
+	identityName    = "identity"
+	logPrefix       = "log-"
+	snapshotPrefix  = "snapshot-"
+	temporarySuffix = ".tmp"
+)
+
+func logName(index uint64) string {
+	return fmt.Sprintf("%s%016x", logPrefix, index)
+}
+
+func snapshotName(index uint64) string {
+	return fmt.Sprintf("%s%016x", snapshotPrefix, index)
+}
+
+func isTemporary(name string) bool {
+	return strings.HasSuffix(name, temporarySuffix)
+}
+
+// isOwn reports whether a store writes files of the name; other files of the data folder are left alone.
+func isOwn(name string) bool {
+	return strings.HasPrefix(name, identityName) || strings.HasPrefix(name, logPrefix) ||
+		strings.HasPrefix(name, snapshotPrefix)
+}
+
+// newest returns the highest index among the files with the prefix.
+func newest(names []string, prefix string) (index uint64, ok bool) {
+	for _, name := range names {
+		digits, found := strings.CutPrefix(name, prefix)
+		if !found || isTemporary(name) {
+			continue
+		}
+		n, err := strconv.ParseUint(digits, 16, 64)
+		if err == nil && (!ok || n > index) {
+			index, ok = n, true
+		}
+	}
+	return index, ok
+}
+
+// recover reads the log and its snapshot and removes what an interrupted write left behind.
+func (s *Store) recover(names []string) error {
+	base, hasLog := newest(names, logPrefix)
+	if !hasLog && slices.Contains(names, identityName) {
+		return CorruptionError{File: logPrefix + "*", Reason: "missing"}
+	}
+	if err := s.loadSnapshot(names, base); err != nil {
+		return err
+	}
+	size, err := s.replay(base)
+	if err != nil {
+		return err
+	}
+	s.entries = continuing(s.entries, base, s.found.Snapshot)
+	s.snapshot = s.found.Snapshot.Index
+	s.found.Ballot, s.found.Entries = s.ballot, s.entries
+	if err := s.continueLog(base, size); err != nil {
+		return err
+	}
+	return s.removeOthers()
+}
+
+// loadSnapshot reads the newest snapshot; the log that follows index base needs one at least that new.
+func (s *Store) loadSnapshot(names []string, base uint64) error {
+	index, _ := newest(names, snapshotPrefix)
+	if index < base {
+		return CorruptionError{File: snapshotName(base), Reason: "missing"}
+	}
+	if index == 0 {
+		return nil
+	}
+	payload, err := s.readSingle(snapshotName(index))
+	if err != nil {
+		return err
+	}
+	snapshot, err := replication.DecodeSnapshot(payload)
+	if err != nil || snapshot.Index != index {
+		return CorruptionError{File: snapshotName(index), Reason: "content does not fit its name"}
+	}
+	s.found.Snapshot = snapshot
+	return nil
+}
+
+// readSingle returns the payload of a file that has exactly one frame and was renamed only when complete.
+func (s *Store) readSingle(name string) ([]byte, error) {
+	data, err := s.files.Read(name)
+	if err != nil {
+		return nil, errors.Wrapf(err, "read %s", name)
+	}
+	payload, rest, err := nextFrame(data)
+	if err != nil || len(rest) > 0 {
+		return nil, CorruptionError{File: name, Reason: "not one whole frame"}
+	}
+	return payload, nil
+}
+
+// replay reads the log's records and returns the size of the part that is whole.
+func (s *Store) replay(base uint64) (size int64, err error) {
+	name := logName(base)
+	data, err := s.files.Read(name)
+	if err != nil {
+		return 0, errors.Wrapf(err, "read %s", name)
+	}
+	s.snapshot = base
+	for rest := data; len(rest) > 0; {
+		size = int64(len(data) - len(rest))
+		var payload []byte
+		payload, rest, err = nextFrame(rest)
+		if errors.Is(err, errTorn) {
+			return size, nil
+		}
+		if err == nil {
+			err = s.replayRecord(payload)
+		}
+		if err != nil {
+			return 0, CorruptionError{File: name, Offset: size, Reason: err.Error()}
+		}
+	}
+	return int64(len(data)), nil
+}
+
+func (s *Store) replayRecord(payload []byte) error {
+	w, err := replication.DecodeRecord(payload)
+	if err != nil {
+		return err
+	}
+	if w.Ballot != nil {
+		s.ballot = *w.Ballot
+	}
+	if len(w.Entries) == 0 {
+		return nil
+	}
+	first, last := w.Entries[0].Index, s.snapshot+uint64(len(s.entries))
+	if first <= s.snapshot || first > last+1 {
+		return errors.Newf("entry %d follows entry %d", first, last)
+	}
+	s.take(w.Entries)
+	return nil
+}
+
+// continueLog opens the log for appending, after cutting off its torn end or completing an interrupted compaction.
+func (s *Store) continueLog(base uint64, size int64) error {
+	if base != s.snapshot {
+		return s.writeLog()
+	}
+	f, err := s.files.Append(logName(base))
+	if err != nil {
+		return errors.Wrap(err, "open log")
+	}
+	s.log = f
+	if err := f.Truncate(size); err != nil {
+		return errors.Wrap(err, "truncate log")
+	}
+	return errors.Wrap(f.Sync(), "sync of log")
+}
+
+// removeOthers removes a store's files that are not of the current generation.
+func (s *Store) removeOthers() error {
+	names, err := s.files.List()
+	if err != nil {
+		return err
+	}
+	keep := []string{identityName, logName(s.snapshot), snapshotName(s.snapshot)}
+	for _, name := range names {
+		if !isOwn(name) || slices.Contains(keep, name) {
+			continue
+		}
+		if err := s.files.Remove(name); err != nil {
+			return errors.Wrapf(err, "remove %s", name)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/state/disk/store.go
@@ -0,0 +1,262 @@
+package disk
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"io"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/replication"
+)
+
+// Options say which data folder a store opens and whose it is.
+type Options struct {
+	Files       deck.FileSystem
+	Deployment  string
+	VM          deck.VMName
+	Incarnation func() uint64 // drawn at the first start; nil for a random number
+}
+
+// A Store is one replica's storage in a data folder.
+type Store struct {
+	files    deck.FileSystem
+	lock     io.Closer
+	found    deck.StoredLog
+	ballot   deck.Ballot
+	snapshot uint64          // index of the current snapshot
+	entries  []deck.LogEntry // after the snapshot
+	log      deck.File
+	failed   error
+}
+
+var _ deck.Storage = (*Store)(nil)
+
+// Open opens the data folder; the first start draws the replica's incarnation.
+func Open(o Options) (*Store, error) {
+	lock, err := o.Files.Lock()
+	if err != nil {
+		return nil, err
+	}
+	s := &Store{files: o.Files, lock: lock}
+	if err := s.open(o); err != nil {
+		return nil, errors.CombineErrors(err, lock.Close())
+	}
+	return s, nil
+}
+
+func (s *Store) open(o Options) error {
+	names, err := s.files.List()
+	if err != nil {
+		return err
+	}
+	if err := s.identify(o, names); err != nil {
+		return err
+	}
+	return s.recover(names)
+}
+
+// identify checks whose folder it is and makes an empty folder this replica's.
+func (s *Store) identify(o Options, names []string) error {
+	if !slices.Contains(names, identityName) {
+		return s.initialise(o, names)
+	}
+	payload, err := s.readSingle(identityName)
+	if err != nil {
+		return err
+	}
+	deployment, id, err := replication.DecodeReplica(payload)
+	if err != nil {
+		return CorruptionError{File: identityName, Reason: err.Error()}
+	}
+	if deployment != o.Deployment || id.VM != o.VM {
+		return ForeignFolderError{Deployment: deployment, Replica: id}
+	}
+	s.found.ID = id
+	return nil
+}
+
+// initialise writes the identity last, so that a folder with an identity always has a log.
+func (s *Store) initialise(o Options, names []string) error {
+	if err := s.refuseRemains(names); err != nil {
+		return err
+	}
+	if err := s.writeFile(logName(0), nil); err != nil {
+		return err
+	}
+	draw := o.Incarnation
+	if draw == nil {
+		draw = randomIncarnation
+	}
+	s.found.ID = deck.ReplicaID{VM: o.VM, Incarnation: draw()}
+	payload, err := replication.EncodeReplica(o.Deployment, s.found.ID)
+	if err != nil {
+		return err
+	}
+	return s.writeFile(identityName, newFrame(payload))
+}
+
+// refuseRemains refuses a folder that has lost its identity but not its log.
+func (s *Store) refuseRemains(names []string) error {
+	for _, name := range names {
+		if !isOwn(name) || isTemporary(name) {
+			continue
+		}
+		data, err := s.files.Read(name)
+		if err != nil {
+			return errors.Wrapf(err, "read %s", name)
+		}
+		if len(data) > 0 {
+			return CorruptionError{File: identityName, Reason: "missing beside " + name}
+		}
+	}
+	return nil
+}
+
+func randomIncarnation() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // never fails, see crypto/rand
+	return max(1, binary.LittleEndian.Uint64(b[:]))
+}
+
+// Load implements deck.Storage.Load.
+func (s *Store) Load() (deck.StoredLog, error) {
+	return s.found, nil
+}
+
+// Save implements deck.Storage.Save.
+//
+// After a failed sync the kernel may have dropped the pages and report the next sync as done, so nothing is retried.
+func (s *Store) Save(w deck.LogWrite) error {
+	if s.failed != nil {
+		return s.failed
+	}
+	if err := s.save(w); err != nil {
+		s.failed = err
+	}
+	return s.failed
+}
+
+func (s *Store) save(w deck.LogWrite) error {
+	if w.Ballot != nil {
+		s.ballot = *w.Ballot
+	}
+	if w.Snapshot != nil {
+		return s.replace(w)
+	}
+	s.take(w.Entries)
+	return s.appendRecord(w)
+}
+
+// take replaces the entries in memory from the first given one on.
+func (s *Store) take(entries []deck.LogEntry) {
+	if len(entries) == 0 {
+		return
+	}
+	keep := entries[0].Index - s.snapshot - 1
+	s.entries = append(s.entries[:keep:keep], entries...)
+}
+
+func (s *Store) appendRecord(w deck.LogWrite) error {
+	payload, err := replication.EncodeRecord(w)
+	if err != nil {
+		return err
+	}
+	if _, err := s.log.Write(newFrame(payload)); err != nil {
+		return errors.Wrap(err, "write of log")
+	}
+	return errors.Wrap(s.log.Sync(), "sync of log")
+}
+
+// replace writes the snapshot and a new log without the entries that the snapshot covers.
+func (s *Store) replace(w deck.LogWrite) error {
+	payload, err := replication.EncodeSnapshot(*w.Snapshot)
+	if err != nil {
+		return err
+	}
+	if err := s.writeFile(snapshotName(w.Snapshot.Index), newFrame(payload)); err != nil {
+		return err
+	}
+	old := s.snapshot
+	s.entries = continuing(s.entries, s.snapshot, *w.Snapshot)
+	s.snapshot = w.Snapshot.Index
+	s.take(w.Entries)
+	if err := s.writeLog(); err != nil {
+		return err
+	}
+	return s.removeGeneration(old)
+}
+
+// continuing returns the entries after the snapshot if they continue it: the entry at its index has its term.
+func continuing(entries []deck.LogEntry, base uint64, snapshot deck.LogSnapshot) []deck.LogEntry {
+	if snapshot.Index <= base {
+		return entries
+	}
+	i := snapshot.Index - base - 1
+	if i >= uint64(len(entries)) || entries[i].Term != snapshot.Term {
+		return nil
+	}
+	return slices.Clone(entries[i+1:])
+}
+
+// writeLog writes the log of the current snapshot and continues in it.
+func (s *Store) writeLog() error {
+	payload, err := replication.EncodeRecord(deck.LogWrite{Ballot: &s.ballot, Entries: s.entries})
+	if err != nil {
+		return err
+	}
+	name := logName(s.snapshot)
+	if err := s.writeFile(name, newFrame(payload)); err != nil {
+		return err
+	}
+	f, err := s.files.Append(name)
+	if err != nil {
+		return errors.Wrapf(err, "open %s", name)
+	}
+	old := s.log
+	s.log = f
+	if old == nil {
+		return nil
+	}
+	return errors.Wrap(old.Close(), "close of old log")
+}
+
+// removeGeneration removes the files that an older snapshot index names.
+func (s *Store) removeGeneration(index uint64) error {
+	if index == s.snapshot {
+		return nil
+	}
+	if err := s.files.Remove(logName(index)); err != nil {
+		return errors.Wrap(err, "remove old log")
+	}
+	if index == 0 {
+		return nil
+	}
+	return errors.Wrap(s.files.Remove(snapshotName(index)), "remove old snapshot")
+}
+
+// writeFile makes a whole file durable under its name: written and synced aside, renamed, folder synced.
+func (s *Store) writeFile(name string, data []byte) error {
+	f, err := s.files.Create(name + temporarySuffix)
+	if err != nil {
+		return errors.Wrapf(err, "create %s", name)
+	}
+	_, err = f.Write(data)
+	if err == nil {
+		err = f.Sync()
+	}
+	if err := errors.CombineErrors(err, f.Close()); err != nil {
+		return errors.Wrapf(err, "write of %s", name)
+	}
+	if err := s.files.Rename(name+temporarySuffix, name); err != nil {
+		return errors.Wrapf(err, "rename to %s", name)
+	}
+	return errors.Wrap(s.files.SyncDir(), "sync of data folder")
+}
+
+// Close implements deck.Storage.Close.
+func (s *Store) Close() error {
+	return errors.CombineErrors(s.log.Close(), s.lock.Close())
+}
--- /dev/null
+++ b/internal/state/replica/barrier.go
@@ -0,0 +1,117 @@
+package replica
+
+import (
+	"slices"
+	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// A barrier is a read barrier that waits at the leader.
+type barrier struct {
+	id    uint64
+	from  deck.ReplicaID // the replica that asked
+	index uint64         // commit index when the round started
+	round uint64         // 0 until the round has started
+}
+
+// Barrier starts a read barrier; its result appears in the effects under the ID.
+func (c *Core) Barrier(now time.Time, id uint64) {
+	c.advance(now)
+	switch {
+	case c.state == leader:
+		c.barriers = append(c.barriers, barrier{id: id, from: c.self})
+	case c.lead.IsZero():
+		c.endBarrier(BarrierResult{ID: id, Err: deck.NotLeaderError{}})
+	default:
+		c.remoteBarriers[id] = c.now.Add(barrierRetryLimit)
+		c.send(deck.ReplicaMessage{Kind: deck.MessageBarrier, To: c.lead, Round: id})
+	}
+}
+
+func (c *Core) endBarrier(r BarrierResult) {
+	c.barrierResults = append(c.barrierResults, r)
+}
+
+// startBarriers begins one round for all new barriers once the leader knows what is committed.
+func (c *Core) startBarriers() {
+	if c.state != leader || !c.ownTermCommitted() {
+		return
+	}
+	fresh := slices.ContainsFunc(c.barriers, func(b barrier) bool { return b.round == 0 })
+	if !fresh {
+		return
+	}
+	c.startRound()
+	for i := range c.barriers {
+		if c.barriers[i].round == 0 {
+			c.barriers[i].round = c.round
+			c.barriers[i].index = c.log.commit
+		}
+	}
+	c.finishBarriers()
+}
+
+// finishBarriers ends the barriers whose round a majority has answered.
+func (c *Core) finishBarriers() {
+	confirmed := c.majorityRound()
+	c.barriers = slices.DeleteFunc(c.barriers, func(b barrier) bool {
+		done := b.round != 0 && b.round <= confirmed
+		if done {
+			c.confirmBarrier(b)
+		}
+		return done
+	})
+}
+
+func (c *Core) confirmBarrier(b barrier) {
+	if b.from == c.self {
+		c.endBarrier(BarrierResult{ID: b.id, Index: b.index})
+		return
+	}
+	c.send(deck.ReplicaMessage{Kind: deck.MessageBarrierAnswer, To: b.from, Round: b.id, Index: b.index})
+}
+
+func (c *Core) failBarrier(b barrier) {
+	if b.from == c.self {
+		c.endBarrier(BarrierResult{ID: b.id, Err: deck.NotLeaderError{Leader: c.lead}})
+	}
+}
+
+func (c *Core) majorityRound() uint64 {
+	m := c.membership()
+	rounds := make([]uint64, 0, len(m.Voters))
+	for _, id := range m.Voters {
+		if id == c.self {
+			rounds = append(rounds, c.round)
+		} else if p := c.peers[id]; p != nil {
+			rounds = append(rounds, p.round)
+		}
+	}
+	slices.Sort(rounds)
+	return rounds[len(rounds)-m.Majority()]
+}
+
+func (c *Core) answerBarrier(m deck.ReplicaMessage) {
+	if c.state == leader && len(c.barriers) < maxRemoteBarriers {
+		c.barriers = append(c.barriers, barrier{id: m.Round, from: m.From})
+	}
+}
+
+func (c *Core) handleBarrierAnswer(m deck.ReplicaMessage) {
+	if _, ok := c.remoteBarriers[m.Round]; !ok {
+		return
+	}
+	delete(c.remoteBarriers, m.Round)
+	c.endBarrier(BarrierResult{ID: m.Round, Index: m.Index})
+}
+
+// tickBarriers fails barriers that the leader has not answered in time.
+func (c *Core) tickBarriers() {
+	for id, until := range c.remoteBarriers {
+		if !c.now.Before(until) {
+			delete(c.remoteBarriers, id)
+			c.endBarrier(BarrierResult{ID: id, Err: deck.NotLeaderError{Leader: c.lead}})
+		}
+	}
+}
--- /dev/null
+++ b/internal/state/replica/config.go
@@ -0,0 +1,52 @@
+package replica
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// Timing and sizes of the replicated log.
+const (
+	HeartbeatInterval  = 250 * time.Millisecond  // keeps a leader's heartbeats to a few KB/s
+	ElectionTimeoutMin = 1200 * time.Millisecond // longer than LeadershipTimeout by more than the 1% clock drift
+	ElectionTimeoutMax = 2400 * time.Millisecond
+	LeadershipTimeout  = 1100 * time.Millisecond
+
+	MaxCommandBytes     = 256 << 10 // proposals are below 128 KB; the rest is room for the codec
+	SnapshotEntries     = 1024
+	SnapshotBytes       = 4 << 20
+	maxBatchBytes       = 512 << 10 // commands in one append message, unless one command is larger
+	maxChunkBytes       = 256 << 10
+	maxUncommitted      = 4096 // entries
+	entryOverheadBytes  = 64   // index, term and framing, for batch sizes only
+	maxSnapshotBytes    = 1 << 30
+	maxRemoteBarriers   = 1024
+	barrierRetryLimit   = LeadershipTimeout
+	leadTransferTimeout = ElectionTimeoutMin
+)
+
+// A Config is what a core must know about its replica.
+type Config struct {
+	Deployment string
+	Founders   []deck.VMName // VMs whose replicas form the log when all of them are empty
+	Rand       rand.Source   // draws election timeouts; nil for a source with a fixed seed
+	Stored     deck.StoredLog
+
+	SnapshotEntries int // entries between snapshots; 0 for SnapshotEntries
+	SnapshotBytes   int // bytes of commands between snapshots; 0 for SnapshotBytes
+}
+
+func (c Config) withDefaults() Config {
+	if c.Rand == nil {
+		c.Rand = rand.NewPCG(c.Stored.ID.Incarnation, 0)
+	}
+	if c.SnapshotEntries == 0 {
+		c.SnapshotEntries = SnapshotEntries
+	}
+	if c.SnapshotBytes == 0 {
+		c.SnapshotBytes = SnapshotBytes
+	}
+	return c
+}
--- /dev/null
+++ b/internal/state/replica/core.go
@@ -0,0 +1,227 @@
+package replica
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+type role int
+
+const (
+	follower role = iota
+	preCandidate
+	candidate
+	leader
+)
+
+// A Core is one replica's part of the agreement, without goroutines, clock or I/O; it is not safe for concurrent use.
+type Core struct {
+	cfg    Config
+	random *rand.Rand
+	self   deck.ReplicaID
+	now    time.Time
+
+	state   role
+	lead    deck.ReplicaID
+	ballot  deck.Ballot
+	log     entryLog
+	members []indexedMembership // memberships by the entry that set them, oldest first; never empty
+
+	heardLeader      time.Time // last message of a current leader; votes are refused for a while after it
+	electionDeadline time.Time
+	campaignedAt     time.Time
+	votes            map[deck.ReplicaID]bool
+
+	peers         map[deck.ReplicaID]*progress // leader only
+	heartbeatAt   time.Time
+	round         uint64
+	roundTimes    map[uint64]time.Time
+	transferTo    deck.ReplicaID
+	transferUntil time.Time
+
+	barriers       []barrier // waiting at the leader
+	remoteBarriers map[uint64]time.Time
+	incoming       *incomingSnapshot
+	formation      formation
+
+	out             []deck.ReplicaMessage
+	restored        *deck.LogSnapshot
+	barrierResults  []BarrierResult
+	unsavedSnapshot *deck.LogSnapshot
+	ballotChanged   bool
+}
+
+// New returns the core of a replica that starts with the stored log.
+func New(cfg Config, now time.Time) *Core {
+	cfg = cfg.withDefaults()
+	c := &Core{
+		cfg:            cfg,
+		random:         rand.New(cfg.Rand),
+		self:           cfg.Stored.ID,
+		now:            now,
+		ballot:         cfg.Stored.Ballot,
+		log:            newEntryLog(cfg.Stored),
+		heardLeader:    now, // a leader may rely on an answer that this replica gave before its restart
+		remoteBarriers: make(map[uint64]time.Time),
+	}
+	c.loadMembership()
+	if c.log.snapshot.Index > 0 {
+		s := c.log.snapshot
+		c.restored = &s
+	}
+	c.resetElection()
+	return c
+}
+
+// Tick lets time pass.
+func (c *Core) Tick(now time.Time) {
+	c.advance(now)
+	c.tickBarriers()
+	if c.tickFormation() {
+		return
+	}
+	if c.state == leader {
+		c.tickLeader()
+		return
+	}
+	if !now.Before(c.electionDeadline) {
+		c.campaign()
+	}
+}
+
+// Step handles a message from another replica.
+func (c *Core) Step(now time.Time, m deck.ReplicaMessage) {
+	c.advance(now)
+	if m.Deployment != c.cfg.Deployment || m.From == c.self {
+		return
+	}
+	if m.Kind == deck.MessageHello && m.To == (deck.ReplicaID{VM: c.self.VM}) {
+		c.answerHello(m)
+		return
+	}
+	// Messages to an earlier incarnation are meant for a disk that is lost.
+	if m.To != c.self || c.refusesFounder(m) {
+		return
+	}
+	c.stepAddressed(m)
+}
+
+func (c *Core) stepAddressed(m deck.ReplicaMessage) {
+	switch m.Kind {
+	case deck.MessageHelloAnswer:
+		c.handleHelloAnswer(m)
+		return
+	case deck.MessagePreVote:
+		c.answerPreVote(m)
+		return
+	case deck.MessagePreVoteAnswer:
+		c.handlePreVoteAnswer(m)
+		return
+	case deck.MessageVote:
+		c.answerVote(m)
+		return
+	}
+	if m.Term > c.ballot.Term {
+		c.becomeFollower(m.Term, deck.ReplicaID{})
+	}
+	if m.Term < c.ballot.Term {
+		c.answerOldTerm(m)
+		return
+	}
+	c.stepCurrent(m)
+}
+
+func (c *Core) stepCurrent(m deck.ReplicaMessage) {
+	switch m.Kind {
+	case deck.MessageVoteAnswer:
+		c.handleVoteAnswer(m)
+	case deck.MessageHeartbeat:
+		c.answerHeartbeat(m)
+	case deck.MessageAppend:
+		c.answerAppend(m)
+	case deck.MessageSnapshot:
+		c.answerSnapshot(m)
+	case deck.MessageBarrier:
+		c.answerBarrier(m)
+	case deck.MessageBarrierAnswer:
+		c.handleBarrierAnswer(m)
+	case deck.MessageTransfer:
+		c.handleTransfer(m)
+	case deck.MessageHeartbeatAnswer, deck.MessageAppendAnswer, deck.MessageSnapshotAnswer:
+		c.handleFollowerAnswer(m)
+	}
+}
+
+// answerOldTerm tells a former leader the current term, so that it stops leading.
+func (c *Core) answerOldTerm(m deck.ReplicaMessage) {
+	switch m.Kind {
+	case deck.MessageHeartbeat, deck.MessageAppend, deck.MessageSnapshot:
+		c.send(deck.ReplicaMessage{Kind: deck.MessageAppendAnswer, To: m.From, Reject: true})
+	}
+}
+
+// advance sets the time and ends a leadership that the time has outrun, before anything else happens.
+func (c *Core) advance(now time.Time) {
+	if now.After(c.now) {
+		c.now = now
+	}
+	if c.state == leader && c.now.Sub(c.majorityHeard()) >= LeadershipTimeout {
+		c.becomeFollower(c.ballot.Term, deck.ReplicaID{})
+	}
+}
+
+func (c *Core) becomeFollower(term uint64, lead deck.ReplicaID) {
+	if term > c.ballot.Term {
+		c.ballot = deck.Ballot{Term: term}
+		c.ballotChanged = true
+	}
+	wasLeader := c.state == leader
+	c.state = follower
+	c.lead = lead
+	if wasLeader {
+		c.stopLeading()
+	}
+	c.resetElection()
+}
+
+// follow accepts the sender as the leader of the current term.
+func (c *Core) follow(m deck.ReplicaMessage) {
+	if c.state != follower || c.lead != m.From {
+		c.becomeFollower(m.Term, m.From)
+	}
+	c.heardLeader = c.now
+	c.resetElection()
+}
+
+func (c *Core) resetElection() {
+	span := int64(ElectionTimeoutMax - ElectionTimeoutMin)
+	d := ElectionTimeoutMin + time.Duration(c.random.Int64N(span+1))
+	c.electionDeadline = c.now.Add(d)
+}
+
+// send queues a message in the current term unless it carries a term already.
+func (c *Core) send(m deck.ReplicaMessage) {
+	m.Deployment = c.cfg.Deployment
+	m.From = c.self
+	if m.Term == 0 {
+		m.Term = c.ballot.Term
+	}
+	c.out = append(c.out, m)
+}
+
+// Status returns the replica's view of the log.
+func (c *Core) Status() deck.LogStatus {
+	m := c.membership()
+	return deck.LogStatus{
+		Self:     c.self,
+		Leader:   c.lead,
+		Term:     c.ballot.Term,
+		Commit:   c.log.commit,
+		Applied:  c.log.applied,
+		Voters:   slices.Clone(m.Voters),
+		Learners: slices.Clone(m.Learners),
+	}
+}
--- /dev/null
+++ b/internal/state/replica/effects.go
@@ -0,0 +1,76 @@
+package replica
+
+import "github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+
+// Effects are what the caller of a core must do, in the order of the fields.
+//
+// Messages may only be sent after Save is durable, because answers promise what Save contains. Between taking
+// effects and calling Saved no other method of the core may be called.
+type Effects struct {
+	Save     deck.LogWrite
+	Send     []deck.ReplicaMessage
+	Restore  *deck.LogSnapshot // the state machine's state is replaced
+	Apply    []deck.LogEntry   // committed
+	Barriers []BarrierResult
+	Snapshot bool // the state machine's snapshot is due; the caller passes it to Compact
+}
+
+// IsEmpty reports whether there is nothing to do.
+func (e Effects) IsEmpty() bool {
+	return e.Save.IsEmpty() && len(e.Send) == 0 && e.Restore == nil && len(e.Apply) == 0 &&
+		len(e.Barriers) == 0 && !e.Snapshot
+}
+
+// A BarrierResult ends a read barrier.
+type BarrierResult struct {
+	ID    uint64
+	Index uint64 // reads are fresh once this entry is applied
+	Err   error  // the barrier failed if set
+}
+
+// Effects returns what is to be done since the last call.
+func (c *Core) Effects() Effects {
+	c.startBarriers()
+	e := Effects{Send: c.out, Restore: c.restored, Barriers: c.barrierResults}
+	e.Save.Snapshot = c.unsavedSnapshot
+	e.Save.Entries = c.unsavedEntries()
+	if c.ballotChanged {
+		b := c.ballot
+		e.Save.Ballot = &b
+	}
+	e.Apply = c.committedEntries()
+	e.Snapshot = c.snapshotDue()
+	c.out, c.restored, c.barrierResults, c.unsavedSnapshot, c.ballotChanged = nil, nil, nil, nil, false
+	return e
+}
+
+// Saved tells the core that the effects' Save is durable.
+func (c *Core) Saved(e Effects) {
+	if n := len(e.Save.Entries); n > 0 {
+		c.log.durable = e.Save.Entries[n-1].Index
+	}
+	if c.state == leader {
+		c.advanceCommit()
+	}
+}
+
+func (c *Core) unsavedEntries() []deck.LogEntry {
+	if c.log.unsaved > c.log.last() {
+		return nil
+	}
+	s := c.log.slice(c.log.unsaved, c.log.last())
+	c.log.unsaved = c.log.last() + 1
+	return s
+}
+
+func (c *Core) committedEntries() []deck.LogEntry {
+	if c.log.applied >= c.log.commit {
+		return nil
+	}
+	s := c.log.slice(c.log.applied+1, c.log.commit)
+	c.log.applied = c.log.commit
+	for _, e := range s {
+		c.log.appliedBytes += entrySize(e)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/state/replica/entrylog.go
@@ -0,0 +1,116 @@
+package replica
+
+import (
+	"slices"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// An entryLog is the part of the log after its snapshot, with the indexes that describe its progress.
+type entryLog struct {
+	snapshot deck.LogSnapshot
+	entries  []deck.LogEntry // from snapshot.Index+1 on
+	unsaved  uint64          // first index that was not handed out for saving
+	durable  uint64          // highest index that is saved
+	commit   uint64
+	applied  uint64 // highest index handed out for applying
+
+	appliedBytes int // size of the entries applied since the snapshot
+}
+
+func newEntryLog(s deck.StoredLog) entryLog {
+	l := entryLog{snapshot: s.Snapshot, entries: slices.Clone(s.Entries)}
+	l.commit = s.Snapshot.Index
+	l.applied = s.Snapshot.Index
+	l.durable = l.last()
+	l.unsaved = l.last() + 1
+	return l
+}
+
+func entrySize(e deck.LogEntry) int {
+	return len(e.Command) + entryOverheadBytes
+}
+
+func (l *entryLog) last() uint64 {
+	return l.snapshot.Index + uint64(len(l.entries))
+}
+
+func (l *entryLog) lastTerm() uint64 {
+	t, _ := l.term(l.last())
+	return t
+}
+
+// term returns the term of the entry; ok is false if it is not held or covered by the snapshot.
+func (l *entryLog) term(index uint64) (t uint64, ok bool) {
+	switch {
+	case index == l.snapshot.Index:
+		return l.snapshot.Term, true
+	case index < l.snapshot.Index || index > l.last():
+		return 0, false
+	default:
+		return l.entries[index-l.snapshot.Index-1].Term, true
+	}
+}
+
+// slice returns the entries from index first to index last; both must be held.
+func (l *entryLog) slice(first, last uint64) []deck.LogEntry {
+	return slices.Clone(l.entries[first-l.snapshot.Index-1 : last-l.snapshot.Index])
+}
+
+// batch returns entries from index first on that fit into one message.
+func (l *entryLog) batch(first uint64) []deck.LogEntry {
+	size := 0
+	last := first - 1
+	for last < l.last() {
+		size += entrySize(l.entries[last-l.snapshot.Index])
+		if size > maxBatchBytes && last >= first {
+			break
+		}
+		last++
+	}
+	return l.slice(first, last)
+}
+
+func (l *entryLog) append(e deck.LogEntry) {
+	l.entries = append(l.entries, e)
+}
+
+// truncate drops the entries from the index on.
+func (l *entryLog) truncate(index uint64) {
+	keep := index - l.snapshot.Index - 1
+	l.entries = slices.Clone(l.entries[:keep])
+	l.unsaved = min(l.unsaved, index)
+	l.durable = min(l.durable, index-1)
+}
+
+// compact drops the entries that the snapshot covers.
+func (l *entryLog) compact(s deck.LogSnapshot) {
+	l.entries = slices.Clone(l.entries[s.Index-l.snapshot.Index:])
+	l.snapshot = s
+	l.appliedBytes = 0
+}
+
+// restore replaces the covered prefix by the snapshot and drops entries that do not continue it.
+func (l *entryLog) restore(s deck.LogSnapshot) {
+	if t, ok := l.term(s.Index); ok && t == s.Term {
+		l.compact(s)
+	} else {
+		l.entries = nil
+		l.snapshot = s
+		l.appliedBytes = 0
+		l.durable = s.Index
+		l.unsaved = s.Index + 1
+	}
+	l.unsaved = max(l.unsaved, s.Index+1)
+	l.durable = max(l.durable, s.Index)
+	l.commit = max(l.commit, s.Index)
+	l.applied = max(l.applied, s.Index)
+}
+
+// newerThan reports whether the log is more up to date than one that ends with the given entry.
+func (l *entryLog) newerThan(index, term uint64) bool {
+	if l.lastTerm() != term {
+		return l.lastTerm() > term
+	}
+	return l.last() > index
+}
--- /dev/null
+++ b/internal/state/replica/follow.go
@@ -0,0 +1,77 @@
+package replica
+
+import "github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+
+func (c *Core) answerHeartbeat(m deck.ReplicaMessage) {
+	c.follow(m)
+	c.commitUpTo(m.Commit)
+	c.send(deck.ReplicaMessage{Kind: deck.MessageHeartbeatAnswer, To: m.From, Round: m.Round})
+}
+
+func (c *Core) answerAppend(m deck.ReplicaMessage) {
+	c.follow(m)
+	a := deck.ReplicaMessage{Kind: deck.MessageAppendAnswer, To: m.From, Round: m.Round}
+	if m.Index < c.log.commit {
+		m = c.withoutCommitted(m)
+	}
+	if term, ok := c.log.term(m.Index); !ok || term != m.LogTerm {
+		a.Reject = true
+		a.Index = c.conflictHint(m.Index)
+		c.send(a)
+		return
+	}
+	c.takeEntries(m.Entries)
+	held := m.Index + uint64(len(m.Entries))
+	c.commitUpTo(min(m.Commit, held))
+	a.Index = held
+	c.send(a)
+}
+
+// withoutCommitted cuts off the entries that are committed here, which are equal to the leader's.
+func (c *Core) withoutCommitted(m deck.ReplicaMessage) deck.ReplicaMessage {
+	cut := min(c.log.commit-m.Index, uint64(len(m.Entries)))
+	m.Entries = m.Entries[cut:]
+	m.Index = c.log.commit
+	m.LogTerm, _ = c.log.term(c.log.commit)
+	return m
+}
+
+// conflictHint returns the index before which the leader's log may equal this one.
+func (c *Core) conflictHint(index uint64) uint64 {
+	if index > c.log.last() {
+		return c.log.last()
+	}
+	term, _ := c.log.term(index)
+	hint := index - 1
+	for hint > c.log.commit {
+		if t, _ := c.log.term(hint); t != term {
+			break
+		}
+		hint--
+	}
+	return hint
+}
+
+func (c *Core) takeEntries(entries []deck.LogEntry) {
+	for _, e := range entries {
+		term, ok := c.log.term(e.Index)
+		if ok && term == e.Term {
+			continue
+		}
+		if ok {
+			c.log.truncate(e.Index)
+			c.dropMemberships(e.Index)
+		}
+		c.log.append(e)
+		if e.Kind == deck.EntryMembership {
+			c.pushMembership(e.Index, e.Membership)
+		}
+	}
+}
+
+func (c *Core) commitUpTo(index uint64) {
+	index = min(index, c.log.last())
+	if index > c.log.commit {
+		c.log.commit = index
+	}
+}
--- /dev/null
+++ b/internal/state/replica/node.go
@@ -0,0 +1,178 @@
+package replica
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+const (
+	inputQueue = 1024                  // messages and calls that wait for the node's loop
+	inputBatch = 256                   // inputs that share one sync
+	tickPeriod = 25 * time.Millisecond // fine enough for the 1.1 s of LeadershipTimeout within its margin
+)
+
+// Options are what a node needs; Log may be zero, Clock nil for the system's.
+type Options struct {
+	Config    // Stored is read from Storage
+	Storage   deck.Storage
+	Transport deck.ReplicaTransport
+	Machine   deck.StateMachine
+	Clock     deck.Clock
+	Log       logr.Logger
+}
+
+// A Node is a running replica of the log.
+type Node struct {
+	opts    Options
+	core    *Core
+	inputs  chan func(now time.Time)
+	done    chan struct{}
+	status  atomic.Pointer[deck.LogStatus]
+	group   *errgroup.Group
+	ctx     context.Context // of the senders, set by Run
+	outbox  map[lane]chan deck.ReplicaMessage
+	waiters map[uint64]waiter
+
+	barrierID uint64
+	barriers  map[uint64]chan error // running
+	applying  map[chan error]uint64 // confirmed, waiting for the entry to be applied
+	failure   error                 // why the replica no longer takes part
+}
+
+var (
+	_ deck.Log             = (*Node)(nil)
+	_ deck.ReplicaReceiver = (*Node)(nil)
+	_ deck.ReplicaSet      = (*Node)(nil)
+)
+
+// NewNode returns a node that continues the stored log; it takes part once Run is called.
+func NewNode(o Options) (*Node, error) {
+	if o.Clock == nil {
+		o.Clock = deck.SystemClock{}
+	}
+	stored, err := o.Storage.Load()
+	if err != nil {
+		return nil, errors.Wrap(err, "load replicated log")
+	}
+	o.Stored = stored
+	n := &Node{
+		opts:     o,
+		core:     New(o.Config, o.Clock.Now()),
+		inputs:   make(chan func(time.Time), inputQueue),
+		done:     make(chan struct{}),
+		outbox:   make(map[lane]chan deck.ReplicaMessage),
+		waiters:  make(map[uint64]waiter),
+		barriers: make(map[uint64]chan error),
+		applying: make(map[chan error]uint64),
+	}
+	n.publish()
+	return n, nil
+}
+
+// Done returns a channel that is closed when the node has stopped.
+func (n *Node) Done() <-chan struct{} {
+	return n.done
+}
+
+// Status implements deck.Log.Status.
+func (n *Node) Status() deck.LogStatus {
+	return *n.status.Load()
+}
+
+// Receive implements deck.ReplicaReceiver.Receive; it never blocks, because a lost message is sent again.
+func (n *Node) Receive(_ context.Context, m deck.ReplicaMessage) error {
+	select {
+	case <-n.done:
+		return deck.ErrReplicaStopped
+	case n.inputs <- func(now time.Time) { n.step(now, m) }:
+		return nil
+	default:
+		return deck.ErrLogBusy
+	}
+}
+
+func (n *Node) step(now time.Time, m deck.ReplicaMessage) {
+	if n.failure == nil {
+		n.core.Step(now, m)
+	}
+}
+
+// Propose implements deck.Log.Propose; on a replica that does not lead it returns a deck.NotLeaderError.
+func (n *Node) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	return n.append(ctx, func(now time.Time) (uint64, uint64, error) {
+		return n.core.Propose(now, command)
+	})
+}
+
+// append runs an operation that appends an entry and waits until the entry is applied.
+func (n *Node) append(ctx context.Context, op func(now time.Time) (index, term uint64, err error)) ([]byte, error) {
+	w := waiter{result: make(chan applied, 1)}
+	err := n.call(ctx, func(now time.Time) {
+		if err := errors.CombineErrors(n.failure, ctx.Err()); err != nil {
+			w.result <- applied{err: err}
+			return
+		}
+		index, term, err := op(now)
+		if err != nil {
+			w.result <- applied{err: err}
+			return
+		}
+		w.term = term
+		n.waiters[index] = w
+	})
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case a := <-w.result:
+		return a.value, a.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-n.done:
+		return nil, deck.ErrReplicaStopped
+	}
+}
+
+// call queues a function for the node's loop.
+func (n *Node) call(ctx context.Context, f func(now time.Time)) error {
+	select {
+	case n.inputs <- f:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-n.done:
+		return deck.ErrReplicaStopped
+	}
+}
+
+// Barrier implements deck.Log.Barrier; a follower asks the leader.
+func (n *Node) Barrier(ctx context.Context) error {
+	ended := make(chan error, 1)
+	err := n.call(ctx, func(now time.Time) {
+		if n.failure != nil {
+			ended <- n.failure
+			return
+		}
+		n.barrierID++
+		n.barriers[n.barrierID] = ended
+		n.core.Barrier(now, n.barrierID)
+	})
+	if err != nil {
+		return err
+	}
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-n.done:
+		return deck.ErrReplicaStopped
+	}
+}
--- /dev/null
+++ b/internal/state/replica/progress.go
@@ -0,0 +1,263 @@
+package replica
+
+import (
+	"slices"
+	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// A progress is what a leader knows about another replica.
+type progress struct {
+	match      uint64 // highest entry that the replica holds durably and that equals the leader's
+	next       uint64
+	waiting    bool      // a batch or chunk is under way; it is sent again after a heartbeat interval
+	heard      time.Time // when the latest answered round was sent
+	round      uint64    // latest answered round
+	snapshot   *deck.LogSnapshot
+	checksum   uint32
+	nextOffset int
+}
+
+func (c *Core) becomeLeader() {
+	c.state = leader
+	c.lead = c.self
+	c.peers = make(map[deck.ReplicaID]*progress)
+	c.roundTimes = make(map[uint64]time.Time)
+	c.transferTo = deck.ReplicaID{}
+	c.syncPeers()
+	c.heartbeatAt = c.now
+	c.startRound()
+	c.appendEntry(deck.LogEntry{Kind: deck.EntryNoOp})
+}
+
+func (c *Core) stopLeading() {
+	for _, b := range c.barriers {
+		c.failBarrier(b)
+	}
+	c.barriers = nil
+	c.peers = nil
+	c.transferTo = deck.ReplicaID{}
+}
+
+// syncPeers makes the known peers those of the current membership.
+func (c *Core) syncPeers() {
+	m := c.membership()
+	for _, id := range m.Members() {
+		if _, ok := c.peers[id]; !ok && id != c.self {
+			c.peers[id] = &progress{next: c.log.last() + 1, heard: c.firstHeard(id)}
+		}
+	}
+	for id := range c.peers {
+		if !m.IsVoter(id) && !m.IsLearner(id) {
+			delete(c.peers, id)
+		}
+	}
+}
+
+// firstHeard returns the time from which a new leader counts the replica as following it.
+func (c *Core) firstHeard(id deck.ReplicaID) time.Time {
+	if c.votes[id] {
+		return c.campaignedAt
+	}
+	return time.Time{}
+}
+
+func (c *Core) tickLeader() {
+	if !c.transferTo.IsZero() && !c.now.Before(c.transferUntil) {
+		c.transferTo = deck.ReplicaID{}
+	}
+	if c.now.Sub(c.heartbeatAt) >= HeartbeatInterval {
+		c.heartbeat()
+	}
+}
+
+// heartbeat starts a new round and sends again what was not answered.
+func (c *Core) heartbeat() {
+	c.heartbeatAt = c.now
+	c.startRound()
+	for _, id := range c.peerIDs() {
+		c.peers[id].waiting = false
+		c.replicate(id)
+	}
+}
+
+func (c *Core) startRound() {
+	c.round++
+	c.roundTimes[c.round] = c.now
+	for r, at := range c.roundTimes {
+		if c.now.Sub(at) > LeadershipTimeout {
+			delete(c.roundTimes, r)
+		}
+	}
+	for _, id := range c.peerIDs() {
+		c.sendHeartbeat(id)
+	}
+}
+
+func (c *Core) sendHeartbeat(id deck.ReplicaID) {
+	commit := min(c.peers[id].match, c.log.commit)
+	c.send(deck.ReplicaMessage{Kind: deck.MessageHeartbeat, To: id, Commit: commit, Round: c.round})
+}
+
+// peerIDs returns the peers in membership order, so that runs with one seed are equal.
+func (c *Core) peerIDs() []deck.ReplicaID {
+	return slices.DeleteFunc(c.membership().Members(), func(id deck.ReplicaID) bool {
+		return c.peers[id] == nil
+	})
+}
+
+// replicate sends the replica what it lacks, unless something is under way already.
+func (c *Core) replicate(id deck.ReplicaID) {
+	p := c.peers[id]
+	if p.waiting || p.match >= c.log.last() {
+		return
+	}
+	if p.next <= c.log.snapshot.Index || p.snapshot != nil {
+		c.sendChunk(id, p)
+		return
+	}
+	prev := p.next - 1
+	term, _ := c.log.term(prev)
+	p.waiting = true
+	c.send(deck.ReplicaMessage{
+		Kind: deck.MessageAppend, To: id, Index: prev, LogTerm: term, Commit: c.log.commit, Round: c.round,
+		Entries: c.log.batch(p.next),
+	})
+}
+
+func (c *Core) replicateAll() {
+	for _, id := range c.peerIDs() {
+		c.replicate(id)
+	}
+}
+
+func (c *Core) appendEntry(e deck.LogEntry) uint64 {
+	e.Index = c.log.last() + 1
+	e.Term = c.ballot.Term
+	c.log.append(e)
+	if e.Kind == deck.EntryMembership {
+		c.pushMembership(e.Index, e.Membership)
+	}
+	c.replicateAll()
+	return e.Index
+}
+
+// Propose appends a command to the leader's log and returns where.
+func (c *Core) Propose(now time.Time, command []byte) (index, term uint64, err error) {
+	c.advance(now)
+	if err := c.mayAppend(); err != nil {
+		return 0, 0, err
+	}
+	if len(command) > MaxCommandBytes {
+		return 0, 0, deck.ErrCommandTooLarge
+	}
+	index = c.appendEntry(deck.LogEntry{Kind: deck.EntryCommand, Command: command})
+	return index, c.ballot.Term, nil
+}
+
+func (c *Core) mayAppend() error {
+	if c.state != leader {
+		return deck.NotLeaderError{Leader: c.lead}
+	}
+	if !c.transferTo.IsZero() {
+		return deck.NotLeaderError{Leader: c.transferTo}
+	}
+	if c.log.last()-c.log.commit >= maxUncommitted {
+		return deck.ErrLogBusy
+	}
+	return nil
+}
+
+func (c *Core) handleFollowerAnswer(m deck.ReplicaMessage) {
+	p := c.peers[m.From]
+	if c.state != leader || p == nil {
+		return
+	}
+	if at, ok := c.roundTimes[m.Round]; ok {
+		p.round = max(p.round, m.Round)
+		p.heard = later(p.heard, at)
+		c.finishBarriers()
+	}
+	switch m.Kind {
+	case deck.MessageAppendAnswer:
+		c.handleAppendAnswer(m, p)
+	case deck.MessageSnapshotAnswer:
+		c.handleSnapshotAnswer(m, p)
+	}
+}
+
+func (c *Core) handleAppendAnswer(m deck.ReplicaMessage, p *progress) {
+	p.waiting = false
+	if m.Reject {
+		// The hint is the last entry that may be equal; it never goes below what is known to be equal.
+		p.next = max(min(m.Index+1, p.next-1), p.match+1)
+		c.replicate(m.From)
+		return
+	}
+	if p.snapshot != nil && m.Index >= p.snapshot.Index {
+		p.snapshot = nil
+	}
+	p.match = max(p.match, m.Index)
+	p.next = max(p.next, p.match+1)
+	c.advanceCommit()
+	if c.state != leader {
+		return
+	}
+	c.finishTransfer(m.From)
+	if c.peers[m.From] != nil {
+		c.replicate(m.From)
+	}
+}
+
+// advanceCommit commits the entries that a majority holds durably, if the last of them is of the own term.
+func (c *Core) advanceCommit() {
+	index := c.majorityMatch()
+	if term, ok := c.log.term(index); !ok || term != c.ballot.Term || index <= c.log.commit {
+		return
+	}
+	c.log.commit = index
+	c.membershipCommitted()
+	if c.state != leader {
+		return
+	}
+	for _, id := range c.peerIDs() {
+		c.sendHeartbeat(id)
+	}
+}
+
+func (c *Core) majorityMatch() uint64 {
+	m := c.membership()
+	held := make([]uint64, 0, len(m.Voters))
+	for _, id := range m.Voters {
+		if id == c.self {
+			held = append(held, c.log.durable)
+		} else if p := c.peers[id]; p != nil {
+			held = append(held, p.match)
+		}
+	}
+	slices.Sort(held)
+	return held[len(held)-m.Majority()]
+}
+
+// majorityHeard returns the time since which a majority is known to have followed this leader.
+func (c *Core) majorityHeard() time.Time {
+	m := c.membership()
+	times := make([]time.Time, 0, len(m.Voters))
+	for _, id := range m.Voters {
+		if id == c.self {
+			times = append(times, c.now)
+		} else if p := c.peers[id]; p != nil {
+			times = append(times, p.heard)
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	return times[len(times)-m.Majority()]
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/state/replica/run.go
@@ -0,0 +1,213 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// A waiter is a caller that waits for the entry that it proposed.
+type waiter struct {
+	term   uint64
+	result chan applied // one slot
+}
+
+type applied struct {
+	value []byte
+	err   error
+}
+
+// Run takes part in the agreement until ctx ends; a leader then hands its leadership over first.
+//
+// After a fault of the storage the node stays without part in the agreement, shows the fault in its status, and Run
+// returns it when ctx ends.
+func (n *Node) Run(ctx context.Context) error {
+	defer close(n.done)
+	senders, stop := context.WithCancel(context.WithoutCancel(ctx))
+	n.group, n.ctx = errgroup.WithContext(senders)
+	n.loop(ctx)
+	stop()
+	err := n.group.Wait()
+	return errors.CombineErrors(n.failure, err)
+}
+
+func (n *Node) loop(ctx context.Context) {
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	stopping := ctx.Done()
+	var deadline time.Time
+	for {
+		select {
+		case <-stopping:
+			stopping = nil
+			deadline = n.handOver()
+		case f := <-n.inputs:
+			f(n.opts.Clock.Now())
+			n.drainInputs()
+		case <-ticker.C:
+			n.tick()
+		}
+		n.settle()
+		if stopping == nil && n.mayStop(deadline) {
+			return
+		}
+	}
+}
+
+func (n *Node) tick() {
+	if n.failure == nil {
+		n.core.Tick(n.opts.Clock.Now())
+	}
+}
+
+// drainInputs handles what else is queued, so that it shares one sync.
+func (n *Node) drainInputs() {
+	for range inputBatch {
+		select {
+		case f := <-n.inputs:
+			f(n.opts.Clock.Now())
+		default:
+			return
+		}
+	}
+}
+
+// handOver starts a transfer of the leadership and returns when the node stops at the latest.
+func (n *Node) handOver() time.Time {
+	now := n.opts.Clock.Now()
+	if _, ok := n.core.Transfer(now); !ok {
+		return now
+	}
+	return now.Add(leadTransferTimeout)
+}
+
+func (n *Node) mayStop(deadline time.Time) bool {
+	return n.failure != nil || n.core.state != leader || !n.opts.Clock.Now().Before(deadline)
+}
+
+// settle carries out the core's effects until there are none.
+func (n *Node) settle() {
+	for n.failure == nil {
+		e := n.core.Effects()
+		if e.IsEmpty() {
+			break
+		}
+		n.carryOut(e)
+	}
+	if n.failure == nil && n.core.state != leader {
+		n.failWaiters(deck.ErrLeadershipLost)
+	}
+	n.publish()
+}
+
+func (n *Node) carryOut(e Effects) {
+	if !e.Save.IsEmpty() {
+		if err := n.opts.Storage.Save(e.Save); err != nil {
+			n.fail(errors.Wrap(err, "save replicated log"))
+			return
+		}
+	}
+	n.core.Saved(e)
+	for _, m := range e.Send {
+		n.send(m)
+	}
+	if e.Restore != nil {
+		if err := n.opts.Machine.Restore(e.Restore.Data); err != nil {
+			n.fail(errors.Wrapf(err, "restore snapshot %d", e.Restore.Index))
+			return
+		}
+	}
+	n.apply(e.Apply)
+	n.endBarriers(e.Barriers)
+	if e.Snapshot {
+		n.compact()
+	}
+}
+
+func (n *Node) apply(entries []deck.LogEntry) {
+	for _, e := range entries {
+		var value []byte
+		if e.Kind == deck.EntryCommand {
+			value = n.opts.Machine.Apply(e.Index, e.Command)
+		}
+		w, ok := n.waiters[e.Index]
+		if !ok {
+			continue
+		}
+		delete(n.waiters, e.Index)
+		if w.term == e.Term {
+			w.result <- applied{value: value}
+		} else {
+			w.result <- applied{err: deck.ErrLeadershipLost}
+		}
+	}
+}
+
+func (n *Node) endBarriers(results []BarrierResult) {
+	for _, r := range results {
+		ended, ok := n.barriers[r.ID]
+		if !ok {
+			continue
+		}
+		delete(n.barriers, r.ID)
+		if r.Err != nil {
+			ended <- r.Err
+		} else {
+			n.applying[ended] = r.Index
+		}
+	}
+	for ended, index := range n.applying {
+		if index <= n.core.log.applied {
+			delete(n.applying, ended)
+			ended <- nil
+		}
+	}
+}
+
+func (n *Node) compact() {
+	data, err := n.opts.Machine.Snapshot()
+	if err != nil {
+		n.fail(errors.Wrap(err, "take snapshot"))
+		return
+	}
+	n.core.Compact(data)
+}
+
+// fail ends this replica's part in the agreement for good.
+func (n *Node) fail(err error) {
+	n.failure = err
+	n.opts.Log.Error(err, "replica takes no further part in the replicated log")
+	n.failWaiters(err)
+	for id, ended := range n.barriers {
+		delete(n.barriers, id)
+		ended <- err
+	}
+	for ended := range n.applying {
+		delete(n.applying, ended)
+		ended <- err
+	}
+}
+
+func (n *Node) failWaiters(err error) {
+	for index, w := range n.waiters {
+		delete(n.waiters, index)
+		w.result <- applied{err: err}
+	}
+}
+
+// publish makes the status visible and logs a change of leadership.
+func (n *Node) publish() {
+	s := n.core.Status()
+	if n.failure != nil {
+		s.Failed = n.failure.Error()
+		s.Leader = deck.ReplicaID{}
+	}
+	old := n.status.Swap(&s)
+	if old != nil && old.Leader != s.Leader {
+		n.opts.Log.Info("leader of the replicated log changed", "leader", s.Leader.String(), "term", s.Term)
+	}
+}
--- /dev/null
+++ b/internal/state/replica/snapshot.go
@@ -0,0 +1,124 @@
+package replica
+
+import (
+	"hash/crc32"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// An incomingSnapshot is a snapshot of which a follower holds the first bytes.
+type incomingSnapshot struct {
+	from  deck.ReplicaID
+	index uint64
+	term  uint64
+	sum   uint32
+	data  []byte
+}
+
+// snapshotDue reports whether enough was applied since the last snapshot.
+func (c *Core) snapshotDue() bool {
+	n := int(c.log.applied - c.log.snapshot.Index)
+	return n > 0 && (n >= c.cfg.SnapshotEntries || c.log.appliedBytes >= c.cfg.SnapshotBytes)
+}
+
+// Compact replaces the applied entries by the state machine's snapshot.
+func (c *Core) Compact(data []byte) {
+	index := c.log.applied
+	term, ok := c.log.term(index)
+	if !ok || index <= c.log.snapshot.Index {
+		return
+	}
+	s := deck.LogSnapshot{Index: index, Term: term, Membership: c.membershipAt(index), Data: data}
+	c.log.compact(s)
+	c.unsavedSnapshot = &s
+	c.trimMemberships(index)
+}
+
+// trimMemberships forgets the memberships before the one that is in effect at the index.
+func (c *Core) trimMemberships(index uint64) {
+	for len(c.members) > 1 && c.members[1].index <= index {
+		c.members = c.members[1:]
+	}
+}
+
+func (c *Core) sendChunk(id deck.ReplicaID, p *progress) {
+	if p.snapshot == nil {
+		s := c.log.snapshot
+		p.snapshot = &s
+		p.checksum = crc32.Checksum(s.Data, castagnoli)
+		p.nextOffset = 0
+	}
+	s := p.snapshot
+	end := min(p.nextOffset+maxChunkBytes, len(s.Data))
+	p.waiting = true
+	c.send(deck.ReplicaMessage{
+		Kind: deck.MessageSnapshot, To: id, Index: s.Index, LogTerm: s.Term, Round: c.round,
+		Chunk: deck.SnapshotChunk{
+			Offset: p.nextOffset, Total: len(s.Data), Checksum: p.checksum,
+			Membership: s.Membership, Data: s.Data[p.nextOffset:end],
+		},
+	})
+}
+
+func (c *Core) handleSnapshotAnswer(m deck.ReplicaMessage, p *progress) {
+	if p.snapshot == nil || m.Index != p.snapshot.Index || m.Chunk.Offset > len(p.snapshot.Data) {
+		return
+	}
+	p.waiting = false
+	p.nextOffset = m.Chunk.Offset
+	c.sendChunk(m.From, p)
+}
+
+func (c *Core) answerSnapshot(m deck.ReplicaMessage) {
+	c.follow(m)
+	if m.Index <= c.log.commit {
+		c.send(deck.ReplicaMessage{Kind: deck.MessageAppendAnswer, To: m.From, Round: m.Round, Index: c.log.commit})
+		return
+	}
+	in := c.incomingFor(m)
+	if in == nil {
+		return
+	}
+	if m.Chunk.Offset == len(in.data) {
+		in.data = append(in.data, m.Chunk.Data...)
+	}
+	if len(in.data) < m.Chunk.Total {
+		c.askChunk(m, len(in.data))
+		return
+	}
+	c.incoming = nil
+	if len(in.data) != m.Chunk.Total || crc32.Checksum(in.data, castagnoli) != m.Chunk.Checksum {
+		c.askChunk(m, 0)
+		return
+	}
+	c.install(deck.LogSnapshot{Index: m.Index, Term: m.LogTerm, Membership: m.Chunk.Membership, Data: in.data})
+	c.send(deck.ReplicaMessage{Kind: deck.MessageAppendAnswer, To: m.From, Round: m.Round, Index: m.Index})
+}
+
+func (c *Core) askChunk(m deck.ReplicaMessage, offset int) {
+	c.send(deck.ReplicaMessage{
+		Kind: deck.MessageSnapshotAnswer, To: m.From, Round: m.Round, Index: m.Index,
+		Chunk: deck.SnapshotChunk{Offset: offset},
+	})
+}
+
+// incomingFor returns the transfer that the chunk belongs to, a new one if it differs; nil if it is too large.
+func (c *Core) incomingFor(m deck.ReplicaMessage) *incomingSnapshot {
+	if m.Chunk.Total > maxSnapshotBytes || m.Chunk.Total < 0 {
+		return nil
+	}
+	in := c.incoming
+	if in == nil || in.from != m.From || in.index != m.Index || in.term != m.LogTerm || in.sum != m.Chunk.Checksum {
+		c.incoming = &incomingSnapshot{from: m.From, index: m.Index, term: m.LogTerm, sum: m.Chunk.Checksum}
+	}
+	return c.incoming
+}
+
+func (c *Core) install(s deck.LogSnapshot) {
+	c.log.restore(s)
+	c.unsavedSnapshot = &s
+	c.restored = &s
+	c.loadMembership()
+}
--- /dev/null
+++ b/internal/wire/replication/doc.go
@@ -0,0 +1,2 @@
+// Package replication maps the replicated log's messages, entries and snapshots to JSON and back.
+package replication
