--- /dev/null
+++ b/internal/api/peer/feed.go
@@ -0,0 +1,125 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/state/feed"
+)
+
+// Paths of the feed.
+const (
+	feedPath    = "/peer/feed"
+	payloadPath = "/peer/feed/payload"
+)
+
+// Limits of the feed.
+const (
+	maxFeedBytes    = 64 << 20 // a whole state of 1,400 models with 600 engines is about 1 MB
+	maxPayloadBytes = feed.MaxPayloadBytes*4/3 + 4<<10
+	feedWriteTime   = 10 * time.Second // to write an answer to a VM that reads slowly
+)
+
+// RegisterFeed registers the handlers of polls and payloads.
+func RegisterFeed(mux *http.ServeMux, store *feed.Store) {
+	mux.HandleFunc("GET "+feedPath, func(w http.ResponseWriter, r *http.Request) {
+		request, err := parseFeedQuery(r.URL.Query())
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		answer := store.Serve(r.Context(), request)
+		// A writer that does not support deadlines is bounded by its server's write timeout.
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(feedWriteTime))
+		writeJSON(w, encodeFeedAnswer(answer))
+	})
+	mux.HandleFunc("GET "+payloadPath, func(w http.ResponseWriter, r *http.Request) {
+		epoch, sequence, name, err := splitValue(r.URL.Query().Get("payload"))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		wanted := store.Wants(name, feed.PayloadVersion{Epoch: epoch, Sequence: sequence})
+		writeJSON(w, mustMarshal(feedOffer{Wanted: wanted}))
+	})
+	mux.HandleFunc("POST "+payloadPath, func(w http.ResponseWriter, r *http.Request) {
+		var p feedPayload
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxPayloadBytes)).Decode(&p); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		store.Publish(p.payload())
+		w.WriteHeader(http.StatusNoContent)
+	})
+}
+
+// A FeedClient implements feed.Transport over HTTP.
+type FeedClient struct {
+	HTTP *http.Client
+}
+
+var _ feed.Transport = FeedClient{}
+
+// Poll implements feed.Transport.Poll.
+func (c FeedClient) Poll(ctx context.Context, source deck.Peer, r feed.Request) (feed.Answer, error) {
+	data, err := c.get(ctx, "http://"+source.Address+feedPath+"?"+feedQuery(r))
+	if err != nil {
+		return feed.Answer{}, err
+	}
+	return decodeFeedAnswer(data)
+}
+
+// Offer implements feed.Transport.Offer.
+func (c FeedClient) Offer(ctx context.Context, to deck.Peer, name string, v feed.PayloadVersion) (bool, error) {
+	q := url.Values{"payload": {joinValue(v.Epoch, v.Sequence, name)}}
+	data, err := c.get(ctx, "http://"+to.Address+payloadPath+"?"+q.Encode())
+	if err != nil {
+		return false, err
+	}
+	var o feedOffer
+	err = json.Unmarshal(data, &o)
+	return o.Wanted, errors.Wrap(err, "offer")
+}
+
+// Publish implements feed.Transport.Publish.
+func (c FeedClient) Publish(ctx context.Context, to deck.Peer, p feed.Payload) error {
+	body := bytes.NewReader(mustMarshal(newFeedPayload(p)))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.Address+payloadPath, body)
+	if err != nil {
+		return err
+	}
+	resp, err := c.HTTP.Do(r)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusNoContent {
+		return errors.New("payload: status " + strconv.Itoa(resp.StatusCode))
+	}
+	return nil
+}
+
+func (c FeedClient) get(ctx context.Context, url string) ([]byte, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := c.HTTP.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.New("feed: status " + strconv.Itoa(resp.StatusCode))
+	}
+	return io.ReadAll(io.LimitReader(resp.Body, maxFeedBytes))
+}
--- /dev/null
+++ b/internal/api/peer/feed_test.go
@@ -0,0 +1,116 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/state/feed"
+	"github.com/geraniumdeck/geraniumdeck/internal/state/machine"
+	"github.com/geraniumdeck/geraniumdeck/internal/test/decktest"
+)
+
+// A controlVM is a control replica with its peers' listener on loopback.
+type controlVM struct {
+	peer  deck.Peer
+	store *feed.Store
+}
+
+func newControlVM(t *testing.T, log *decktest.Log, name deck.VMName, peers func() []deck.Peer) controlVM {
+	t.Helper()
+	clock := deck.SystemClock{}
+	store := feed.NewStore(name, clock, nil, deck.State{}, false)
+	m := machine.New(nil, feed.Recorder{Store: store})
+	replica := log.Join(name, m)
+	mux := http.NewServeMux()
+	RegisterPropose(mux, machine.Proposer{Self: name, Log: replica, Clock: clock})
+	RegisterTicketStatus(mux, lateReader{name, replica, m, store, peers})
+	RegisterFeed(mux, store)
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	feed.Prover{Log: replica, Store: store, Clock: clock}.Once(t.Context())
+	return controlVM{
+		peer:  deck.Peer{Name: name, DataCentre: "graz-a", Address: server.Listener.Addr().String(), Control: true},
+		store: store,
+	}
+}
+
+// A lateReader knows its peers only after all servers have started.
+type lateReader struct {
+	self    deck.VMName
+	log     deck.Log
+	machine *machine.Machine
+	store   *feed.Store
+	peers   func() []deck.Peer
+}
+
+func (r lateReader) TicketStatus(ctx context.Context, number uint64) (machine.TicketStatus, error) {
+	reader := feed.TicketReader{Self: r.self, Log: r.log, Machine: r.machine, Store: r.store, Peers: r.peers()}
+	return reader.TicketStatus(ctx, number)
+}
+
+// Guards against fields that the HTTP codecs lose: a ticket goes from a VM without a replica through a follower's hint to
+// the leader, and its state and status come back.
+func TestTicketOverHTTP(t *testing.T) {
+	is := is.New(t)
+	log := decktest.NewLog()
+	var peers []deck.Peer
+	a := newControlVM(t, log, "a", func() []deck.Peer { return peers })
+	b := newControlVM(t, log, "b", func() []deck.Peer { return peers })
+	self := deck.Peer{Name: "e", DataCentre: "graz-a"}
+	peers = []deck.Peer{b.peer, a.peer, self}
+	client := machine.NewClient(machine.ClientConfig{
+		Self: "e", Control: peers[:2], Forward: ProposeClient{HTTP: http.DefaultClient}, Clock: deck.SystemClock{},
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+
+	answer, err := client.SubmitTicket(ctx, decktest.Deployment(1, 2, 3))
+	is.NoErr(err)
+	is.Equal(answer.Verdict, deck.TicketAccepted)
+
+	store := feed.NewStore("e", deck.SystemClock{}, nil, deck.State{}, false)
+	transport := FeedClient{HTTP: http.DefaultClient}
+	poll := func() {
+		sent := time.Now()
+		got, err := transport.Poll(ctx, a.peer, feed.Request{VM: "e", DataCentre: "graz-a", After: store.State().Version()})
+		is.NoErr(err)
+		store.Take(sent, got)
+	}
+	poll()
+	is.Equal(len(store.State().Models()), 3)
+	is.True(store.Proven())
+	poll() // confirms the version
+
+	status, err := client.TicketStatus(ctx, 1)
+	is.NoErr(err)
+	is.Equal(status.Answer, answer)
+	is.Equal(status.Confirmed, []deck.VMName{"a", "e"})
+	is.Equal(status.CutOff, []deck.VMName{"b"})
+}
+
+// Guards against a payload that reaches VMs of another data centre or is sent although it is known.
+func TestPayloadOverHTTP(t *testing.T) {
+	is := is.New(t)
+	a := newControlVM(t, decktest.NewLog(), "a", nil)
+	transport := FeedClient{HTTP: http.DefaultClient}
+	v := feed.PayloadVersion{Epoch: 1, Sequence: 2}
+	wanted, err := transport.Offer(t.Context(), a.peer, "residency~graz", v)
+	is.NoErr(err)
+	is.True(wanted)
+	p := feed.Payload{Name: "residency~graz", DataCentre: "graz-a", Version: v, Data: []byte("x")}
+	is.NoErr(transport.Publish(t.Context(), a.peer, p))
+	wanted, err = transport.Offer(t.Context(), a.peer, "residency~graz", v)
+	is.NoErr(err)
+	is.True(!wanted)
+	for dc, want := range map[deck.DataCentre]int{"graz-a": 1, "wien-b": 0} {
+		got, err := transport.Poll(t.Context(), a.peer, feed.Request{VM: "e", DataCentre: dc})
+		is.NoErr(err)
+		is.Equal(len(got.Payloads), want)
+	}
+}
--- /dev/null
+++ b/internal/api/peer/feedwire.go
@@ -0,0 +1,170 @@
+package peer
+
+import (
+	"encoding/json"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/state/feed"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/ticket"
+)
+
+type feedAnswer struct {
+	Version    uint64          `json:"version"`
+	Proven     bool            `json:"proven,omitempty"`
+	ProofAgeMS int64           `json:"proof-age-ms,omitempty"`
+	HeldMS     int64           `json:"held-ms,omitempty"`
+	Deltas     []feedDelta     `json:"deltas,omitempty"`
+	State      json.RawMessage `json:"state,omitempty"`
+	Payloads   []feedPayload   `json:"payloads,omitempty"`
+}
+
+type feedDelta struct {
+	Previous uint64          `json:"previous"`
+	Version  uint64          `json:"version"`
+	Ticket   ticket.Document `json:"ticket"`
+}
+
+type feedPayload struct {
+	Name       string `json:"name"`
+	DataCentre string `json:"data-centre,omitempty"`
+	Epoch      uint64 `json:"epoch,omitempty"`
+	Sequence   uint64 `json:"sequence,omitempty"`
+	Data       []byte `json:"data,omitempty"`
+}
+
+type feedOffer struct {
+	Wanted bool `json:"wanted"`
+}
+
+// feedQuery returns a request's query. A name is the last part of its value, since it may contain the separator.
+func feedQuery(r feed.Request) string {
+	q := url.Values{
+		"vm":          {string(r.VM)},
+		"data-centre": {string(r.DataCentre)},
+		"after":       {strconv.FormatUint(r.After, 10)},
+		"wait":        {r.Wait.String()},
+	}
+	for name, v := range r.Payloads {
+		q.Add("payload", joinValue(v.Epoch, v.Sequence, name))
+	}
+	for _, c := range r.Confirmed {
+		q.Add("confirmed", joinValue(c.Version, uint64(max(c.Age.Milliseconds(), 0)), string(c.VM)))
+	}
+	return q.Encode()
+}
+
+func parseFeedQuery(q url.Values) (feed.Request, error) {
+	r := feed.Request{VM: deck.VMName(q.Get("vm")), DataCentre: deck.DataCentre(q.Get("data-centre"))}
+	var err error
+	if r.After, err = strconv.ParseUint(q.Get("after"), 10, 64); err != nil {
+		return r, errors.Wrap(err, "after")
+	}
+	if r.Wait, err = time.ParseDuration(q.Get("wait")); err != nil {
+		return r, errors.Wrap(err, "wait")
+	}
+	r.Payloads = make(map[string]feed.PayloadVersion)
+	for _, value := range q["payload"] {
+		epoch, sequence, name, err := splitValue(value)
+		if err != nil {
+			return r, err
+		}
+		r.Payloads[name] = feed.PayloadVersion{Epoch: epoch, Sequence: sequence}
+	}
+	for _, value := range q["confirmed"] {
+		version, age, vm, err := splitValue(value)
+		if err != nil {
+			return r, err
+		}
+		r.Confirmed = append(r.Confirmed, feed.Confirmation{
+			VM: deck.VMName(vm), Version: version, Age: time.Duration(min(age, maxAgeMS)) * time.Millisecond,
+		})
+	}
+	return r, nil
+}
+
+// maxAgeMS keeps an age in milliseconds from overflowing a time.Duration.
+const maxAgeMS = 1 << 40
+
+func joinValue(a, b uint64, name string) string {
+	return strconv.FormatUint(a, 10) + "~" + strconv.FormatUint(b, 10) + "~" + name
+}
+
+func splitValue(value string) (a, b uint64, name string, err error) {
+	parts := strings.SplitN(value, "~", 3)
+	if len(parts) != 3 {
+		return 0, 0, "", errors.Newf("value %q", value)
+	}
+	if a, err = strconv.ParseUint(parts[0], 10, 64); err != nil {
+		return 0, 0, "", err
+	}
+	b, err = strconv.ParseUint(parts[1], 10, 64)
+	return a, b, parts[2], err
+}
+
+func encodeFeedAnswer(a feed.Answer) []byte {
+	w := feedAnswer{
+		Version: a.Version, Proven: a.Proven,
+		ProofAgeMS: ceilMS(a.ProofAge), HeldMS: a.Held.Milliseconds(),
+	}
+	for _, d := range a.Deltas {
+		w.Deltas = append(w.Deltas, feedDelta{d.Previous, d.Version, ticket.NewDocument(d.Ticket)})
+	}
+	if a.State != nil {
+		w.State = ticket.EncodeState(*a.State)
+	}
+	for _, p := range a.Payloads {
+		w.Payloads = append(w.Payloads, newFeedPayload(p))
+	}
+	return mustMarshal(w)
+}
+
+// ceilMS rounds up, so that a proof never looks younger than it is.
+func ceilMS(d time.Duration) int64 {
+	return int64((d + time.Millisecond - 1) / time.Millisecond)
+}
+
+func decodeFeedAnswer(data []byte) (feed.Answer, error) {
+	var w feedAnswer
+	if err := json.Unmarshal(data, &w); err != nil {
+		return feed.Answer{}, errors.Wrap(err, "feed answer")
+	}
+	a := feed.Answer{
+		Version: w.Version, Proven: w.Proven,
+		ProofAge: time.Duration(w.ProofAgeMS) * time.Millisecond, Held: time.Duration(w.HeldMS) * time.Millisecond,
+	}
+	for _, d := range w.Deltas {
+		t, err := d.Ticket.Ticket()
+		if err != nil {
+			return a, err
+		}
+		a.Deltas = append(a.Deltas, feed.Delta{Previous: d.Previous, Version: d.Version, Ticket: t})
+	}
+	if len(w.State) > 0 {
+		s, err := ticket.DecodeState(w.State)
+		if err != nil {
+			return a, err
+		}
+		a.State = &s
+	}
+	for _, p := range w.Payloads {
+		a.Payloads = append(a.Payloads, p.payload())
+	}
+	return a, nil
+}
+
+func newFeedPayload(p feed.Payload) feedPayload {
+	return feedPayload{p.Name, string(p.DataCentre), p.Version.Epoch, p.Version.Sequence, p.Data}
+}
+
+func (p feedPayload) payload() feed.Payload {
+	return feed.Payload{
+		Name: p.Name, DataCentre: deck.DataCentre(p.DataCentre),
+		Version: feed.PayloadVersion{Epoch: p.Epoch, Sequence: p.Sequence}, Data: p.Data,
+	}
+}
--- /dev/null
+++ b/internal/api/peer/propose.go
@@ -0,0 +1,177 @@
+// Package peer implements the listener for the other VMs and its clients.
+package peer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/state/machine"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/command"
+)
+
+// Paths of the messages about commands and tickets.
+const (
+	proposePath = "/peer/propose"
+	ticketPath  = "/peer/tickets"
+)
+
+// Limits of the messages about commands and tickets.
+const (
+	proposeTimeout = 2 * time.Second
+	maxResultBytes = 256 << 10 // a recorded answer has a body of up to 64 KB, which base64 lengthens by a third
+	maxErrorBytes  = 4 << 10
+	leaderHeader   = "Geraniumdeck-Leader"
+)
+
+// A TicketReader tells what became of a ticket; it fails with a machine.NotLeaderError on other VMs than the leader.
+type TicketReader interface {
+	// TicketStatus returns the fresh status of the ticket with the given number.
+	TicketStatus(ctx context.Context, number uint64) (machine.TicketStatus, error)
+}
+
+// RegisterPropose registers the handler of proposals.
+func RegisterPropose(mux *http.ServeMux, p machine.Proposer) {
+	mux.HandleFunc("POST "+proposePath, func(w http.ResponseWriter, r *http.Request) {
+		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, command.MaxBytes))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), proposeTimeout)
+		defer cancel()
+		result, err := p.Propose(ctx, data)
+		if err != nil {
+			writeProposeError(w, err)
+			return
+		}
+		writeJSON(w, result)
+	})
+}
+
+// RegisterTicketStatus registers the handler of questions about tickets.
+func RegisterTicketStatus(mux *http.ServeMux, tickets TicketReader) {
+	mux.HandleFunc("GET "+ticketPath+"/{number}", func(w http.ResponseWriter, r *http.Request) {
+		number, err := strconv.ParseUint(r.PathValue("number"), 10, 64)
+		if err != nil {
+			http.Error(w, "not a ticket number", http.StatusBadRequest)
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), proposeTimeout)
+		defer cancel()
+		s, err := tickets.TicketStatus(ctx, number)
+		if err != nil {
+			writeProposeError(w, err)
+			return
+		}
+		writeJSON(w, mustMarshal(newTicketStatus(s)))
+	})
+}
+
+// writeProposeError answers 421 if another VM leads, 400 if the command was not proposed, and 504 if it may have been.
+func writeProposeError(w http.ResponseWriter, err error) {
+	var leader *machine.NotLeaderError
+	var none *machine.NotProposedError
+	switch {
+	case errors.As(err, &leader):
+		w.Header().Set(leaderHeader, string(leader.Hint))
+		http.Error(w, err.Error(), http.StatusMisdirectedRequest)
+	case errors.As(err, &none):
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	default:
+		http.Error(w, err.Error(), http.StatusGatewayTimeout)
+	}
+}
+
+// A ProposeClient implements machine.Forwarder over HTTP.
+type ProposeClient struct {
+	HTTP *http.Client
+}
+
+var _ machine.Forwarder = ProposeClient{}
+
+// Forward implements machine.Forwarder.Forward.
+func (c ProposeClient) Forward(ctx context.Context, to deck.Peer, data []byte) ([]byte, error) {
+	url := "http://" + to.Address + proposePath
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(data))
+	if err != nil {
+		return nil, &machine.NotProposedError{Cause: err}
+	}
+	return c.do(r)
+}
+
+// TicketStatus implements machine.Forwarder.TicketStatus.
+func (c ProposeClient) TicketStatus(ctx context.Context, to deck.Peer, number uint64) (machine.TicketStatus, error) {
+	url := fmt.Sprintf("http://%s%s/%d", to.Address, ticketPath, number)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return machine.TicketStatus{}, err
+	}
+	data, err := c.do(r)
+	if err != nil {
+		return machine.TicketStatus{}, err
+	}
+	var s ticketStatus
+	if err := json.Unmarshal(data, &s); err != nil {
+		return machine.TicketStatus{}, errors.Wrap(err, "ticket status")
+	}
+	return s.status()
+}
+
+func (c ProposeClient) do(r *http.Request) ([]byte, error) {
+	resp, err := c.HTTP.Do(r)
+	if err != nil {
+		return nil, sendError(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, statusError(resp)
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResultBytes))
+	return data, errors.Wrap(err, "result")
+}
+
+// sendError tells a connection that was never made, which proves that nothing was proposed, from every other fault.
+func sendError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return &machine.NotProposedError{Cause: err}
+	}
+	return err
+}
+
+func statusError(resp *http.Response) error {
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	err := errors.Newf("status %d: %s", resp.StatusCode, bytes.TrimSpace(text))
+	switch resp.StatusCode {
+	case http.StatusMisdirectedRequest:
+		return &machine.NotLeaderError{Hint: deck.VMName(resp.Header.Get(leaderHeader))}
+	case http.StatusBadRequest:
+		return &machine.NotProposedError{Cause: err}
+	default:
+		return err
+	}
+}
+
+func writeJSON(w http.ResponseWriter, data []byte) {
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(data) // the other side sees a broken answer
+}
+
+// mustMarshal encodes wire types, which hold no value that JSON can't express.
+func mustMarshal(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
--- /dev/null
+++ b/internal/api/peer/proposewire.go
@@ -0,0 +1,42 @@
+package peer
+
+import (
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/state/machine"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/command"
+)
+
+type ticketStatus struct {
+	Ticket    command.TicketAnswer `json:"ticket"`
+	Confirmed []string             `json:"confirmed,omitempty"`
+	Waiting   []string             `json:"waiting,omitempty"`
+	CutOff    []string             `json:"cut-off,omitempty"`
+}
+
+func newTicketStatus(s machine.TicketStatus) ticketStatus {
+	return ticketStatus{
+		Ticket:    command.NewTicketAnswer(s.Answer),
+		Confirmed: convert[string](s.Confirmed),
+		Waiting:   convert[string](s.Waiting),
+		CutOff:    convert[string](s.CutOff),
+	}
+}
+
+func (s ticketStatus) status() (machine.TicketStatus, error) {
+	a, err := s.Ticket.Answer()
+	return machine.TicketStatus{
+		Answer:    a,
+		Confirmed: convert[deck.VMName](s.Confirmed),
+		Waiting:   convert[deck.VMName](s.Waiting),
+		CutOff:    convert[deck.VMName](s.CutOff),
+	}, err
+}
+
+// convert maps names between string types.
+func convert[T, F ~string](in []F) []T {
+	var out []T
+	for _, v := range in {
+		out = append(out, T(v))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/state/feed/control.go
@@ -0,0 +1,82 @@
+package feed
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/state/machine"
+)
+
+// PoisonPayload is the name of the payload with the refused request digests.
+const PoisonPayload = "poison"
+
+// proveInterval is the time between two read barriers of a control replica. The age of proof grows by one poll's wait
+// for each relay below it and has to stay under ProofLimit.
+const proveInterval = time.Second
+
+type poisonDocument struct {
+	Digest  string `json:"digest"`
+	UntilMS int64  `json:"until-ms"`
+}
+
+// A Recorder puts what the state machine accepts in force on a control replica.
+type Recorder struct {
+	Store *Store
+}
+
+var _ machine.Observer = Recorder{}
+
+// Accepted implements machine.Observer.Accepted.
+func (r Recorder) Accepted(previous uint64, t deck.Ticket, s deck.State) {
+	err := r.Store.Append([]Delta{{Previous: previous, Version: s.Version(), Ticket: t}})
+	if err != nil {
+		r.Store.Install(s)
+	}
+}
+
+// Restored implements machine.Observer.Restored.
+func (r Recorder) Restored(s deck.State) {
+	r.Store.Install(s)
+}
+
+// PoisonChanged implements machine.Observer.PoisonChanged.
+func (r Recorder) PoisonChanged(index uint64, refused []machine.PoisonRow) {
+	rows := make([]poisonDocument, 0, len(refused))
+	for _, p := range refused {
+		rows = append(rows, poisonDocument{p.Digest, p.Until.UnixMilli()})
+	}
+	data, err := json.Marshal(rows)
+	if err != nil {
+		panic(err)
+	}
+	r.Store.Publish(Payload{Name: PoisonPayload, Version: PayloadVersion{Sequence: index}, Data: data})
+}
+
+// A Prover renews the proof of freshness on a control replica.
+type Prover struct {
+	Log   deck.Log
+	Store *Store
+	Clock deck.Clock
+}
+
+// Run proves the state by a read barrier in each interval until the context ends.
+func (p Prover) Run(ctx context.Context) error {
+	for {
+		p.Once(ctx)
+		if !sleep(ctx, proveInterval) {
+			return nil
+		}
+	}
+}
+
+// Once proves the state as of now by a read barrier. The recorder has installed every ticket that was committed before.
+func (p Prover) Once(ctx context.Context) {
+	at := p.Clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, MaxWait)
+	defer cancel()
+	if p.Log.Barrier(ctx) == nil {
+		p.Store.Prove(at, 0)
+	}
+}
--- /dev/null
+++ b/internal/state/feed/serve.go
@@ -0,0 +1,72 @@
+package feed
+
+import (
+	"context"
+	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// MaxWait is the longest time for which a source holds a poll.
+const MaxWait = 2 * time.Second
+
+// Serve answers a poll: at once if there is something new for the polling VM, otherwise after the request's wait.
+func (s *Store) Serve(ctx context.Context, r Request) Answer {
+	start := s.clock.Now()
+	s.confirm(start, r)
+	timer := time.NewTimer(min(r.Wait, MaxWait))
+	defer timer.Stop()
+	for {
+		answer, news := s.answer(start, r)
+		if answer.hasNews() || r.Wait <= 0 {
+			return answer
+		}
+		select {
+		case <-news:
+			continue
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		answer, _ = s.answer(start, r)
+		return answer
+	}
+}
+
+func (a Answer) hasNews() bool {
+	return len(a.Deltas) > 0 || a.State != nil || len(a.Payloads) > 0
+}
+
+// answer returns what is new for the request and the channel that tells of the next news. ProofAge and Held are taken
+// at one instant, because the polling VM subtracts one from the other.
+func (s *Store) answer(start time.Time, r Request) (Answer, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	a := Answer{Version: s.state.Version(), Proven: s.proven, Held: now.Sub(start)}
+	if s.proven {
+		a.ProofAge = now.Sub(s.proof)
+	}
+	if r.After < s.state.Version() {
+		a.Deltas, a.State = s.after(r.After)
+	}
+	for _, p := range s.payloads {
+		if p.DataCentre != "" && p.DataCentre != r.DataCentre {
+			continue
+		}
+		if have, ok := r.Payloads[p.Name]; !ok || have.Less(p.Version) {
+			a.Payloads = append(a.Payloads, p)
+		}
+	}
+	return a, s.news
+}
+
+// after returns the deltas that follow a version, or the whole state if they do not reach back to it.
+func (s *Store) after(version uint64) ([]Delta, *deck.State) {
+	for i, d := range s.deltas {
+		if d.Previous == version {
+			return append([]Delta(nil), s.deltas[i:]...), nil
+		}
+	}
+	state := s.state
+	return nil, &state
+}
--- /dev/null
+++ b/internal/state/feed/tickets.go
@@ -0,0 +1,38 @@
+package feed
+
+import (
+	"context"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/state/machine"
+)
+
+// A TicketReader answers on the control leader what became of a ticket and which VMs have it in force.
+type TicketReader struct {
+	Self    deck.VMName
+	Log     deck.Log
+	Machine *machine.Machine
+	Store   *Store
+	Peers   []deck.Peer
+}
+
+// TicketStatus returns the status as of now; on a VM that does not lead the log it is a machine.NotLeaderError.
+func (r TicketReader) TicketStatus(ctx context.Context, number uint64) (machine.TicketStatus, error) {
+	if leader := r.Log.Status().Leader.VM; leader != r.Self {
+		return machine.TicketStatus{}, &machine.NotLeaderError{Hint: leader}
+	}
+	if err := r.Log.Barrier(ctx); err != nil {
+		return machine.TicketStatus{}, err
+	}
+	s := machine.TicketStatus{Answer: r.Machine.Ticket(number)}
+	if s.Answer.Verdict != deck.TicketAccepted {
+		return s, nil
+	}
+	vms := make([]deck.VMName, 0, len(r.Peers))
+	for _, p := range r.Peers {
+		vms = append(vms, p.Name)
+	}
+	spread := r.Store.Spread(vms, s.Answer.Version)
+	s.Confirmed, s.Waiting, s.CutOff = spread.Confirmed, spread.Waiting, spread.CutOff
+	return s, nil
+}
--- /dev/null
+++ b/internal/state/machine/calls.go
@@ -0,0 +1,154 @@
+package machine
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/command"
+)
+
+// Times and limits of idempotency records.
+const (
+	ClaimTimeout    = 60 * time.Second // a record in progress becomes unknown after this time
+	RecordRetention = 24 * time.Hour
+	MaxEndedRecords = 1_000_000
+	MaxRecordedBody = 64 << 10 // bytes of a recorded answer's body
+
+	// A begin-call that is still on its way when its claim is released must not claim the key again. The client stops
+	// proposing after ClaimTimeout; twice that covers a late message.
+	releasedRetention = 2 * ClaimTimeout
+	maxReleased       = 65_536
+)
+
+// A record is the idempotency record of a key.
+type record struct {
+	digest string
+	claim  string
+	vm     deck.VMName
+	status deck.ClaimStatus // ClaimInProgress, ClaimFinished or ClaimUnknown
+	answer deck.ServiceAnswer
+}
+
+// A reference is a record's place in a queue; it is void once the key has another claim or the record has moved on.
+type reference struct {
+	key   string
+	claim string
+	at    time.Time
+}
+
+// calls holds the idempotency records.
+type calls struct {
+	records       map[string]*record
+	running       []reference // in the order of begin-call
+	ended         []reference // finished and unknown records in the order in which they ended
+	endedLive     int         // records that are not in progress
+	released      map[string]bool
+	releasedOrder []reference
+	maxEnded      int
+}
+
+func newCalls() calls {
+	return calls{records: make(map[string]*record), released: make(map[string]bool), maxEnded: MaxEndedRecords}
+}
+
+// begin claims a key or says what stands under it.
+func (c *calls) begin(now time.Time, b command.BeginCall) deck.Claim {
+	if c.released[b.Claim] {
+		return deck.Claim{Status: deck.ClaimUnavailable}
+	}
+	r, ok := c.records[b.Key]
+	if !ok {
+		c.records[b.Key] = &record{digest: b.Digest, claim: b.Claim, vm: b.VM, status: deck.ClaimInProgress}
+		c.running = append(c.running, reference{b.Key, b.Claim, now})
+		return deck.Claim{Status: deck.ClaimGranted}
+	}
+	switch {
+	case r.digest != b.Digest:
+		return deck.Claim{Status: deck.ClaimMismatch}
+	case r.status == deck.ClaimInProgress && r.claim == b.Claim:
+		return deck.Claim{Status: deck.ClaimGranted}
+	default:
+		return deck.Claim{Status: r.status, Answer: r.answer}
+	}
+}
+
+// finish records an outcome for the claim that holds the key. A record that has become unknown still takes the answer
+// of its own claim, since that adds knowledge and never takes any away.
+func (c *calls) finish(now time.Time, f command.FinishCall) error {
+	r, ok := c.records[f.Key]
+	if f.Answer.Outcome == deck.OutcomeNotRun {
+		return c.release(now, f, r)
+	}
+	if !ok || r.claim != f.Claim {
+		return errors.Newf("key %q is not held by claim %q", f.Key, f.Claim)
+	}
+	if r.status == deck.ClaimFinished {
+		return nil
+	}
+	if r.status == deck.ClaimInProgress {
+		c.end(now, f.Key, r)
+	}
+	if f.Answer.Outcome == deck.OutcomeDone {
+		r.status, r.answer = deck.ClaimFinished, f.Answer
+	}
+	return nil
+}
+
+// release frees the key if the claim holds it, and keeps a late begin-call of the claim from claiming it again.
+func (c *calls) release(now time.Time, f command.FinishCall, r *record) error {
+	if !c.released[f.Claim] {
+		c.released[f.Claim] = true
+		c.releasedOrder = append(c.releasedOrder, reference{f.Key, f.Claim, now})
+	}
+	if r == nil || r.claim != f.Claim {
+		return nil
+	}
+	if r.status == deck.ClaimFinished {
+		return errors.Newf("key %q is finished and can't be released", f.Key)
+	}
+	if r.status == deck.ClaimUnknown {
+		c.endedLive--
+	}
+	delete(c.records, f.Key)
+	return nil
+}
+
+// end moves a record in progress to unknown.
+func (c *calls) end(now time.Time, key string, r *record) {
+	r.status = deck.ClaimUnknown
+	c.ended = append(c.ended, reference{key, r.claim, now})
+	c.endedLive++
+}
+
+// expire applies the timeouts and the retention at the given time.
+func (c *calls) expire(now time.Time) {
+	for len(c.running) > 0 && !now.Before(c.running[0].at.Add(ClaimTimeout)) {
+		ref := c.running[0]
+		c.running = c.running[1:]
+		if r := c.lookup(ref); r != nil && r.status == deck.ClaimInProgress {
+			c.end(now, ref.key, r)
+		}
+	}
+	for len(c.ended) > 0 && (c.endedLive > c.maxEnded || !now.Before(c.ended[0].at.Add(RecordRetention))) {
+		ref := c.ended[0]
+		c.ended = c.ended[1:]
+		if r := c.lookup(ref); r != nil && r.status != deck.ClaimInProgress {
+			delete(c.records, ref.key)
+			c.endedLive--
+		}
+	}
+	for len(c.releasedOrder) > maxReleased ||
+		len(c.releasedOrder) > 0 && !now.Before(c.releasedOrder[0].at.Add(releasedRetention)) {
+		delete(c.released, c.releasedOrder[0].claim)
+		c.releasedOrder = c.releasedOrder[1:]
+	}
+}
+
+func (c *calls) lookup(ref reference) *record {
+	if r, ok := c.records[ref.key]; ok && r.claim == ref.claim {
+		return r
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/state/machine/client.go
@@ -0,0 +1,231 @@
+package machine
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/command"
+)
+
+// Times of proposals.
+const (
+	beginTimeout   = 3 * time.Second // a begin-call that takes longer is refused, so that a caller is not kept waiting
+	attemptTimeout = 2 * time.Second // for one attempt at one replica; a commit takes one path time between regions
+	retryPause     = 100 * time.Millisecond
+	releasePause   = time.Second // between proposals of the release of a claim
+	maxReleases    = 4096        // releases that are waiting; beyond that the oldest record is left to time out
+)
+
+// A Forwarder sends a command to a replica on another VM.
+type Forwarder interface {
+	// Forward returns the result, a NotLeaderError, a NotProposedError, or an error after which it may be committed.
+	Forward(ctx context.Context, to deck.Peer, data []byte) ([]byte, error)
+
+	// TicketStatus asks a replica what became of a ticket.
+	TicketStatus(ctx context.Context, to deck.Peer, number uint64) (TicketStatus, error)
+}
+
+// A TicketStatus is what became of a ticket and which VMs have it in force.
+type TicketStatus struct {
+	Answer    deck.TicketAnswer
+	Confirmed []deck.VMName
+	Waiting   []deck.VMName // reachable, but they have not yet confirmed
+	CutOff    []deck.VMName // no poll arrived from them in time
+}
+
+// A ClientConfig holds what a client needs.
+type ClientConfig struct {
+	Self    deck.VMName
+	Local   *Proposer   // nil on a VM without a replica
+	Control []deck.Peer // control replicas
+	Forward Forwarder
+	Clock   deck.Clock
+	Refused func(digest string) bool // reads the distributed poison requests; nil refuses none
+	NewID   func() string            // random IDs; nil means UUIDs
+}
+
+// A Client proposes typed commands from any VM. Every command carries what makes it safe to propose again: a ticket its
+// digest, a call its claim ID, a crash report its boot or report ID.
+type Client struct {
+	cfg ClientConfig
+
+	mu       sync.Mutex
+	leader   deck.VMName
+	claims   map[string]string // key → claim ID of the calls of this VM in progress
+	releases []release
+	wake     chan struct{}
+	done     chan struct{}
+}
+
+// A release is a claim that is not used and whose begin-call may still be committed.
+type release struct {
+	key, claim string
+	until      time.Time
+}
+
+var (
+	_ deck.IdempotencyStore = (*Client)(nil)
+	_ deck.PoisonStore      = (*Client)(nil)
+)
+
+// NewClient returns a client; Run must be running for timed-out claims to be released.
+func NewClient(cfg ClientConfig) *Client {
+	if cfg.NewID == nil {
+		cfg.NewID = uuid.NewString
+	}
+	return &Client{
+		cfg: cfg, claims: make(map[string]string), wake: make(chan struct{}, 1), done: make(chan struct{}),
+	}
+}
+
+// SubmitTicket returns the system's answer to a ticket; after an error the ticket may or may not be accepted, and
+// sending it again gives its answer.
+func (c *Client) SubmitTicket(ctx context.Context, t deck.Ticket) (deck.TicketAnswer, error) {
+	r, err := c.propose(ctx, command.ApplyTicket{Ticket: t})
+	return r.Ticket, err
+}
+
+// Begin implements deck.IdempotencyStore.Begin.
+func (c *Client) Begin(ctx context.Context, key, digest string) deck.Claim {
+	claim := c.cfg.NewID()
+	ctx, cancel := context.WithTimeout(ctx, beginTimeout)
+	defer cancel()
+	r, err := c.propose(ctx, command.BeginCall{Key: key, Digest: digest, VM: c.cfg.Self, Claim: claim})
+	if err != nil {
+		var none *NotProposedError
+		if !errors.As(err, &none) {
+			c.queueRelease(key, claim)
+		}
+		return deck.Claim{}
+	}
+	if r.Claim.Status == deck.ClaimGranted {
+		c.mu.Lock()
+		c.claims[key] = claim
+		c.mu.Unlock()
+	}
+	return r.Claim
+}
+
+// Finish implements deck.IdempotencyStore.Finish. An answer that is too large to record makes the record unknown.
+func (c *Client) Finish(ctx context.Context, key string, answer deck.ServiceAnswer) error {
+	c.mu.Lock()
+	claim, ok := c.claims[key]
+	delete(c.claims, key)
+	c.mu.Unlock()
+	if !ok {
+		return errors.Newf("key %q is not claimed by this VM", key)
+	}
+	if len(answer.Body) > MaxRecordedBody {
+		answer = deck.ServiceAnswer{Reason: "the answer is larger than what is recorded"}
+	}
+	r, err := c.propose(ctx, command.FinishCall{Key: key, Claim: claim, Answer: answer})
+	if err != nil {
+		if answer.Outcome == deck.OutcomeNotRun {
+			c.queueRelease(key, claim)
+		}
+		return err
+	}
+	if !r.Recorded {
+		return errors.New(r.Reason)
+	}
+	return nil
+}
+
+// Refused implements deck.PoisonStore.Refused.
+func (c *Client) Refused(digest string) bool {
+	return c.cfg.Refused != nil && c.cfg.Refused(digest)
+}
+
+// ReportCrash implements deck.PoisonStore.ReportCrash. Without a boot ID each call counts as a crash of its own.
+func (c *Client) ReportCrash(ctx context.Context, digest string, backend deck.BackendName, alone bool) error {
+	return c.ReportCrashOf(ctx, digest, backend, "", alone)
+}
+
+// ReportCrashOf records that the request was running on the backend server process with the given boot ID.
+func (c *Client) ReportCrashOf(
+	ctx context.Context, digest string, backend deck.BackendName, bootID string, alone bool,
+) error {
+	_, err := c.propose(ctx, command.ReportCrash{
+		Digest: digest, Backend: backend, BootID: bootID, Report: c.cfg.NewID(), Alone: alone,
+	})
+	return err
+}
+
+// Done returns a channel that is closed when Run has ended.
+func (c *Client) Done() <-chan struct{} {
+	return c.done
+}
+
+// Run proposes the release of claims that timed out, each until it is committed or ClaimTimeout is over.
+func (c *Client) Run(ctx context.Context) error {
+	defer close(c.done)
+	for {
+		r, ok := c.nextRelease()
+		if !ok {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-c.wake:
+			}
+			continue
+		}
+		if !c.tryRelease(ctx, r) && !sleep(ctx, releasePause) {
+			return nil
+		}
+	}
+}
+
+// tryRelease proposes a release once and queues it again if it was not committed.
+func (c *Client) tryRelease(ctx context.Context, r release) bool {
+	attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	answer := deck.ServiceAnswer{Outcome: deck.OutcomeNotRun}
+	_, err := c.propose(attempt, command.FinishCall{Key: r.key, Claim: r.claim, Answer: answer})
+	if err != nil && c.cfg.Clock.Now().Before(r.until) {
+		c.mu.Lock()
+		c.releases = append(c.releases, r)
+		c.mu.Unlock()
+	}
+	return err == nil
+}
+
+func (c *Client) queueRelease(key, claim string) {
+	c.mu.Lock()
+	c.releases = append(c.releases, release{key, claim, c.cfg.Clock.Now().Add(ClaimTimeout)})
+	if len(c.releases) > maxReleases {
+		c.releases = c.releases[1:]
+	}
+	c.mu.Unlock()
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (c *Client) nextRelease() (release, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.releases) == 0 {
+		return release{}, false
+	}
+	r := c.releases[0]
+	c.releases = c.releases[1:]
+	return r, true
+}
+
+// sleep waits and reports whether the context is still running.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/state/machine/machine.go
@@ -0,0 +1,121 @@
+package machine
+
+import (
+	"sync"
+	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/command"
+)
+
+// A Feasibility checks that every model of a state has a place; it must depend on the state alone.
+type Feasibility func(deck.State) error
+
+// An Observer learns of changes in the order in which they are applied.
+type Observer interface {
+	// Accepted is called after the ticket has produced the state; previous is the state version before it.
+	Accepted(previous uint64, t deck.Ticket, s deck.State)
+
+	// Restored is called after a snapshot has replaced the state.
+	Restored(s deck.State)
+
+	// PoisonChanged is called after the refused digests have changed at the given log index.
+	PoisonChanged(index uint64, refused []PoisonRow)
+}
+
+// A Machine is the deterministic state that the replicated log drives; Apply and Restore are called by one goroutine.
+type Machine struct {
+	feasible Feasibility
+	observer Observer
+
+	mu      sync.RWMutex
+	now     time.Time // highest time of any command, so that a leader with a slow clock does not turn time back
+	tickets tickets
+	calls   calls
+	poison  poison
+}
+
+var _ deck.StateMachine = (*Machine)(nil)
+
+// New returns an empty machine; a nil feasibility check means FirstFit and a nil observer means none.
+func New(feasible Feasibility, observer Observer) *Machine {
+	if feasible == nil {
+		feasible = FirstFit
+	}
+	return &Machine{feasible: feasible, observer: observer, tickets: newTickets(), calls: newCalls(), poison: newPoison()}
+}
+
+// Apply implements deck.StateMachine.Apply.
+func (m *Machine) Apply(index uint64, data []byte) []byte {
+	e, err := command.Decode(data)
+	if err != nil {
+		return command.EncodeResult(command.Result{Reason: err.Error()})
+	}
+	m.mu.Lock()
+	if e.At.After(m.now) {
+		m.now = e.At
+	}
+	m.calls.expire(m.now)
+	result, notify := m.execute(index, e.Command)
+	m.mu.Unlock()
+	if notify != nil && m.observer != nil {
+		notify(m.observer)
+	}
+	return command.EncodeResult(result)
+}
+
+// execute returns the command's result and what the observer has to be told, if anything.
+func (m *Machine) execute(index uint64, c command.Command) (command.Result, func(Observer)) {
+	switch c := c.(type) {
+	case command.ApplyTicket:
+		previous := m.tickets.state.Version()
+		answer := m.tickets.apply(index, m.now, c.Ticket, m.feasible)
+		state := m.tickets.state
+		if state.Version() == previous {
+			return command.Result{Ticket: answer}, nil
+		}
+		return command.Result{Ticket: answer}, func(o Observer) { o.Accepted(previous, c.Ticket, state) }
+	case command.BeginCall:
+		return command.Result{Claim: m.calls.begin(m.now, c)}, nil
+	case command.FinishCall:
+		err := m.calls.finish(m.now, c)
+		return command.Result{Recorded: err == nil, Reason: reason(err)}, nil
+	case command.ReportCrash:
+		changed := m.poison.report(m.now, index, c)
+		if !changed {
+			return command.Result{Recorded: true}, nil
+		}
+		rows := m.poison.refused(m.now)
+		return command.Result{Recorded: true}, func(o Observer) { o.PoisonChanged(index, rows) }
+	default:
+		return command.Result{}, nil
+	}
+}
+
+// State returns the state in force on this replica.
+func (m *Machine) State() deck.State {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.tickets.state
+}
+
+// Ticket returns what became of the ticket with the given number.
+func (m *Machine) Ticket(number uint64) deck.TicketAnswer {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.tickets.lookup(number)
+}
+
+// Poisoned returns the digests that are refused at the machine's time.
+func (m *Machine) Poisoned() []PoisonRow {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.poison.refused(m.now)
+}
+
+func reason(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/internal/state/machine/snapshot.go
@@ -0,0 +1,239 @@
+package machine
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/command"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/ticket"
+)
+
+type snapshotDocument struct {
+	NowMS    int64                  `json:"now-ms"`
+	State    json.RawMessage        `json:"state"`
+	Accepted []acceptedDocument     `json:"accepted,omitempty"`
+	Refusals []command.TicketAnswer `json:"refusals,omitempty"` // oldest first
+	LastSet  []lastSetDocument      `json:"last-set,omitempty"`
+	Running  []recordDocument       `json:"running,omitempty"` // oldest first
+	Ended    []recordDocument       `json:"ended,omitempty"`   // oldest first
+	Released []recordDocument       `json:"released,omitempty"`
+	Poison   []poisonDocument       `json:"poison,omitempty"`
+	Changed  uint64                 `json:"poison-changed,omitempty"`
+}
+
+type acceptedDocument struct {
+	Number  uint64 `json:"number"`
+	Digest  string `json:"digest"`
+	Version uint64 `json:"version"`
+	AtMS    int64  `json:"at-ms"`
+}
+
+type lastSetDocument struct {
+	Kind   string `json:"kind"`
+	Name   string `json:"name"`
+	Number uint64 `json:"number"`
+}
+
+type recordDocument struct {
+	Key    string          `json:"key"`
+	Claim  string          `json:"claim"`
+	AtMS   int64           `json:"at-ms"`
+	Digest string          `json:"digest,omitempty"`
+	VM     string          `json:"vm,omitempty"`
+	Status string          `json:"status,omitempty"`
+	Answer *command.Answer `json:"answer,omitempty"`
+}
+
+type poisonDocument struct {
+	Digest  string          `json:"digest"`
+	UntilMS int64           `json:"until-ms"`
+	Crashes []crashDocument `json:"crashes"`
+}
+
+type crashDocument struct {
+	Backend string `json:"backend"`
+	ID      string `json:"id"`
+	Alone   bool   `json:"alone,omitempty"`
+}
+
+// Snapshot implements deck.StateMachine.Snapshot.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	d := snapshotDocument{
+		NowMS:   milliseconds(m.now),
+		State:   ticket.EncodeState(m.tickets.state),
+		Changed: m.poison.changed,
+	}
+	m.tickets.save(&d)
+	m.calls.save(&d)
+	m.poison.save(&d)
+	data, err := json.Marshal(d)
+	return data, errors.Wrap(err, "machine snapshot")
+}
+
+// Restore implements deck.StateMachine.Restore; a snapshot that can't be read leaves the state as it was.
+func (m *Machine) Restore(snapshot []byte) error {
+	var d snapshotDocument
+	if err := json.Unmarshal(snapshot, &d); err != nil {
+		return errors.Wrap(err, "machine snapshot")
+	}
+	t, err := loadTickets(d)
+	if err != nil {
+		return err
+	}
+	c, err := loadCalls(d)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	c.maxEnded = m.calls.maxEnded
+	m.now, m.tickets, m.calls, m.poison = instant(d.NowMS), t, c, loadPoison(d)
+	changed, rows, state := m.poison.changed, m.poison.refused(m.now), m.tickets.state
+	m.mu.Unlock()
+	if m.observer != nil {
+		m.observer.Restored(state)
+		m.observer.PoisonChanged(changed, rows)
+	}
+	return nil
+}
+
+func (s *tickets) save(d *snapshotDocument) {
+	for n, a := range s.accepted {
+		d.Accepted = append(d.Accepted, acceptedDocument{n, string(a.Digest), a.Version, milliseconds(a.At)})
+	}
+	for _, key := range s.refusalOrder {
+		d.Refusals = append(d.Refusals, command.NewTicketAnswer(s.refusals[key]))
+	}
+	for id, n := range s.lastSet {
+		d.LastSet = append(d.LastSet, lastSetDocument{id.Kind, id.Name, n})
+	}
+}
+
+func loadTickets(d snapshotDocument) (tickets, error) {
+	s := newTickets()
+	state, err := ticket.DecodeState(d.State)
+	if err != nil {
+		return s, err
+	}
+	s.state = state
+	for _, a := range d.Accepted {
+		s.accepted[a.Number] = acceptedTicket{deck.TicketDigest(a.Digest), a.Version, instant(a.AtMS)}
+	}
+	for _, r := range d.Refusals {
+		a, err := r.Answer()
+		if err != nil {
+			return s, err
+		}
+		s.remember(a)
+	}
+	for _, l := range d.LastSet {
+		s.lastSet[objectID{l.Kind, l.Name}] = l.Number
+	}
+	return s, nil
+}
+
+func (c *calls) save(d *snapshotDocument) {
+	for _, ref := range c.running {
+		if r := c.lookup(ref); r != nil && r.status == deck.ClaimInProgress {
+			d.Running = append(d.Running, newRecordDocument(ref, r))
+		}
+	}
+	for _, ref := range c.ended {
+		if r := c.lookup(ref); r != nil && r.status != deck.ClaimInProgress {
+			d.Ended = append(d.Ended, newRecordDocument(ref, r))
+		}
+	}
+	for _, ref := range c.releasedOrder {
+		d.Released = append(d.Released, recordDocument{Key: ref.key, Claim: ref.claim, AtMS: milliseconds(ref.at)})
+	}
+}
+
+func newRecordDocument(ref reference, r *record) recordDocument {
+	d := recordDocument{
+		Key: ref.key, Claim: ref.claim, AtMS: milliseconds(ref.at),
+		Digest: r.digest, VM: string(r.vm), Status: command.ClaimName(r.status),
+	}
+	if r.status == deck.ClaimFinished {
+		a := command.NewAnswer(r.answer)
+		d.Answer = &a
+	}
+	return d
+}
+
+func loadCalls(d snapshotDocument) (calls, error) {
+	c := newCalls()
+	for _, r := range d.Running {
+		if err := c.load(r, &c.running); err != nil {
+			return c, err
+		}
+	}
+	for _, r := range d.Ended {
+		if err := c.load(r, &c.ended); err != nil {
+			return c, err
+		}
+		c.endedLive++
+	}
+	for _, r := range d.Released {
+		c.released[r.Claim] = true
+		c.releasedOrder = append(c.releasedOrder, reference{r.Key, r.Claim, instant(r.AtMS)})
+	}
+	return c, nil
+}
+
+func (c *calls) load(d recordDocument, queue *[]reference) error {
+	status, err := command.ClaimStatus(d.Status)
+	if err != nil {
+		return err
+	}
+	r := &record{digest: d.Digest, claim: d.Claim, vm: deck.VMName(d.VM), status: status}
+	if d.Answer != nil {
+		if r.answer, err = d.Answer.Answer(); err != nil {
+			return err
+		}
+	}
+	c.records[d.Key] = r
+	*queue = append(*queue, reference{d.Key, d.Claim, instant(d.AtMS)})
+	return nil
+}
+
+func (p *poison) save(d *snapshotDocument) {
+	for digest, r := range p.rows {
+		row := poisonDocument{Digest: digest, UntilMS: milliseconds(r.until)}
+		for _, c := range r.crashes {
+			row.Crashes = append(row.Crashes, crashDocument{string(c.backend), c.id, c.alone})
+		}
+		d.Poison = append(d.Poison, row)
+	}
+}
+
+func loadPoison(d snapshotDocument) poison {
+	p := newPoison()
+	p.changed = d.Changed
+	for _, row := range d.Poison {
+		r := &poisonRow{until: instant(row.UntilMS)}
+		for _, c := range row.Crashes {
+			r.crashes = append(r.crashes, crash{deck.BackendName(c.Backend), c.ID, c.Alone})
+		}
+		p.rows[row.Digest] = r
+	}
+	return p
+}
+
+// milliseconds maps the zero time to 0, which is before every time that a leader sets.
+func milliseconds(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
+
+func instant(ms int64) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(ms).UTC()
+}
--- /dev/null
+++ b/internal/state/machine/tickets.go
@@ -0,0 +1,144 @@
+package machine
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/ticket"
+)
+
+// MaxRefusals is the number of refusals that are remembered, oldest dropped first.
+const MaxRefusals = 1024
+
+// An acceptedTicket is what stands under a number.
+type acceptedTicket struct {
+	Digest  deck.TicketDigest
+	Version uint64
+	At      time.Time
+}
+
+type refusalKey struct {
+	Number uint64
+	Digest deck.TicketDigest
+}
+
+// An objectID names an object over all kinds.
+type objectID struct {
+	Kind string
+	Name string
+}
+
+// tickets holds the state in force and what is known of every ticket.
+type tickets struct {
+	state        deck.State
+	accepted     map[uint64]acceptedTicket
+	refusals     map[refusalKey]deck.TicketAnswer
+	refusalOrder []refusalKey // oldest first
+	lastSet      map[objectID]uint64
+}
+
+func newTickets() tickets {
+	return tickets{
+		accepted: make(map[uint64]acceptedTicket),
+		refusals: make(map[refusalKey]deck.TicketAnswer),
+		lastSet:  make(map[objectID]uint64),
+	}
+}
+
+// apply decides on a ticket. What is recorded under its number and digest answers first, so that a ticket that is sent
+// again gets the same answer whatever was accepted in between.
+func (s *tickets) apply(index uint64, now time.Time, t deck.Ticket, feasible Feasibility) deck.TicketAnswer {
+	digest := ticket.Digest(t)
+	if a, ok := s.accepted[t.Number]; ok && a.Digest == digest {
+		return acceptedAnswer(t.Number, a)
+	}
+	if a, ok := s.refusals[refusalKey{t.Number, digest}]; ok {
+		return a
+	}
+	if a, ok := s.accepted[t.Number]; ok {
+		return deck.TicketAnswer{
+			Number: t.Number, Digest: a.Digest, Verdict: deck.TicketConflict,
+			Reason: fmt.Sprintf("number %d stands with digest %s since %s", t.Number, a.Digest, a.At.Format(time.RFC3339)),
+		}
+	}
+	if id, last, ok := s.supersededBy(t); ok {
+		text := fmt.Sprintf("%s %q was set by ticket %d", id.Kind, id.Name, last)
+		return s.refuse(t.Number, digest, deck.TicketSuperseded, text)
+	}
+	next := s.state.WithTicket(t, index)
+	if err := validate(s.state, t, next, feasible); err != nil {
+		return s.refuse(t.Number, digest, deck.TicketRefused, err.Error())
+	}
+	return s.accept(now, digest, t, next)
+}
+
+func (s *tickets) accept(now time.Time, digest deck.TicketDigest, t deck.Ticket, next deck.State) deck.TicketAnswer {
+	a := acceptedTicket{Digest: digest, Version: next.Version(), At: now}
+	s.accepted[t.Number] = a
+	s.state = next
+	for _, id := range objects(t) {
+		s.lastSet[id] = t.Number
+	}
+	return acceptedAnswer(t.Number, a)
+}
+
+func (s *tickets) refuse(n uint64, digest deck.TicketDigest, v deck.TicketVerdict, why string) deck.TicketAnswer {
+	a := deck.TicketAnswer{Number: n, Digest: digest, Verdict: v, Reason: why}
+	s.remember(a)
+	return a
+}
+
+func (s *tickets) remember(a deck.TicketAnswer) {
+	key := refusalKey{a.Number, a.Digest}
+	s.refusals[key] = a
+	s.refusalOrder = append(s.refusalOrder, key)
+	if len(s.refusalOrder) > MaxRefusals {
+		delete(s.refusals, s.refusalOrder[0])
+		s.refusalOrder = s.refusalOrder[1:]
+	}
+}
+
+// supersededBy returns the first object of the ticket that a higher number has set, also if that number removed it.
+func (s *tickets) supersededBy(t deck.Ticket) (objectID, uint64, bool) {
+	for _, id := range objects(t) {
+		if last := s.lastSet[id]; last > t.Number {
+			return id, last, true
+		}
+	}
+	return objectID{}, 0, false
+}
+
+func (s *tickets) lookup(number uint64) deck.TicketAnswer {
+	if a, ok := s.accepted[number]; ok {
+		return acceptedAnswer(number, a)
+	}
+	for i := len(s.refusalOrder) - 1; i >= 0; i-- {
+		if s.refusalOrder[i].Number == number {
+			return s.refusals[s.refusalOrder[i]]
+		}
+	}
+	return deck.TicketAnswer{Number: number}
+}
+
+func acceptedAnswer(number uint64, a acceptedTicket) deck.TicketAnswer {
+	return deck.TicketAnswer{Number: number, Digest: a.Digest, Verdict: deck.TicketAccepted, Version: a.Version}
+}
+
+// objects returns the objects that a ticket touches, in the ticket's order.
+func objects(t deck.Ticket) []objectID {
+	var ids []objectID
+	for _, m := range t.Models {
+		ids = append(ids, objectID{"model", string(m.Name)})
+	}
+	for _, a := range t.Adapters {
+		ids = append(ids, objectID{"adapter", string(a.Name)})
+	}
+	for _, b := range t.BackendServers {
+		ids = append(ids, objectID{"backend server", string(b.Name)})
+	}
+	for _, v := range t.Services {
+		ids = append(ids, objectID{"service", string(v.Name)})
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/test/decktest/objects.go
@@ -0,0 +1,35 @@
+package decktest
+
+import (
+	"fmt"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// Engine returns an engine with one accelerator of the given memory.
+func Engine(name string, dc deck.DataCentre, memory deck.Bytes) deck.BackendServer {
+	return deck.BackendServer{
+		Name: deck.BackendName(name), DataCentre: dc, Address: "127.0.0.1:9000", Accelerators: 1, AcceleratorBytes: memory,
+	}
+}
+
+// Model returns a model with one version of the given weight.
+func Model(name string, weight deck.Bytes) deck.Model {
+	return deck.Model{
+		Name: deck.ModelName(name), Active: "v1",
+		Versions: []deck.ModelVersion{{Name: "v1", WeightBytes: weight, KVReserveBytes: 1, TransientBytes: 1}},
+	}
+}
+
+// Deployment returns a first ticket that declares engines and models which fit on them.
+func Deployment(number uint64, engines, models int) deck.Ticket {
+	t := deck.Ticket{Number: number}
+	perEngine := deck.Bytes((models+engines-1)/engines + 1)
+	for i := range engines {
+		t.BackendServers = append(t.BackendServers, Engine(fmt.Sprintf("engine-%04d", i), "graz-a", perEngine*deck.GiB))
+	}
+	for i := range models {
+		t.Models = append(t.Models, Model(fmt.Sprintf("model-%04d", i), deck.GiB-deck.MiB))
+	}
+	return t
+}
