Add the decisions of an entry VM: choice, admission, health and a router

Requests need a queue, a choice of engine and refusals before the rest of the entry VM can be joined. A blocking core under a fake scheduler was ruled out, because it can't be driven in virtual time outside tests.

--- /dev/null
+++ b/internal/route/admit/item.go
@@ -0,0 +1,68 @@
+package admit
+
+import (
+	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+const (
+	// Waiting times after which an item goes ahead of fairness and class, so that nothing starves.
+	interactiveAgeing = 2 * time.Second
+	batchAgeing       = 30 * time.Second
+	// resumeAgeing applies to answers that have started; their callers see the pause.
+	resumeAgeing = 5 * time.Second
+	// Longest waits of requests without a deadline.
+	interactiveMaxWait = 30 * time.Second
+	batchMaxWait       = 10 * time.Minute
+)
+
+// An Item is a request that waits for a backend server.
+type Item struct {
+	ID       uint64
+	Class    deck.Class
+	Caller   string
+	Enqueued time.Time
+	Deadline time.Time // for the first token; zero for none
+	Started  bool      // a part of the answer exists; the item is never refused or expired
+	Used     int       // tokens generated so far
+}
+
+// Aged reports whether the item has waited so long that it goes ahead of all others but older ones.
+func (it Item) Aged(now time.Time) bool {
+	return now.Sub(it.Enqueued) > it.ageing()
+}
+
+// LastStart returns the latest time at which the item may start, given the time that a first token takes.
+func (it Item) LastStart(firstToken time.Duration) time.Time {
+	if it.Deadline.IsZero() {
+		return it.Enqueued.Add(it.maxWait())
+	}
+	return it.Deadline.Add(-firstToken)
+}
+
+func (it Item) ageing() time.Duration {
+	switch {
+	case it.Started:
+		return resumeAgeing
+	case it.Class == deck.Batch:
+		return batchAgeing
+	default:
+		return interactiveAgeing
+	}
+}
+
+func (it Item) maxWait() time.Duration {
+	if it.Class == deck.Batch {
+		return batchMaxWait
+	}
+	return interactiveMaxWait
+}
+
+// orderBy returns the time that orders items earliest first.
+func (it Item) orderBy() time.Time {
+	if it.Started || it.Deadline.IsZero() {
+		return it.Enqueued.Add(it.ageing())
+	}
+	return it.Deadline
+}
--- /dev/null
+++ b/internal/route/admit/queue.go
@@ -0,0 +1,190 @@
+package admit
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// MaxQueued bounds one class's queue of a model; at a second's wait it covers several hundred requests/s for one model.
+const MaxQueued = 256
+
+// A Queue holds the waiting requests of one model; its zero value is empty.
+type Queue struct {
+	items    []Item
+	running  map[string]int // started requests by caller
+	interval time.Duration  // smoothed time between starts while requests wait
+	last     time.Time      // last start
+}
+
+// Push adds an item; it returns false if the class's queue is full. Items that have started are always taken.
+func (q *Queue) Push(it Item) bool {
+	if !it.Started && q.Waiting(it.Class) >= MaxQueued {
+		return false
+	}
+	q.items = append(q.items, it)
+	return true
+}
+
+// Len returns the number of waiting items.
+func (q *Queue) Len() int {
+	return len(q.items)
+}
+
+// Waiting returns the number of waiting items of a class.
+func (q *Queue) Waiting(c deck.Class) int {
+	n := 0
+	for _, it := range q.items {
+		if it.Class == c {
+			n++
+		}
+	}
+	return n
+}
+
+// Next returns the item that should start first among those that skip does not reject.
+func (q *Queue) Next(now time.Time, skip func(Item) bool) (Item, bool) {
+	best := -1
+	for i, it := range q.items {
+		if skip != nil && skip(it) {
+			continue
+		}
+		if best < 0 || q.before(it, q.items[best], now) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return Item{}, false
+	}
+	return q.items[best], true
+}
+
+// Compare orders items of different models: aged ones first, then class, then the earliest deadline.
+func Compare(a, b Item, now time.Time) int {
+	if aa, ba := a.Aged(now), b.Aged(now); aa != ba {
+		if aa {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(a.Class, b.Class), a.orderBy().Compare(b.orderBy()))
+}
+
+// before orders items: aged ones, then class, then callers with less running work, then the earliest deadline.
+func (q *Queue) before(a, b Item, now time.Time) bool {
+	if aa, ba := a.Aged(now), b.Aged(now); aa != ba {
+		return aa
+	} else if aa {
+		return a.Enqueued.Before(b.Enqueued)
+	}
+	if a.Class != b.Class {
+		return a.Class < b.Class
+	}
+	if ra, rb := q.running[a.Caller], q.running[b.Caller]; ra != rb {
+		return ra < rb
+	}
+	if !a.orderBy().Equal(b.orderBy()) {
+		return a.orderBy().Before(b.orderBy())
+	}
+	return a.ID < b.ID
+}
+
+// Start removes an item that starts now and counts it as its caller's running work.
+func (q *Queue) Start(id uint64, now time.Time) {
+	i := q.index(id)
+	if i < 0 {
+		return
+	}
+	it := q.items[i]
+	q.items = slices.Delete(q.items, i, i+1)
+	q.count(it.Caller, 1)
+	q.observeStart(now, now.Sub(it.Enqueued))
+}
+
+// Resume counts up the caller's running work for a request that gave up waiting for a further attempt but still runs.
+func (q *Queue) Resume(caller string) {
+	q.count(caller, 1)
+}
+
+// Finish counts down the caller's running work.
+func (q *Queue) Finish(caller string) {
+	q.count(caller, -1)
+}
+
+// Remove drops a waiting item; it returns false if the item does not wait.
+func (q *Queue) Remove(id uint64) bool {
+	i := q.index(id)
+	if i < 0 {
+		return false
+	}
+	q.items = slices.Delete(q.items, i, i+1)
+	return true
+}
+
+// Expire removes and returns the items that can no longer meet their deadline.
+func (q *Queue) Expire(now time.Time, firstToken time.Duration) []Item {
+	var out []Item
+	q.items = slices.DeleteFunc(q.items, func(it Item) bool {
+		late := !it.Started && now.After(it.LastStart(firstToken))
+		if late {
+			out = append(out, it)
+		}
+		return late
+	})
+	return out
+}
+
+// Newest returns the newest waiting item of a class that has not started.
+func (q *Queue) Newest(c deck.Class) (Item, bool) {
+	for _, it := range slices.Backward(q.items) {
+		if it.Class == c && !it.Started {
+			return it, true
+		}
+	}
+	return Item{}, false
+}
+
+// Wait returns the expected wait of a new item of a class from the recent rate of starts.
+func (q *Queue) Wait(c deck.Class) time.Duration {
+	ahead := q.Waiting(deck.Interactive)
+	if c == deck.Batch {
+		ahead = len(q.items)
+	}
+	return time.Duration(ahead) * q.interval
+}
+
+// Interval returns the smoothed time between starts.
+func (q *Queue) Interval() time.Duration {
+	return q.interval
+}
+
+// observeStart updates the interval between starts; starts without a wait say nothing about the rate.
+func (q *Queue) observeStart(now time.Time, waited time.Duration) {
+	const smoothing = 0.1
+	if waited <= 0 {
+		q.last = now
+		q.interval = time.Duration(float64(q.interval) * (1 - smoothing))
+		return
+	}
+	if !q.last.IsZero() {
+		d := min(now.Sub(q.last), waited)
+		q.interval += time.Duration(smoothing * float64(d-q.interval))
+	}
+	q.last = now
+}
+
+func (q *Queue) count(caller string, d int) {
+	if q.running == nil {
+		q.running = make(map[string]int)
+	}
+	q.running[caller] += d
+	if q.running[caller] <= 0 {
+		delete(q.running, caller)
+	}
+}
+
+func (q *Queue) index(id uint64) int {
+	return slices.IndexFunc(q.items, func(it Item) bool { return it.ID == id })
+}
--- /dev/null
+++ b/internal/route/choose/doc.go
@@ -0,0 +1,2 @@
+// Package choose decides which backend server runs the next attempt of a request.
+package choose
--- /dev/null
+++ b/internal/route/choose/prefixhints.go
@@ -0,0 +1,88 @@
+package choose
+
+import "github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+
+// maxHints bounds the memory for one backend server's hints to about 256 KB.
+const maxHints = 8192
+
+// A PrefixHints remembers which prompt prefixes backend servers probably hold; its zero value is empty.
+type PrefixHints struct {
+	servers map[deck.BackendName]*prefixSet
+}
+
+// A prefixSet is a set of prefixes that forgets the oldest when it is full.
+type prefixSet struct {
+	held  map[uint64]struct{}
+	order []uint64
+	next  int
+}
+
+// Observe applies cache events of a backend server; a gap voids what was known before.
+func (h *PrefixHints) Observe(b deck.BackendName, ev deck.CacheEvents) {
+	if ev.Gap {
+		h.Forget(b)
+	}
+	s := h.set(b)
+	for _, e := range ev.Events {
+		if e.Evicted {
+			delete(s.held, e.Prefix)
+		} else {
+			s.add(e.Prefix)
+		}
+	}
+}
+
+// Sent records that a prompt with the prefixes was sent to the backend server.
+func (h *PrefixHints) Sent(b deck.BackendName, prefixes []uint64) {
+	s := h.set(b)
+	for _, p := range prefixes {
+		s.add(p)
+	}
+}
+
+// Forget drops the hints of a backend server, for instance after a restart.
+func (h *PrefixHints) Forget(b deck.BackendName) {
+	delete(h.servers, b)
+}
+
+// Hit returns the share of the prefixes that the backend server probably holds without interruption from the first.
+func (h *PrefixHints) Hit(b deck.BackendName, prefixes []uint64) float64 {
+	s := h.servers[b]
+	if s == nil || len(prefixes) == 0 {
+		return 0
+	}
+	n := 0
+	for _, p := range prefixes {
+		if _, ok := s.held[p]; !ok {
+			break
+		}
+		n++
+	}
+	return float64(n) / float64(len(prefixes))
+}
+
+func (h *PrefixHints) set(b deck.BackendName) *prefixSet {
+	if h.servers == nil {
+		h.servers = make(map[deck.BackendName]*prefixSet)
+	}
+	s := h.servers[b]
+	if s == nil {
+		s = &prefixSet{held: make(map[uint64]struct{})}
+		h.servers[b] = s
+	}
+	return s
+}
+
+func (s *prefixSet) add(p uint64) {
+	if _, ok := s.held[p]; ok {
+		return
+	}
+	s.held[p] = struct{}{}
+	if len(s.order) < maxHints {
+		s.order = append(s.order, p)
+		return
+	}
+	delete(s.held, s.order[s.next])
+	s.order[s.next] = p
+	s.next = (s.next + 1) % maxHints
+}
--- /dev/null
+++ b/internal/route/choose/score.go
@@ -0,0 +1,66 @@
+package choose
+
+// A scorer compares candidates of one choice.
+type scorer struct {
+	meanOthers float64 // reported work of other VMs, used for servers without a report
+	meanLoad   float64
+	meanGap    float64 // seconds
+}
+
+func newScorer(cs []Candidate, pool []int) scorer {
+	var s scorer
+	reported, gaps := 0, 0
+	for _, i := range pool {
+		if n, ok := cs[i].Load.Others(); ok {
+			s.meanOthers += float64(n)
+			reported++
+		}
+		if cs[i].Gap > 0 {
+			s.meanGap += cs[i].Gap.Seconds()
+			gaps++
+		}
+	}
+	s.meanOthers /= float64(max(1, reported))
+	s.meanGap /= float64(max(1, gaps))
+	for _, i := range pool {
+		s.meanLoad += s.load(cs[i])
+	}
+	s.meanLoad /= float64(len(pool))
+	return s
+}
+
+// load returns the estimated work on the server, from own counts and the lagged report.
+func (s scorer) load(c Candidate) float64 {
+	others := s.meanOthers
+	if n, ok := c.Load.Others(); ok {
+		others = float64(n)
+	}
+	return float64(c.Load.Own) + others
+}
+
+// cost returns the relative time that one more request would take on the server.
+func (s scorer) cost(c Candidate) float64 {
+	return (s.load(c) + 1) * s.latencyFactor(c) * (1 - affinityGain*c.PrefixHit)
+}
+
+func (s scorer) latencyFactor(c Candidate) float64 {
+	if c.Gap <= 0 || s.meanGap <= 0 {
+		return 1
+	}
+	return min(maxLatencyFactor, max(minLatencyFactor, c.Gap.Seconds()/s.meanGap))
+}
+
+// withAffinity returns the candidate with the longest cached prefix if its load is within the bound, otherwise best.
+func (s scorer) withAffinity(cs []Candidate, pool []int, best int) int {
+	hit := cs[best].PrefixHit + affinityMinHit
+	for _, i := range pool {
+		c := cs[i]
+		if c.PrefixHit < hit || c.Weight < 1 || s.latencyFactor(c) > affinityLoadBound {
+			continue
+		}
+		if s.load(c) <= affinityLoadBound*s.meanLoad+1 {
+			best, hit = i, c.PrefixHit
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/route/router/core.go
@@ -0,0 +1,296 @@
+package router
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/route/admit"
+	"github.com/geraniumdeck/geraniumdeck/internal/route/choose"
+	"github.com/geraniumdeck/geraniumdeck/internal/route/health"
+)
+
+// A Core is the state and the decisions of a Router without goroutines or timers; the measurement drives it in virtual
+// time. Its methods may be called concurrently.
+type Core struct {
+	cfg      Config
+	mu       sync.Mutex
+	nextID   uint64
+	servers  map[deck.BackendName]*server
+	queues   map[deck.ModelName]*admit.Queue
+	holds    map[uint64]*Hold // waiting requests by item ID
+	queued   int              // waiting requests over all models
+	health   *health.Tracker
+	leaving  health.Leaving
+	suspects health.Suspects
+	hints    choose.PrefixHints
+	draining bool
+	crashes  []Crash // not yet reported
+	scratch  []choose.Candidate
+}
+
+// A Crash is a crash to be reported to the poison store.
+type Crash struct {
+	Digest  string
+	Backend deck.BackendName
+	Alone   bool
+}
+
+// NewCore returns a Core without observations.
+func NewCore(cfg Config) *Core {
+	if cfg.Health == (health.Policy{}) {
+		cfg.Health = health.DefaultPolicy()
+	}
+	return &Core{
+		cfg:     cfg,
+		servers: make(map[deck.BackendName]*server),
+		queues:  make(map[deck.ModelName]*admit.Queue),
+		holds:   make(map[uint64]*Hold),
+		health:  health.NewTracker(cfg.Health),
+	}
+}
+
+// Submit admits, queues or refuses a request. notify is called once, possibly before Submit returns and with the core
+// locked, so it must not call back: with nil once the request may start, otherwise with the refusal.
+func (c *Core) Submit(info deck.RequestInfo, notify func(*deck.Refusal)) *Hold {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.cfg.Clock.Now()
+	c.nextID++
+	h := &Hold{id: c.nextID, info: info, arrived: now, waiting: now, notify: notify, preempted: make(chan struct{})}
+	if r := c.refuseAtOnce(h, now); r != nil {
+		h.tell(r)
+		return h
+	}
+	c.enqueue(h, now)
+	return h
+}
+
+// refuseAtOnce returns the refusal of a request that no wait can help.
+func (c *Core) refuseAtOnce(h *Hold, now time.Time) *deck.Refusal {
+	if c.draining {
+		return refused(deck.RefusedDraining, "VM is shutting down", time.Second)
+	}
+	if _, ok := c.cfg.State.State().Model(h.info.Model); !ok {
+		return refused(deck.RefusedUnknownModel, "unknown model", 0)
+	}
+	if h.info.Digest != "" && c.cfg.Poison.Refused(h.info.Digest) {
+		return refused(deck.RefusedPoison, "the request has crashed backend servers", 0)
+	}
+	if !h.info.Deadline.IsZero() && !now.Before(h.info.Deadline) {
+		return refused(deck.RefusedOverload, "deadline has passed", 0)
+	}
+	if len(c.candidates(h, now)) == 0 {
+		return refused(deck.RefusedNoBackend, "no reachable backend server holds the model", noBackendRetry)
+	}
+	return nil
+}
+
+// enqueue starts the request at once if nothing waits before it or the wait would miss its deadline, otherwise queues
+// or refuses it.
+func (c *Core) enqueue(h *Hold, now time.Time) {
+	q := c.queue(h.info.Model)
+	mayPass := q.Len() == 0 || c.farthest(h, now) > choose.SameDataCentre
+	if mayPass && c.start(h, now) {
+		q.Push(h.item(now))
+		q.Start(h.id, now)
+		h.tell(nil)
+		return
+	}
+	if r := c.refuseEarly(h, q, now); r != nil {
+		h.tell(r)
+		return
+	}
+	q.Push(h.item(now))
+	c.holds[h.id] = h
+	c.queued++
+	c.dispatchModel(h.info.Model, now)
+}
+
+// Rechoose asks for a server for another attempt; notify is called as for Submit. A refusal means that the model has
+// no server left.
+func (c *Core) Rechoose(h *Hold, avoid []deck.BackendName, notify func(*deck.Refusal)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.cfg.Clock.Now()
+	h.notify = notify
+	if h.released || !h.admitted {
+		h.tell(refused(deck.RefusedOverload, "request is not admitted", 0))
+		return
+	}
+	if h.reserved != nil && !slices.Contains(avoid, h.reserved.server.name) {
+		h.tell(nil)
+		return
+	}
+	c.yield(h, now)
+	h.avoid = avoid
+	h.waiting = now
+	if len(c.candidates(h, now)) == 0 {
+		h.tell(refused(deck.RefusedNoBackend, "no reachable backend server holds the model", noBackendRetry))
+		return
+	}
+	c.queue(h.info.Model).Finish(h.info.Caller)
+	c.enqueue(h, now)
+}
+
+// yield gives up the places of a preempted or unused attempt before the next choice.
+func (c *Core) yield(h *Hold, now time.Time) {
+	if h.reserved != nil {
+		c.end(h.reserved, now)
+		h.reserved = nil
+	}
+	if h.isPreempted() {
+		for _, a := range slices.Clone(h.attempts) {
+			c.end(a, now)
+		}
+		h.preempted = make(chan struct{})
+	}
+}
+
+// Take hands out the reserved server after notify was called with nil; ok is false if none is reserved.
+func (c *Core) Take(h *Hold) (b deck.BackendServer, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a := h.reserved
+	if a == nil {
+		return deck.BackendServer{}, false
+	}
+	h.reserved = nil
+	now := c.cfg.Clock.Now()
+	b, ok = c.cfg.State.State().BackendServer(a.server.name)
+	if !ok || c.leaving.Is(b, now) {
+		c.end(a, now)
+		return deck.BackendServer{}, false
+	}
+	a.chosen = now
+	return b, true
+}
+
+// Release ends the request's hold; further calls have no effect.
+func (c *Core) Release(h *Hold) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if h.released {
+		return
+	}
+	h.released = true
+	now := c.cfg.Clock.Now()
+	if c.holds[h.id] != nil {
+		c.unqueue(h)
+	} else if h.admitted {
+		c.queue(h.info.Model).Finish(h.info.Caller)
+	}
+	h.notify = nil
+	h.reserved = nil
+	for _, a := range slices.Clone(h.attempts) {
+		c.end(a, now)
+	}
+	c.dispatch(now)
+}
+
+// unqueue takes a waiting request out of its queue.
+func (c *Core) unqueue(h *Hold) {
+	c.queue(h.info.Model).Remove(h.id)
+	delete(c.holds, h.id)
+	c.queued--
+}
+
+// end frees an attempt's place; it has no effect on one that has ended.
+func (c *Core) end(a *attempt, _ time.Time) {
+	if !a.server.remove(a) {
+		return
+	}
+	h := a.hold
+	h.attempts = slices.DeleteFunc(h.attempts, func(x *attempt) bool { return x == a })
+}
+
+// Tick drops requests that can't meet their deadline, adjusts weights and starts what fits; call it every TickEvery.
+func (c *Core) Tick() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.cfg.Clock.Now()
+	c.sampleWaits(now)
+	c.health.Evaluate(now)
+	for m, q := range c.queues {
+		if q.Len() > 0 {
+			c.expire(m, q, now)
+		}
+	}
+	c.dispatch(now)
+}
+
+func (c *Core) expire(m deck.ModelName, q *admit.Queue, now time.Time) {
+	for _, it := range q.Expire(now, c.expectedFirstToken(m)) {
+		h := c.holds[it.ID]
+		delete(c.holds, it.ID)
+		c.queued--
+		h.tell(refused(deck.RefusedOverload, "deadline can't be met", c.retryAfter(q, it.Class)))
+	}
+}
+
+// dispatch starts waiting requests of all models, the most urgent model first.
+func (c *Core) dispatch(now time.Time) {
+	if c.queued == 0 {
+		return
+	}
+	type head struct {
+		model deck.ModelName
+		item  admit.Item
+	}
+	var heads []head
+	for m, q := range c.queues {
+		if it, ok := q.Next(now, nil); ok {
+			heads = append(heads, head{m, it})
+		}
+	}
+	slices.SortFunc(heads, func(a, b head) int {
+		return cmp.Or(admit.Compare(a.item, b.item, now), cmp.Compare(a.model, b.model))
+	})
+	for _, h := range heads {
+		c.dispatchModel(h.model, now)
+	}
+}
+
+// dispatchTries bounds the requests that are tried for a model at one time. More than one is tried because a request
+// with special needs (an adapter, a server to avoid, isolation) must not block those behind it.
+const dispatchTries = 4
+
+func (c *Core) dispatchModel(m deck.ModelName, now time.Time) {
+	q := c.queue(m)
+	var failed []uint64
+	for len(failed) < dispatchTries {
+		it, ok := q.Next(now, func(it admit.Item) bool { return slices.Contains(failed, it.ID) })
+		if !ok {
+			return
+		}
+		h := c.holds[it.ID]
+		if !c.start(h, now) {
+			failed = append(failed, it.ID)
+			continue
+		}
+		q.Start(it.ID, now)
+		delete(c.holds, it.ID)
+		c.queued--
+		h.tell(nil)
+	}
+}
+
+func (c *Core) queue(m deck.ModelName) *admit.Queue {
+	q := c.queues[m]
+	if q == nil {
+		q = &admit.Queue{}
+		c.queues[m] = q
+	}
+	return q
+}
+
+func (c *Core) server(b deck.BackendName) *server {
+	s := c.servers[b]
+	if s == nil {
+		s = &server{name: b}
+		c.servers[b] = s
+	}
+	return s
+}
--- /dev/null
+++ b/internal/route/router/observe.go
@@ -0,0 +1,166 @@
+package router
+
+import (
+	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// Observe records what happened to an attempt. Unless the request is released, the request's holder ends each attempt
+// by one of ObservedEnd, ObservedCancel, ObservedFailure, ObservedCrash or ObservedDraining.
+func (c *Core) Observe(h *Hold, o deck.Observation) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.cfg.Clock.Now()
+	if o.Kind == deck.ObservedDraining {
+		c.leaving.ObserveRefusal(o.Backend, now)
+	}
+	a := h.attemptOn(o.Backend)
+	if a == nil {
+		return
+	}
+	switch o.Kind {
+	case deck.ObservedStart:
+		a.chosen, a.last = now, now
+	case deck.ObservedToken:
+		c.observeToken(a, o.Tokens, now)
+	case deck.ObservedStall:
+		c.observeStall(a, now)
+	default:
+		c.observeEnd(a, o.Kind, now)
+	}
+}
+
+func (c *Core) observeToken(a *attempt, tokens int, now time.Time) {
+	s, h := a.server, a.hold
+	s.worked()
+	a.stalled = false
+	h.used += tokens
+	if !a.first {
+		a.first = true
+		c.health.ObserveFirstToken(s.name, h.info.Model, now.Sub(a.chosen), now)
+	} else if tokens > 0 {
+		gap := now.Sub(a.last) / time.Duration(tokens)
+		c.health.ObserveGap(s.name, h.info.Model, gap, now)
+		if s.limit.Observe(gap, len(s.attempts), now) {
+			c.dispatch(now)
+		}
+	}
+	a.last, a.sampled = now, now
+}
+
+// observeStall counts a second stall without a token between as a failure; a first one may be the connection's fault.
+func (c *Core) observeStall(a *attempt, now time.Time) {
+	if a.stalled {
+		a.server.failed(now)
+	}
+	a.stalled = true
+}
+
+func (c *Core) observeEnd(a *attempt, k deck.ObservationKind, now time.Time) {
+	s := a.server
+	switch k {
+	case deck.ObservedEnd:
+		s.worked()
+	case deck.ObservedFailure:
+		s.failed(now)
+	case deck.ObservedCrash:
+		c.observeCrash(a, now)
+	}
+	c.end(a, now)
+	c.dispatch(now)
+}
+
+// observeCrash counts the crash for the attempt's own request only: each attempt that was in flight on a crashed server
+// tells of it, while a single reset connection must not make suspects of the server's other requests.
+func (c *Core) observeCrash(a *attempt, now time.Time) {
+	s := a.server
+	s.failed(now)
+	c.health.Forget(s.name)
+	c.hints.Forget(s.name)
+	digest := a.hold.info.Digest
+	if digest == "" {
+		return
+	}
+	alone := c.suspects.Alone(digest, s, now)
+	c.suspects.ObserveCrash(digest, now)
+	c.crashes = append(c.crashes, Crash{Digest: digest, Backend: s.name, Alone: alone})
+}
+
+// TakeCrashes returns the crashes observed since the last call, to be reported to the poison store.
+func (c *Core) TakeCrashes() []Crash {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := c.crashes
+	c.crashes = nil
+	return out
+}
+
+// sampleWaits takes the wait for an overdue token as a sample, so that a server that has become slow shows before its
+// next token.
+func (c *Core) sampleWaits(now time.Time) {
+	for _, s := range c.servers {
+		for a := range s.attempts {
+			c.sampleWait(a, now)
+		}
+	}
+}
+
+func (c *Core) sampleWait(a *attempt, now time.Time) {
+	s, waited := a.server, now.Sub(a.last)
+	if a.hold.reserved == a || now.Sub(a.sampled) < overdueSample {
+		return
+	}
+	if !a.first && waited > 2*c.health.FirstToken(s.name) && c.health.FirstToken(s.name) > 0 {
+		c.health.ObserveFirstToken(s.name, a.hold.info.Model, waited, now)
+		a.sampled = now
+	}
+	if a.first && waited > 2*c.health.Gap(s.name) && c.health.Gap(s.name) > 0 {
+		c.health.ObserveGap(s.name, a.hold.info.Model, waited, now)
+		a.sampled = now
+	}
+}
+
+// overdueSample is the least time between two samples of one overdue wait.
+const overdueSample = 100 * time.Millisecond
+
+// ObserveReport records an engine's report that was requested at the given time.
+func (c *Core) ObserveReport(r deck.EngineReport, requested time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.server(r.Backend)
+	if s.reported && requested.Before(s.requested) {
+		return
+	}
+	if s.bootID != "" && s.bootID != r.BootID {
+		c.health.Forget(r.Backend)
+		c.hints.Forget(r.Backend)
+	}
+	s.bootID = r.BootID
+	s.reported = true
+	s.total = r.Running + r.Queued
+	s.ownThen = len(s.attempts)
+	s.requested = requested
+	c.leaving.ObserveReport(r, requested)
+}
+
+// ObserveCacheEvents records prefix-cache events of an engine.
+func (c *Core) ObserveCacheEvents(b deck.BackendName, ev deck.CacheEvents) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hints.Observe(b, ev)
+}
+
+// ObserveVMs records the platform's list.
+func (c *Core) ObserveVMs(rows []deck.VMStatus) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaving.ObserveList(rows)
+}
+
+// Drain refuses all further requests; those that wait or run are kept.
+func (c *Core) Drain() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.draining = true
+}
--- /dev/null
+++ b/internal/route/router/place.go
@@ -0,0 +1,181 @@
+package router
+
+import (
+	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/route/admit"
+	"github.com/geraniumdeck/geraniumdeck/internal/route/choose"
+)
+
+const (
+	// spillAfter is the wait for a near server after which a request without deadline goes to a farther one.
+	spillAfter = time.Second
+	// Servers of reduced weight are tried by batch work first and by interactive work if there is none.
+	batchProbe       = 500 * time.Millisecond
+	interactiveProbe = 2 * time.Second
+	// preemptEvery lets the effect of one preemption on a server show before the next.
+	preemptEvery = 100 * time.Millisecond
+	// preemptWait is the wait of interactive work that makes longer work give way.
+	preemptWait = 30 * time.Millisecond
+)
+
+// start reserves a server for the request; it returns false if none has room.
+func (c *Core) start(h *Hold, now time.Time) bool {
+	cs := c.candidates(h, now)
+	need := choose.Need{Adapter: h.info.Adapter != "", Farthest: c.farthest(h, now), Probe: true}
+	i, ok := choose.Pick(cs, need, c.cfg.Rand)
+	if !ok {
+		c.preempt(h, cs, now)
+		return false
+	}
+	c.reserve(h, c.server(cs[i].Backend), now)
+	return true
+}
+
+func (c *Core) reserve(h *Hold, s *server, now time.Time) {
+	a := &attempt{hold: h, server: s, chosen: now, last: now, sampled: now}
+	s.add(a)
+	h.attempts = append(h.attempts, a)
+	h.reserved = a
+	h.admitted = true
+	h.avoid = nil
+	c.health.ObserveStart(s.name, now)
+	c.hints.Sent(s.name, h.info.Prefixes)
+}
+
+// farthest returns how far the request may go while nearer servers exist: only if waiting for them would miss the
+// deadline, since traffic to farther ones is billed.
+func (c *Core) farthest(h *Hold, now time.Time) choose.Distance {
+	last := h.waiting.Add(spillAfter)
+	if !h.info.Deadline.IsZero() && !h.admitted {
+		last = h.info.Deadline.Add(-c.expectedFirstToken(h.info.Model))
+	}
+	if h.info.Class == deck.Batch && h.info.Deadline.IsZero() {
+		return choose.SameDataCentre
+	}
+	q := c.queue(h.info.Model)
+	wait := q.Wait(h.info.Class)
+	if c.holds[h.id] != nil {
+		wait = q.Interval() // it is tried because it is next
+	}
+	if now.Add(wait).Before(last.Add(-spillMargin)) {
+		return choose.SameDataCentre
+	}
+	return choose.Elsewhere
+}
+
+// spillMargin covers the path to another region and back.
+const spillMargin = 150 * time.Millisecond
+
+// candidates returns the servers that may run the request; the slice is valid until the next call.
+func (c *Core) candidates(h *Hold, now time.Time) []choose.Candidate {
+	st := c.cfg.State.State()
+	model, _ := st.Model(h.info.Model)
+	cs := c.scratch[:0]
+	for _, active := range []bool{true, false} {
+		for _, r := range c.cfg.Residency.Replicas(h.info.Model) {
+			if !r.Ready || (r.Version == model.Active) != active {
+				continue
+			}
+			b, ok := st.BackendServer(r.Backend)
+			if !ok || b.Kind != deck.EngineBackend || c.leaving.Is(b, now) {
+				continue
+			}
+			if cand, ok := c.candidate(h, b, now); ok {
+				cs = append(cs, cand)
+			}
+		}
+		if len(cs) > 0 {
+			break
+		}
+	}
+	c.scratch = cs
+	return cs
+}
+
+// candidate returns the view of one server; ok is false if a poison suspect may not share it.
+func (c *Core) candidate(h *Hold, b deck.BackendServer, now time.Time) (choose.Candidate, bool) {
+	s := c.server(b.Name)
+	if h.attemptOn(b.Name) != nil {
+		return choose.Candidate{}, false
+	}
+	weight := c.health.Weight(b.Name)
+	probe := batchProbe
+	if h.info.Class == deck.Interactive {
+		probe = interactiveProbe
+	}
+	cand := choose.Candidate{
+		Backend:    b.Name,
+		Distance:   c.cfg.distance(b.DataCentre),
+		HasAdapter: h.info.Adapter == "" || c.cfg.Residency.HasAdapter(b.Name, h.info.Adapter),
+		Load:       s.load(now),
+		Room:       s.room(h.info.Class, weight),
+		FirstToken: c.health.FirstToken(b.Name),
+		Gap:        c.health.Gap(b.Name),
+		Weight:     weight,
+		ProbeDue:   c.health.ProbeDue(b.Name, probe, now),
+		Down:       now.Before(s.downUntil),
+		Avoid:      contains(h.avoid, b.Name),
+		PrefixHit:  c.hints.Hit(b.Name, h.info.Prefixes),
+	}
+	if !c.suspects.MayShare(h.info.Digest, s, now) {
+		cand.Room = 0
+	}
+	return cand, true
+}
+
+// preempt asks the longest batch work or straggler on a nearby candidate to give way to waiting interactive work.
+func (c *Core) preempt(h *Hold, cs []choose.Candidate, now time.Time) {
+	if h.info.Class != deck.Interactive || now.Sub(h.waiting) < preemptWait {
+		return
+	}
+	var running []admit.Running
+	byID := make(map[uint64]*attempt)
+	for _, cand := range cs {
+		s := c.servers[cand.Backend]
+		if cand.Distance != choose.SameDataCentre || now.Sub(s.preempted) < preemptEvery {
+			continue
+		}
+		for a := range s.attempts {
+			if a.hold.isPreempted() || a.hold.id == h.id || a.hold.reserved == a {
+				continue
+			}
+			running = append(running, admit.Running{
+				ID: a.hold.id, Class: a.hold.info.Class, Used: a.hold.used, ProtectedUntil: a.hold.protected,
+			})
+			byID[a.hold.id] = a
+		}
+	}
+	if v, ok := admit.Victim(running, now); ok {
+		c.giveWay(byID[v.ID], now)
+	}
+}
+
+func (c *Core) giveWay(a *attempt, now time.Time) {
+	h := a.hold
+	a.server.preempted = now
+	h.protected = now.Add(admit.Protection(h.preemptions))
+	h.preemptions++
+	close(h.preempted)
+}
+
+// expectedFirstToken returns the least known time to a first token over the model's servers.
+func (c *Core) expectedFirstToken(m deck.ModelName) time.Duration {
+	least := time.Duration(0)
+	for _, r := range c.cfg.Residency.Replicas(m) {
+		if d := c.health.FirstToken(r.Backend); d > 0 && (least == 0 || d < least) {
+			least = d
+		}
+	}
+	return least
+}
+
+func contains(names []deck.BackendName, b deck.BackendName) bool {
+	for _, n := range names {
+		if n == b {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/route/router/server.go
@@ -0,0 +1,92 @@
+package router
+
+import (
+	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/route/admit"
+	"github.com/geraniumdeck/geraniumdeck/internal/route/choose"
+	"github.com/geraniumdeck/geraniumdeck/internal/route/health"
+)
+
+const (
+	// A server whose attempts fail is left alone for a time that doubles from firstBackoff to maxBackoff.
+	firstBackoff = 500 * time.Millisecond
+	maxBackoff   = 10 * time.Second
+)
+
+// A server is what the router keeps of one backend server.
+type server struct {
+	name      deck.BackendName
+	attempts  map[*attempt]struct{}
+	byClass   [2]int
+	limit     admit.Limit
+	reported  bool
+	total     int // running and queued in the last report
+	ownThen   int // own attempts when the report was requested
+	requested time.Time
+	bootID    string
+	failures  int // in a row
+	downUntil time.Time
+	preempted time.Time // last time that an attempt here was asked to give way
+}
+
+func (s *server) load(now time.Time) choose.Load {
+	return choose.Load{
+		Own:         len(s.attempts),
+		Reported:    s.reported,
+		Total:       s.total,
+		OwnAtReport: s.ownThen,
+		ReportAge:   now.Sub(s.requested),
+	}
+}
+
+// room returns how many attempts of the class may be added.
+func (s *server) room(c deck.Class, weight float64) int {
+	bound := func(c deck.Class) int {
+		return max(1, int(float64(s.limit.Max(c))*weight))
+	}
+	n := bound(deck.Interactive) - len(s.attempts)
+	if c == deck.Batch {
+		n = min(n, bound(deck.Batch)-s.byClass[deck.Batch])
+	}
+	return n
+}
+
+func (s *server) add(a *attempt) {
+	if s.attempts == nil {
+		s.attempts = make(map[*attempt]struct{})
+	}
+	s.attempts[a] = struct{}{}
+	s.byClass[a.hold.info.Class]++
+}
+
+func (s *server) remove(a *attempt) bool {
+	if _, ok := s.attempts[a]; !ok {
+		return false
+	}
+	delete(s.attempts, a)
+	s.byClass[a.hold.info.Class]--
+	return true
+}
+
+func (s *server) failed(now time.Time) {
+	s.downUntil = now.Add(min(maxBackoff, firstBackoff<<min(s.failures, 5)))
+	s.failures++
+}
+
+func (s *server) worked() {
+	s.failures = 0
+	s.downUntil = time.Time{}
+}
+
+var _ health.Beside = (*server)(nil)
+
+// EachDigest implements health.Beside.EachDigest.
+func (s *server) EachDigest(f func(digest string) bool) {
+	for a := range s.attempts {
+		if !f(a.hold.info.Digest) {
+			return
+		}
+	}
+}
