Add memory ledger, home assignment and a first placement executor

Cause: nothing loads the models of the state in force on engines. Change: a ledger of each engine reserves memory before an operation is sent and releases it only by a later report; homes come from a weighted rendezvous hash in integer arithmetic (floating point logarithms were ruled out because replicas on different processors must agree); the executor takes over, loads home models and publishes residency. Operation gets its memory needs.

--- a/internal/core/deck/engine.go
+++ b/internal/core/deck/engine.go
@@ -131,6 +131,10 @@
 	Version      VersionName
 	Adapter      AdapterName
 	Role         EngineRole
+
+	WeightBytes    Bytes // read from the weight store
+	ResidentBytes  Bytes // held after the operation has ended
+	TransientBytes Bytes // additional need while the operation runs
 }
 
 // An OperationResult is what the sender knows about an operation.
--- /dev/null
+++ b/internal/place/execute/controller.go
@@ -0,0 +1,264 @@
+package execute
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/place/memory"
+	"github.com/geraniumdeck/geraniumdeck/internal/place/plan"
+)
+
+// Pace of reports and steps.
+const (
+	minReportInterval = time.Second
+	// reportsPerSecond bounds what the leader receives in reports of about 0.5 KB.
+	reportsPerSecond = 6
+	// retireDelay lets entry VMs learn that a replica goes before it is unloaded.
+	retireDelay = 3 * time.Second
+	// retryDelay spaces the attempts of a refused step.
+	retryDelay = time.Second
+)
+
+// A Controller decides which operations leave next; it is a pure state machine driven by its caller's time.
+type Controller struct {
+	dc        deck.DataCentre
+	lease     deck.PlacementLease
+	takenOver time.Time
+	state     deck.State
+	homes     plan.Homes
+	assigned  bool // homes belong to state
+	target    plan.Target
+	engines   map[deck.BackendName]*engine
+	sequence  uint64
+	retiring  map[place]time.Time
+	table     deck.ResidencyTable
+	tables    uint64
+	now       time.Time
+	in        Input
+}
+
+// A place is an item on a backend server.
+type place struct {
+	backend deck.BackendName
+	item    memory.Item
+}
+
+// An engine is what the controller knows about one engine of its data centre.
+type engine struct {
+	backend   deck.BackendServer
+	ledger    *memory.Ledger
+	polling   bool
+	pollAt    time.Time // earliest time of the next report request
+	fenceAt   time.Time // earliest time of the next fence
+	refusedAt map[memory.Item]time.Time
+	leaving   bool
+}
+
+// An Input is what a step depends on beside the controller's own state.
+type Input struct {
+	Now     time.Time
+	Lease   deck.PlacementLease
+	Held    bool
+	State   deck.State
+	Leaving map[deck.BackendName]bool // from the platform's list
+	Loads   int                       // model loads that may be in flight by the data centre's share
+}
+
+// A Send is an operation whose memory is reserved and that is to be sent to the backend server.
+type Send struct {
+	Backend   deck.BackendServer
+	Operation deck.Operation
+}
+
+// An Output lists what the caller must send now.
+type Output struct {
+	Sends   []Send
+	Reports []deck.BackendServer
+}
+
+// NewController returns a controller of the data centre's engines that holds no lease.
+func NewController(dc deck.DataCentre) *Controller {
+	return &Controller{dc: dc, engines: make(map[deck.BackendName]*engine), retiring: make(map[place]time.Time)}
+}
+
+// Step returns the operations and report requests that are due.
+func (c *Controller) Step(in Input) Output {
+	c.now, c.in = in.Now, in
+	if !in.Held {
+		c.lease = deck.PlacementLease{}
+		clear(c.engines)
+		clear(c.retiring)
+		return Output{}
+	}
+	c.takeover(in.Lease)
+	c.install(in.State)
+	c.track()
+	var out Output
+	c.fence(&out)
+	if c.known() {
+		c.replan()
+		c.advance(&out)
+	}
+	c.poll(&out)
+	return out
+}
+
+// takeover starts with empty ledgers under every new token, because outstanding operations of earlier tokens are
+// unknown.
+func (c *Controller) takeover(l deck.PlacementLease) {
+	if l.FencingToken == c.lease.FencingToken && l.Holder == c.lease.Holder {
+		c.lease = l
+		return
+	}
+	c.lease = l
+	c.takenOver = c.now
+	c.sequence = 0
+	c.tables = 0
+	clear(c.engines)
+	clear(c.retiring)
+}
+
+func (c *Controller) install(s deck.State) {
+	if c.assigned && s.Version() == c.state.Version() {
+		return
+	}
+	c.state = s
+	if h, err := plan.Assign(s); err == nil {
+		c.homes = h
+	}
+	c.assigned = true
+}
+
+// track follows the engines that the state gives to the data centre.
+func (c *Controller) track() {
+	listed := make(map[deck.BackendName]bool)
+	for _, b := range c.state.BackendServers() {
+		if b.Kind != deck.EngineBackend || b.DataCentre != c.dc {
+			continue
+		}
+		listed[b.Name] = true
+		e, ok := c.engines[b.Name]
+		if !ok || e.backend.Address != b.Address || e.backend.ChecksFencing != b.ChecksFencing {
+			e = &engine{
+				ledger:    memory.NewLedger(b, c.lease.FencingToken, c.now),
+				refusedAt: make(map[memory.Item]time.Time),
+			}
+			c.engines[b.Name] = e
+		}
+		e.backend = b
+		e.leaving = b.Leaving || c.in.Leaving[b.Name]
+		e.ledger.SetCapacity(b.MemoryBytes())
+	}
+	maps.DeleteFunc(c.engines, func(name deck.BackendName, _ *engine) bool { return !listed[name] })
+}
+
+// known reports whether every engine was taken over, or has had the time to answer.
+func (c *Controller) known() bool {
+	if c.now.Sub(c.takenOver) >= memory.OperationLifetime+retireDelay {
+		return true
+	}
+	for _, e := range c.engines {
+		if !e.ledger.Ready() {
+			return false
+		}
+	}
+	return true
+}
+
+// fence sends the fencing token to engines that have not confirmed it.
+func (c *Controller) fence(out *Output) {
+	for _, e := range c.ordered() {
+		if e.ledger.Ready() || !e.backend.ChecksFencing || c.now.Before(e.fenceAt) {
+			continue
+		}
+		e.fenceAt = c.now.Add(retryDelay)
+		c.send(out, e, deck.Operation{Kind: deck.OpFence})
+	}
+}
+
+func (c *Controller) poll(out *Output) {
+	pace := max(minReportInterval, time.Duration(len(c.engines))*time.Second/reportsPerSecond)
+	for _, e := range c.ordered() {
+		if e.polling || c.now.Before(e.pollAt) {
+			continue
+		}
+		next := pace
+		if e.ledger.Outstanding() > 0 || !e.ledger.Ready() {
+			next = minReportInterval
+		}
+		e.polling = true
+		e.pollAt = c.now.Add(next)
+		out.Reports = append(out.Reports, e.backend)
+	}
+}
+
+// send reserves the operation's memory and adds it to the output; it returns false if the ledger refuses.
+func (c *Controller) send(out *Output, e *engine, op deck.Operation) bool {
+	op.FencingToken = c.lease.FencingToken
+	op.ID = deck.OperationID(fmt.Sprintf("%s-%d-%d", c.dc, c.lease.FencingToken, c.sequence+1))
+	if err := e.ledger.Reserve(op, c.now); err != nil {
+		return false
+	}
+	c.sequence++
+	e.pollAt = minTime(e.pollAt, c.now.Add(minReportInterval))
+	out.Sends = append(out.Sends, Send{Backend: e.backend, Operation: op})
+	return true
+}
+
+// Result records what became of an operation.
+func (c *Controller) Result(b deck.BackendName, op deck.Operation, r deck.OperationResult, now time.Time) {
+	e, ok := c.engines[b]
+	if !ok || op.FencingToken != c.lease.FencingToken {
+		return
+	}
+	e.ledger.Settle(op.ID, r, now)
+	if r.Outcome == deck.OutcomeNotRun {
+		e.refusedAt[memory.ItemOf(op)] = now
+	}
+}
+
+// Report counts a report that was requested at the given time.
+func (c *Controller) Report(b deck.BackendName, r deck.EngineReport, requestedAt time.Time) {
+	e, ok := c.engines[b]
+	if !ok {
+		return
+	}
+	e.polling = false
+	e.ledger.Observe(r, requestedAt, c.size)
+}
+
+// ReportFailed records that a report request had no answer.
+func (c *Controller) ReportFailed(b deck.BackendName) {
+	if e, ok := c.engines[b]; ok {
+		e.polling = false
+	}
+}
+
+// size returns the memory that the state in force declares for an item.
+func (c *Controller) size(it memory.Item) deck.Bytes {
+	if it.Adapter != "" {
+		a, _ := c.state.Adapter(it.Adapter)
+		return a.Bytes
+	}
+	m, _ := c.state.Model(it.Model)
+	v, _ := m.Version(it.Version)
+	return v.ResidentBytes()
+}
+
+// ordered returns the engines ordered by name, so that equal inputs give equal outputs.
+func (c *Controller) ordered() []*engine {
+	return slices.SortedFunc(maps.Values(c.engines), func(a, b *engine) int {
+		return cmp.Compare(a.backend.Name, b.backend.Name)
+	})
+}
+
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/place/execute/executor.go
@@ -0,0 +1,176 @@
+package execute
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/place/memory"
+)
+
+// Timing of the executor's loop.
+const (
+	tick          = 250 * time.Millisecond
+	reportTimeout = 2 * time.Second
+	// operateTimeout ends a send that could otherwise arrive after the operation's lifetime.
+	operateTimeout = memory.OperationLifetime
+	platformPoll   = time.Second
+	// defaultLoads bounds the loads in flight where no share of the weight store is set.
+	defaultLoads = 1
+)
+
+// A Config is what an Executor needs; Leaving, Loads, Publish, ObserveToken and Log may be nil or zero.
+type Config struct {
+	DataCentre   deck.DataCentre
+	Clock        deck.Clock
+	Lease        deck.LeaseSource
+	States       deck.StateSource
+	Engine       func(deck.BackendServer) deck.Engine
+	Leaving      func() map[deck.BackendName]bool
+	Loads        func(inFlight int) int    // model loads that may be in flight by the data centre's share
+	Publish      func(deck.ResidencyTable) // called on every change
+	ObserveToken func(uint64)              // called with a token of an engine that is higher than the lease's
+	Log          logr.Logger
+}
+
+// An Executor is the loop of a data centre's placement leader; on other VMs it waits for the lease.
+type Executor struct {
+	cfg  Config
+	done chan struct{}
+
+	mu    sync.Mutex
+	ctl   *Controller
+	table deck.ResidencyTable
+}
+
+var _ deck.Residency = (*Executor)(nil)
+
+// New returns an executor that does nothing until Run is called.
+func New(cfg Config) *Executor {
+	return &Executor{cfg: cfg, done: make(chan struct{}), ctl: NewController(cfg.DataCentre)}
+}
+
+// Done returns a channel that is closed after Run has returned.
+func (e *Executor) Done() <-chan struct{} {
+	return e.done
+}
+
+// Run drives the engines until the context ends; it may be called once.
+func (e *Executor) Run(ctx context.Context) error {
+	defer close(e.done)
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return e.loop(ctx, g) })
+	return g.Wait()
+}
+
+func (e *Executor) loop(ctx context.Context, g *errgroup.Group) error {
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for {
+		e.step(ctx, g)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+	}
+}
+
+func (e *Executor) step(ctx context.Context, g *errgroup.Group) {
+	out := e.decide()
+	for _, s := range out.Sends {
+		g.Go(func() error { e.operate(ctx, s); return nil })
+	}
+	for _, b := range out.Reports {
+		requestedAt := e.cfg.Clock.Now()
+		g.Go(func() error { e.report(ctx, b, requestedAt); return nil })
+	}
+	e.publish()
+}
+
+func (e *Executor) decide() Output {
+	l, held := e.cfg.Lease.Held()
+	in := Input{Now: e.cfg.Clock.Now(), Lease: l, Held: held, State: e.cfg.States.State(), Loads: defaultLoads}
+	if e.cfg.Leaving != nil {
+		in.Leaving = e.cfg.Leaving()
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cfg.Loads != nil {
+		in.Loads = e.cfg.Loads(e.ctl.loadsInFlight())
+	}
+	return e.ctl.Step(in)
+}
+
+// operate checks the lease just before the operation's first byte, because the process may have been frozen since the
+// decision.
+func (e *Executor) operate(ctx context.Context, s Send) {
+	r := deck.OperationResult{Outcome: deck.OutcomeNotRun, Reason: "placement lease expired before the operation was sent"}
+	if e.holds(s.Operation.FencingToken) {
+		ctx, cancel := context.WithTimeout(ctx, operateTimeout)
+		defer cancel()
+		r = e.cfg.Engine(s.Backend).Operate(ctx, s.Operation)
+	}
+	if r.Outcome != deck.OutcomeDone {
+		e.cfg.Log.V(1).Info("operation not confirmed", "backend", s.Backend.Name, "operation", s.Operation.ID,
+			"kind", s.Operation.Kind.String(), "outcome", r.Outcome.String(), "reason", r.Reason)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ctl.Result(s.Backend.Name, s.Operation, r, e.cfg.Clock.Now())
+}
+
+func (e *Executor) holds(token uint64) bool {
+	l, ok := e.cfg.Lease.Held()
+	return ok && l.FencingToken == token && l.ValidAt(e.cfg.Clock.Now())
+}
+
+func (e *Executor) report(ctx context.Context, b deck.BackendServer, requestedAt time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	r, err := e.cfg.Engine(b).Report(ctx)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err != nil {
+		e.ctl.ReportFailed(b.Name)
+		return
+	}
+	if l, ok := e.cfg.Lease.Held(); ok && r.FencingToken > l.FencingToken && e.cfg.ObserveToken != nil {
+		e.cfg.ObserveToken(r.FencingToken)
+	}
+	e.ctl.Report(b.Name, r, requestedAt)
+}
+
+func (e *Executor) publish() {
+	e.mu.Lock()
+	t, ok := e.ctl.Residency()
+	changed := ok && t.Version() != e.table.Version()
+	if changed {
+		e.table = t
+	}
+	e.mu.Unlock()
+	if changed && e.cfg.Publish != nil {
+		e.cfg.Publish(t)
+	}
+}
+
+// Table returns the last published residency.
+func (e *Executor) Table() deck.ResidencyTable {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.table
+}
+
+// Replicas implements deck.Residency.Replicas.
+func (e *Executor) Replicas(m deck.ModelName) []deck.Replica {
+	return e.Table().Replicas(m)
+}
+
+// HasAdapter implements deck.Residency.HasAdapter.
+func (e *Executor) HasAdapter(b deck.BackendName, a deck.AdapterName) bool {
+	return e.Table().HasAdapter(b, a)
+}
--- /dev/null
+++ b/internal/place/execute/publish.go
@@ -0,0 +1,39 @@
+package execute
+
+import "github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+
+// tableBits is the part of a residency version that counts the tables under one fencing token. The token is in the
+// bits above, so that versions grow across leaders.
+const tableBits = 20
+
+// Residency returns the last published table; ok is false until the engines have been taken over.
+func (c *Controller) Residency() (t deck.ResidencyTable, ok bool) {
+	if c.lease.Holder == "" || !c.known() {
+		return c.table, false
+	}
+	next := c.rows()
+	if c.tables == 0 || !next.SameRows(c.table) {
+		c.tables++
+		c.table = next.WithVersion(c.lease.FencingToken<<tableBits | c.tables)
+	}
+	return c.table, true
+}
+
+func (c *Controller) rows() deck.ResidencyTable {
+	replicas := make(map[deck.ModelName][]deck.Replica)
+	adapters := make(map[deck.BackendName][]deck.AdapterName)
+	for _, e := range c.ordered() {
+		for _, it := range e.ledger.Items() {
+			if it.Adapter != "" {
+				adapters[e.backend.Name] = append(adapters[e.backend.Name], it.Adapter)
+				continue
+			}
+			replicas[it.Model] = append(replicas[it.Model], deck.Replica{
+				Backend: e.backend.Name,
+				Version: it.Version,
+				Ready:   c.serves(e, it),
+			})
+		}
+	}
+	return deck.NewResidencyTable(0, replicas, adapters)
+}
--- /dev/null
+++ b/internal/place/memory/ledger.go
@@ -0,0 +1,230 @@
+package memory
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// OperationLifetime is the stated bound on how late an operation may arrive at an engine.
+const OperationLifetime = 10 * time.Second
+
+// The reasons for which Reserve refuses an operation.
+var (
+	ErrNotReady = errors.New("engine is not taken over yet")
+	ErrBusy     = errors.New("an operation on the same item is outstanding")
+	ErrMemory   = errors.New("memory would be overcommitted")
+)
+
+// A Ledger counts the memory of one engine; it is not safe for concurrent use.
+type Ledger struct {
+	capacity    deck.Bytes
+	token       uint64
+	takenOver   time.Time
+	checksToken bool
+	ready       bool
+
+	items       map[Item]entry
+	outstanding map[deck.OperationID]reservation
+	recent      map[deck.OperationID]reservation // settled loads whose message may still be repeated
+
+	report      deck.EngineReport
+	requestedAt time.Time // of report; zero if there is none
+}
+
+type entry struct {
+	bytes     deck.Bytes
+	ready     bool
+	readyAt   time.Time // request time of the first report that showed the item ready
+	missingAt time.Time // request time of the first report that lacked the item; zero if present
+}
+
+type reservation struct {
+	op      deck.Operation
+	sentAt  time.Time
+	endedAt time.Time // zero until the end is known
+}
+
+// NewLedger returns the ledger of an engine that a holder with the fencing token takes over at the given time.
+func NewLedger(b deck.BackendServer, token uint64, takenOver time.Time) *Ledger {
+	return &Ledger{
+		capacity:    b.MemoryBytes(),
+		token:       token,
+		takenOver:   takenOver,
+		checksToken: b.ChecksFencing,
+		items:       make(map[Item]entry),
+		outstanding: make(map[deck.OperationID]reservation),
+		recent:      make(map[deck.OperationID]reservation),
+	}
+}
+
+// SetCapacity replaces the engine's memory size after a ticket changed it.
+func (l *Ledger) SetCapacity(capacity deck.Bytes) {
+	l.capacity = capacity
+}
+
+// Ready reports whether operations of earlier holders can no longer take effect and a later report is counted.
+func (l *Ledger) Ready() bool {
+	return l.ready
+}
+
+// Reserve counts the operation's memory before it is sent, or returns why it must not be sent.
+func (l *Ledger) Reserve(op deck.Operation, now time.Time) error {
+	if !l.ready && op.Kind != deck.OpFence {
+		return ErrNotReady
+	}
+	if op.Kind != deck.OpFence && l.Busy(ItemOf(op)) {
+		return ErrBusy
+	}
+	if op.Kind == deck.OpUnloadModel && l.repeatable(ItemOf(op), now) {
+		return ErrBusy
+	}
+	need := needOf(op)
+	if need > 0 && l.Committed()+need > l.capacity {
+		return ErrMemory
+	}
+	l.outstanding[op.ID] = reservation{op: op, sentAt: now}
+	return nil
+}
+
+// Settle records the sender's knowledge of an operation; the reservation stays until a later report.
+func (l *Ledger) Settle(id deck.OperationID, r deck.OperationResult, now time.Time) {
+	res, ok := l.outstanding[id]
+	if !ok || r.Outcome == deck.OutcomeUnknown {
+		return
+	}
+	res.endedAt = now
+	l.outstanding[id] = res
+}
+
+// Committed returns the memory that is or may come into use, the larger of the report's and the ledger's count.
+func (l *Ledger) Committed() deck.Bytes {
+	return max(l.settled(), l.unexplained()) + l.reserved()
+}
+
+// Free returns the memory that new operations may reserve; it is negative after an overcommit.
+func (l *Ledger) Free() deck.Bytes {
+	return l.capacity - l.Committed()
+}
+
+// Busy reports whether an operation on the item is outstanding; the zero Item stands for role changes.
+func (l *Ledger) Busy(it Item) bool {
+	for _, r := range l.outstanding {
+		if r.op.Kind != deck.OpFence && ItemOf(r.op) == it {
+			return true
+		}
+	}
+	return false
+}
+
+// Loading reports whether a load of the item is outstanding.
+func (l *Ledger) Loading(it Item) bool {
+	for _, r := range l.outstanding {
+		if isLoad(r.op.Kind) && ItemOf(r.op) == it {
+			return true
+		}
+	}
+	return false
+}
+
+// Unloading reports whether an unload of the item is outstanding.
+func (l *Ledger) Unloading(it Item) bool {
+	return l.Busy(it) && !l.Loading(it)
+}
+
+// Outstanding returns the number of operations whose effect on memory is not settled.
+func (l *Ledger) Outstanding() int {
+	return len(l.outstanding)
+}
+
+// Holds reports whether the item is counted as resident, and whether the last report showed it ready.
+func (l *Ledger) Holds(it Item) (held, ready bool) {
+	e, ok := l.items[it]
+	return ok, ok && e.ready && e.missingAt.IsZero()
+}
+
+// ReadyAt returns the request time of the report that first showed the item ready.
+func (l *Ledger) ReadyAt(it Item) time.Time {
+	return l.items[it].readyAt
+}
+
+// Items returns the items counted as resident, ordered by name.
+func (l *Ledger) Items() []Item {
+	return slices.SortedFunc(maps.Keys(l.items), compareItems)
+}
+
+// LoadingItems returns the items with an outstanding load, ordered by name.
+func (l *Ledger) LoadingItems() []Item {
+	var out []Item
+	for _, r := range l.outstanding {
+		if isLoad(r.op.Kind) {
+			out = append(out, ItemOf(r.op))
+		}
+	}
+	slices.SortFunc(out, compareItems)
+	return out
+}
+
+// Report returns the last accepted report and the time of its request; ok is false if there is none.
+func (l *Ledger) Report() (r deck.EngineReport, requestedAt time.Time, ok bool) {
+	return l.report, l.requestedAt, !l.requestedAt.IsZero()
+}
+
+func (l *Ledger) settled() deck.Bytes {
+	var sum deck.Bytes
+	for _, e := range l.items {
+		sum += e.bytes
+	}
+	return sum
+}
+
+func (l *Ledger) reserved() deck.Bytes {
+	var sum deck.Bytes
+	for _, r := range l.outstanding {
+		sum += needOf(r.op)
+	}
+	return sum
+}
+
+// unexplained returns the reported memory without the part that outstanding loads already show.
+func (l *Ledger) unexplained() deck.Bytes {
+	used := l.report.UsedBytes
+	shown := reported(l.report)
+	for _, r := range l.outstanding {
+		m, ok := shown[ItemOf(r.op)]
+		if !ok || !isLoad(r.op.Kind) {
+			continue
+		}
+		if m.Ready || r.op.Kind == deck.OpLoadAdapter {
+			used -= r.op.ResidentBytes
+		} else {
+			used -= min(m.Bytes, needOf(r.op))
+		}
+	}
+	return used
+}
+
+// repeatable reports whether a repeated message could still load the item at an engine that restarts.
+func (l *Ledger) repeatable(it Item, now time.Time) bool {
+	for _, r := range l.recent {
+		if ItemOf(r.op) == it && now.Before(r.sentAt.Add(OperationLifetime)) {
+			return true
+		}
+	}
+	return false
+}
+
+func isLoad(k deck.OperationKind) bool {
+	return k == deck.OpLoadModel || k == deck.OpLoadAdapter
+}
+
+func needOf(op deck.Operation) deck.Bytes {
+	if !isLoad(op.Kind) {
+		return 0
+	}
+	return op.ResidentBytes + op.TransientBytes
+}
--- /dev/null
+++ b/internal/place/memory/observe.go
@@ -0,0 +1,152 @@
+package memory
+
+import (
+	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// Observe counts a report that was requested at the given time; it returns false for one older than the last.
+func (l *Ledger) Observe(r deck.EngineReport, requestedAt time.Time, size Sizer) bool {
+	if requestedAt.Before(l.requestedAt) {
+		return false
+	}
+	restarted := l.report.BootID != "" && r.BootID != l.report.BootID
+	if restarted {
+		clear(l.items)
+		l.restore(requestedAt)
+	}
+	l.report, l.requestedAt = r, requestedAt
+	shown := reported(r)
+	l.release(shown, requestedAt)
+	l.adopt(shown, requestedAt, size)
+	l.forget(shown, requestedAt)
+	l.ready = l.fenced(r, requestedAt)
+	return true
+}
+
+// restore makes recent loads outstanding again: a restarted engine has forgotten their IDs and would run a repeated
+// message.
+func (l *Ledger) restore(requestedAt time.Time) {
+	for id, r := range l.recent {
+		if requestedAt.Before(r.sentAt.Add(OperationLifetime)) {
+			r.endedAt = time.Time{}
+			l.outstanding[id] = r
+		}
+	}
+	clear(l.recent)
+}
+
+// fenced reports whether operations of earlier holders can no longer take effect. Engines that ignore tokens may still
+// run an operation one lifetime after the old lease ended, so only a report requested after that time shows the truth.
+func (l *Ledger) fenced(r deck.EngineReport, requestedAt time.Time) bool {
+	if l.checksToken {
+		return r.FencingToken >= l.token
+	}
+	return !requestedAt.Before(l.takenOver.Add(OperationLifetime))
+}
+
+// release drops the reservations of operations whose effect the report shows.
+func (l *Ledger) release(shown map[Item]deck.ResidentModel, requestedAt time.Time) {
+	for id, r := range l.outstanding {
+		if !r.over(requestedAt) {
+			l.noteEnd(id, r, shown, requestedAt)
+			continue
+		}
+		m, present := shown[ItemOf(r.op)]
+		running := isLoad(r.op.Kind) && present && !m.Ready
+		if running {
+			continue
+		}
+		delete(l.outstanding, id)
+		l.remember(id, r, requestedAt)
+		if !isLoad(r.op.Kind) && !present {
+			delete(l.items, ItemOf(r.op))
+		}
+	}
+}
+
+// remember keeps a settled load until its message can no longer be repeated.
+func (l *Ledger) remember(id deck.OperationID, r reservation, requestedAt time.Time) {
+	for old, o := range l.recent {
+		if !requestedAt.Before(o.sentAt.Add(OperationLifetime)) {
+			delete(l.recent, old)
+		}
+	}
+	if isLoad(r.op.Kind) && requestedAt.Before(r.sentAt.Add(OperationLifetime)) {
+		l.recent[id] = r
+	}
+}
+
+// over reports whether the operation could no longer start when a report was requested.
+func (r reservation) over(requestedAt time.Time) bool {
+	ended := !r.endedAt.IsZero() && requestedAt.After(r.endedAt)
+	expired := !requestedAt.Before(r.sentAt.Add(OperationLifetime))
+	return ended || expired
+}
+
+// noteEnd takes the end of a load from a report that shows the item ready; only a later report releases it.
+func (l *Ledger) noteEnd(id deck.OperationID, r reservation, shown map[Item]deck.ResidentModel, requestedAt time.Time) {
+	m, ok := shown[ItemOf(r.op)]
+	if !ok || !m.Ready || !isLoad(r.op.Kind) || !r.endedAt.IsZero() {
+		return
+	}
+	r.endedAt = requestedAt
+	l.outstanding[id] = r
+}
+
+func (l *Ledger) adopt(shown map[Item]deck.ResidentModel, requestedAt time.Time, size Sizer) {
+	for it, m := range shown {
+		if l.Loading(it) {
+			continue // counted by its reservation
+		}
+		e := l.items[it]
+		e.bytes = max(e.bytes, m.Bytes, size(it))
+		e.ready = m.Ready
+		e.missingAt = time.Time{}
+		if m.Ready && e.readyAt.IsZero() {
+			e.readyAt = requestedAt
+		}
+		l.items[it] = e
+	}
+}
+
+// forget drops items that the engine no longer reports. They stay counted for one lifetime after they went missing,
+// because the larger of report and ledger counts.
+func (l *Ledger) forget(shown map[Item]deck.ResidentModel, requestedAt time.Time) {
+	for it, e := range l.items {
+		if _, ok := shown[it]; ok {
+			continue
+		}
+		if e.missingAt.IsZero() {
+			e.missingAt = requestedAt
+			l.items[it] = e
+			continue
+		}
+		if !requestedAt.Before(e.missingAt.Add(OperationLifetime)) && !l.Busy(it) {
+			delete(l.items, it)
+		}
+	}
+}
+
+// A Disagreement tells how an engine's last report differs from its ledger.
+type Disagreement struct {
+	ReportBytes deck.Bytes
+	LedgerBytes deck.Bytes // items and reservations, without regard to the report
+	Missing     []Item     // counted as resident, but not reported
+}
+
+// Disagreement returns the difference between report and ledger; ok is false if there is none.
+func (l *Ledger) Disagreement() (d Disagreement, ok bool) {
+	if l.requestedAt.IsZero() {
+		return d, false
+	}
+	d.ReportBytes = l.report.UsedBytes
+	d.LedgerBytes = l.settled() + l.reserved()
+	for it, e := range l.items {
+		if !e.missingAt.IsZero() && !l.Busy(it) {
+			d.Missing = append(d.Missing, it)
+		}
+	}
+	return d, d.ReportBytes > d.LedgerBytes || len(d.Missing) > 0
+}
--- /dev/null
+++ b/internal/place/plan/doc.go
@@ -0,0 +1,2 @@
+// Package plan decides which data centres and engines hold each model; its functions are pure.
+package plan
--- /dev/null
+++ b/internal/place/plan/rendezvous.go
@@ -0,0 +1,42 @@
+package plan
+
+import (
+	"math/bits"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// fractionBits is the precision of log2 in the rendezvous score. The arithmetic is on integers so that replicas on
+// different processors agree.
+const fractionBits = 16
+
+// distance returns -log2(hash)/weight, scaled; the data centre with the smallest distance is preferred. For a uniform
+// hash the winner is drawn in proportion to the weights.
+func distance(m deck.ModelName, dc deck.DataCentre, weight uint64) uint64 {
+	if weight == 0 {
+		return ^uint64(0)
+	}
+	h := xxhash.Sum64String(string(dc) + "\x00" + string(m))
+	return (negLog2(h) << 40) / weight
+}
+
+// negLog2 returns -log2((h+1)/2^64) with fractionBits fractional bits, at most 64 << fractionBits.
+func negLog2(h uint64) uint64 {
+	h = max(h, 1)
+	whole := uint64(bits.Len64(h) - 1)
+	x := h << (63 - whole) // mantissa in [2^63, 2^64)
+	var frac uint64
+	for range fractionBits {
+		hi, _ := bits.Mul64(x, x) // square of a mantissa in [1,2) is in [1,4)
+		frac <<= 1
+		if hi>>63 != 0 {
+			frac |= 1
+			x = hi
+		} else {
+			x = hi << 1
+		}
+	}
+	return 64<<fractionBits - (whole<<fractionBits | frac)
+}
--- /dev/null
+++ b/internal/wire/residency/doc.go
@@ -0,0 +1,2 @@
+// Package residency maps residency tables between the domain type and JSON.
+package residency
