Start assembling a VM's process from its services

The parts built so far find each other through the kernel. The state in force is kept on disk where a VM has one, and a data centre's residency is published to all control replicas, since other data centres poll those.

--- a/internal/command/cli/serve.go
+++ b/internal/command/cli/serve.go
@@ -4,6 +4,9 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/cockroachdb/errors"
 
+	"github.com/geraniumdeck/geraniumdeck/internal/command/process"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/report/telemetry"
 	settings "github.com/geraniumdeck/geraniumdeck/internal/settings/yaml"
 )
 
@@ -26,6 +29,19 @@
 	if err != nil {
 		return exit(ExitUsage, err)
 	}
-	_ = s
-	return exit(ExitFailed, errors.Newf("VM %q: not wired", name))
+	vm, ok := s.VM(deck.VMName(name))
+	if !ok {
+		return exit(ExitUsage, errors.Newf("%s: no VM %q is listed under vms", c.settingsFile, name))
+	}
+	log := telemetry.NewLogger(c.stderr, vm.Name)
+	p, err := process.New(s, vm, log)
+	if err != nil {
+		return exit(ExitFailed, err)
+	}
+	log.Info("started", "data-centre", string(vm.DataCentre))
+	stop, kill, release := signals(s.Limits.DrainTimeout)
+	defer release()
+	err = p.Run(stop, kill)
+	log.Info("stopped")
+	return exit(ExitFailed, err)
 }
--- /dev/null
+++ b/internal/command/process/control.go
@@ -0,0 +1,75 @@
+package process
+
+import (
+	"net/http"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/api/peer"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/place/plan"
+	settings "github.com/geraniumdeck/geraniumdeck/internal/settings/yaml"
+	"github.com/geraniumdeck/geraniumdeck/internal/state/disk"
+	"github.com/geraniumdeck/geraniumdeck/internal/state/feed"
+	"github.com/geraniumdeck/geraniumdeck/internal/state/machine"
+	"github.com/geraniumdeck/geraniumdeck/internal/state/replica"
+)
+
+// A control holds the parts of a control replica.
+type control struct {
+	machine *machine.Machine
+	node    *replica.Node
+}
+
+// newControl opens the data folder and builds the replica on it.
+func newControl(p *parts) (*control, error) {
+	files, err := disk.OpenOSFiles(filepath.Join(p.vm.DataFolder, "log"))
+	if err != nil {
+		return nil, errors.Wrap(err, "data folder")
+	}
+	store, err := disk.Open(disk.Options{Files: files, Deployment: p.settings.Deployment, VM: p.vm.Name})
+	if err != nil {
+		return nil, errors.Wrap(err, "data folder")
+	}
+	m := machine.New(plan.Feasible, feed.Recorder{Store: p.store})
+	node, err := replica.NewNode(replica.Options{
+		Config:    replica.Config{Deployment: p.settings.Deployment, Founders: founders(p.settings), Rand: newSource()},
+		Storage:   store,
+		Transport: &peer.ReplicaClient{Address: p.address, Client: p.client},
+		Machine:   m,
+		Clock:     p.clock,
+		Log:       p.log,
+	})
+	if err != nil {
+		return nil, errors.CombineErrors(err, store.Close())
+	}
+	return &control{machine: m, node: node}, nil
+}
+
+// register adds the replica's handlers to the peers' listener.
+func (c *control) register(mux *http.ServeMux, p *parts) {
+	peer.RegisterReplica(mux, c.node)
+	peer.RegisterPropose(mux, c.proposer(p))
+	peer.RegisterTicketStatus(mux, c.tickets(p))
+}
+
+func (c *control) proposer(p *parts) machine.Proposer {
+	return machine.Proposer{Self: p.vm.Name, Log: c.node, Clock: p.clock}
+}
+
+func (c *control) tickets(p *parts) feed.TicketReader {
+	return feed.TicketReader{Self: p.vm.Name, Log: c.node, Machine: c.machine, Store: p.store, Peers: p.peers}
+}
+
+func (c *control) leader() deck.VMName {
+	return c.node.Status().Leader.VM
+}
+
+func founders(s settings.Settings) []deck.VMName {
+	var out []deck.VMName
+	for _, v := range s.ControlVMs() {
+		out = append(out, v.Name)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/command/process/process.go
@@ -0,0 +1,83 @@
+package process
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"math/rand/v2"
+	"net/http"
+
+	"github.com/go-logr/logr"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/kernel"
+	settings "github.com/geraniumdeck/geraniumdeck/internal/settings/yaml"
+	"github.com/geraniumdeck/geraniumdeck/internal/state/feed"
+)
+
+// A Process is one VM's process.
+type Process struct {
+	kernel kernel.Kernel
+}
+
+// parts is what the assembly steps share.
+type parts struct {
+	settings settings.Settings
+	vm       settings.VM
+	self     deck.Peer
+	peers    []deck.Peer
+	clock    deck.Clock
+	log      logr.Logger
+	client   *http.Client // to other VMs
+	store    *feed.Store
+	control  *control // nil without the role
+	kernel   *kernel.Kernel
+	peerMux  *http.ServeMux
+}
+
+// New assembles the process of a VM; its listeners are bound when New returns.
+func New(s settings.Settings, vm settings.VM, log logr.Logger) (*Process, error) {
+	p := &Process{kernel: kernel.Kernel{Log: log}}
+	b := &parts{
+		settings: s, vm: vm, self: newPeer(vm), peers: newPeers(s), clock: deck.SystemClock{}, log: log,
+		client: newPeerClient(), kernel: &p.kernel, peerMux: http.NewServeMux(),
+	}
+	for _, step := range []func(*parts) error{
+		addMetrics, addState, addLease, addPlacement, addServing, addSystem, addListeners,
+	} {
+		if err := step(b); err != nil {
+			return nil, err
+		}
+	}
+	return p, nil
+}
+
+// Run works until stop ends and then drains; the end of kill stops it at once.
+func (p *Process) Run(stop, kill context.Context) error {
+	return p.kernel.Run(stop, kill)
+}
+
+// newPeerClient returns the client for the system's own messages, with few idle connections for each VM.
+func newPeerClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 4,
+		IdleConnTimeout:     idleTimeout / 2, // below the server's, so that a request rarely meets a closing connection
+	}}
+}
+
+// newSource returns a random source with a seed of its own for each process.
+func newSource() rand.Source {
+	var seed [16]byte
+	_, _ = crand.Read(seed[:]) // never fails
+	return rand.NewPCG(binary.LittleEndian.Uint64(seed[:8]), binary.LittleEndian.Uint64(seed[8:]))
+}
+
+// address returns the address of a VM's peers' listener.
+func (p *parts) address(vm deck.VMName) (string, bool) {
+	for _, q := range p.peers {
+		if q.Name == vm {
+			return q.Address, true
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/internal/command/process/serving.go
@@ -0,0 +1,52 @@
+package process
+
+import (
+	"math/rand/v2"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/api/caller"
+	"github.com/geraniumdeck/geraniumdeck/internal/backend/service"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/kernel"
+	"github.com/geraniumdeck/geraniumdeck/internal/route/health"
+	"github.com/geraniumdeck/geraniumdeck/internal/route/router"
+	settings "github.com/geraniumdeck/geraniumdeck/internal/settings/yaml"
+	"github.com/geraniumdeck/geraniumdeck/internal/state/machine"
+)
+
+// addServing builds the router and the callers' handler on an entry VM.
+func addServing(p *parts) error {
+	if !p.vm.Has(settings.RoleEntry) {
+		return nil
+	}
+	commands, err := kernel.Find[*machine.Client](p.kernel, nameCommands)
+	if err != nil {
+		return err
+	}
+	res, err := kernel.Find[*residency](p.kernel, nameResidency)
+	if err != nil {
+		return err
+	}
+	eng, err := kernel.Find[*engines](p.kernel, nameEngines)
+	if err != nil {
+		return err
+	}
+	served, err := kernel.Find[deck.ServedRecorder](p.kernel, nameServed)
+	if err != nil {
+		return err
+	}
+	r := router.New(router.Config{
+		DataCentre: p.vm.DataCentre, Regions: regions(p.settings), Clock: p.clock, Rand: rand.New(newSource()),
+		State: p.store, Residency: res, Poison: commands, Health: health.DefaultPolicy(),
+	})
+	h := &caller.Handler{
+		Router: r, Engine: eng.Engine, State: p.store, Services: service.New(), Idempotency: commands,
+		Poison: commands, Clock: p.clock, VM: p.vm.Name, DataCentre: p.vm.DataCentre,
+		MaxStreams: p.settings.Limits.MaxStreams, Served: served,
+	}
+	return errors.Join(
+		p.kernel.Add(nameRouter, newRunner(r.Run)),
+		p.kernel.Add(nameCallers, h),
+	)
+}
--- a/internal/state/feed/publisher.go
+++ b/internal/state/feed/publisher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
@@ -15,10 +16,18 @@
 
 // A Publisher brings a payload of a data centre to the VMs that the data centre's other VMs poll.
 type Publisher struct {
-	cfg  ClientConfig
-	wake chan struct{}
-	done chan struct{}
-	name string
+	cfg    ClientConfig
+	wake   chan struct{}
+	done   chan struct{}
+	name   string
+	global bool
+}
+
+// NewGlobalPublisher returns a publisher of a payload that the VMs of all data centres receive.
+func NewGlobalPublisher(cfg ClientConfig, name string) *Publisher {
+	p := NewPublisher(cfg, name)
+	p.global = true
+	return p
 }
 
 // NewPublisher returns a publisher of the payload with the given name; Run does its work.
@@ -28,7 +37,11 @@
 
 // Publish puts a new value in force here and has it sent to the roots. An older version than the one held is dropped.
 func (p *Publisher) Publish(v PayloadVersion, data []byte) bool {
-	ok := p.cfg.Store.Publish(Payload{Name: p.name, DataCentre: p.cfg.Self.DataCentre, Version: v, Data: data})
+	payload := Payload{Name: p.name, DataCentre: p.cfg.Self.DataCentre, Version: v, Data: data}
+	if p.global {
+		payload.DataCentre = ""
+	}
+	ok := p.cfg.Store.Publish(payload)
 	select {
 	case p.wake <- struct{}{}:
 	default:
@@ -64,11 +77,27 @@
 	if !ok {
 		return
 	}
-	for _, root := range Roots(p.cfg.Self, p.cfg.Peers) {
+	for _, root := range p.roots() {
 		p.send(ctx, root, payload)
 	}
 }
 
+// roots returns the VMs that get the payload directly. Other data centres poll the control replicas, which do not poll
+// back, so a global payload is brought to all of them.
+func (p *Publisher) roots() []deck.Peer {
+	out := Roots(p.cfg.Self, p.cfg.Peers)
+	if !p.global {
+		return out
+	}
+	for _, q := range p.cfg.Peers {
+		listed := slices.ContainsFunc(out, func(r deck.Peer) bool { return r.Name == q.Name })
+		if q.Control && q.Name != p.cfg.Self.Name && !listed {
+			out = append(out, q)
+		}
+	}
+	return out
+}
+
 func (p *Publisher) send(ctx context.Context, root deck.Peer, payload Payload) {
 	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
 	defer cancel()
