Add the placement lease and stateful fuzz tests

Cause: operations on engines need one holder in each data centre, and the machine and feed had no test against faults.

An acquisition takes two rounds: the second one records the chosen fencing token at a majority. One round alone was ruled out: a voter that proposed a lower token than the chosen one could give the next holder a token that is not above it when wall clocks lag. An expired lease is acquired anew, never renewed.

--- /dev/null
+++ b/internal/state/feed/fuzz_test.go
@@ -0,0 +1,230 @@
+package feed
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/test/decktest"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/ticket"
+)
+
+// A simClock is a VM's clock, which runs at its own rate from its own start.
+type simClock struct {
+	s      *feedSim
+	offset time.Duration
+	rate   float64
+}
+
+var simEpoch = time.Unix(1_000_000, 0)
+
+func (c simClock) Now() time.Time {
+	return simEpoch.Add(c.offset + time.Duration(float64(c.s.now)*c.rate))
+}
+
+// trueTime returns the true time at which the clock shows t.
+func (c simClock) trueTime(t time.Time) time.Duration {
+	return time.Duration(float64(t.Sub(simEpoch)-c.offset) / c.rate)
+}
+
+// A memorySaver is a disk that survives restarts.
+type memorySaver struct {
+	saved deck.State
+	known bool
+}
+
+func (m *memorySaver) Save(s deck.State) error {
+	m.saved, m.known = s, true
+	return nil
+}
+
+type feedVM struct {
+	name     deck.VMName
+	clock    simClock
+	disk     *memorySaver // nil without a data folder
+	store    *Store
+	life     int
+	applied  int // entries applied, on a control replica
+	control  bool
+	floor    uint64 // version below which this life must not fall
+	everHeld uint64 // highest version in any life
+}
+
+// A flight is an answer on its way back to the VM that polled.
+type flight struct {
+	to, life int
+	sent     time.Time
+	answer   Answer
+}
+
+type commit struct {
+	at    time.Duration
+	state deck.State
+	delta Delta
+}
+
+type feedSim struct {
+	now     time.Duration
+	vms     []*feedVM // two control replicas, then relays and others
+	log     []commit
+	flights []flight
+}
+
+func newFeedSim(t *rapid.T) *feedSim {
+	s := &feedSim{}
+	for i := range 5 {
+		v := &feedVM{
+			name: deck.VMName(fmt.Sprint("vm", i)), control: i < 2,
+			clock: simClock{s, time.Duration(i) * time.Hour, 1 + rapid.Float64Range(-0.0048, 0.0048).Draw(t, "rate")},
+		}
+		if i%2 == 1 {
+			v.disk = &memorySaver{}
+		}
+		s.vms = append(s.vms, v)
+		s.restart(i)
+	}
+	return s
+}
+
+// restart gives a VM a new process, which knows only what is on its disk.
+func (s *feedSim) restart(i int) {
+	v := s.vms[i]
+	v.life++
+	v.applied, v.floor = 0, 0
+	if v.disk == nil {
+		v.store = NewStore(v.name, v.clock, nil, deck.State{}, false)
+		return
+	}
+	v.floor = v.everHeld
+	v.store = NewStore(v.name, v.clock, v.disk, v.disk.saved, v.disk.known)
+}
+
+// commit accepts the next ticket; version numbers have gaps, as other commands lie between tickets.
+func (s *feedSim) commit() {
+	previous := deck.State{}
+	if len(s.log) > 0 {
+		previous = s.log[len(s.log)-1].state
+	}
+	n := uint64(len(s.log) + 1)
+	x := deck.Ticket{Number: n, Models: []deck.Model{decktest.Model(fmt.Sprint("m", n%3), deck.Bytes(n))}}
+	next := previous.WithTicket(x, 3*n)
+	s.log = append(s.log, commit{s.now, next, Delta{previous.Version(), 3 * n, x}})
+}
+
+// apply lets a control replica apply some of the log, and prove its state if it has all of it.
+func (s *feedSim) apply(t *rapid.T, v *feedVM) {
+	upTo := rapid.IntRange(v.applied, len(s.log)).Draw(t, "applied")
+	for ; v.applied < upTo; v.applied++ {
+		c := s.log[v.applied]
+		Recorder{Store: v.store}.Accepted(c.delta.Previous, c.delta.Ticket, c.state)
+	}
+	if v.applied == len(s.log) {
+		v.store.Prove(v.clock.Now(), 0)
+	}
+}
+
+// poll sends a poll and lets the source answer it; the answer arrives later, twice or never.
+func (s *feedSim) poll(t *rapid.T, i int) {
+	v, source := s.vms[i], s.vms[rapid.IntRange(0, len(s.vms)-1).Draw(t, "source")]
+	if source == v {
+		return
+	}
+	sent := v.clock.Now()
+	r := Request{VM: v.name, After: v.store.State().Version(), Confirmed: v.store.Confirmations()}
+	s.now += time.Duration(rapid.IntRange(0, 300).Draw(t, "path ms")) * time.Millisecond
+	start := source.clock.Now()
+	source.store.confirm(start, r)
+	s.now += time.Duration(rapid.IntRange(0, 2000).Draw(t, "held ms")) * time.Millisecond
+	if rapid.IntRange(0, 2).Draw(t, "commits") == 0 {
+		s.commit()
+	}
+	a, _ := source.store.answer(start, r)
+	for range rapid.IntRange(0, 2).Draw(t, "copies") {
+		s.flights = append(s.flights, flight{i, v.life, sent, a})
+	}
+}
+
+func (s *feedSim) deliver(t *rapid.T) {
+	if len(s.flights) == 0 {
+		return
+	}
+	k := rapid.IntRange(0, len(s.flights)-1).Draw(t, "flight")
+	f := s.flights[k]
+	s.flights = append(s.flights[:k:k], s.flights[k+1:]...)
+	if v := s.vms[f.to]; v.life == f.life {
+		v.store.Take(f.sent, f.answer)
+	}
+}
+
+// check compares every VM with the log.
+func (s *feedSim) check(t *rapid.T) {
+	for _, v := range s.vms {
+		state := v.store.State()
+		if state.Version() < v.floor {
+			t.Fatalf("%s went from version %d back to %d", v.name, v.floor, state.Version())
+		}
+		v.floor, v.everHeld = state.Version(), max(v.everHeld, state.Version())
+		if n := state.Version() / 3; n > 0 {
+			if want := s.log[n-1].state; string(ticket.EncodeState(state)) != string(ticket.EncodeState(want)) {
+				t.Fatalf("%s has a wrong state at version %d", v.name, state.Version())
+			}
+		}
+		s.checkProof(t, v)
+	}
+	s.checkConfirmations(t)
+}
+
+// checkProof fails if a ticket was committed before the time of the proof and is not in force.
+func (s *feedSim) checkProof(t *rapid.T, v *feedVM) {
+	age, ok := v.store.ProofAge()
+	if !ok {
+		return
+	}
+	proven := v.clock.trueTime(v.clock.Now().Add(-age))
+	for _, c := range s.log {
+		if c.at < proven-time.Microsecond && v.store.State().Version() < c.state.Version() {
+			t.Fatalf("%s proves %s, but lacks version %d of %s", v.name, proven, c.state.Version(), c.at)
+		}
+	}
+}
+
+func (s *feedSim) checkConfirmations(t *rapid.T) {
+	for _, v := range s.vms {
+		for _, o := range s.vms {
+			spread := v.store.Spread([]deck.VMName{o.name}, o.everHeld+1)
+			if len(spread.Confirmed) > 0 {
+				t.Fatalf("%s says that %s confirmed %d", v.name, o.name, o.everHeld+1)
+			}
+		}
+	}
+}
+
+// Guards against a state that goes back or differs from the log, a proof that is younger than the state, and a confirmation
+// of a version that was never in force.
+func TestFuzzFeed(t *testing.T) {
+	decktest.Check(t, func(t *rapid.T) {
+		s := newFeedSim(t)
+		for range rapid.IntRange(10, 80).Draw(t, "steps") {
+			who := rapid.IntRange(0, len(s.vms)-1).Draw(t, "vm")
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0, 1:
+				s.now += time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond
+				s.commit()
+			case 2, 3:
+				s.apply(t, s.vms[who%2])
+			case 4, 5, 6:
+				s.poll(t, who)
+			case 7, 8:
+				s.deliver(t)
+			case 9:
+				if rapid.Bool().Draw(t, "restart") {
+					s.restart(who)
+				}
+			}
+			s.check(t)
+		}
+	})
+}
--- /dev/null
+++ b/internal/state/lease/fuzz_test.go
@@ -0,0 +1,197 @@
+package lease
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/test/decktest"
+)
+
+// A node is a VM with a voter, a holder and clocks of its own.
+type node struct {
+	name     deck.VMName
+	voter    *Voter
+	holder   *Holder
+	offset   time.Duration // of the monotonic clock
+	rate     float64       // of the monotonic clock; rates differ by less than 1%
+	skew     time.Duration // of the wall clock; differences stay below the lease duration
+	restarts int
+}
+
+// A message is a request on its way to a voter or a response on its way back.
+type message struct {
+	voter, holder int
+	instance      string // of the holder process
+	request       Request
+	response      *Response
+}
+
+type sim struct {
+	now      time.Duration // true time
+	nodes    []*node
+	messages []message
+	tokens   map[Claimant]uint64 // highest token seen in use
+	held     int                 // times at which a holder was seen
+}
+
+var epoch = time.Unix(1_000_000, 0)
+
+func newSim(t *rapid.T) *sim {
+	s := &sim{tokens: make(map[Claimant]uint64)}
+	for i := range rapid.IntRange(3, 4).Draw(t, "voters") {
+		n := &node{
+			name: deck.VMName(fmt.Sprint("vm", i)), offset: time.Duration(i) * time.Hour,
+			rate: 1 + rapid.Float64Range(-0.0048, 0.0048).Draw(t, "rate"),
+			skew: time.Duration(rapid.IntRange(-1400, 1400).Draw(t, "skew")) * time.Millisecond,
+		}
+		s.nodes = append(s.nodes, n)
+	}
+	for i := range s.nodes {
+		s.restart(i)
+	}
+	return s
+}
+
+func (s *sim) local(n *node) time.Time {
+	return epoch.Add(n.offset + time.Duration(float64(s.now)*n.rate))
+}
+
+// restart replaces the process of a VM; the voter and the holder lose their memory.
+func (s *sim) restart(i int) {
+	n := s.nodes[i]
+	n.restarts++
+	n.voter = NewVoter(s.local(n), Duration)
+	var names []deck.VMName
+	for _, o := range s.nodes {
+		names = append(names, o.name)
+	}
+	n.holder = NewHolder("dc", n.name, fmt.Sprint(n.name, "-", n.restarts), names, Duration, DriftBound)
+}
+
+// act lets a VM send its next request: a renewal if it may, otherwise an acquisition.
+func (s *sim) act(t *rapid.T, i int) {
+	n := s.nodes[i]
+	now := s.local(n)
+	if _, held := n.holder.Held(now); held && rapid.IntRange(0, 3).Draw(t, "engine") == 0 {
+		n.holder.RaiseTo(n.holder.token + uint64(rapid.IntRange(0, 2).Draw(t, "ahead")))
+	}
+	r, ok := n.holder.Confirm(now)
+	if !ok {
+		r = n.holder.Acquire(now)
+	}
+	s.send(i, r)
+}
+
+func (s *sim) release(t *rapid.T, i int) {
+	n := s.nodes[i]
+	successor := rapid.SampledFrom([]deck.VMName{"", "vm0", "vm1"}).Draw(t, "successor")
+	s.send(i, n.holder.Release(s.local(n), successor))
+}
+
+func (s *sim) send(i int, r Request) {
+	for v := range s.nodes {
+		s.messages = append(s.messages, message{voter: v, holder: i, instance: r.Claimant.Instance, request: r})
+	}
+}
+
+// deliver hands over one message; a copy of it may stay on its way.
+func (s *sim) deliver(t *rapid.T, k int) {
+	m := s.messages[k]
+	if rapid.IntRange(0, 19).Draw(t, "repeated") > 0 {
+		s.messages = append(s.messages[:k:k], s.messages[k+1:]...)
+	}
+	if m.response != nil {
+		if h := s.nodes[m.holder].holder; h.claimant.Instance == m.instance {
+			h.Answer(s.nodes[m.voter].name, m.request, *m.response)
+		}
+		return
+	}
+	n := s.nodes[m.voter]
+	m.response = new(Response)
+	*m.response = n.voter.Handle(s.local(n), epoch.Add(s.now+n.skew), m.request)
+	s.messages = append(s.messages, m)
+}
+
+// check fails if two VMs hold the lease at once, or a token is not above those of all earlier holders.
+func (s *sim) check(t *rapid.T) {
+	holders := 0
+	for _, n := range s.nodes {
+		l, held := n.holder.Held(s.local(n))
+		if !held {
+			continue
+		}
+		holders++
+		s.held++
+		for c, token := range s.tokens {
+			if c != n.holder.claimant && token >= l.FencingToken {
+				t.Fatalf("token %d of %+v is not above %d of %+v", l.FencingToken, n.holder.claimant, token, c)
+			}
+		}
+		s.tokens[n.holder.claimant] = max(s.tokens[n.holder.claimant], l.FencingToken)
+	}
+	if holders > 1 {
+		t.Fatalf("%d holders at %s", holders, s.now)
+	}
+}
+
+func (s *sim) step(t *rapid.T) {
+	who := rapid.IntRange(0, len(s.nodes)-1).Draw(t, "vm")
+	switch rapid.IntRange(0, 15).Draw(t, "step") {
+	case 0, 1:
+		s.now += time.Duration(rapid.IntRange(1, 1000).Draw(t, "ms")) * time.Millisecond
+	case 2:
+		s.now += time.Duration(rapid.IntRange(2800, 3100).Draw(t, "ms")) * time.Millisecond
+	case 3, 4:
+		s.act(t, who)
+	case 5:
+		s.release(t, who)
+	case 6, 7:
+		s.restart(who)
+	case 8:
+		if len(s.messages) > 0 {
+			s.messages = s.messages[rapid.IntRange(0, len(s.messages)).Draw(t, "lost"):]
+		}
+	case 9, 10:
+		if len(s.messages) > 0 {
+			s.deliver(t, rapid.IntRange(0, len(s.messages)-1).Draw(t, "message"))
+		}
+	default:
+		s.exchange(t, who)
+	}
+}
+
+// exchange lets a VM acquire or renew with most messages arriving in order.
+func (s *sim) exchange(t *rapid.T, who int) {
+	for range 2 {
+		first := len(s.messages)
+		s.act(t, who)
+		for range 2 * len(s.nodes) {
+			if first < len(s.messages) && rapid.IntRange(0, 7).Draw(t, "arrives") > 0 {
+				s.deliver(t, first)
+			}
+		}
+		s.check(t)
+	}
+}
+
+// Guards against two holders at once and fencing tokens that do not grow, with messages that are lost, late, repeated and
+// out of order, restarted voters, frozen holders, drifting clocks and skewed wall clocks.
+func TestFuzzLease(t *testing.T) {
+	held := 0
+	decktest.Check(t, func(t *rapid.T) {
+		s := newSim(t)
+		for range rapid.IntRange(20, 150).Draw(t, "steps") {
+			s.step(t)
+			s.check(t)
+		}
+		held += s.held
+	})
+	if held == 0 {
+		t.Error("no run acquired the lease")
+	}
+	t.Logf("a holder was seen at %d steps", held)
+}
--- /dev/null
+++ b/internal/state/lease/holder.go
@@ -0,0 +1,142 @@
+package lease
+
+import (
+	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// A phase is the stage of an acquisition.
+type phase int
+
+const (
+	phaseIdle phase = iota
+	phaseAcquire
+	phaseConfirm // a token is chosen; also while the lease is held
+)
+
+// A Holder is a candidate for, or the holder of, the placement lease. Times are by its own monotonic clock.
+type Holder struct {
+	dc       deck.DataCentre
+	claimant Claimant
+	duration time.Duration
+	drift    float64
+	voters   []deck.VMName
+
+	phase    phase
+	round    uint64
+	sent     time.Time // when the current round was sent
+	acquired time.Time // when the current acquisition was started
+	votes    map[deck.VMName]bool
+	refusals map[deck.VMName]bool
+	proposed uint64 // highest proposal of the current acquisition
+	previous uint64 // highest token confirmed before the current acquisition
+	token    uint64 // of the confirmation in progress
+	asked    uint64 // token of the round that was sent last
+	lease    deck.PlacementLease
+}
+
+// NewHolder returns a candidate that is idle.
+func NewHolder(
+	dc deck.DataCentre, self deck.VMName, instance string, voters []deck.VMName, duration time.Duration, drift float64,
+) *Holder {
+	return &Holder{
+		dc: dc, claimant: Claimant{VM: self, Instance: instance}, duration: duration, drift: drift, voters: voters,
+	}
+}
+
+// Held returns the lease; ok is false if it is not held now.
+func (h *Holder) Held(now time.Time) (l deck.PlacementLease, ok bool) {
+	return h.lease, h.lease.ValidAt(now)
+}
+
+// Previous returns the highest token that was confirmed before this acquisition.
+func (h *Holder) Previous() uint64 {
+	return h.previous
+}
+
+// Acquire starts a new acquisition and returns the request for all voters.
+func (h *Holder) Acquire(now time.Time) Request {
+	h.claimant.Attempt++
+	h.phase, h.proposed, h.previous, h.token = phaseAcquire, 0, 0, 0
+	h.acquired, h.lease = now, deck.PlacementLease{}
+	return h.broadcast(now, ActAcquire)
+}
+
+// Confirm returns the request that confirms the chosen token, or renews the lease; ok is false if there is nothing to
+// confirm. A lease that has expired is not renewed but acquired anew: voters that lost their memory could otherwise
+// grant a token that is lower than that of a holder in between.
+func (h *Holder) Confirm(now time.Time) (r Request, ok bool) {
+	if h.phase != phaseConfirm || h.lease.Holder != "" && !h.lease.ValidAt(now) {
+		return Request{}, false
+	}
+	r = h.broadcast(now, ActConfirm)
+	r.Token, h.asked = h.token, h.token
+	return r, true
+}
+
+// RaiseTo makes the next confirmation use a token above the given one, which an engine or voter has seen.
+func (h *Holder) RaiseTo(seen uint64) {
+	if h.phase == phaseConfirm && seen >= h.token {
+		h.token = seen + 1
+	}
+}
+
+// Release ends the lease or acquisition and returns the request that tells the voters; a successor may be empty.
+func (h *Holder) Release(now time.Time, successor deck.VMName) Request {
+	h.lease, h.phase = deck.PlacementLease{}, phaseIdle
+	r := h.broadcast(now, ActRelease)
+	r.Successor = successor
+	return r
+}
+
+func (h *Holder) broadcast(now time.Time, a Action) Request {
+	h.round++
+	h.sent = now
+	h.votes, h.refusals = make(map[deck.VMName]bool), make(map[deck.VMName]bool)
+	return Request{DataCentre: h.dc, Claimant: h.claimant, Action: a, Round: h.round}
+}
+
+// Answer takes a voter's answer to a request; answers to earlier rounds are ignored.
+func (h *Holder) Answer(voter deck.VMName, r Request, a Response) {
+	if r.Round != h.round || h.phase == phaseIdle {
+		return
+	}
+	if !a.Granted {
+		h.refusals[voter] = true
+		if a.Holder == "" {
+			h.RaiseTo(a.Token)
+		}
+		return
+	}
+	h.votes[voter] = true
+	if r.Action == ActAcquire {
+		h.proposed, h.previous = max(h.proposed, a.Token), max(h.previous, a.Previous)
+	}
+	if len(h.votes) != h.majority() {
+		return
+	}
+	if r.Action == ActAcquire {
+		h.phase, h.token = phaseConfirm, h.proposed
+		return
+	}
+	h.grant()
+}
+
+// grant extends the lease from before the request was sent, shortened by the drift bound.
+func (h *Holder) grant() {
+	h.lease = deck.PlacementLease{
+		DataCentre: h.dc, Holder: h.claimant.VM, FencingToken: h.asked,
+		Expires: h.sent.Add(time.Duration(float64(h.duration) * (1 - h.drift))),
+	}
+}
+
+// Decided reports whether the current round has a majority, or can no longer get one.
+func (h *Holder) Decided() (decided, won bool) {
+	won = len(h.votes) >= h.majority()
+	return won || len(h.refusals) > len(h.voters)-h.majority(), won
+}
+
+func (h *Holder) majority() int {
+	return len(h.voters)/2 + 1
+}
--- /dev/null
+++ b/internal/state/machine/fuzz_test.go
@@ -0,0 +1,200 @@
+package machine
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/test/decktest"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/command"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/ticket"
+)
+
+// A twin applies each command to a machine and to one that is restored from snapshots, which must agree.
+type twin struct {
+	a, b  *Machine
+	index uint64
+	now   time.Time
+}
+
+func newTwin() *twin {
+	return &twin{a: New(nil, nil), b: New(nil, nil), now: time.Unix(1_000_000, 0).UTC()}
+}
+
+func (w *twin) apply(t *rapid.T, c command.Command) command.Result {
+	w.index++
+	data := command.Encode(command.Envelope{At: w.now, Command: c})
+	got, other := w.a.Apply(w.index, data), w.b.Apply(w.index, data)
+	if string(got) != string(other) {
+		t.Fatalf("the restored replica answers %s instead of %s", other, got)
+	}
+	r, err := command.DecodeResult(got)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func (w *twin) restore(t *rapid.T) {
+	data, err := w.a.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.b = New(nil, nil)
+	w.b.calls.maxEnded = w.a.calls.maxEnded
+	if err := w.b.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A ticketOracle knows every answer that was given and what each object must be.
+type ticketOracle struct {
+	answers  map[refusalKey]deck.TicketAnswer
+	accepted map[uint64]deck.TicketDigest
+	setBy    map[objectID]uint64
+	model    map[deck.ModelName]deck.Bytes // weight; absent models are missing
+	engine   map[deck.BackendName]deck.Bytes
+}
+
+func (o *ticketOracle) check(t *rapid.T, w *twin, x deck.Ticket, got deck.TicketAnswer) {
+	key := refusalKey{x.Number, ticket.Digest(x)}
+	if before, ok := o.answers[key]; ok && before != got {
+		t.Fatalf("ticket %d was answered %+v and now %+v", x.Number, before, got)
+	}
+	stands, taken := o.accepted[x.Number]
+	superseded := slices.ContainsFunc(objects(x), func(id objectID) bool { return o.setBy[id] > x.Number })
+	switch {
+	case o.answers[key] != deck.TicketAnswer{}:
+		return
+	case taken && (got.Verdict != deck.TicketConflict || got.Digest != stands):
+		t.Fatalf("number %d stands with %s, answer %+v", x.Number, stands, got)
+	case !taken && superseded != (got.Verdict == deck.TicketSuperseded):
+		t.Fatalf("ticket %d: superseded %v, answer %+v", x.Number, superseded, got)
+	case !taken && !superseded && got.Verdict == deck.TicketConflict:
+		t.Fatalf("ticket %d: nothing stands under the number, answer %+v", x.Number, got)
+	}
+	if got.Verdict != deck.TicketConflict {
+		o.answers[key] = got
+	}
+	if got.Verdict == deck.TicketAccepted {
+		o.accept(t, w, x, key.Digest, got)
+	}
+}
+
+func (o *ticketOracle) accept(t *rapid.T, w *twin, x deck.Ticket, d deck.TicketDigest, got deck.TicketAnswer) {
+	if got.Version != w.index || w.a.State().Version() != w.index {
+		t.Fatalf("version %d at index %d", got.Version, w.index)
+	}
+	o.accepted[x.Number] = d
+	for _, id := range objects(x) {
+		o.setBy[id] = x.Number
+	}
+	for _, m := range x.Models {
+		o.model[m.Name] = m.Versions[0].WeightBytes
+		if m.Absent {
+			delete(o.model, m.Name)
+		}
+	}
+	for _, b := range x.BackendServers {
+		o.engine[b.Name] = b.AcceleratorBytes
+		if b.Absent || b.Leaving {
+			delete(o.engine, b.Name)
+		}
+	}
+}
+
+// checkState compares the state with the oracle's objects and looks for any packing by trying all of them.
+func (o *ticketOracle) checkState(t *rapid.T, s deck.State) {
+	if len(s.Models()) != len(o.model) {
+		t.Fatalf("models %+v, want %v", s.Models(), o.model)
+	}
+	var needs []deck.Bytes
+	for _, m := range s.Models() {
+		if m.Versions[0].WeightBytes != o.model[m.Name] {
+			t.Fatalf("model %+v, want weight %d", m, o.model[m.Name])
+		}
+		needs = append(needs, m.Versions[0].ResidentBytes())
+	}
+	for _, a := range s.Adapters() {
+		if _, ok := o.model[a.Model]; !ok {
+			t.Fatalf("adapter %+v of a model that does not exist", a)
+		}
+	}
+	var rooms []deck.Bytes
+	for _, bytes := range o.engine {
+		rooms = append(rooms, bytes-1) // the transient need of one byte
+	}
+	if !packs(needs, rooms) {
+		t.Fatalf("models of %v bytes don't fit on engines of %v", needs, rooms)
+	}
+}
+
+func packs(needs, rooms []deck.Bytes) bool {
+	if len(needs) == 0 {
+		return true
+	}
+	for i := range rooms {
+		if rooms[i] < needs[0] {
+			continue
+		}
+		rest := slices.Clone(rooms)
+		rest[i] -= needs[0]
+		if packs(needs[1:], rest) {
+			return true
+		}
+	}
+	return false
+}
+
+func drawTicket(t *rapid.T) deck.Ticket {
+	x := deck.Ticket{Number: rapid.Uint64Range(0, 9).Draw(t, "number")}
+	name := func(prefix string) string { return fmt.Sprint(prefix, rapid.IntRange(1, 3).Draw(t, prefix)) }
+	size := func() deck.Bytes { return deck.Bytes(rapid.IntRange(1, 8).Draw(t, "size")) * 10 }
+	absent := func() bool { return rapid.IntRange(0, 5).Draw(t, "absent") == 0 }
+	for range rapid.IntRange(0, 2).Draw(t, "engines") {
+		b := decktest.Engine(name("e"), "graz-a", size()*2)
+		b.Absent, b.Leaving = absent(), absent()
+		x.BackendServers = append(x.BackendServers, b)
+	}
+	for range rapid.IntRange(0, 2).Draw(t, "models") {
+		m := decktest.Model(name("m"), size())
+		m.Absent = absent()
+		x.Models = append(x.Models, m)
+	}
+	if absent() {
+		x.Adapters = append(x.Adapters, deck.Adapter{Name: deck.AdapterName(name("a")), Model: deck.ModelName(name("m")), Bytes: 1})
+	}
+	return x
+}
+
+// Guards against a ticket that is answered differently when it is sent again, two contents under one number, an older
+// ticket that undoes a newer one, an impossible state in force, and replicas that differ after a snapshot.
+func TestFuzzTickets(t *testing.T) {
+	decktest.Check(t, func(t *rapid.T) {
+		w := newTwin()
+		o := &ticketOracle{
+			answers: make(map[refusalKey]deck.TicketAnswer), accepted: make(map[uint64]deck.TicketDigest),
+			setBy: make(map[objectID]uint64), model: make(map[deck.ModelName]deck.Bytes),
+			engine: make(map[deck.BackendName]deck.Bytes),
+		}
+		var sent []deck.Ticket
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			x := drawTicket(t)
+			switch kind := rapid.IntRange(0, 9).Draw(t, "step"); {
+			case kind < 3 && len(sent) > 0:
+				x = rapid.SampledFrom(sent).Draw(t, "again")
+			case kind == 9:
+				w.restore(t)
+			}
+			sent = append(sent, x)
+			got := w.apply(t, command.ApplyTicket{Ticket: x}).Ticket
+			o.check(t, w, x, got)
+			o.checkState(t, w.a.State())
+			w.now = w.now.Add(time.Second)
+		}
+	})
+}
