--- a/internal/api/caller/infer.go
+++ b/internal/api/caller/infer.go
@@ -77,7 +77,7 @@
 // stream answers with server-sent events.
 func (h *Handler) stream(w http.ResponseWriter, r *http.Request, req attempt.Request) {
 	sink := newStreamSink(w)
-	result := h.runner.Run(r.Context(), req, sink)
+	result := h.run(r, req, sink)
 	if result.Kind == attempt.Done {
 		sink.done()
 		return
@@ -92,10 +92,20 @@
 	writeFailure(w, result)
 }
 
+// run carries the request through its attempts and records how it ended.
+func (h *Handler) run(r *http.Request, req attempt.Request, sink attempt.Sink) attempt.Result {
+	m := newMeteredSink(sink, h.Clock)
+	result := h.runner.Run(r.Context(), req, m)
+	if h.Served != nil {
+		h.Served.Record(m.served(req.Info, result))
+	}
+	return result
+}
+
 // whole answers with one JSON document.
 func (h *Handler) whole(w http.ResponseWriter, r *http.Request, req attempt.Request) {
 	var sink collector
-	result := h.runner.Run(r.Context(), req, &sink)
+	result := h.run(r, req, &sink)
 	switch {
 	case result.Kind == attempt.Done:
 		writeJSON(w, http.StatusOK, sink.answer(req.Path))
--- a/internal/command/process/runner.go
+++ b/internal/command/process/runner.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/geraniumdeck/geraniumdeck/internal/core/kernel"
 )
 
@@ -28,3 +30,14 @@
 	defer close(r.done)
 	return r.run(ctx)
 }
+
+// groupRun makes a run function of a service that starts its goroutines in a group.
+func groupRun(start func(ctx context.Context, g *errgroup.Group) <-chan struct{}) func(context.Context) error {
+	return func(ctx context.Context) error {
+		g, ctx := errgroup.WithContext(ctx)
+		done := start(ctx, g)
+		err := g.Wait()
+		<-done
+		return err
+	}
+}
--- a/internal/core/deck/backendserver.go
+++ b/internal/core/deck/backendserver.go
@@ -60,8 +60,8 @@
 
 // A ServiceRoute is a path prefix of a plain service.
 type ServiceRoute struct {
-	Path       string
-	Repeatable bool // calls may be sent again; otherwise an idempotency key is required
+	Path       string // below the service's prefix
+	Repeatable bool   // calls may be sent again; otherwise an idempotency key is required
 }
 
 // A Service is a plain service as an accepted ticket declares it.
--- a/internal/place/execute/publish.go
+++ b/internal/place/execute/publish.go
@@ -37,3 +37,8 @@
 	}
 	return deck.NewResidencyTable(0, replicas, adapters)
 }
+
+// SplitVersion returns the fencing token and the table's number under it, which make up a residency version.
+func SplitVersion(version uint64) (token, number uint64) {
+	return version >> tableBits, version & (1<<tableBits - 1)
+}
--- a/internal/route/attempt/result.go
+++ b/internal/route/attempt/result.go
@@ -23,12 +23,13 @@
 
 // A Result is the end of a request.
 type Result struct {
-	Kind    ResultKind
-	NotRun  bool              // it is proven that no engine ran any part of it
-	Refusal *deck.Refusal     // for Refused
-	Err     *deck.EngineError // for Rejected
-	Reason  string            // for Failed
-	Tokens  int               // tokens delivered
+	Kind     ResultKind
+	NotRun   bool              // it is proven that no engine ran any part of it
+	Refusal  *deck.Refusal     // for Refused
+	Err      *deck.EngineError // for Rejected
+	Reason   string            // for Failed
+	Tokens   int               // tokens delivered
+	Attempts int               // attempts begun
 }
 
 // provenNotRun reports whether the error proves that the engine did not run the attempt.
