--- a/internal/command/process/serving.go
+++ b/internal/command/process/serving.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/api/caller"
+	"github.com/geraniumdeck/geraniumdeck/internal/backend/service"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/kernel"
 	"github.com/geraniumdeck/geraniumdeck/internal/route/health"
@@ -40,7 +41,7 @@
 		State: p.store, Residency: res, Poison: commands, Health: health.DefaultPolicy(),
 	})
 	h := &caller.Handler{
-		Router: r, Engine: eng.Engine, State: p.store, Idempotency: commands,
+		Router: r, Engine: eng.Engine, State: p.store, Services: service.New(nil), Idempotency: commands,
 		Poison: commands, Clock: p.clock, VM: p.vm.Name, DataCentre: p.vm.DataCentre,
 		MaxStreams: p.settings.Limits.MaxStreams, Served: served,
 	}
