--- a/internal/emulate/engine/engine.go
+++ b/internal/emulate/engine/engine.go
@@ -58,6 +58,8 @@
 	reports     []timedReport
 	kv          map[deck.RequestID][]byte
 	overcommits int // overcommits seen since the start
+	accepted    int // generations accepted since the start
+	crashes     int // crashes since the start
 }
 
 // New returns a running emulated engine; Close ends it.
@@ -91,6 +93,12 @@
 func (e *Engine) Crash() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.crash()
+}
+
+// crash ends the emulated process and starts the next one; the caller holds the lock.
+func (e *Engine) crash() {
+	e.crashes++
 	e.kill()
 	e.start()
 }
@@ -138,6 +146,7 @@
 	defer e.mu.Unlock()
 	writeJSON(w, statusWire{
 		Overcommits: e.overcommits, UsedBytes: int64(e.memory.used()), MemoryBytes: int64(e.cfg.MemoryBytes), BootID: e.boot,
+		Accepted: e.accepted, Crashes: e.crashes,
 	})
 }
 
@@ -146,6 +155,8 @@
 	UsedBytes   int64  `json:"used-bytes"`
 	MemoryBytes int64  `json:"memory-bytes"`
 	BootID      string `json:"boot-id"`
+	Accepted    int    `json:"accepted-requests"`
+	Crashes     int    `json:"crashes"`
 }
 
 func setDefault[T comparable](v *T, def T) {
--- a/internal/emulate/engine/generate.go
+++ b/internal/emulate/engine/generate.go
@@ -80,8 +80,7 @@
 		return nil, false
 	}
 	if e.faults.CrashOn != "" && strings.Contains(string(body), e.faults.CrashOn) {
-		e.kill()
-		e.start()
+		e.crash()
 		panic(http.ErrAbortHandler)
 	}
 	model, _, _ := strings.Cut(c.Model, ":")
@@ -127,6 +126,7 @@
 	}
 	context.AfterFunc(r.Context(), cancel)
 	e.batch.add(req, e.cfg.MaxBatch)
+	e.accepted++
 	return req
 }
 
--- a/internal/test/deployment/deployment.go
+++ b/internal/test/deployment/deployment.go
@@ -26,9 +26,10 @@
 	Settings string // the settings file in Folder
 	Ticket   string // the ticket file in Folder
 
-	mu    sync.Mutex
-	procs map[string]*process
-	ports map[string]string // address in the example -> address in use
+	mu      sync.Mutex
+	procs   map[string]*process
+	ports   map[string]string // address in the example -> address in use
+	folders int
 }
 
 type process struct {
@@ -38,11 +39,12 @@
 }
 
 var (
-	addressRule = regexp.MustCompile(`127\.0\.0\.1:\d+`)
-	folderRule  = regexp.MustCompile(`/tmp/geraniumdeck/`)
+	addressRule = regexp.MustCompile(`\d+\.\d+\.\d+\.\d+:\d+`)
+	folderRule  = regexp.MustCompile(`data-folder: .*`)
 )
 
-// New prepares a deployment from an example's settings and ticket, with ports chosen by the system.
+// New prepares a deployment from an example's settings and ticket on loopback, with ports chosen by the system and a
+// data folder for each VM that has one.
 func New(binary, settings, ticket string) (*Deployment, error) {
 	dir, err := os.MkdirTemp("", "geraniumdeck-")
 	if err != nil {
@@ -185,7 +187,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	text := addressRule.ReplaceAllStringFunc(string(data), d.address)
-	text = folderRule.ReplaceAllString(text, d.Folder+"/data/")
+	text = folderRule.ReplaceAllStringFunc(text, func(string) string {
+		d.folders++
+		return fmt.Sprintf("data-folder: %s/data/%d", d.Folder, d.folders)
+	})
 	out := filepath.Join(d.Folder, filepath.Base(name))
 	return out, errors.Wrap(os.WriteFile(out, []byte(text), 0o600), "deployment")
 }
--- a/scripts/demo/main.go
+++ b/scripts/demo/main.go
@@ -22,14 +22,6 @@
 	longReply = 200
 )
 
-// Addresses of the example.
-const (
-	entry1 = "127.0.0.1:17001"
-	entry2 = "127.0.0.1:17002"
-	entry3 = "127.0.0.1:17003"
-	store  = "127.0.0.1:17311"
-)
-
 func main() {
 	ctx, cancel := context.WithTimeout(context.Background(), wholeRun)
 	start := time.Now()
@@ -49,7 +41,7 @@
 	}
 	defer func() {
 		if err != nil {
-			dumpLogs(d)
+			d.WriteLogs(os.Stderr)
 		}
 		err = errors.CombineErrors(err, d.Close())
 	}()
@@ -67,30 +59,6 @@
 	return nil
 }
 
-func dumpLogs(d *deployment.Deployment) {
-	for _, n := range processNames() {
-		if log := d.Log(n); log != "" {
-			fmt.Fprintf(os.Stderr, "--- %s\n%s\n", n, tail(log, 12))
-		}
-	}
-}
-
-func tail(text string, n int) string {
-	lines := strings.Split(strings.TrimSpace(text), "\n")
-	return strings.Join(lines[max(0, len(lines)-n):], "\n")
-}
-
-func processNames() []string {
-	names := []string{"platform", "weight-store", "booking"}
-	for i := 1; i <= 4; i++ {
-		names = append(names, fmt.Sprintf("engine-%d", i))
-	}
-	for i := 1; i <= 3; i++ {
-		names = append(names, fmt.Sprintf("control-%d", i), fmt.Sprintf("entry-%d", i))
-	}
-	return names
-}
-
 // A show runs the steps of the demo.
 type show struct {
 	d *deployment.Deployment
@@ -101,53 +69,18 @@
 }
 
 func (s *show) startProcesses(ctx context.Context) error {
-	if err := s.startEmulators(); err != nil {
+	if err := s.d.StartEmulators(); err != nil {
 		return err
 	}
-	for i := 1; i <= 3; i++ {
-		for _, vm := range []string{fmt.Sprintf("control-%d", i), fmt.Sprintf("entry-%d", i)} {
-			if err := s.d.Serve(vm); err != nil {
-				return err
-			}
-		}
-	}
-	for i := 1; i <= 3; i++ {
-		addr := s.d.Address(fmt.Sprintf("127.0.0.1:%d", 17210+i))
-		err := deployment.Eventually(ctx, func() error {
-			_, err := deployment.Get(ctx, addr, "/readyz")
-			return err
-		})
-		if err != nil {
-			return errors.Wrapf(err, "entry-%d is not ready", i)
-		}
+	if err := s.d.StartVMs(ctx); err != nil {
+		return err
 	}
 	sayf("started 3 control and 3 entry processes in three data centres, 4 engines, 1 service")
 	return nil
 }
 
-func (s *show) startEmulators() error {
-	e := func(name string, example int, args ...string) error {
-		addr := s.d.Address(fmt.Sprintf("127.0.0.1:%d", example))
-		return s.d.Start(name, append([]string{"emulate", args[0], "--listen", addr}, args[1:]...)...)
-	}
-	err := errors.Join(
-		e("platform", 17401, "platform"),
-		e("weight-store", 17402, "weight-store"),
-		e("booking", 17311, "service"),
-	)
-	for i := 1; i <= 4; i++ {
-		args := []string{"engine", "--name", fmt.Sprintf("engine-%d", i), "--memory-gib", "32",
-			"--weight-store", "http://" + s.d.Address("127.0.0.1:17402")}
-		if i%2 == 1 {
-			args = append(args, "--checks-fencing")
-		}
-		err = errors.Join(err, e(fmt.Sprintf("engine-%d", i), 17300+i, args...))
-	}
-	return err
-}
-
 func (s *show) applyTicket(ctx context.Context) error {
-	out, _, err := s.d.Exec(ctx, "apply", "-s", s.d.Settings, s.d.Ticket)
+	out, err := s.d.Apply(ctx, s.d.Ticket)
 	if err != nil {
 		return err
 	}
@@ -157,7 +90,7 @@
 
 func (s *show) streamTwoModels(ctx context.Context) error {
 	for _, model := range []string{"manual", "headings"} {
-		c := deployment.NewCaller(s.d.Address(entry1))
+		c := s.d.Caller(1)
 		var a deployment.Answer
 		err := deployment.Eventually(ctx, func() error {
 			var err error
@@ -177,9 +110,8 @@
 
 func (s *show) bookTwice(ctx context.Context) error {
 	var bodies []string
-	for _, entry := range []string{entry1, entry2} {
-		c := deployment.NewCaller(s.d.Address(entry))
-		code, body, err := c.Post(ctx, "/booking/orders", "order-4711", []byte(`{"service":"forklift"}`))
+	for _, n := range []int{1, 2} {
+		code, body, err := s.d.Caller(n).Post(ctx, "/booking/orders", "order-4711", []byte(`{"service":"forklift"}`))
 		if err != nil {
 			return err
 		}
@@ -191,7 +123,7 @@
 	if bodies[0] != bodies[1] {
 		return errors.Newf("booking: answers differ: %q and %q", bodies[0], bodies[1])
 	}
-	runs, err := deployment.Get(ctx, s.d.Address(store), "/emulate/runs")
+	runs, err := deployment.Get(ctx, s.d.Address(deployment.BookingExample), "/emulate/runs")
 	if err != nil {
 		return err
 	}
@@ -206,55 +138,27 @@
 	return nil
 }
 
-// leader returns the VM of the log's leader.
-func (s *show) leader(ctx context.Context) (string, error) {
-	out, _, err := s.d.Exec(ctx, "state", "-s", s.d.Settings, "--json")
-	if err != nil {
-		return "", err
-	}
-	var state struct {
-		Log struct {
-			Leader struct {
-				VM string `json:"vm"`
-			} `json:"leader"`
-		} `json:"log"`
-	}
-	if err := json.Unmarshal([]byte(out), &state); err != nil {
-		return "", err
-	}
-	if state.Log.Leader.VM == "" {
-		return "", errors.New("no leader known")
-	}
-	return state.Log.Leader.VM, nil
-}
-
 func (s *show) killLeader(ctx context.Context) error {
-	vm, err := s.leader(ctx)
+	vm, err := s.d.Leader(ctx)
 	if err != nil {
 		return err
 	}
 	s.d.Kill(vm)
-	ticket, err := s.writeTicket(2)
+	ticket, err := s.d.AdapterTicket(2, "freight", 1<<20)
 	if err != nil {
 		return err
 	}
 	start := time.Now()
-	if _, _, err := s.d.Exec(ctx, "apply", "-s", s.d.Settings, "--timeout", "15s", ticket); err != nil {
+	if _, err := s.d.Apply(ctx, ticket); err != nil {
 		return err
 	}
 	sayf("killed the log's leader %s; the next ticket was in force %s later", vm, time.Since(start).Round(time.Millisecond))
 	return s.d.Serve(vm)
 }
 
-func (s *show) writeTicket(number int) (string, error) {
-	name := fmt.Sprintf("%s/ticket-%d.yaml", s.d.Folder, number)
-	text := fmt.Sprintf("number: %d\nadapters:\n  - {name: freight-%d, model: manual, bytes: 1048576}\n", number, number)
-	return name, os.WriteFile(name, []byte(text), 0o600)
-}
-
 func (s *show) killEntry(ctx context.Context) error {
 	s.d.Kill("entry-1")
-	a, err := deployment.NewCaller(s.d.Address(entry2)).Chat(ctx, "manual", "power orders", tokens, nil)
+	a, err := s.d.Caller(2).Chat(ctx, "manual", "power orders", tokens, nil)
 	if err != nil {
 		return err
 	}
@@ -273,7 +177,7 @@
 			g.Go(func() error { return s.d.Stop(ctx, "entry-3") })
 		}
 	}
-	a, err := deployment.NewCaller(s.d.Address(entry3)).Chat(ctx, "headings", "freight deadlines", longReply, onToken)
+	a, err := s.d.Caller(3).Chat(ctx, "headings", "freight deadlines", longReply, onToken)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/scripts/faults/serving.go
@@ -0,0 +1,251 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/test/deployment"
+)
+
+const (
+	longAnswer  = 150 // tokens
+	faultsPath  = "/emulate/faults"
+	maxCrashes  = 3
+	poisonWord  = "crash-the-engine"
+	noFaults    = `{}`
+	leavingTime = 3 * time.Second
+)
+
+func setEngineFaults(ctx context.Context, d *deployment.Deployment, n int, faults string) error {
+	code, body, err := deployment.NewCaller(d.Address(deployment.EngineExample(n))).Post(ctx, faultsPath, "", []byte(faults))
+	if err == nil && code != http.StatusOK {
+		err = errors.Newf("engine %d: status %d: %s", n, code, body)
+	}
+	return err
+}
+
+func allEngines(ctx context.Context, d *deployment.Deployment, faults string) error {
+	var err error
+	for i := 1; i <= deployment.Engines; i++ {
+		err = errors.Join(err, setEngineFaults(ctx, d, i, faults))
+	}
+	return err
+}
+
+type engineStatus struct {
+	Overcommits int    `json:"overcommits"`
+	BootID      string `json:"boot-id"`
+	Accepted    int    `json:"accepted-requests"`
+	Crashes     int    `json:"crashes"`
+}
+
+func statusOf(ctx context.Context, d *deployment.Deployment, n int) (engineStatus, error) {
+	var s engineStatus
+	body, err := deployment.Get(ctx, d.Address(deployment.EngineExample(n)), "/emulate/status")
+	if err != nil {
+		return s, err
+	}
+	return s, json.Unmarshal([]byte(body), &s)
+}
+
+// overcommits fails if any engine's memory was ever overcommitted.
+func overcommits(ctx context.Context, d *deployment.Deployment) error {
+	for i := 1; i <= deployment.Engines; i++ {
+		s, err := statusOf(ctx, d, i)
+		if err != nil {
+			return err
+		}
+		if s.Overcommits > 0 {
+			return errors.Newf("engine-%d was overcommitted %d times", i, s.Overcommits)
+		}
+	}
+	return nil
+}
+
+// engineCrash crashes an engine that serves the model while an answer runs.
+func engineCrash(ctx context.Context, d *deployment.Deployment) (string, error) {
+	want, err := chat(ctx, d.Caller(1), "manual", "freight deadlines", longAnswer, nil)
+	if err != nil {
+		return "", err
+	}
+	var faultErr error
+	got, err := chat(ctx, d.Caller(1), "manual", "freight deadlines", longAnswer, func(n int) {
+		if n == longAnswer/3 {
+			faultErr = setEngineFaults(ctx, d, 1, `{"crash":true}`)
+		}
+	})
+	if err = errors.Join(err, faultErr); err != nil {
+		return "", err
+	}
+	if got.Text != want.Text {
+		return "", errors.New("the answer over the crash differs from the undisturbed one")
+	}
+	if err := awaitModel(ctx, d, "manual"); err != nil {
+		return "", err
+	}
+	return "engine-1 crashed in the middle of an answer; the caller got the whole answer unchanged", nil
+}
+
+// silentConnection makes the next streams of every engine go silent after some tokens.
+func silentConnection(ctx context.Context, d *deployment.Deployment) (string, error) {
+	want, err := chat(ctx, d.Caller(2), "headings", "subject headings", longAnswer, nil)
+	if err != nil {
+		return "", err
+	}
+	if err := allEngines(ctx, d, `{"silent-streams":1,"silent-after":40}`); err != nil {
+		return "", err
+	}
+	begin := time.Now()
+	got, err := chat(ctx, d.Caller(2), "headings", "subject headings", longAnswer, nil)
+	if err = errors.Join(err, allEngines(ctx, d, noFaults)); err != nil {
+		return "", err
+	}
+	if got.Text != want.Text {
+		return "", errors.New("the answer over the silence differs from the undisturbed one")
+	}
+	took := time.Since(begin).Round(100 * time.Millisecond)
+	return fmt.Sprintf("a stream went silent after 40 tokens; the whole answer arrived in %s", took), nil
+}
+
+// poisonRequest sends a request that crashes each engine to one VM after the other.
+func poisonRequest(ctx context.Context, d *deployment.Deployment) (string, error) {
+	if err := allEngines(ctx, d, `{"crash-on":"`+poisonWord+`"}`); err != nil {
+		return "", err
+	}
+	before, err := crashes(ctx, d)
+	if err != nil {
+		return "", err
+	}
+	for range 6 {
+		for n := 1; n <= deployment.Entries; n++ {
+			if _, err := d.Caller(n).Chat(ctx, "manual", poisonWord, 5, nil); err == nil {
+				return "", errors.New("the poison request was answered as if whole")
+			}
+		}
+	}
+	after, err := crashes(ctx, d)
+	if err != nil {
+		return "", err
+	}
+	if n := after - before; n < 1 || n > maxCrashes {
+		return "", errors.Newf("the request crashed %d engines, 1 to %d are expected", n, maxCrashes)
+	}
+	if _, err := d.Caller(3).Chat(ctx, "manual", poisonWord, 5, nil); err == nil || !strings.Contains(err.Error(), "422") {
+		return "", errors.Newf("expected status 422 for the poison request, got %v", err)
+	}
+	if err := allEngines(ctx, d, noFaults); err != nil {
+		return "", err
+	}
+	if err := awaitModel(ctx, d, "manual"); err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("sent 18 times through three VMs it crashed %d engines and is refused everywhere", after-before), nil
+}
+
+// crashes returns how often any engine has crashed.
+func crashes(ctx context.Context, d *deployment.Deployment) (int, error) {
+	n := 0
+	for i := 1; i <= deployment.Engines; i++ {
+		s, err := statusOf(ctx, d, i)
+		if err != nil {
+			return 0, err
+		}
+		n += s.Crashes
+	}
+	return n, nil
+}
+
+// bookingAnswerLost cuts the service's connection after the call ran, and sends the call again through another VM.
+func bookingAnswerLost(ctx context.Context, d *deployment.Deployment) (string, error) {
+	booking := deployment.NewCaller(d.Address(deployment.BookingExample))
+	if _, _, err := booking.Post(ctx, faultsPath, "", []byte(`{"lose-answers":1}`)); err != nil {
+		return "", err
+	}
+	const key = "order-lost"
+	for n := 1; n <= deployment.Entries; n++ {
+		code, body, err := d.Caller(n).Post(ctx, "/booking/orders", key, []byte(`{"service":"power"}`))
+		if err != nil {
+			return "", err
+		}
+		if code == http.StatusOK || strings.Contains(body, `"not-run":true`) || strings.Contains(body, `"not-run": true`) {
+			return "", errors.Newf("entry-%d answered %d %s although the outcome is unknown", n, code, body)
+		}
+	}
+	runs, err := deployment.Get(ctx, d.Address(deployment.BookingExample), "/emulate/runs")
+	if err != nil {
+		return "", err
+	}
+	var counts map[string]int
+	if err := json.Unmarshal([]byte(runs), &counts); err != nil {
+		return "", err
+	}
+	if counts[key] != 1 {
+		return "", errors.Newf("the booking ran %d times", counts[key])
+	}
+	return "the answer was lost; three VMs said that the outcome is unknown, and the booking ran once", nil
+}
+
+// entryKilled kills the VM that holds the caller's connection.
+func entryKilled(ctx context.Context, d *deployment.Deployment) (string, error) {
+	a, err := d.Caller(1).Chat(ctx, "manual", "stand rules", longAnswer, func(n int) {
+		if n == longAnswer/3 {
+			d.Kill("entry-1")
+		}
+	})
+	if a.Complete {
+		return "", errors.New("a cut-off answer was shown as complete")
+	}
+	if err == nil && a.Tokens == longAnswer {
+		return "", errors.New("the answer was whole although its VM was killed")
+	}
+	if _, err := chat(ctx, d.Caller(2), "manual", "stand rules", longAnswer, nil); err != nil {
+		return "", err
+	}
+	if err := d.Serve("entry-1"); err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("cut off after %d tokens without [DONE]; entry-2 served the same request whole", a.Tokens),
+		d.AwaitReady(ctx, "entry-1")
+}
+
+// leavingServer marks the engine of a model as leaving and counts what still reaches it.
+func leavingServer(ctx context.Context, d *deployment.Deployment) (string, error) {
+	text, err := os.ReadFile(d.Ticket)
+	if err != nil {
+		return "", err
+	}
+	line := engineLine(string(text), "engine-1")
+	leaving := strings.Replace(line, "checks-fencing", "leaving: true, checks-fencing", 1)
+	if err := applyText(ctx, d, 5000, "backend-servers:\n"+leaving); err != nil {
+		return "", err
+	}
+	if !pause(ctx, leavingTime) {
+		return "", ctx.Err()
+	}
+	before, err := statusOf(ctx, d, 1)
+	if err != nil {
+		return "", err
+	}
+	for range 20 {
+		for n := 1; n <= deployment.Entries; n++ {
+			if _, err := chat(ctx, d.Caller(n), "manual", "after leaving", 3, nil); err != nil {
+				return "", errors.Wrap(err, "while the server leaves")
+			}
+		}
+	}
+	after, err := statusOf(ctx, d, 1)
+	if err != nil {
+		return "", err
+	}
+	if after.Accepted != before.Accepted {
+		return "", errors.Newf("the leaving server received %d requests", after.Accepted-before.Accepted)
+	}
+	return "engine-1 left by ticket: 60 requests after 3 s went elsewhere and were whole", applyText(ctx, d, 5001, "backend-servers:\n"+line)
+}
--- /dev/null
+++ b/scripts/faults/util.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/test/deployment"
+)
+
+// applyText applies a ticket with the given number and objects.
+func applyText(ctx context.Context, d *deployment.Deployment, number int, objects string) error {
+	name := filepath.Join(d.Folder, fmt.Sprintf("ticket-%d.yaml", number))
+	if err := os.WriteFile(name, []byte(fmt.Sprintf("number: %d\n%s\n", number, objects)), 0o600); err != nil {
+		return err
+	}
+	_, err := d.Apply(ctx, name)
+	return err
+}
+
+// engineLine returns the line of the ticket that declares an engine.
+func engineLine(ticket, name string) string {
+	for line := range strings.Lines(ticket) {
+		if strings.Contains(line, "name: "+name+",") {
+			return strings.TrimRight(line, "\n")
+		}
+	}
+	return ""
+}
+
+// pause waits for d; it returns false if ctx ended first.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
