--- /dev/null
+++ b/internal/state/feed/publisher.go
@@ -0,0 +1,121 @@
+package feed
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// Times of publishing.
+const (
+	offerInterval  = 2 * time.Second // finds a root that restarted and lost the payload
+	publishTimeout = time.Second
+)
+
+// A Publisher brings a payload of a data centre to the VMs that the data centre's other VMs poll.
+type Publisher struct {
+	cfg    ClientConfig
+	wake   chan struct{}
+	done   chan struct{}
+	name   string
+	global bool
+}
+
+// NewGlobalPublisher returns a publisher of a payload that the VMs of all data centres receive.
+func NewGlobalPublisher(cfg ClientConfig, name string) *Publisher {
+	p := NewPublisher(cfg, name)
+	p.global = true
+	return p
+}
+
+// NewPublisher returns a publisher of the payload with the given name; Run does its work.
+func NewPublisher(cfg ClientConfig, name string) *Publisher {
+	return &Publisher{cfg: cfg, name: name, wake: make(chan struct{}, 1), done: make(chan struct{})}
+}
+
+// Publish puts a new value in force here and has it sent to the roots. An older version than the one held is dropped.
+func (p *Publisher) Publish(v PayloadVersion, data []byte) bool {
+	payload := Payload{Name: p.name, DataCentre: p.cfg.Self.DataCentre, Version: v, Data: data}
+	if p.global {
+		payload.DataCentre = ""
+	}
+	ok := p.cfg.Store.Publish(payload)
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+	return ok
+}
+
+// Done returns a channel that is closed when Run has ended.
+func (p *Publisher) Done() <-chan struct{} {
+	return p.done
+}
+
+// Run offers the payload to the roots on each change and in each interval until the context ends.
+func (p *Publisher) Run(ctx context.Context) error {
+	defer close(p.done)
+	for {
+		p.Once(ctx)
+		t := time.NewTimer(offerInterval)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return nil
+		case <-p.wake:
+			t.Stop()
+		case <-t.C:
+		}
+	}
+}
+
+// Once offers the payload to each root and sends it to those that lack it.
+func (p *Publisher) Once(ctx context.Context) {
+	payload, ok := p.cfg.Store.Payload(p.name)
+	if !ok {
+		return
+	}
+	for _, root := range p.roots() {
+		p.send(ctx, root, payload)
+	}
+}
+
+// roots returns the VMs that get the payload directly. Other data centres poll the control replicas, which do not poll
+// back, so a global payload is brought to all of them.
+func (p *Publisher) roots() []deck.Peer {
+	out := Roots(p.cfg.Self, p.cfg.Peers)
+	if !p.global {
+		return out
+	}
+	for _, q := range p.cfg.Peers {
+		listed := slices.ContainsFunc(out, func(r deck.Peer) bool { return r.Name == q.Name })
+		if q.Control && q.Name != p.cfg.Self.Name && !listed {
+			out = append(out, q)
+		}
+	}
+	return out
+}
+
+func (p *Publisher) send(ctx context.Context, root deck.Peer, payload Payload) {
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	wanted, err := p.cfg.Transport.Offer(ctx, root, payload.Name, payload.Version)
+	if err == nil && wanted {
+		_ = p.cfg.Transport.Publish(ctx, root, payload) // the next offer repeats it
+	}
+}
+
+// Roots returns the other VMs of a VM's data centre that its VMs poll first: its control replicas and relays.
+func Roots(self deck.Peer, peers []deck.Peer) []deck.Peer {
+	var out []deck.Peer
+	relays := Relays(self.DataCentre, peers)
+	for _, p := range peers {
+		relay := len(relays) > 0 && (p.Name == relays[0].Name || p.Name == relays[len(relays)-1].Name)
+		if p.DataCentre == self.DataCentre && p.Name != self.Name && (p.Control || relay) {
+			out = append(out, p)
+		}
+	}
+	return out
+}
