Match attempts with the router's count of them

The router counts an attempt from Choose until an observation ends it, and a stall does not end it. An attempt that chose a server and was abandoned before its start was never ended, a reconnection was not counted at all, and a second stall left the attempt standing. The fake router now checks that each choice is ended and that nothing is observed on a server that was not chosen; the fuzz test asserts it.

Crash reports carry the boot id where the store takes it, because without it each report counts as a crash of its own. An attempt asks for the model version that the chosen engine holds, not only for the active one.

--- a/internal/api/caller/handler.go
+++ b/internal/api/caller/handler.go
@@ -18,6 +18,7 @@
 	Router      deck.Router
 	Engine      func(deck.BackendServer) deck.Engine
 	State       deck.StateSource
+	Residency   deck.Residency // which versions the engines hold; nil if all hold the active one
 	Services    deck.ServiceClient
 	Idempotency deck.IdempotencyStore
 	Poison      deck.PoisonStore
--- a/internal/api/caller/infer.go
+++ b/internal/api/caller/infer.go
@@ -60,18 +60,33 @@
 			MaxTokens:    q.maxTokens,
 			Deadline:     deadline,
 		},
-		Version: func() deck.VersionName { return h.activeVersion(model) },
+		Version: func(b deck.BackendName) deck.VersionName { return h.versionOn(model, b) },
 		Path:    r.URL.Path,
 		Body:    body,
 	}, nil
 }
 
-// activeVersion returns the version in force; a model that was removed keeps its last one for requests under way.
-func (h *Handler) activeVersion(m deck.Model) deck.VersionName {
+// versionOn returns the version that serves a new answer on a backend server: the active one in force, or the one that
+// the server holds while the active one is not there yet. A model that was removed keeps its version for requests under
+// way.
+func (h *Handler) versionOn(m deck.Model, b deck.BackendName) deck.VersionName {
 	if now, ok := h.State.State().Model(m.Name); ok {
-		return now.Active
-	}
-	return m.Active
+		m = now
+	}
+	if h.Residency == nil {
+		return m.Active
+	}
+	held := m.Active
+	for _, r := range h.Residency.Replicas(m.Name) {
+		if r.Backend != b || !r.Ready {
+			continue
+		}
+		if r.Version == m.Active {
+			return m.Active
+		}
+		held = r.Version
+	}
+	return held
 }
 
 // stream answers with server-sent events.
--- a/internal/route/attempt/life.go
+++ b/internal/route/attempt/life.go
@@ -86,6 +86,7 @@
 	open    Open
 	backend deck.BackendName
 	boot    string
+	held    bool // the router counts it as running on the backend server
 	sent    bool
 }
 
@@ -114,9 +115,9 @@
 	case EventHedge:
 		return l.hedge()
 	case EventPreempt:
-		return append(l.cancelAll(deck.ObservedCancel), l.start(Open{})...)
+		return append(l.cancelAll(), l.start(Open{})...)
 	case EventGone:
-		return append(l.cancelAll(deck.ObservedCancel), l.finish(Result{Kind: Gone})...)
+		return append(l.cancelAll(), l.finish(Result{Kind: Gone})...)
 	}
 	a, ok := l.attempts[e.Attempt]
 	if !ok {
@@ -144,7 +145,7 @@
 func (l *Life) stepAttempt(a *live, e Event) []Action {
 	switch e.Kind {
 	case EventStart:
-		a.backend, a.sent = e.Backend, true
+		a.backend, a.held, a.sent = e.Backend, true, true
 		l.stuck = e.At
 		return []Action{observe(a, deck.ObservedStart, 0)}
 	case EventAnswer:
@@ -214,50 +215,52 @@
 	return append(acts, l.finish(Result{Kind: Done})...)
 }
 
-// broke handles the end of an attempt before the end of the answer.
+// broke handles the end of an attempt before the end of the answer. An attempt whose connection may be at fault goes on
+// over a new one; the router keeps counting it.
 func (l *Life) broke(a *live, e Event) []Action {
 	l.drop(e.Attempt)
-	again := a.open.Same != ""
-	acts := []Action{observe(a, observation(e.Err.Kind, again), 0)}
 	l.ran = l.ran || !provenNotRun(e.Err.Kind)
+	l.fruitless++
+	alone := len(l.attempts) == 0
+	reconnect := alone && a.open.Same == "" && onPath(e.Err.Kind) && !l.exhausted(e.At)
+	acts := observeBreak(a, e.Err.Kind, reconnect)
 	if e.Err.Kind == deck.EngineCrashed {
 		boot := firstOf(a.boot, e.Err.BootID)
 		acts = append(acts, Action{Kind: ActCrash, Attempt: e.Attempt, Backend: a.backend, BootID: boot})
 	}
 	acts = append(acts, ending(e))
-	if len(l.attempts) > 0 {
+	switch {
+	case !alone:
 		return acts // the other attempt of a hedge goes on
-	}
-	if e.Err.Kind == deck.EngineRejected && l.asm.Next() == 0 {
+	case e.Err.Kind == deck.EngineRejected && l.asm.Next() == 0:
 		return append(acts, l.finish(Result{Kind: Rejected, Err: e.Err, NotRun: !l.ran})...)
+	case l.exhausted(e.At):
+		return append(acts, l.finish(l.failed(e.Err.Error()))...)
+	case reconnect:
+		return append(acts, l.reconnect(a)...)
+	default:
+		return append(acts, l.elsewhere(a, e.Err.Kind)...)
 	}
-	return append(acts, l.again(a, e, again)...)
 }
 
-// again starts the next attempt after a break: on a new connection to the same backend server if the connection may be
-// at fault, elsewhere otherwise.
-func (l *Life) again(a *live, e Event, reconnected bool) []Action {
-	l.fruitless++
-	if l.exhausted(e.At) {
-		return l.finish(l.failed(e.Err.Error()))
-	}
-	onPath := e.Err.Kind == deck.EngineStalled || e.Err.Kind == deck.EngineBroken
-	if onPath && !reconnected {
-		acts := l.start(Open{Same: a.backend})
-		l.attempts[l.count].boot = a.boot
-		return acts
-	}
+func (l *Life) reconnect(a *live) []Action {
+	acts := l.start(Open{Same: a.backend})
+	next := l.attempts[l.count]
+	next.backend, next.boot, next.held = a.backend, a.boot, true
+	return acts
+}
+
+func (l *Life) elsewhere(a *live, k deck.EngineErrorKind) []Action {
 	if !slices.Contains(l.avoid, a.backend) {
 		l.avoid = append(l.avoid, a.backend)
 	}
-	return l.start(Open{Charge: !provenNotRun(e.Err.Kind) || reconnected})
+	return l.start(Open{Charge: !provenNotRun(k) || a.open.Same != ""})
 }
 
 // none handles an attempt that could not be started.
 func (l *Life) none(e Event) []Action {
 	hedge := l.attempts[e.Attempt].open.Hedge
-	l.drop(e.Attempt)
-	acts := []Action{{Kind: ActStop, Attempt: e.Attempt}}
+	acts := l.cancel(e.Attempt)
 	if hedge && len(l.attempts) > 0 {
 		return acts
 	}
@@ -271,8 +274,7 @@
 }
 
 func (l *Life) poison(e Event) []Action {
-	l.drop(e.Attempt)
-	acts := append([]Action{{Kind: ActStop, Attempt: e.Attempt}}, l.cancelAll(deck.ObservedCancel)...)
+	acts := l.cancelAll()
 	return append(acts, l.finish(Result{Kind: Refused, Refusal: e.Refusal, NotRun: !l.ran})...)
 }
 
@@ -312,36 +314,38 @@
 	var acts []Action
 	for n := range l.count {
 		if n+1 != winner {
-			acts = append(acts, l.cancel(n+1, deck.ObservedCancel)...)
+			acts = append(acts, l.cancel(n+1)...)
 		}
 	}
 	return acts
 }
 
-func (l *Life) cancelAll(kind deck.ObservationKind) []Action {
-	var acts []Action
-	for n := range l.count {
-		acts = append(acts, l.cancel(n+1, kind)...)
-	}
-	return acts
+func (l *Life) cancelAll() []Action {
+	return l.cancelOthers(0)
 }
 
-func (l *Life) cancel(attempt int, kind deck.ObservationKind) []Action {
+// cancel abandons an attempt, if it is live.
+func (l *Life) cancel(attempt int) []Action {
 	a, ok := l.attempts[attempt]
 	if !ok {
 		return nil
 	}
 	l.drop(attempt)
+	var acts []Action
+	if a.held {
+		acts = append(acts, observe(a, deck.ObservedCancel, 0))
+	}
 	if !a.sent {
-		return []Action{{Kind: ActStop, Attempt: attempt}}
+		return append(acts, Action{Kind: ActStop, Attempt: attempt})
 	}
 	l.ran = true
-	return []Action{observe(a, kind, 0), {Kind: ActCancel, Attempt: attempt}}
+	return append(acts, Action{Kind: ActCancel, Attempt: attempt})
 }
 
 func (l *Life) finish(r Result) []Action {
 	l.over = true
 	r.Tokens = l.asm.Next()
+	r.Attempts = l.count
 	return []Action{{Kind: ActFinish, Result: r}}
 }
 
--- a/internal/route/attempt/life_test.go
+++ b/internal/route/attempt/life_test.go
@@ -224,17 +224,18 @@
 func TestNextStep(t *testing.T) {
 	for _, tc := range []struct {
 		kind     deck.EngineErrorKind
-		observed deck.ObservationKind
-		same     bool // a new connection to the same server comes first
-		charged  bool // the next attempt elsewhere uses the retry budget
+		observed string
+		same     bool   // a new connection to the same server comes first
+		second   string // observed after a break of that connection too
+		charged  bool   // the next attempt elsewhere uses the retry budget
 		crash    bool
 	}{
-		{deck.EngineFailed, deck.ObservedFailure, false, true, false},
-		{deck.EngineUnreachable, deck.ObservedFailure, false, false, false},
-		{deck.EngineStalled, deck.ObservedCancel, true, true, false},
-		{deck.EngineBroken, deck.ObservedCancel, true, true, false},
-		{deck.EngineCrashed, deck.ObservedCrash, false, true, true},
-		{deck.EngineDraining, deck.ObservedDraining, false, false, false},
+		{deck.EngineFailed, "[failure]", false, "", true, false},
+		{deck.EngineUnreachable, "[failure]", false, "", false, false},
+		{deck.EngineStalled, "[stall]", true, "[stall cancel]", true, false},
+		{deck.EngineBroken, "[]", true, "[failure]", true, false},
+		{deck.EngineCrashed, "[crash]", false, "", true, true},
+		{deck.EngineDraining, "[draining]", false, "", false, false},
 	} {
 		t.Run(tc.kind.String(), func(t *testing.T) {
 			is := is.New(t)
@@ -243,13 +244,14 @@
 			l.Step(Event{Kind: EventStart, Attempt: 1, Backend: "e1"})
 			broke := &deck.EngineError{Kind: tc.kind, Err: errOffset}
 			acts := l.Step(Event{Kind: EventBreak, Attempt: 1, Err: broke})
-			is.Equal(find(acts, ActObserve).Observe, tc.observed)
+			is.Equal(observed(acts), tc.observed)
 			is.Equal(find(acts, ActCrash).Kind == ActCrash, tc.crash)
 			if tc.same {
 				is.Equal(find(acts, ActOpen).Open.Same, deck.BackendName("e1"))
 				is.True(!find(acts, ActOpen).Open.Charge)
 				l.Step(Event{Kind: EventStart, Attempt: 2, Backend: "e1"})
 				acts = l.Step(Event{Kind: EventBreak, Attempt: 2, Err: broke})
+				is.Equal(observed(acts), tc.second)
 			}
 			is.Equal(find(acts, ActOpen).Open.Avoid, []deck.BackendName{"e1"})
 			is.Equal(find(acts, ActOpen).Open.Charge, tc.charged)
@@ -258,6 +260,21 @@
 	}
 }
 
+// observed names the observations among the actions.
+func observed(acts []Action) string {
+	names := map[deck.ObservationKind]string{
+		deck.ObservedStall: "stall", deck.ObservedCancel: "cancel", deck.ObservedFailure: "failure",
+		deck.ObservedCrash: "crash", deck.ObservedDraining: "draining",
+	}
+	out := []string{}
+	for _, a := range acts {
+		if a.Kind == ActObserve {
+			out = append(out, names[a.Observe])
+		}
+	}
+	return fmt.Sprint(out)
+}
+
 // TestRestartBehindSilence guards against a crash that goes unnoticed because the connection was silent rather than
 // reset.
 func TestRestartBehindSilence(t *testing.T) {
--- a/internal/route/attempt/result.go
+++ b/internal/route/attempt/result.go
@@ -37,26 +37,33 @@
 	return k == deck.EngineUnreachable || k == deck.EngineDraining || k == deck.EngineRejected
 }
 
-// observation returns what the router hears about a broken attempt. A silent or broken connection is the server's fault
-// only if the attempt already was on a new connection.
-func observation(k deck.EngineErrorKind, reconnected bool) deck.ObservationKind {
+// onPath reports whether the connection rather than the backend server may be at fault.
+func onPath(k deck.EngineErrorKind) bool {
+	return k == deck.EngineStalled || k == deck.EngineBroken
+}
+
+// observeBreak returns what the router hears about a broken attempt. A silent connection is reported as such each time;
+// the router blames the server at the second one in a row. A stall does not end the attempt for the router.
+func observeBreak(a *live, k deck.EngineErrorKind, reconnect bool) []Action {
+	var acts []Action
+	if k == deck.EngineStalled {
+		acts = append(acts, observe(a, deck.ObservedStall, 0))
+	}
+	if reconnect {
+		return acts
+	}
+	return append(acts, observe(a, observation(k), 0))
+}
+
+// observation returns the observation that ends a broken attempt. A rejected request is no fault of the server.
+func observation(k deck.EngineErrorKind) deck.ObservationKind {
 	switch k {
-	case deck.EngineStalled:
-		if reconnected {
-			return deck.ObservedStall
-		}
-		return deck.ObservedCancel
-	case deck.EngineBroken:
-		if reconnected {
-			return deck.ObservedFailure
-		}
+	case deck.EngineStalled, deck.EngineRejected:
 		return deck.ObservedCancel
 	case deck.EngineCrashed:
 		return deck.ObservedCrash
 	case deck.EngineDraining:
 		return deck.ObservedDraining
-	case deck.EngineRejected:
-		return deck.ObservedCancel
 	default:
 		return deck.ObservedFailure
 	}
--- a/internal/route/attempt/rig_test.go
+++ b/internal/route/attempt/rig_test.go
@@ -243,7 +243,7 @@
 func (f *fixture) request(body string) Request {
 	return Request{
 		Info:    deck.RequestInfo{Digest: body, Model: "m"},
-		Version: func() deck.VersionName { return "v1" },
+		Version: func(deck.BackendName) deck.VersionName { return "v1" },
 		Path:    "/v1/completions",
 		Body:    []byte(body),
 	}
--- a/internal/route/attempt/run.go
+++ b/internal/route/attempt/run.go
@@ -35,9 +35,12 @@
 // A message is an event of an attempt, with what the loop needs besides the decision.
 type message struct {
 	Event
+	try    *try               // for EventStart
 	server deck.BackendServer // for EventStart
 	engine deck.Engine        // for EventStart
 	place  *Run               // for EventStart
+
+	version deck.VersionName // for EventStart
 }
 
 // A handle is what the loop holds of an attempt.
@@ -91,11 +94,15 @@
 
 // note keeps what belongs to an attempt that starts.
 func (x *run) note(m message) {
+	if m.Kind != EventStart {
+		return
+	}
 	h := x.handles[m.Attempt]
-	if m.Kind != EventStart || h == nil {
+	if h == nil {
+		m.try.unused(m.server)
 		return
 	}
-	h.engine, h.place = m.engine, m.place
+	h.engine, h.place, h.version = m.engine, m.place, m.version
 	x.servers[m.server.Name] = m.server
 	if c := x.adm.Preempted(); c != x.ignored {
 		x.preempted = c
@@ -123,7 +130,7 @@
 
 func (x *run) open(a Action) {
 	ctx, cancel := context.WithCancel(x.ctx)
-	h := &handle{cancel: cancel, id: x.runner.newID(), version: x.pinned()}
+	h := &handle{cancel: cancel, id: x.runner.newID()}
 	x.handles[a.Attempt] = h
 	t := &try{
 		run:     x,
@@ -132,7 +139,7 @@
 		open:    a.Open,
 		same:    x.servers[a.Open.Same],
 		id:      h.id,
-		version: h.version,
+		version: x.version,
 	}
 	x.group.Go(func() error {
 		defer cancel()
@@ -141,14 +148,6 @@
 	})
 }
 
-// pinned returns the model version for the next attempt: that of the tokens already delivered, if there are any.
-func (x *run) pinned() deck.VersionName {
-	if x.version != nil {
-		return *x.version
-	}
-	return x.req.Version()
-}
-
 func (x *run) deliver(a Action) {
 	if x.version == nil {
 		x.version = &x.handles[a.Attempt].version
@@ -205,7 +204,7 @@
 	x.runner.behind(func() {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), crashTimeout)
 		defer cancel()
-		_ = x.runner.Poison.ReportCrash(ctx, x.req.Info.Digest, a.Backend, alone) // the local count stands
+		_ = x.runner.report(ctx, x.req.Info.Digest, a, alone) // the local count stands
 	})
 }
 
--- a/internal/route/attempt/run_test.go
+++ b/internal/route/attempt/run_test.go
@@ -127,17 +127,9 @@
 		if len(e.open) > 0 {
 			t.Fatalf("%d streams of %s are not closed", len(e.open), name)
 		}
-		starts, ends := 0, 0
-		for _, kind := range f.router.Observations(name) {
-			if kind == deck.ObservedStart {
-				starts++
-				continue
-			}
-			ends++
-		}
-		if starts != ends {
-			t.Fatalf("%s: %d attempts started, %d ended", name, starts, ends)
-		}
+	}
+	if faults := f.router.Faults(); len(faults) > 0 {
+		t.Fatalf("the router saw %v", faults)
 	}
 	if n := len(f.runner.Suspects.running); n > 0 {
 		t.Fatalf("suspects are still registered on %d servers", n)
@@ -276,7 +268,7 @@
 		f.engines["e2"].plan = []behaviour{{fail: "failed", after: 2}}
 		versions := []deck.VersionName{"v1", "v2", "v3"}
 		req := f.request("r")
-		req.Version = func() deck.VersionName {
+		req.Version = func(deck.BackendName) deck.VersionName {
 			v := versions[0]
 			versions = versions[1:]
 			return v
--- a/internal/route/attempt/runner.go
+++ b/internal/route/attempt/runner.go
@@ -39,7 +39,7 @@
 // A Request is an inference request of a caller.
 type Request struct {
 	Info    deck.RequestInfo
-	Version func() deck.VersionName // version that serves new requests
+	Version func(deck.BackendName) deck.VersionName // version that serves a new answer there
 	Path    string
 	Body    []byte // sent to the engine
 }
@@ -73,6 +73,9 @@
 		return Result{Kind: Refused, Refusal: poisonRefusal(), NotRun: true}
 	}
 	adm, refusal := r.Router.Admit(ctx, req.Info)
+	if refusal != nil && ctx.Err() != nil {
+		return Result{Kind: Gone, NotRun: true}
+	}
 	if refusal != nil {
 		return Result{Kind: Refused, Refusal: refusal, NotRun: true}
 	}
@@ -105,6 +108,14 @@
 	return r.Poison.Refused(digest) || r.Suspects.Refused(digest)
 }
 
+// report sends a crash to the poison store, with the boot id where the store takes it.
+func (r *Runner) report(ctx context.Context, digest string, a Action, alone bool) error {
+	if s, ok := r.Poison.(deck.BootPoisonStore); ok {
+		return s.ReportCrashOf(ctx, digest, a.Backend, a.BootID, alone)
+	}
+	return r.Poison.ReportCrash(ctx, digest, a.Backend, alone)
+}
+
 // behind runs f after the request that it belongs to; at the limit it runs at once.
 func (r *Runner) behind(f func()) {
 	select {
--- a/internal/route/attempt/try.go
+++ b/internal/route/attempt/try.go
@@ -25,7 +25,7 @@
 	open    Open
 	same    deck.BackendServer // for Open.Same
 	id      deck.RequestID
-	version deck.VersionName
+	version *deck.VersionName // that of the tokens already delivered; nil if there are none
 }
 
 func (t *try) do() {
@@ -81,11 +81,13 @@
 			return server, place, nil
 		}
 		if n < maxRechoices && t.open.Same == "" {
+			t.unused(server)
 			avoid = append(avoid[:len(avoid):len(avoid)], server.Name)
 			continue
 		}
 		place, err := t.run.runner.Suspects.Enter(t.ctx, t.digest(), server.Name)
 		if err != nil {
+			t.unused(server)
 			return server, nil, &deck.Refusal{Kind: deck.RefusedOverload, Reason: err.Error()}
 		}
 		return server, place, nil
@@ -101,19 +103,30 @@
 		return server, refusal
 	}
 	if t.open.Hedge && slices.Contains(avoid, server.Name) {
+		t.unused(server)
 		return server, &deck.Refusal{Kind: deck.RefusedNoBackend, Reason: "no second backend server for a hedge"}
 	}
 	return server, nil
 }
 
+// unused tells the router that the attempt will not use the server that it chose. For a reconnection the loop does it.
+func (t *try) unused(server deck.BackendServer) {
+	if t.open.Same == "" {
+		t.run.observe(Action{Observe: deck.ObservedCancel, Backend: server.Name})
+	}
+}
+
 // send starts the stream and posts what arrives.
 func (t *try) send(server deck.BackendServer, place *Run) {
 	engine := t.run.runner.Engine(server)
 	start := Event{Kind: EventStart, Backend: server.Name}
-	if !t.hand(message{Event: start, server: server, engine: engine, place: place}) {
+	version := t.versionOn(server.Name)
+	m := message{Event: start, try: t, server: server, engine: engine, place: place, version: version}
+	if !t.hand(m) {
+		t.unused(server)
 		return
 	}
-	stream, err := engine.Generate(t.ctx, t.generation())
+	stream, err := engine.Generate(t.ctx, t.generation(version))
 	if err != nil {
 		t.broke(err)
 		return
@@ -142,12 +155,20 @@
 	}
 }
 
-func (t *try) generation() deck.Generation {
+// versionOn returns the model version for the attempt: an answer never mixes two.
+func (t *try) versionOn(server deck.BackendName) deck.VersionName {
+	if t.version != nil {
+		return *t.version
+	}
+	return t.run.req.Version(server)
+}
+
+func (t *try) generation(version deck.VersionName) deck.Generation {
 	info := t.run.req.Info
 	return deck.Generation{
 		ID:       t.id,
 		Model:    info.Model,
-		Version:  t.version,
+		Version:  version,
 		Adapter:  info.Adapter,
 		Class:    info.Class,
 		Priority: t.run.adm.Priority(),
--- a/internal/test/decktest/router.go
+++ b/internal/test/decktest/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 
@@ -17,6 +18,7 @@
 	seen      []deck.Observation
 	admitted  []deck.RequestInfo
 	released  int
+	faults    []string
 	preempted chan struct{}
 }
 
@@ -30,7 +32,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.admitted = append(r.admitted, info)
-	return &admission{r}, nil
+	return &admission{r: r, held: make(map[deck.BackendName]int)}, nil
 }
 
 // Admitted returns the requests admitted so far.
@@ -40,6 +42,14 @@
 	return slices.Clone(r.admitted)
 }
 
+// Faults returns the observations that a router could not match with a choice, and the choices that no observation
+// ended before the release.
+func (r *Router) Faults() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.faults)
+}
+
 // Observations returns what was observed on the server, without single tokens.
 func (r *Router) Observations(server deck.BackendName) []deck.ObservationKind {
 	r.mu.Lock()
@@ -70,26 +80,49 @@
 	return r.released
 }
 
-type admission struct{ r *Router }
+type admission struct {
+	r    *Router
+	held map[deck.BackendName]int // choices that no observation has ended
+}
 
 var _ deck.Admission = (*admission)(nil)
 
 func (a *admission) Choose(_ context.Context, avoid []deck.BackendName) (deck.BackendServer, *deck.Refusal) {
-	for _, s := range a.r.Servers {
+	a.r.mu.Lock()
+	defer a.r.mu.Unlock()
+	var chosen *deck.BackendServer
+	for i, s := range a.r.Servers {
+		if a.held[s.Name] > 0 {
+			continue
+		}
 		if !slices.Contains(avoid, s.Name) {
-			return s, nil
+			chosen = &a.r.Servers[i]
+			break
+		}
+		if chosen == nil {
+			chosen = &a.r.Servers[i]
 		}
 	}
-	if len(a.r.Servers) == 0 {
+	if chosen == nil {
 		return deck.BackendServer{}, &deck.Refusal{Kind: deck.RefusedNoBackend, Reason: "no backend server"}
 	}
-	return a.r.Servers[0], nil
+	a.held[chosen.Name]++
+	return *chosen, nil
 }
 
 func (a *admission) Observe(o deck.Observation) {
 	a.r.mu.Lock()
 	defer a.r.mu.Unlock()
 	a.r.seen = append(a.r.seen, o)
+	if a.held[o.Backend] == 0 {
+		a.r.faults = append(a.r.faults, fmt.Sprintf("observation %d on %s, which is not chosen", o.Kind, o.Backend))
+		return
+	}
+	switch o.Kind {
+	case deck.ObservedStart, deck.ObservedToken, deck.ObservedStall:
+	default:
+		a.held[o.Backend]--
+	}
 }
 
 func (a *admission) Preempted() <-chan struct{} {
@@ -109,4 +142,9 @@
 	a.r.mu.Lock()
 	defer a.r.mu.Unlock()
 	a.r.released++
+	for name, n := range a.held {
+		if n > 0 {
+			a.r.faults = append(a.r.faults, fmt.Sprintf("%d choices of %s are not ended", n, name))
+		}
+	}
 }
--- a/internal/test/decktest/stores.go
+++ b/internal/test/decktest/stores.go
@@ -36,12 +36,13 @@
 	reports []CrashReport
 }
 
-var _ deck.PoisonStore = (*PoisonStore)(nil)
+var _ deck.BootPoisonStore = (*PoisonStore)(nil)
 
 // A CrashReport is a call to PoisonStore.ReportCrash.
 type CrashReport struct {
 	Digest  string
 	Backend deck.BackendName
+	BootID  string
 	Alone   bool
 }
 
@@ -63,10 +64,17 @@
 }
 
 // ReportCrash implements deck.PoisonStore.ReportCrash.
-func (s *PoisonStore) ReportCrash(_ context.Context, digest string, backend deck.BackendName, alone bool) error {
+func (s *PoisonStore) ReportCrash(ctx context.Context, digest string, backend deck.BackendName, alone bool) error {
+	return s.ReportCrashOf(ctx, digest, backend, "", alone)
+}
+
+// ReportCrashOf implements deck.BootPoisonStore.ReportCrashOf.
+func (s *PoisonStore) ReportCrashOf(
+	_ context.Context, digest string, backend deck.BackendName, bootID string, alone bool,
+) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.reports = append(s.reports, CrashReport{digest, backend, alone})
+	s.reports = append(s.reports, CrashReport{digest, backend, bootID, alone})
 	return nil
 }
 
