Let the emulated engine crash only on a request that it would run

The emulator crashed on a request before it looked whether the model was loaded, so a request that reached a freshly restarted, empty engine crashed it again at once. A real engine can't run a model that it does not hold. Still open: the client reports a crash of a process that never answered under the previous process's boot id.

--- a/internal/emulate/engine/generate.go
+++ b/internal/emulate/engine/generate.go
@@ -79,10 +79,6 @@
 		http.Error(w, "draining", http.StatusServiceUnavailable)
 		return nil, false
 	}
-	if e.faults.CrashOn != "" && strings.Contains(string(body), e.faults.CrashOn) {
-		e.crash()
-		panic(http.ErrAbortHandler)
-	}
 	model, _, _ := strings.Cut(c.Model, ":")
 	version := deck.VersionName(r.Header.Get(wire.HeaderModelVersion))
 	if !e.memory.has(deck.ModelName(model), version) {
@@ -95,6 +91,10 @@
 			return nil, false
 		}
 	}
+	if e.faults.CrashOn != "" && strings.Contains(string(body), e.faults.CrashOn) {
+		e.crash()
+		panic(http.ErrAbortHandler)
+	}
 	s := &stream{engine: e, body: body, chat: r.URL.Path == wire.PathChatCompletions, total: c.MaxTokens, silent: -1}
 	if id := r.Header.Get(wire.HeaderLastEventID); id != "" {
 		n, err := strconv.Atoi(id)
