Check the replicated log's core by a stateful fuzz against an oracle

A fuzz over five replicas with simulated disks kills them between save and answer, loses, repeats and reorders messages, cuts links in one direction, freezes replicas, loses disks and changes members; an oracle checks one leader a term, equal histories, complete leaders and fresh barriers.

It found that a leader which crashed with its own removal uncommitted left a log that nobody could continue, because it no longer stood for election. Such a replica now stands until it knows its removal as committed; refusing to remove a leader was ruled out, because the operator would have to move the leadership first.

--- a/internal/state/replica/config.go
+++ b/internal/state/replica/config.go
@@ -18,7 +18,7 @@
 	SnapshotEntries     = 1024
 	SnapshotBytes       = 4 << 20
 	maxBatchBytes       = 512 << 10 // commands in one append message, unless one command is larger
-	maxChunkBytes       = 256 << 10
+	ChunkBytes          = 256 << 10
 	maxUncommitted      = 4096 // entries
 	entryOverheadBytes  = 64   // index, term and framing, for batch sizes only
 	maxSnapshotBytes    = 1 << 30
@@ -36,6 +36,7 @@
 
 	SnapshotEntries int // entries between snapshots; 0 for SnapshotEntries
 	SnapshotBytes   int // bytes of commands between snapshots; 0 for SnapshotBytes
+	ChunkBytes      int // bytes of a snapshot in one message; 0 for ChunkBytes, which is also the limit
 }
 
 func (c Config) withDefaults() Config {
@@ -48,5 +49,8 @@
 	if c.SnapshotBytes == 0 {
 		c.SnapshotBytes = SnapshotBytes
 	}
+	if c.ChunkBytes <= 0 || c.ChunkBytes > ChunkBytes {
+		c.ChunkBytes = ChunkBytes
+	}
 	return c
 }
--- a/internal/state/replica/election.go
+++ b/internal/state/replica/election.go
@@ -5,7 +5,7 @@
 // campaign asks the voters whether this replica could win an election.
 func (c *Core) campaign() {
 	c.resetElection()
-	if !c.membership().IsVoter(c.self) {
+	if !c.mayLead() {
 		return
 	}
 	c.state = preCandidate
@@ -16,6 +16,17 @@
 	}
 }
 
+// mayLead reports whether the replica is a voter, or was one before its own removal that is not known as committed.
+//
+// In the latter case it may be the only replica that holds the end of the log, so that no other can win.
+func (c *Core) mayLead() bool {
+	if c.membership().IsVoter(c.self) {
+		return true
+	}
+	n := len(c.members)
+	return n > 1 && c.membershipIndex() > c.log.commit && c.members[n-2].IsVoter(c.self)
+}
+
 // elect asks the voters for their votes in a new term.
 func (c *Core) elect(byTransfer bool) {
 	c.ballot = deck.Ballot{Term: c.ballot.Term + 1, Vote: c.self}
@@ -113,7 +124,7 @@
 
 // handleTransfer campaigns at once by order of the leader.
 func (c *Core) handleTransfer(m deck.ReplicaMessage) {
-	if c.lead == m.From && c.membership().IsVoter(c.self) {
+	if c.lead == m.From && c.mayLead() {
 		c.elect(true)
 	}
 }
--- /dev/null
+++ b/internal/state/replica/oracle_test.go
@@ -0,0 +1,98 @@
+package replica
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// A committed entry is what the first replica that applied it saw.
+type committed struct {
+	term    uint64
+	command string
+	state   uint64 // of the state machine after it
+}
+
+// An oracle knows what was committed and who led, and fails at the first contradiction.
+type oracle struct {
+	fail    func(format string, args ...any)
+	history map[uint64]committed
+	leaders map[uint64]deck.ReplicaID
+	acked   map[uint64]string // acknowledged commands by index
+	last    uint64            // highest applied index
+}
+
+func newOracle(fail func(string, ...any)) oracle {
+	return oracle{
+		fail:    fail,
+		history: make(map[uint64]committed),
+		leaders: make(map[uint64]deck.ReplicaID),
+		acked:   make(map[uint64]string),
+	}
+}
+
+// observe checks that a term has one leader and that it holds every committed entry.
+func (o *oracle) observe(r *simReplica) {
+	if r.core.state != leader {
+		return
+	}
+	term := r.core.ballot.Term
+	if l, ok := o.leaders[term]; ok {
+		if l != r.id {
+			o.fail("term %d has leaders %s and %s", term, l, r.id)
+		}
+		return
+	}
+	o.leaders[term] = r.id
+	for index := r.core.log.snapshot.Index + 1; index <= o.last; index++ {
+		if t, ok := r.core.log.term(index); !ok || t != o.history[index].term {
+			o.fail("leader %s of term %d lacks committed entry %d", r.id, term, index)
+		}
+	}
+}
+
+// applied checks that every replica applies the same entries in the same order.
+func (o *oracle) applied(r *simReplica, e deck.LogEntry) {
+	now := committed{e.Term, string(e.Command), r.state}
+	if was, ok := o.history[e.Index]; ok && was != now {
+		o.fail("replica %s applies %v as entry %d, which was %v", r.id, now, e.Index, was)
+	}
+	o.history[e.Index] = now
+	o.last = max(o.last, e.Index)
+}
+
+func (o *oracle) restored(r *simReplica, index uint64) {
+	if was := o.history[index]; was.state != r.state {
+		o.fail("replica %s restores state %x at entry %d, which was %x", r.id, r.state, index, was.state)
+	}
+}
+
+func (o *oracle) acknowledge(e deck.LogEntry) {
+	o.acked[e.Index] = string(e.Command)
+}
+
+func (o *oracle) hasAcknowledged(command string) bool {
+	return slices.Contains(slices.Collect(maps.Values(o.acked)), command)
+}
+
+// barriers checks that a read barrier covers everything applied anywhere before it was asked for.
+func (o *oracle) barriers(r *simReplica, results []BarrierResult) {
+	for _, b := range results {
+		if b.Err == nil && b.Index < r.barriers[b.ID] {
+			o.fail("barrier at %s covers entry %d; %d was applied before", r.id, b.Index, r.barriers[b.ID])
+		}
+	}
+}
+
+// final checks that nothing acknowledged is missing from the replica's state.
+func (o *oracle) final(r *simReplica) {
+	for index, command := range o.acked {
+		if o.history[index].command != command || r.core.log.applied < index {
+			o.fail("acknowledged entry %d (%s) is lost", index, command)
+		}
+	}
+	if r.state != o.history[r.core.log.applied].state {
+		o.fail("replica %s has another state at entry %d", r.id, r.core.log.applied)
+	}
+}
--- /dev/null
+++ b/internal/state/replica/sim_test.go
@@ -0,0 +1,301 @@
+package replica
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/state/disk"
+)
+
+// A crashPoint is where a replica is killed while it carries out effects.
+type crashPoint int
+
+const (
+	noCrash crashPoint = iota
+	beforeSave
+	afterSave
+	halfSent
+	beforeApply
+)
+
+// maxUnderWay bounds the messages on the network.
+const maxUnderWay = 100
+
+type link struct{ from, to deck.VMName }
+
+// A simReplica is one VM's replica with its disk; core is nil while it is down.
+type simReplica struct {
+	id       deck.ReplicaID
+	disk     deck.Storage
+	core     *Core
+	state    uint64 // the state machine's state: a hash of the applied commands
+	frozen   bool
+	mine     map[uint64]uint64 // proposed entries that wait for their result: index to term
+	barriers map[uint64]uint64 // running barriers: the entry that they must cover
+	ended    []BarrierResult
+}
+
+// A sim is a set of replicas on a network that loses, repeats and reorders messages, with one virtual time.
+type sim struct {
+	fail     func(format string, args ...any)
+	now      time.Time
+	replicas []*simReplica
+	network  []*deck.ReplicaMessage // under way, oldest first
+	cut      map[link]bool
+	oracle   oracle
+	lives    uint64
+	config   Config
+}
+
+// newSim returns replicas of the VMs a, b, ... of which the first ones are the voters of a formed log.
+func newSim(fail func(string, ...any), vms, voters int) *sim {
+	s := &sim{
+		fail:   fail,
+		now:    time.Unix(1, 0),
+		cut:    make(map[link]bool),
+		oracle: newOracle(fail),
+		config: Config{Deployment: "sim", SnapshotEntries: 8, ChunkBytes: 5},
+	}
+	var m deck.Membership
+	for i := range vms {
+		r := &simReplica{id: deck.ReplicaID{VM: deck.VMName(rune('a' + i))}}
+		s.replicas = append(s.replicas, r)
+		s.newDisk(r)
+		if i < voters {
+			m.Voters = append(m.Voters, r.id)
+		}
+	}
+	for _, r := range s.replicas[:voters] {
+		founding := deck.LogEntry{Index: 1, Term: 1, Kind: deck.EntryMembership, Membership: m}
+		_ = r.disk.Save(deck.LogWrite{Ballot: &deck.Ballot{Term: 1}, Entries: []deck.LogEntry{founding}})
+	}
+	for _, r := range s.replicas {
+		s.start(r)
+	}
+	return s
+}
+
+// newDisk gives the replica an empty disk and so a new incarnation.
+func (s *sim) newDisk(r *simReplica) {
+	s.lives++
+	r.id.Incarnation = s.lives
+	r.disk = disk.NewMemory(r.id)
+}
+
+func (s *sim) start(r *simReplica) {
+	cfg := s.config
+	cfg.Stored, _ = r.disk.Load()
+	s.lives++
+	cfg.Rand = rand.NewPCG(s.lives, 1)
+	r.core = New(cfg, s.now)
+	r.state, r.mine, r.barriers = 0, make(map[uint64]uint64), make(map[uint64]uint64)
+	s.settle(r, noCrash)
+}
+
+func (s *sim) crash(r *simReplica) {
+	r.core = nil
+	r.frozen = false
+}
+
+// settle carries out the replica's effects as a node does; it is killed at the given point of the first ones.
+func (s *sim) settle(r *simReplica, at crashPoint) {
+	for r.core != nil {
+		e := r.core.Effects()
+		if e.IsEmpty() {
+			return
+		}
+		s.carryOut(r, e, at)
+	}
+}
+
+func (s *sim) carryOut(r *simReplica, e Effects, at crashPoint) {
+	if at == beforeSave {
+		s.crash(r)
+		return
+	}
+	_ = r.disk.Save(e.Save)
+	if at == afterSave {
+		s.crash(r)
+		return
+	}
+	r.core.Saved(e)
+	s.oracle.observe(r)
+	if at == halfSent {
+		e.Send = e.Send[:len(e.Send)/2]
+	}
+	s.transmit(e.Send)
+	if at == halfSent || at == beforeApply {
+		s.crash(r)
+		return
+	}
+	s.apply(r, e)
+}
+
+func (s *sim) apply(r *simReplica, e Effects) {
+	if e.Restore != nil {
+		r.state, _ = strconv.ParseUint(string(e.Restore.Data), 16, 64)
+		s.oracle.restored(r, e.Restore.Index)
+	}
+	for _, entry := range e.Apply {
+		r.state = nextState(r.state, entry)
+		s.oracle.applied(r, entry)
+		if r.mine[entry.Index] == entry.Term {
+			s.oracle.acknowledge(entry)
+		}
+	}
+	s.oracle.barriers(r, e.Barriers)
+	r.ended = append(r.ended, e.Barriers...)
+	if e.Snapshot {
+		r.core.Compact([]byte(fmt.Sprintf("%016x", r.state)))
+	}
+}
+
+func nextState(state uint64, e deck.LogEntry) uint64 {
+	h := fnv.New64a()
+	_, _ = fmt.Fprintf(h, "%x %d %d %s", state, e.Index, e.Kind, e.Command)
+	return h.Sum64()
+}
+
+// transmit puts messages on the network, which loses the oldest ones when it is full.
+func (s *sim) transmit(messages []deck.ReplicaMessage) {
+	for _, m := range messages {
+		s.network = append(s.network, &m)
+	}
+	if n := len(s.network) - maxUnderWay; n > 0 {
+		s.network = slices.Delete(s.network, 0, n)
+	}
+}
+
+// deliver takes the message at the position from the network and hands it over.
+func (s *sim) deliver(i int) {
+	m := s.network[i]
+	s.network = slices.Delete(s.network, i, i+1)
+	s.arrive(m)
+}
+
+// arrive hands a message over, unless it is lost on the way.
+func (s *sim) arrive(m *deck.ReplicaMessage) {
+	r := s.vm(m.To.VM)
+	if r.core == nil || s.cut[link{m.From.VM, m.To.VM}] {
+		return
+	}
+	if r.frozen {
+		s.network = append(s.network, m)
+		return
+	}
+	r.core.Step(s.now, *m)
+	s.settle(r, noCrash)
+}
+
+// calm lets time pass in steps in which every message arrives in order.
+func (s *sim) calm(steps int) {
+	for range steps {
+		s.now = s.now.Add(50 * time.Millisecond)
+		for _, r := range s.replicas {
+			if r.core != nil && !r.frozen {
+				r.core.Tick(s.now)
+				s.settle(r, noCrash)
+			}
+		}
+		arriving := s.network
+		s.network = nil
+		for _, m := range arriving {
+			s.arrive(m)
+		}
+	}
+}
+
+// calmUntil lets time pass until the condition holds; it fails after a minute.
+func (s *sim) calmUntil(what string, cond func() bool) {
+	for range 1200 {
+		if cond() {
+			return
+		}
+		s.calm(1)
+	}
+	s.fail("not reached within a minute: %s\n%s", what, s.describe())
+}
+
+// describe returns a line for each replica.
+func (s *sim) describe() string {
+	var b strings.Builder
+	for _, r := range s.replicas {
+		if r.core == nil {
+			_, _ = fmt.Fprintf(&b, "%s down\n", r.id)
+			continue
+		}
+		st, l := r.core.Status(), r.core.log
+		_, _ = fmt.Fprintf(&b, "%s role %d frozen %t log %d..%d of term %d %+v\n",
+			r.id, r.core.state, r.frozen, l.snapshot.Index, l.last(), l.lastTerm(), st)
+	}
+	return b.String()
+}
+
+// heal starts every replica and repairs the network.
+func (s *sim) heal() {
+	clear(s.cut)
+	for _, r := range s.replicas {
+		r.frozen = false
+		if r.core == nil {
+			s.start(r)
+		}
+	}
+}
+
+func (s *sim) vm(name deck.VMName) *simReplica {
+	return s.replicas[int(name[0]-'a')]
+}
+
+// leader returns the leader of the highest term, nil if there is none.
+func (s *sim) leader() *simReplica {
+	var l *simReplica
+	for _, r := range s.replicas {
+		if r.core != nil && r.core.state == leader && (l == nil || r.core.ballot.Term > l.core.ballot.Term) {
+			l = r
+		}
+	}
+	return l
+}
+
+// awaitLeader lets time pass until a leader has committed an entry of its term.
+func (s *sim) awaitLeader() *simReplica {
+	s.calmUntil("a leader", func() bool { l := s.leader(); return l != nil && l.core.ownTermCommitted() })
+	return s.leader()
+}
+
+// propose offers a command to the replica without carrying out the effects.
+func (s *sim) propose(r *simReplica, command string) error {
+	index, term, err := r.core.Propose(s.now, []byte(command))
+	if err == nil {
+		r.mine[index] = term
+	}
+	return err
+}
+
+// commit proposes the command at the leader, again at each new one, until it is acknowledged.
+func (s *sim) commit(command string) {
+	var proposedIn uint64
+	s.calmUntil("commit of "+command, func() bool {
+		l := s.leader()
+		if l == nil || !l.core.ownTermCommitted() {
+			return false
+		}
+		if term := l.core.ballot.Term; term != proposedIn && s.propose(l, command) == nil {
+			proposedIn = term
+			s.settle(l, noCrash)
+		}
+		return s.oracle.hasAcknowledged(command)
+	})
+}
+
+func (s *sim) barrier(r *simReplica) {
+	s.lives++
+	r.barriers[s.lives] = s.oracle.last
+	r.core.Barrier(s.now, s.lives)
+}
--- a/internal/state/replica/snapshot.go
+++ b/internal/state/replica/snapshot.go
@@ -51,7 +51,7 @@
 		p.nextOffset = 0
 	}
 	s := p.snapshot
-	end := min(p.nextOffset+maxChunkBytes, len(s.Data))
+	end := min(p.nextOffset+c.cfg.ChunkBytes, len(s.Data))
 	p.waiting = true
 	c.send(deck.ReplicaMessage{
 		Kind: deck.MessageSnapshot, To: id, Index: s.Index, LogTerm: s.Term, Round: c.round,
@@ -106,7 +106,7 @@
 
 // incomingFor returns the transfer that the chunk belongs to, a new one if it differs; nil if it is too large.
 func (c *Core) incomingFor(m deck.ReplicaMessage) *incomingSnapshot {
-	if m.Chunk.Total > maxSnapshotBytes || m.Chunk.Total < 0 {
+	if m.Chunk.Total > maxSnapshotBytes || m.Chunk.Total < 0 || len(m.Chunk.Membership.Voters) == 0 {
 		return nil
 	}
 	in := c.incoming
