Plan replicas for demand and fuzz placement under network faults

Cause: the first executor only filled home models and was tested without faults. Change: demand estimates with two time constants, replicas by gain against cost, versions side by side or on another engine first, evictions for models without a place, and a stateful fuzz with a fake engine that sums its memory. Planning at every tick was ruled out: the planner runs once a second.

--- a/internal/place/execute/advance.go
+++ b/internal/place/execute/advance.go
@@ -9,18 +9,33 @@
 	"github.com/geraniumdeck/geraniumdeck/internal/place/plan"
 )
 
-// replan computes the target from what the ledgers hold.
+// replan computes the target from what the ledgers hold, at once after a change of the state in force.
 func (c *Controller) replan() {
+	if c.planned == c.state.Version()+1 && c.now.Sub(c.plannedAt) < replanInterval {
+		return
+	}
+	c.planned, c.plannedAt = c.state.Version()+1, c.now
 	c.target = plan.Local(plan.Input{
 		State:      c.state,
 		DataCentre: c.dc,
 		Homes:      c.homes,
 		Leaving:    c.in.Leaving,
 		Current:    c.placements(),
+		Avoid:      c.avoided(),
+		Demand:     c.in.Demand,
+		Rate:       c.in.Rate,
 		Now:        c.now,
 	})
 }
 
+func (c *Controller) avoided() map[plan.Place]bool {
+	out := make(map[plan.Place]bool, len(c.evictions))
+	for p := range c.evictions {
+		out[plan.Place{Backend: p.backend, Model: p.item.Model}] = true
+	}
+	return out
+}
+
 func (c *Controller) placements() []plan.Placement {
 	var out []plan.Placement
 	for _, e := range c.ordered() {
@@ -44,18 +59,33 @@
 
 // advance emits the steps that are safe now: loads first, in order of need, then adapters, roles and unloads.
 func (c *Controller) advance(out *Output) {
+	c.forgetEvictions()
+	c.count()
+	c.waiting = 0
 	for _, l := range c.wanted() {
-		if c.loadsInFlight() >= c.in.Loads {
-			break
+		if c.loadsInFlight() >= c.loadLimit(l) {
+			c.waiting++
+			continue
+		}
+		if !c.load(out, l, l.engine) {
+			c.elsewhere(out, l)
 		}
-		c.load(out, l)
 	}
 	for _, e := range c.ordered() {
 		c.adapters(out, e)
+		c.setRole(out, e)
 		c.unload(out, e)
 	}
 }
 
+// loadLimit keeps one load of the share for models without any place.
+func (c *Controller) loadLimit(l load) int {
+	if l.places > 0 && c.in.Loads > 1 {
+		return c.in.Loads - 1
+	}
+	return c.in.Loads
+}
+
 // A load is a model version that an engine lacks.
 type load struct {
 	engine  *engine
@@ -86,11 +116,11 @@
 	return out
 }
 
-func (c *Controller) load(out *Output, l load) bool {
-	if at, ok := l.engine.refusedAt[l.item()]; ok && c.now.Sub(at) < retryDelay {
+func (c *Controller) load(out *Output, l load, e *engine) bool {
+	if at, ok := e.refusedAt[l.item()]; ok && c.now.Sub(at) < retryDelay {
 		return false
 	}
-	return c.send(out, l.engine, deck.Operation{
+	return c.send(out, e, deck.Operation{
 		Kind:           deck.OpLoadModel,
 		Model:          l.model.Name,
 		Version:        l.version.Name,
@@ -112,88 +142,39 @@
 	return n
 }
 
-// readyReplicas counts the reported replicas of a model that stay; an empty version stands for any.
-func (c *Controller) readyReplicas(m deck.ModelName, v deck.VersionName) int {
-	n := 0
+// count counts the reported replicas that stay, once for each step.
+func (c *Controller) count() {
+	c.serving = make(map[memory.Item]int)
 	for _, e := range c.engines {
 		if e.leaving || !e.ledger.Ready() {
 			continue
 		}
 		for _, it := range e.ledger.Items() {
-			if it.Model == m && (v == "" || it.Version == v) && c.serves(e, it) {
-				n++
+			if it.Adapter == "" && c.serves(e, it) {
+				c.serving[it]++
+				c.serving[memory.Item{Model: it.Model}]++
 			}
 		}
 	}
-	return n
 }
 
-// serves reports whether the engine's last report shows the item ready and nothing is about to remove it.
-func (c *Controller) serves(e *engine, it memory.Item) bool {
-	_, ready := e.ledger.Holds(it)
-	_, going := c.retiring[place{e.backend.Name, it}]
-	return ready && !going && !e.ledger.Busy(it)
-}
-
-// adapters loads the missing adapters of the models that the engine holds and removes those that no ticket lists.
-func (c *Controller) adapters(out *Output, e *engine) {
-	if !e.ledger.Ready() || e.leaving {
-		return
-	}
-	models := make(map[deck.ModelName]bool)
-	for _, it := range e.ledger.Items() {
-		if _, ready := e.ledger.Holds(it); it.Adapter == "" && ready {
-			models[it.Model] = true
-		}
-	}
-	for _, a := range c.state.Adapters() {
-		it := memory.Item{Adapter: a.Name}
-		if held, _ := e.ledger.Holds(it); !models[a.Model] || held || e.ledger.Busy(it) {
-			continue
-		}
-		c.send(out, e, deck.Operation{Kind: deck.OpLoadAdapter, Model: a.Model, Adapter: a.Name, ResidentBytes: a.Bytes})
-	}
-	for _, it := range e.ledger.Items() {
-		if it.Adapter == "" {
-			continue
-		}
-		if a, ok := c.state.Adapter(it.Adapter); !ok || !models[a.Model] {
-			c.send(out, e, deck.Operation{Kind: deck.OpUnloadAdapter, Adapter: it.Adapter})
-		}
-	}
+// readyReplicas returns the reported replicas of a model that stay; an empty version stands for any.
+func (c *Controller) readyReplicas(m deck.ModelName, v deck.VersionName) int {
+	return c.serving[memory.Item{Model: m, Version: v}]
 }
 
-// unload removes the model versions that the target does not list, each only once another place is reported.
-func (c *Controller) unload(out *Output, e *engine) {
-	for _, it := range e.ledger.Items() {
-		key := place{e.backend.Name, it}
-		if it.Adapter != "" || e.ledger.Busy(it) {
-			continue
-		}
-		at, going := c.retiring[key]
-		switch {
-		case !c.surplus(e, it):
-			delete(c.retiring, key)
-		case !going:
-			c.retiring[key] = c.now
-		case c.now.Sub(at) >= retireDelay:
-			c.send(out, e, deck.Operation{Kind: deck.OpUnloadModel, Model: it.Model, Version: it.Version})
-		}
+// retire stops offering a replica to requests.
+func (c *Controller) retire(e *engine, it memory.Item) {
+	if c.serves(e, it) {
+		c.serving[it]--
+		c.serving[memory.Item{Model: it.Model}]--
 	}
+	c.retiring[place{e.backend.Name, it}] = c.now
 }
 
-// surplus reports whether the item may go: its model is removed, or another replica serves the active version.
-func (c *Controller) surplus(e *engine, it memory.Item) bool {
-	m, ok := c.state.Model(it.Model)
-	if !ok {
-		return true
-	}
-	if it.Version == m.Active && c.target.Wants(e.backend.Name, it.Model) {
-		return false
-	}
-	others := c.readyReplicas(it.Model, m.Active)
-	if it.Version == m.Active && c.serves(e, it) && !e.leaving {
-		others--
-	}
-	return others > 0
+// serves reports whether the engine's last report shows the item ready and nothing is about to remove it.
+func (c *Controller) serves(e *engine, it memory.Item) bool {
+	_, ready := e.ledger.Holds(it)
+	_, going := c.retiring[place{e.backend.Name, it}]
+	return ready && !going && !e.ledger.Busy(it)
 }
--- a/internal/place/execute/controller.go
+++ b/internal/place/execute/controller.go
@@ -19,6 +19,10 @@
 	reportsPerSecond = 6
 	// retireDelay lets entry VMs learn that a replica goes before it is unloaded.
 	retireDelay = 3 * time.Second
+	// evictionHold keeps the planner from loading a replica again while its memory is needed for another model.
+	evictionHold = time.Minute
+	// replanInterval bounds the planner's share of a core.
+	replanInterval = time.Second
 	// retryDelay spaces the attempts of a refused step.
 	retryDelay = time.Second
 )
@@ -32,9 +36,14 @@
 	homes     plan.Homes
 	assigned  bool // homes belong to state
 	target    plan.Target
+	planned   uint64 // state version of the target + 1; 0 if there is none
+	plannedAt time.Time
+	serving   map[memory.Item]int // reported replicas that stay, by version and by model
 	engines   map[deck.BackendName]*engine
 	sequence  uint64
-	retiring  map[place]time.Time
+	retiring  map[place]time.Time // since when a replica is no longer offered to requests
+	evictions map[place]time.Time // replicas that make room for a model without a place
+	waiting   int                 // loads that the share of the weight store held back in the last step
 	table     deck.ResidencyTable
 	tables    uint64
 	now       time.Time
@@ -60,12 +69,15 @@
 
 // An Input is what a step depends on beside the controller's own state.
 type Input struct {
-	Now     time.Time
-	Lease   deck.PlacementLease
-	Held    bool
-	State   deck.State
-	Leaving map[deck.BackendName]bool // from the platform's list
-	Loads   int                       // model loads that may be in flight by the data centre's share
+	Now      time.Time
+	Lease    deck.PlacementLease
+	Held     bool
+	State    deck.State
+	Leaving  map[deck.BackendName]bool // from the platform's list
+	Loads    int                       // model loads that may be in flight by the data centre's share
+	Demand   map[deck.ModelName]plan.Rates
+	Rate     float64 // tokens per second of one accelerator; 0 stands for plan.DefaultRate
+	Adapters int     // adapter loads that may be in flight by the data centre's share
 }
 
 // A Send is an operation whose memory is reserved and that is to be sent to the backend server.
@@ -82,7 +94,12 @@
 
 // NewController returns a controller of the data centre's engines that holds no lease.
 func NewController(dc deck.DataCentre) *Controller {
-	return &Controller{dc: dc, engines: make(map[deck.BackendName]*engine), retiring: make(map[place]time.Time)}
+	return &Controller{
+		dc:        dc,
+		engines:   make(map[deck.BackendName]*engine),
+		retiring:  make(map[place]time.Time),
+		evictions: make(map[place]time.Time),
+	}
 }
 
 // Step returns the operations and report requests that are due.
@@ -92,6 +109,7 @@
 		c.lease = deck.PlacementLease{}
 		clear(c.engines)
 		clear(c.retiring)
+		clear(c.evictions)
 		return Output{}
 	}
 	c.takeover(in.Lease)
@@ -118,8 +136,10 @@
 	c.takenOver = c.now
 	c.sequence = 0
 	c.tables = 0
+	c.planned = 0
 	clear(c.engines)
 	clear(c.retiring)
+	clear(c.evictions)
 }
 
 func (c *Controller) install(s deck.State) {
--- /dev/null
+++ b/internal/place/execute/elsewhere.go
@@ -0,0 +1,106 @@
+package execute
+
+import (
+	"maps"
+	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/place/memory"
+)
+
+// elsewhere loads a version on another engine when its own has no room beside the old version, or when loads wait for
+// each other's memory. The target's engine can then give up its old version.
+func (c *Controller) elsewhere(out *Output, l load) {
+	active := c.places(l.model.Name, l.version.Name)
+	if active > 0 && !c.stuck(out) {
+		return
+	}
+	need := l.version.ResidentBytes() + l.version.TransientBytes
+	var best *engine
+	for _, e := range c.ordered() {
+		held, _ := e.ledger.Holds(l.item())
+		if e.leaving || held || !e.ledger.Ready() || e.ledger.Busy(l.item()) || e.ledger.Free() < need {
+			continue
+		}
+		if best == nil || e.ledger.Free() > best.ledger.Free() {
+			best = e
+		}
+	}
+	if best != nil {
+		c.load(out, l, best)
+		return
+	}
+	if active == 0 {
+		c.evict(need)
+	}
+}
+
+// places counts the engines that hold or are loading the version.
+func (c *Controller) places(m deck.ModelName, v deck.VersionName) int {
+	it := memory.Item{Model: m, Version: v}
+	n := 0
+	for _, e := range c.engines {
+		if held, _ := e.ledger.Holds(it); !e.leaving && (held || e.ledger.Loading(it)) {
+			n++
+		}
+	}
+	return n
+}
+
+// stuck reports whether no step is under way that could free memory.
+func (c *Controller) stuck(out *Output) bool {
+	if len(c.retiring) > 0 || len(out.Sends) > 0 {
+		return false
+	}
+	for _, e := range c.engines {
+		if e.ledger.Outstanding() > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// evict marks the fewest replicas for removal that have another place and whose memory makes room for the need.
+func (c *Controller) evict(need deck.Bytes) {
+	if len(c.evictions) > 0 {
+		return
+	}
+	var best []place
+	for _, e := range c.ordered() {
+		if e.leaving || !e.ledger.Ready() {
+			continue
+		}
+		free := e.ledger.Free()
+		var chosen []place
+		for _, it := range e.ledger.Items() {
+			m, _ := c.state.Model(it.Model)
+			if free < need && it.Version == m.Active && c.serves(e, it) && c.readyReplicas(it.Model, it.Version) > 1 {
+				chosen = append(chosen, place{e.backend.Name, it})
+				free += c.size(it)
+			}
+		}
+		if free >= need && len(chosen) > 0 && (best == nil || len(chosen) < len(best)) {
+			best = chosen
+		}
+	}
+	for _, p := range best {
+		c.evictions[p] = c.now
+	}
+}
+
+// forgetEvictions lets the planner use an evicted place again after evictionHold.
+func (c *Controller) forgetEvictions() {
+	for p, at := range c.evictions {
+		if c.now.Sub(at) >= evictionHold {
+			delete(c.evictions, p)
+		}
+	}
+	maps.DeleteFunc(c.retiring, func(p place, _ time.Time) bool {
+		e, ok := c.engines[p.backend]
+		if !ok {
+			return true
+		}
+		held, _ := e.ledger.Holds(p.item)
+		return !held
+	})
+}
--- a/internal/place/execute/executor.go
+++ b/internal/place/execute/executor.go
@@ -20,7 +20,8 @@
 	operateTimeout = memory.OperationLifetime
 	platformPoll   = time.Second
 	// defaultLoads bounds the loads in flight where no share of the weight store is set.
-	defaultLoads = 1
+	defaultLoads    = 1
+	defaultAdapters = 8
 )
 
 // A Config is what an Executor needs; Leaving, Loads, Publish, ObserveToken and Log may be nil or zero.
@@ -94,7 +95,7 @@
 
 func (e *Executor) decide() Output {
 	l, held := e.cfg.Lease.Held()
-	in := Input{Now: e.cfg.Clock.Now(), Lease: l, Held: held, State: e.cfg.States.State(), Loads: defaultLoads}
+	in := Input{Now: e.cfg.Clock.Now(), Lease: l, Held: held, State: e.cfg.States.State(), Loads: defaultLoads, Adapters: defaultAdapters}
 	if e.cfg.Leaving != nil {
 		in.Leaving = e.cfg.Leaving()
 	}
--- /dev/null
+++ b/internal/place/execute/fuzz_test.go
@@ -0,0 +1,122 @@
+package execute
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/place/plan"
+	"github.com/geraniumdeck/geraniumdeck/internal/test/decktest"
+)
+
+// Guards against any order of faults that overcommits an engine, takes a model's last place or leaves a model without a
+// place after the faults end. The oracle adds up each fake engine's memory after every step.
+func TestFuzzPlacementKeepsMemoryAndPlaces(t *testing.T) {
+	decktest.Check(t, func(rt *rapid.T) {
+		w := newWorld(fuzzState(rt))
+		for range rapid.IntRange(10, 120).Draw(rt, "steps") {
+			fuzzStep(rt, w)
+			if len(w.faults) > 0 {
+				rt.Fatalf("%v: %v", w.now, w.faults)
+			}
+		}
+		w.leaving, w.loads = nil, 3
+		for range 10 {
+			w.run(30 * time.Second)
+			if len(w.unplaced()) == 0 {
+				break
+			}
+		}
+		if len(w.faults) > 0 {
+			rt.Fatalf("%v: %v", w.now, w.faults)
+		}
+		if m := w.unplaced(); len(m) > 0 {
+			rt.Fatalf("no ready place after 5 min without faults: %v", m)
+		}
+	})
+}
+
+// fuzzState has three engines, one of which ignores tokens or not, filled to between a half and nearly full.
+func fuzzState(rt *rapid.T) deck.State {
+	s := testState(3, rapid.IntRange(5, 15).Draw(rt, "models"), true)
+	var t deck.Ticket
+	for _, b := range s.BackendServers() {
+		b.ChecksFencing = rapid.Bool().Draw(rt, "checks tokens")
+		t.BackendServers = append(t.BackendServers, b)
+	}
+	for i := range rapid.IntRange(0, 3).Draw(rt, "adapters") {
+		t.Adapters = append(t.Adapters, deck.Adapter{Name: deck.AdapterName(fmt.Sprintf("a%d", i)), Model: "m0", Bytes: deck.GiB})
+	}
+	return s.WithTicket(t, 1)
+}
+
+func fuzzStep(rt *rapid.T, w *world) {
+	index := func(n int) int { return rapid.IntRange(0, n-1).Draw(rt, "index") }
+	engine := deck.BackendName(fmt.Sprintf("e%d", index(3)))
+	w.tick(time.Duration(rapid.IntRange(1, 12).Draw(rt, "quarters")) * 250 * time.Millisecond)
+	switch rapid.IntRange(0, 19).Draw(rt, "action") {
+	case 0:
+		w.restart(engine)
+	case 1:
+		w.replaceLeader()
+	case 2, 3:
+		fuzzTicket(rt, w)
+	case 4:
+		w.fakes[engine].loadTime = time.Duration(rapid.IntRange(0, 30).Draw(rt, "load time")) * time.Second
+	case 5:
+		w.loads = rapid.IntRange(0, 4).Draw(rt, "loads")
+	case 6:
+		w.leaving = map[deck.BackendName]bool{engine: rapid.Bool().Draw(rt, "leaving")}
+	case 7:
+		m := deck.ModelName(fmt.Sprintf("m%d", index(5)))
+		w.demand = map[deck.ModelName]plan.Rates{m: {Fast: 3000, Slow: 2000}}
+	case 8, 9, 10:
+		w.flush()
+	case 11:
+		w.run(5 * time.Second)
+	default:
+		fuzzNetwork(rt, w)
+	}
+}
+
+// fuzzNetwork delivers, repeats, loses or holds back messages in any order.
+func fuzzNetwork(rt *rapid.T, w *world) {
+	for range rapid.IntRange(1, 6).Draw(rt, "messages") {
+		kind := rapid.IntRange(0, 6).Draw(rt, "message")
+		if kind < 4 && len(w.ops) > 0 {
+			i := rapid.IntRange(0, len(w.ops)-1).Draw(rt, "operation")
+			if kind == 0 {
+				w.lose(i)
+			} else {
+				w.deliver(i, kind > 1, kind == 3)
+			}
+		}
+		if kind >= 4 && len(w.reports) > 0 {
+			i := rapid.IntRange(0, len(w.reports)-1).Draw(rt, "report")
+			if kind == 4 {
+				w.loseReport(i)
+			} else {
+				w.report(i, kind == 6)
+			}
+		}
+	}
+}
+
+func fuzzTicket(rt *rapid.T, w *world) {
+	name := deck.ModelName(fmt.Sprintf("m%d", rapid.IntRange(0, 5).Draw(rt, "model")))
+	m, ok := w.state.Model(name)
+	kind := rapid.IntRange(0, 3).Draw(rt, "ticket")
+	switch {
+	case kind == 0 && ok:
+		m.Absent = true
+	case kind == 1 || !ok:
+		m = testModel(name, "v1")
+	default:
+		v := deck.VersionName(fmt.Sprintf("v%d", rapid.IntRange(1, 3).Draw(rt, "version")))
+		m = testModel(name, v)
+	}
+	w.apply(deck.Ticket{Models: []deck.Model{m}})
+}
--- /dev/null
+++ b/internal/place/execute/remove.go
@@ -0,0 +1,120 @@
+package execute
+
+import (
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/place/memory"
+	"github.com/geraniumdeck/geraniumdeck/internal/place/plan"
+)
+
+// adapters loads the missing adapters of the models that the engine holds and removes those that no ticket lists.
+func (c *Controller) adapters(out *Output, e *engine) {
+	if !e.ledger.Ready() || e.leaving {
+		return
+	}
+	models := e.models()
+	for _, a := range c.state.Adapters() {
+		it := memory.Item{Adapter: a.Name}
+		held, _ := e.ledger.Holds(it)
+		if !models[a.Model] || held || e.ledger.Busy(it) || c.adaptersInFlight() >= c.in.Adapters {
+			continue
+		}
+		c.send(out, e, deck.Operation{Kind: deck.OpLoadAdapter, Model: a.Model, Adapter: a.Name, ResidentBytes: a.Bytes})
+	}
+	for _, it := range e.ledger.Items() {
+		if it.Adapter == "" {
+			continue
+		}
+		if a, ok := c.state.Adapter(it.Adapter); !ok || !models[a.Model] {
+			c.send(out, e, deck.Operation{Kind: deck.OpUnloadAdapter, Adapter: it.Adapter})
+		}
+	}
+}
+
+// models returns the models of which the engine holds a version.
+func (e *engine) models() map[deck.ModelName]bool {
+	models := make(map[deck.ModelName]bool)
+	for _, it := range e.ledger.Items() {
+		if it.Adapter == "" {
+			models[it.Model] = true
+		}
+	}
+	return models
+}
+
+func (c *Controller) adaptersInFlight() int {
+	n := 0
+	for _, e := range c.engines {
+		for _, it := range e.ledger.LoadingItems() {
+			if it.Adapter != "" {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// setRole gives the engine the role that the state in force declares.
+func (c *Controller) setRole(out *Output, e *engine) {
+	r, _, ok := e.ledger.Report()
+	if !ok || !e.ledger.Ready() || r.Role == e.backend.Role || e.ledger.Busy(memory.Item{}) {
+		return
+	}
+	c.send(out, e, deck.Operation{Kind: deck.OpSetRole, Role: e.backend.Role})
+}
+
+// unload removes the model versions that the target does not list, each only once another place is reported. A leaving
+// engine keeps its models, because answers still run on it.
+func (c *Controller) unload(out *Output, e *engine) {
+	if !e.ledger.Ready() || e.leaving {
+		return
+	}
+	for _, it := range e.ledger.Items() {
+		key := place{e.backend.Name, it}
+		if it.Adapter != "" || e.ledger.Busy(it) {
+			continue
+		}
+		at, going := c.retiring[key]
+		switch {
+		case !c.surplus(e, it):
+			delete(c.retiring, key)
+		case !going:
+			c.retire(e, it)
+		case c.now.Sub(at) >= retireDelay:
+			c.send(out, e, deck.Operation{Kind: deck.OpUnloadModel, Model: it.Model, Version: it.Version})
+		}
+	}
+}
+
+// surplus reports whether the item may go: no ticket lists its model, or another replica serves the active version.
+func (c *Controller) surplus(e *engine, it memory.Item) bool {
+	m, ok := c.state.Model(it.Model)
+	if !ok {
+		return true
+	}
+	if c.needed(e, it, m) {
+		return false
+	}
+	others := c.readyReplicas(it.Model, m.Active)
+	if it.Version == m.Active && c.serves(e, it) {
+		others--
+	}
+	return others > 0
+}
+
+// needed reports whether the engine is to keep the item even if another place is reported.
+func (c *Controller) needed(e *engine, it memory.Item, m deck.Model) bool {
+	if _, out := c.evictions[place{e.backend.Name, it}]; out {
+		return false
+	}
+	if !c.target.Wants(e.backend.Name, it.Model) {
+		return it.Version == m.Active && c.now.Sub(e.ledger.ReadyAt(it)) < plan.MinResidence
+	}
+	if it.Version == m.Active {
+		return true
+	}
+	// The old version stays until the new one is reported here, unless there is no room for both.
+	v, _ := m.ActiveVersion()
+	next := memory.Item{Model: it.Model, Version: m.Active}
+	_, ready := e.ledger.Holds(next)
+	return !ready && (e.ledger.Loading(next) || e.ledger.Free() >= v.ResidentBytes()+v.TransientBytes)
+}
--- a/internal/place/plan/homes.go
+++ b/internal/place/plan/homes.go
@@ -132,6 +132,7 @@
 			model:     m.Name,
 			resident:  v.ResidentBytes() + adapters[m.Name],
 			transient: v.TransientBytes,
+			weight:    v.WeightBytes,
 			replicas:  max(1, m.MinReplicas),
 		})
 	}
--- a/internal/place/plan/local.go
+++ b/internal/place/plan/local.go
@@ -1,6 +1,8 @@
 package plan
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -21,9 +23,18 @@
 	Homes      Homes
 	Leaving    map[deck.BackendName]bool // servers that leave, beside those that the state marks
 	Current    []Placement               // ordered by backend server and model
+	Avoid      map[Place]bool            // places that were given up to make room
+	Demand     map[deck.ModelName]Rates
+	Rate       float64 // tokens per second of one accelerator; 0 stands for DefaultRate
 	Now        time.Time
 }
 
+// A Place is a model on a backend server.
+type Place struct {
+	Backend deck.BackendName
+	Model   deck.ModelName
+}
+
 // A Target says which models each engine of a data centre is to hold.
 type Target struct {
 	models  map[deck.BackendName][]deck.ModelName
@@ -59,6 +70,7 @@
 		p.repack()
 	}
 	p.keepSurplus()
+	p.balance()
 	return p.target()
 }
 
@@ -71,6 +83,7 @@
 	index   map[deck.BackendName]int
 	count   map[deck.ModelName]int
 	current map[deck.ModelName][]Placement
+	places  map[deck.ModelName][]int // slots that hold the model, while replicas are added
 	missing []deck.ModelName
 }
 
@@ -91,6 +104,7 @@
 	p.shelf = newShelf(p.staying())
 	for i, s := range p.shelf.slots {
 		p.index[s.backend.Name] = i
+		s.rate = cmp.Or(in.Rate, DefaultRate) * float64(s.backend.Accelerators)
 	}
 	for _, c := range in.Current {
 		p.current[c.Model] = append(p.current[c.Model], c)
@@ -134,7 +148,7 @@
 }
 
 func (p *packing) put(b deck.BackendName, n need) {
-	if i, ok := p.index[b]; ok && p.shelf.slots[i].fits(n) {
+	if i, ok := p.index[b]; ok && !p.in.Avoid[Place{b, n.model}] && p.shelf.slots[i].fits(n) {
 		p.shelf.putAt(i, n)
 		p.count[n.model]++
 	}
@@ -177,9 +191,14 @@
 	}
 }
 
-// keepSurplus leaves further replicas where memory allows, because unloading them gains nothing.
+// keepSurplus leaves further replicas where memory allows, those with most demand first, because unloading them gains
+// nothing.
 func (p *packing) keepSurplus() {
-	for _, c := range p.in.Current {
+	current := slices.Clone(p.in.Current)
+	slices.SortStableFunc(current, func(a, b Placement) int {
+		return cmp.Compare(p.demand(b.Model).wanted, p.demand(a.Model).wanted)
+	})
+	for _, c := range current {
 		if n, ok := p.all[c.Model]; ok {
 			p.put(c.Backend, n)
 		}
@@ -189,14 +208,15 @@
 func (p *packing) target() Target {
 	t := Target{models: make(map[deck.BackendName][]deck.ModelName, len(p.shelf.slots)), missing: p.missing}
 	for _, s := range p.shelf.slots {
-		for m := range s.held {
-			t.models[s.backend.Name] = append(t.models[s.backend.Name], m)
-		}
-		slices.Sort(t.models[s.backend.Name])
+		t.models[s.backend.Name] = sortedKeys(s.held)
 	}
 	return t
 }
 
+func sortedKeys(set map[deck.ModelName]bool) []deck.ModelName {
+	return slices.Sorted(maps.Keys(set))
+}
+
 // roomiest returns the slot with most slack, or the first with room if the need does not fit there, or -1.
 func (s *shelf) roomiest(n need) int {
 	if len(s.slots) == 0 {
--- a/internal/place/plan/slots.go
+++ b/internal/place/plan/slots.go
@@ -11,6 +11,8 @@
 	peak     deck.Bytes // largest transient need of one of them
 	capacity deck.Bytes
 	held     map[deck.ModelName]bool
+	rate     float64 // tokens per second
+	load     load
 }
 
 // fits reports whether the need fits while any one model of the slot is being loaded.
@@ -33,6 +35,7 @@
 	model     deck.ModelName
 	resident  deck.Bytes
 	transient deck.Bytes
+	weight    deck.Bytes // read from the weight store
 	replicas  int
 }
 
