--- a/internal/api/caller/decode.go
+++ b/internal/api/caller/decode.go
@@ -82,7 +82,13 @@
 func (q *inference) engineBody(model deck.ModelName) []byte {
 	q.fields["model"] = encode(string(model))
 	q.fields["stream"] = []byte("true")
-	return encode(q.fields)
+	var b bytes.Buffer
+	enc := json.NewEncoder(&b)
+	enc.SetEscapeHTML(false) // leaves the caller's texts as they are
+	if err := enc.Encode(q.fields); err != nil {
+		panic(err) // the fields were decoded from JSON
+	}
+	return bytes.TrimSuffix(b.Bytes(), []byte("\n"))
 }
 
 // digest identifies a request's content for poison-request detection.
--- a/internal/route/attempt/run_test.go
+++ b/internal/route/attempt/run_test.go
@@ -28,13 +28,13 @@
 	"", "", "unreachable", "draining", "rejected", "failed", "crashed", "stalled", "early-end", "crash-engine",
 }
 
-func drawBehaviour(t *rapid.T) behaviour {
-	return behaviour{
-		fail:  rapid.SampledFrom(faults).Draw(t, "fail"),
-		after: rapid.IntRange(0, 6).Draw(t, "after"),
-		delay: time.Duration(rapid.IntRange(0, 900).Draw(t, "delay")) * time.Millisecond,
-		noise: rapid.Bool().Draw(t, "noise"),
-		late:  rapid.Bool().Draw(t, "late"),
+func drawBehaviour(t *rapid.T) decktest.Behaviour {
+	return decktest.Behaviour{
+		Fail:  rapid.SampledFrom(faults).Draw(t, "fail"),
+		After: rapid.IntRange(0, 6).Draw(t, "after"),
+		Delay: time.Duration(rapid.IntRange(0, 900).Draw(t, "delay")) * time.Millisecond,
+		Noise: rapid.Bool().Draw(t, "noise"),
+		Late:  rapid.Bool().Draw(t, "late"),
 	}
 }
 
@@ -59,8 +59,8 @@
 		poisoned := rapid.Bool().Draw(rt, "poison")
 		for _, s := range f.router.Servers {
 			e := f.engines[s.Name]
-			e.plan = rapid.SliceOfN(rapid.Custom(drawBehaviour), 0, 6).Draw(rt, "plan")
-			e.poison = func(body string) bool { return poisoned && body == "r1" }
+			e.Plan = rapid.SliceOfN(rapid.Custom(drawBehaviour), 0, 6).Draw(rt, "plan")
+			e.Poison = func(body string) bool { return poisoned && body == "r1" }
 		}
 		var callers []*caller
 		for n := range rapid.IntRange(1, 4).Draw(rt, "callers") {
@@ -124,8 +124,8 @@
 		t.Fatalf("%d of %d admissions released", f.router.Released(), callers)
 	}
 	for name, e := range f.engines {
-		if len(e.open) > 0 {
-			t.Fatalf("%d streams of %s are not closed", len(e.open), name)
+		if e.Open() > 0 {
+			t.Fatalf("%d streams of %s are not closed", e.Open(), name)
 		}
 	}
 	if faults := f.router.Faults(); len(faults) > 0 {
@@ -142,30 +142,30 @@
 
 // TestHedge states when a second engine is tried for a slow first token, and that the loser is cancelled.
 func TestHedge(t *testing.T) {
-	slow := behaviour{delay: 5 * time.Second}
+	slow := decktest.Behaviour{Delay: 5 * time.Second}
 	for _, tc := range []struct {
 		name    string
 		class   deck.Class
-		first   behaviour
-		second  behaviour
+		first   decktest.Behaviour
+		second  decktest.Behaviour
 		spent   bool // the budget is used up
 		e2      int  // attempts on the second engine
 		winner  deck.BackendName
 		elapsed time.Duration
 	}{
-		{"first is fast", deck.Interactive, behaviour{}, behaviour{}, false, 0, "e1", 5 * time.Millisecond},
-		{"second wins", deck.Interactive, slow, behaviour{}, false, 1, "e2", 605 * time.Millisecond},
-		{"first wins", deck.Interactive, behaviour{delay: time.Second}, slow, false, 1, "e1", 1005 * time.Millisecond},
-		{"second fails", deck.Interactive, behaviour{delay: time.Second}, behaviour{fail: "failed"}, false, 1, "e1", 1005 * time.Millisecond},
-		{"batch waits", deck.Batch, behaviour{delay: time.Second}, behaviour{}, false, 0, "e1", 1005 * time.Millisecond},
-		{"no budget", deck.Interactive, behaviour{delay: time.Second}, behaviour{}, true, 0, "e1", 1005 * time.Millisecond},
+		{"first is fast", deck.Interactive, decktest.Behaviour{}, decktest.Behaviour{}, false, 0, "e1", 5 * time.Millisecond},
+		{"second wins", deck.Interactive, slow, decktest.Behaviour{}, false, 1, "e2", 605 * time.Millisecond},
+		{"first wins", deck.Interactive, decktest.Behaviour{Delay: time.Second}, slow, false, 1, "e1", 1005 * time.Millisecond},
+		{"second fails", deck.Interactive, decktest.Behaviour{Delay: time.Second}, decktest.Behaviour{Fail: "failed"}, false, 1, "e1", 1005 * time.Millisecond},
+		{"batch waits", deck.Batch, decktest.Behaviour{Delay: time.Second}, decktest.Behaviour{}, false, 0, "e1", 1005 * time.Millisecond},
+		{"no budget", deck.Interactive, decktest.Behaviour{Delay: time.Second}, decktest.Behaviour{}, true, 0, "e1", 1005 * time.Millisecond},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				f := newFixture(2, answerOf(3))
-				f.engines["e1"].plan = []behaviour{tc.first}
-				f.engines["e2"].plan = []behaviour{tc.second}
+				f.engines["e1"].Plan = []decktest.Behaviour{tc.first}
+				f.engines["e2"].Plan = []decktest.Behaviour{tc.second}
 				for tc.spent && f.runner.Budget.Take() {
 				}
 				req := f.request("r")
@@ -174,12 +174,12 @@
 				var sink recorder
 				is.Equal(f.runner.Run(t.Context(), req, &sink).Kind, Done)
 				is.Equal(len(sink.tokens), 3)
-				is.Equal(len(f.engines["e2"].calls), tc.e2)
+				is.Equal(len(f.engines["e2"].Calls()), tc.e2)
 				is.Equal(time.Since(start).Round(5*time.Millisecond), tc.elapsed)
 				f.runner.Wait()
 				for name, e := range f.engines {
-					lost := len(e.calls) > 0 && name != tc.winner && tc.second.fail == ""
-					is.Equal(len(e.canceled) > 0, lost || name == "e2" && tc.second.fail != "")
+					lost := len(e.Calls()) > 0 && name != tc.winner && tc.second.Fail == ""
+					is.Equal(len(e.Canceled()) > 0, lost || name == "e2" && tc.second.Fail != "")
 				}
 			})
 		})
@@ -191,12 +191,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFixture(2, answerOf(3))
-		failing := make([]behaviour, 2000)
+		failing := make([]decktest.Behaviour, 2000)
 		for i := range failing {
-			failing[i] = behaviour{fail: "failed"}
+			failing[i] = decktest.Behaviour{Fail: "failed"}
 		}
 		for _, e := range f.engines {
-			e.plan = failing
+			e.Plan = failing
 		}
 		const requests = 300
 		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
@@ -211,7 +211,7 @@
 			})
 		}
 		_ = group.Wait()
-		calls := len(f.engines["e1"].calls) + len(f.engines["e2"].calls)
+		calls := len(f.engines["e1"].Calls()) + len(f.engines["e2"].Calls())
 		is.Equal(calls, requests+requests/10)
 	})
 }
@@ -253,9 +253,9 @@
 		var sink recorder
 		is.Equal(f.runner.Run(t.Context(), f.request("r"), &sink).Kind, Done)
 		is.Equal(len(sink.tokens), 200)
-		is.Equal(len(f.engines["e1"].calls), 4)
+		is.Equal(len(f.engines["e1"].Calls()), 4)
 		f.runner.Wait()
-		is.Equal(len(f.engines["e1"].canceled), 3)
+		is.Equal(len(f.engines["e1"].Canceled()), 3)
 	})
 }
 
@@ -264,8 +264,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFixture(2, answerOf(5))
-		f.engines["e1"].plan = []behaviour{{fail: "failed"}, {}}
-		f.engines["e2"].plan = []behaviour{{fail: "failed", after: 2}}
+		f.engines["e1"].Plan = []decktest.Behaviour{{Fail: "failed"}, {}}
+		f.engines["e2"].Plan = []decktest.Behaviour{{Fail: "failed", After: 2}}
 		versions := []deck.VersionName{"v1", "v2", "v3"}
 		req := f.request("r")
 		req.Version = func(deck.BackendName) deck.VersionName {
@@ -274,9 +274,9 @@
 			return v
 		}
 		is.Equal(f.runner.Run(t.Context(), req, &recorder{}).Kind, Done)
-		is.Equal(f.engines["e1"].calls[0].Version, deck.VersionName("v1"))
-		is.Equal(f.engines["e2"].calls[0].Version, deck.VersionName("v2"))
-		is.Equal(f.engines["e1"].calls[1].Version, deck.VersionName("v2"))
-		is.Equal(f.engines["e1"].calls[1].Offset, 2)
+		is.Equal(f.engines["e1"].Calls()[0].Version, deck.VersionName("v1"))
+		is.Equal(f.engines["e2"].Calls()[0].Version, deck.VersionName("v2"))
+		is.Equal(f.engines["e1"].Calls()[1].Version, deck.VersionName("v2"))
+		is.Equal(f.engines["e1"].Calls()[1].Offset, 2)
 	})
 }
--- a/internal/route/attempt/suspects_test.go
+++ b/internal/route/attempt/suspects_test.go
@@ -129,10 +129,10 @@
 		is := is.New(t)
 		f := newFixture(4, answerOf(6))
 		for _, e := range f.engines {
-			e.poison = func(body string) bool { return body == "poison" }
-			e.plan = make([]behaviour, 20)
-			for i := range e.plan {
-				e.plan[i] = behaviour{delay: 300 * time.Millisecond}
+			e.Poison = func(body string) bool { return body == "poison" }
+			e.Plan = make([]decktest.Behaviour, 20)
+			for i := range e.Plan {
+				e.Plan[i] = decktest.Behaviour{Delay: 300 * time.Millisecond}
 			}
 		}
 		results := make(map[string]*caller)
@@ -177,7 +177,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFixture(2, answerOf(6))
-		f.engines["e1"].plan = []behaviour{{fail: "crashed", after: 1}}
+		f.engines["e1"].Plan = []decktest.Behaviour{{Fail: "crashed", After: 1}}
 		time.AfterFunc(time.Millisecond, func() { f.poison.Refuse("r") })
 		result := f.runner.Run(t.Context(), f.request("r"), &recorder{})
 		is.Equal(result.Kind, Refused)
--- /dev/null
+++ b/internal/test/decktest/idempotencystore.go
@@ -0,0 +1,83 @@
+package decktest
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// An IdempotencyStore is a deck.IdempotencyStore in memory; its zero value is empty.
+type IdempotencyStore struct {
+	// BeginFault and FinishFault are called with the key before each call; true makes the call fail without effect.
+	BeginFault, FinishFault func(key string) bool
+
+	mu      sync.Mutex
+	records map[string]*record
+}
+
+var _ deck.IdempotencyStore = (*IdempotencyStore)(nil)
+
+type record struct {
+	digest string
+	status deck.ClaimStatus
+	answer deck.ServiceAnswer
+}
+
+var errNoMajority = errors.New("no majority")
+
+// Begin implements deck.IdempotencyStore.Begin.
+func (s *IdempotencyStore) Begin(_ context.Context, key, digest string) deck.Claim {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.BeginFault != nil && s.BeginFault(key) {
+		return deck.Claim{}
+	}
+	r, ok := s.records[key]
+	switch {
+	case !ok:
+		if s.records == nil {
+			s.records = make(map[string]*record)
+		}
+		s.records[key] = &record{digest: digest, status: deck.ClaimInProgress}
+		return deck.Claim{Status: deck.ClaimGranted}
+	case r.digest != digest:
+		return deck.Claim{Status: deck.ClaimMismatch}
+	default:
+		return deck.Claim{Status: r.status, Answer: r.answer}
+	}
+}
+
+// Finish implements deck.IdempotencyStore.Finish.
+func (s *IdempotencyStore) Finish(_ context.Context, key string, answer deck.ServiceAnswer) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.FinishFault != nil && s.FinishFault(key) {
+		return errNoMajority
+	}
+	r, ok := s.records[key]
+	if !ok {
+		return errors.New("no such key")
+	}
+	switch answer.Outcome {
+	case deck.OutcomeNotRun:
+		delete(s.records, key)
+	case deck.OutcomeDone:
+		r.status, r.answer = deck.ClaimFinished, answer
+	default:
+		r.status = deck.ClaimUnknown
+	}
+	return nil
+}
+
+// Expire turns the records in progress into unknown ones.
+func (s *IdempotencyStore) Expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.records {
+		if r.status == deck.ClaimInProgress {
+			r.status = deck.ClaimUnknown
+		}
+	}
+}
--- a/internal/wire/engine/prompt.go
+++ b/internal/wire/engine/prompt.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"bytes"
 	"encoding/json"
 	"strings"
 
@@ -62,13 +63,17 @@
 	return b.String(), nil
 }
 
-// contentText returns a string as it is and anything else, such as a list of parts, as its JSON text.
+// contentText returns a string as it is and anything else, such as a list of parts, as its compact JSON text.
 func contentText(raw json.RawMessage) string {
 	var s string
 	if err := json.Unmarshal(raw, &s); err == nil {
 		return s
 	}
-	return string(raw)
+	var b bytes.Buffer
+	if err := json.Compact(&b, raw); err != nil {
+		return ""
+	}
+	return b.String()
 }
 
 func promptText(raw json.RawMessage) (string, error) {
