Close gaps that removing rules showed in the tests

Each safety rule of the packages was removed in a scratch copy. Cancelling the loser of a hedge could be removed without a failure, because the end of the answer cancels it as well; the fuzz test now checks it at the first token. Ending an unused choice was found only by a run that depends on the scheduler, and now has a test of its own. Tests of the budget end although the budget is without limit.

--- a/internal/api/caller/calls_test.go
+++ b/internal/api/caller/calls_test.go
@@ -195,7 +195,11 @@
 		{"/portalx/bookings", "k", "404 not_found"},
 		{"/", "k", "404 not_found"},
 	} {
-		h := &Handler{State: decktest.StateSource{Current: testState}, Clock: deck.SystemClock{}}
+		h := &Handler{
+			State:    decktest.StateSource{Current: testState},
+			Services: &fakeService{fault: func() string { return "" }, during: func(string) {}, runs: make(map[string]int)},
+			Clock:    deck.SystemClock{},
+		}
 		r := httptest.NewRequest(http.MethodPost, tc.path, nil)
 		r.Header.Set("Idempotency-Key", tc.key)
 		w := httptest.NewRecorder()
@@ -207,3 +211,25 @@
 		is.New(t).Equal(w.Header().Get("Not-Run"), "true")
 	}
 }
+
+// TestKeyBelongsToCaller guards against an answer that is shown to another caller who sends the same key.
+func TestKeyBelongsToCaller(t *testing.T) {
+	is := is.New(t)
+	none := func(string) {}
+	h := &Handler{
+		State:       decktest.StateSource{Current: testState},
+		Services:    &fakeService{fault: func() string { return "" }, during: none, runs: make(map[string]int)},
+		Idempotency: &decktest.IdempotencyStore{},
+		Clock:       deck.SystemClock{},
+	}
+	var got []int
+	for _, token := range []string{"Bearer a", "Bearer b", "Bearer a"} {
+		r := httptest.NewRequest(http.MethodPost, "/portal/bookings", strings.NewReader("forklift"))
+		r.Header.Set("Idempotency-Key", "k")
+		r.Header.Set("Authorization", token)
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, r)
+		got = append(got, w.Code)
+	}
+	is.Equal(got, []int{http.StatusCreated, http.StatusUnprocessableEntity, http.StatusCreated})
+}
--- a/internal/route/attempt/life_test.go
+++ b/internal/route/attempt/life_test.go
@@ -56,6 +56,9 @@
 	if live > 2 || s.result == nil && live == 0 {
 		s.t.Fatalf("%d live attempts of a running request", live)
 	}
+	if live > 1 && len(s.delivered) > 0 {
+		s.t.Fatalf("the loser of a hedge goes on after the first token")
+	}
 }
 
 func (s *simulation) act(a Action) {
--- a/internal/route/attempt/run_test.go
+++ b/internal/route/attempt/run_test.go
@@ -166,7 +166,8 @@
 				f := newFixture(2, answerOf(3))
 				f.engines["e1"].Plan = []decktest.Behaviour{tc.first}
 				f.engines["e2"].Plan = []decktest.Behaviour{tc.second}
-				for tc.spent && f.runner.Budget.Take() {
+				if tc.spent {
+					spend(f.runner.Budget)
 				}
 				req := f.request("r")
 				req.Info.Class = tc.class
@@ -186,6 +187,14 @@
 	}
 }
 
+// spend uses a budget up and returns what it allowed, within a bound.
+func spend(b *Budget) (n int) {
+	for n < 1000 && b.Take() {
+		n++
+	}
+	return n
+}
+
 // TestBudget guards against retries that multiply the load of engines that fail.
 func TestBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -222,22 +231,16 @@
 	var clock decktest.ManualClock
 	clock.Advance(time.Hour)
 	b := &Budget{Clock: &clock}
-	take := func() (n int) {
-		for b.Take() {
-			n++
-		}
-		return n
-	}
-	is.Equal(take(), 10) // the floor
+	is.Equal(spend(b), 10) // the floor
 	clock.Advance(9 * time.Second)
 	for range 250 {
 		b.Request()
 	}
-	is.Equal(take(), 15)
+	is.Equal(spend(b), 15)
 	clock.Advance(time.Second)
-	is.Equal(take(), 10) // the first ten are out of the window
+	is.Equal(spend(b), 10) // the first ten are out of the window
 	clock.Advance(time.Minute)
-	is.Equal(take(), 10)
+	is.Equal(spend(b), 10)
 }
 
 // TestPreemption guards against a preempted request that loses or repeats tokens, or that counts as a retry.
@@ -245,8 +248,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFixture(1, answerOf(200))
-		for f.runner.Budget.Take() {
-		}
+		spend(f.runner.Budget)
 		for i := range 3 {
 			defer time.AfterFunc(time.Duration(20+i*30)*time.Millisecond, f.router.Preempt).Stop()
 		}
--- a/internal/route/attempt/suspects_test.go
+++ b/internal/route/attempt/suspects_test.go
@@ -153,6 +153,7 @@
 				is.Equal(len(c.sink.tokens), 6)
 			}
 		}
+		is.Equal(results["poison"].result.Kind, Refused)
 		is.Equal(results["poison"].result.Refusal.Kind, deck.RefusedPoison)
 		is.True(!results["poison"].result.NotRun)
 		is.Equal(f.ran("poison"), 3)
@@ -191,14 +192,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := &Suspects{Clock: deck.SystemClock{}}
-		for boot := range 2 {
-			for _, digest := range []string{"d1", "d2"} {
-				r, _ := s.TryEnter(digest, deck.BackendName(fmt.Sprint("old", digest)))
-				is.True(r.Crash(fmt.Sprint(boot)))
-				is.True(!r.Crash(fmt.Sprint(boot))) // one crash counts once
-				r.Leave()
-			}
-		}
+		crashTwice(t, s, "d1", "d2")
 		first, ok := s.TryEnter("d1", "e1")
 		is.True(ok)
 		time.AfterFunc(time.Second, first.Leave)
@@ -209,3 +203,33 @@
 		is.Equal(time.Since(start), time.Second)
 	})
 }
+
+// TestSuspectGoesElsewhere guards against a suspect that waits for one server while another is free, and against a
+// choice that the router counts for good.
+func TestSuspectGoesElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(2, answerOf(3))
+		crashTwice(t, f.runner.Suspects, "d1", "d2")
+		_, ok := f.runner.Suspects.TryEnter("d1", "e1")
+		is.True(ok)
+		is.Equal(f.runner.Run(t.Context(), f.request("d2"), &recorder{}).Kind, Done)
+		is.Equal(len(f.engines["e1"].Calls()), 0)
+		is.Equal(len(f.engines["e2"].Calls()), 1)
+		is.Equal(f.router.Faults(), nil)
+	})
+}
+
+// crashTwice makes suspects that must run alone.
+func crashTwice(t *testing.T, s *Suspects, digests ...string) {
+	t.Helper()
+	is := is.New(t)
+	for boot := range 2 {
+		for _, digest := range digests {
+			r, _ := s.TryEnter(digest, deck.BackendName("old-"+digest))
+			is.True(r.Crash(fmt.Sprint(boot)))
+			is.True(!r.Crash(fmt.Sprint(boot))) // one crash counts once
+			r.Leave()
+		}
+	}
+}
