Count the bytes of the system's own messages

The budget of 8 KB a second for control on each VM can't be checked without a counter; it is fed by the connections of the peers' listener and client.

--- a/internal/command/process/listeners.go
+++ b/internal/command/process/listeners.go
@@ -24,7 +24,7 @@
 	}
 	timeout := p.settings.Limits.HeaderTimeout
 	err = errors.Join(
-		p.listen("peers-listener", p.vm.Listen.Peers, bounded(p.peerMux, timeout)),
+		p.listenToPeers(bounded(p.peerMux, timeout)),
 		p.listen("operators-listener", p.vm.Listen.Operators, bounded(operators, timeout)),
 	)
 	if p.vm.Has(settings.RoleEntry) {
@@ -47,6 +47,16 @@
 	return p.kernel.Add(name, l)
 }
 
+// listenToPeers binds the peers' listener, whose traffic is counted.
+func (p *parts) listenToPeers(srv *http.Server) error {
+	l, err := listen(p.vm.Listen.Peers, srv)
+	if err != nil {
+		return err
+	}
+	l.socket = countedListener{l.socket, p.traffic}
+	return p.kernel.Add("peers-listener", l)
+}
+
 func (p *parts) operatorHandler(ready *readiness) (http.Handler, error) {
 	sys, err := kernel.Find[deck.System](p.kernel, nameSystem)
 	if err != nil {
--- a/internal/command/process/metrics.go
+++ b/internal/command/process/metrics.go
@@ -13,6 +13,10 @@
 	if err != nil {
 		return err
 	}
+	if p.traffic, err = newTraffic(m.Meter()); err != nil {
+		return err
+	}
+	p.client = newPeerClient(p.traffic)
 	var objectives []burn.Objective
 	for _, o := range p.settings.Objectives {
 		objectives = append(objectives, burn.Objective(o))
--- a/internal/command/process/process.go
+++ b/internal/command/process/process.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"math/rand/v2"
 	"net/http"
+	"time"
 
 	"github.com/go-logr/logr"
 
@@ -29,6 +30,7 @@
 	clock    deck.Clock
 	log      logr.Logger
 	client   *http.Client // to other VMs
+	traffic  *traffic
 	store    *feed.Store
 	control  *control // nil without the role
 	kernel   *kernel.Kernel
@@ -40,7 +42,7 @@
 	p := &Process{kernel: kernel.Kernel{Log: log}}
 	b := &parts{
 		settings: s, vm: vm, self: newPeer(vm), peers: newPeers(s), clock: deck.SystemClock{}, log: log,
-		client: newPeerClient(), kernel: &p.kernel, peerMux: http.NewServeMux(),
+		kernel: &p.kernel, peerMux: http.NewServeMux(),
 	}
 	for _, step := range []func(*parts) error{
 		addMetrics, addState, addLease, addPlacement, addServing, addSystem, addListeners,
@@ -57,9 +59,13 @@
 	return p.kernel.Run(stop, kill)
 }
 
+// dialTimeout bounds how long a connection to another VM may take.
+const dialTimeout = 2 * time.Second
+
 // newPeerClient returns the client for the system's own messages, with few idle connections for each VM.
-func newPeerClient() *http.Client {
+func newPeerClient(t *traffic) *http.Client {
 	return &http.Client{Transport: &http.Transport{
+		DialContext:         t.dial,
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     idleTimeout / 2, // below the server's, so that a request rarely meets a closing connection
 	}}
--- /dev/null
+++ b/internal/command/process/traffic.go
@@ -0,0 +1,69 @@
+package process
+
+import (
+	"context"
+	"net"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+)
+
+// A traffic counts the bytes of the system's own messages, which have a budget for each VM.
+type traffic struct {
+	bytes metric.Int64Counter
+	in    metric.MeasurementOption
+	out   metric.MeasurementOption
+}
+
+func newTraffic(meter metric.Meter) (*traffic, error) {
+	c, err := meter.Int64Counter("geraniumdeck.control.traffic",
+		metric.WithUnit("By"), metric.WithDescription("Bytes exchanged with other VMs and, for reports, with engines."))
+	return &traffic{
+		bytes: c,
+		in:    metric.WithAttributeSet(attribute.NewSet(attribute.String("direction", "in"))),
+		out:   metric.WithAttributeSet(attribute.NewSet(attribute.String("direction", "out"))),
+	}, err
+}
+
+// dial opens a counted connection.
+func (t *traffic) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return countedConn{c, t}, nil
+}
+
+// A countedListener counts the bytes of the connections that it accepts.
+type countedListener struct {
+	net.Listener
+	traffic *traffic
+}
+
+// Accept implements net.Listener.Accept.
+func (l countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countedConn{c, l.traffic}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	traffic *traffic
+}
+
+// Read implements net.Conn.Read.
+func (c countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.traffic.bytes.Add(context.Background(), int64(n), c.traffic.in)
+	return n, err
+}
+
+// Write implements net.Conn.Write.
+func (c countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.traffic.bytes.Add(context.Background(), int64(n), c.traffic.out)
+	return n, err
+}
--- a/internal/report/telemetry/telemetry.go
+++ b/internal/report/telemetry/telemetry.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
@@ -34,6 +35,7 @@
 // NewMetrics returns the metrics of a process.
 func NewMetrics() (*Metrics, error) {
 	reg := prom.NewRegistry()
+	reg.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	exp, err := prometheus.New(prometheus.WithRegisterer(reg))
 	if err != nil {
 		return nil, errors.Wrap(err, "metrics")
