--- /dev/null
+++ b/internal/state/replica/faults_test.go
@@ -0,0 +1,214 @@
+package replica
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// wholeLife runs a log through everything that it does: formation, commits, snapshots, a learner that needs a snapshot
+// in chunks, its promotion, a barrier at a follower, a transfer of the leadership and a repair.
+func wholeLife(s *sim) {
+	s.config.Founders = []deck.VMName{"a", "b", "c"}
+	s.startAll()
+	s.calm(20)
+	s.startAll()
+	for i := range 20 {
+		s.commit("before " + strconv.Itoa(i))
+	}
+	s.repair(deck.ReplicaID{}, s.vm("d").id)
+	s.calmUntil("a barrier at a follower", func() bool { return s.barrierEnds(s.vm("d")) })
+	l := s.awaitLeader()
+	l.core.Transfer(s.now)
+	s.settle(l, noCrash)
+	s.commit("after transfer")
+	old := s.vm("b").id
+	s.crash(s.vm("b"))
+	s.newDisk(s.vm("b"))
+	s.start(s.vm("b"))
+	s.repair(old, s.vm("b").id)
+	s.commit("after repair")
+	s.tamper, s.killing = nil, nil
+	s.heal()
+	s.commit("last")
+	s.calm(40)
+	for _, r := range s.replicas {
+		s.oracle.final(r)
+	}
+}
+
+// barrierEnds asks for a barrier now and then until one succeeds.
+func (s *sim) barrierEnds(r *simReplica) bool {
+	if r.core == nil {
+		return false
+	}
+	if len(r.barriers) == 0 || s.now.UnixMilli()%1000 == 0 {
+		s.barrier(r)
+		s.settle(r, noCrash)
+	}
+	for _, b := range r.ended {
+		if b.Err == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// TestEachMessageDisturbed guards against a message on whose arrival, order or uniqueness the log relies.
+func TestEachMessageDisturbed(t *testing.T) {
+	for kind := deck.MessageHello; kind <= deck.MessageTransfer; kind++ {
+		for name, fault := range messageFaults() {
+			t.Run(fmt.Sprintf("%d/%s", kind, name), func(t *testing.T) {
+				s := newEmptySim(t.Fatalf, 4)
+				seen := 0
+				s.tamper = func(m deck.ReplicaMessage) []deck.ReplicaMessage {
+					if m.Kind != kind {
+						return []deck.ReplicaMessage{m}
+					}
+					seen++
+					return fault(seen, m)
+				}
+				wholeLife(s)
+				is.New(t).True(seen > 0) // the run sends this kind of message
+			})
+		}
+	}
+}
+
+// messageFaults returns what can happen to the n-th message of a kind.
+func messageFaults() map[string]func(n int, m deck.ReplicaMessage) []deck.ReplicaMessage {
+	var held []deck.ReplicaMessage
+	var random *rand.Rand
+	return map[string]func(n int, m deck.ReplicaMessage) []deck.ReplicaMessage{
+		"first three lost": func(n int, m deck.ReplicaMessage) []deck.ReplicaMessage {
+			if n <= 3 {
+				return nil
+			}
+			return []deck.ReplicaMessage{m}
+		},
+		"half lost": func(n int, m deck.ReplicaMessage) []deck.ReplicaMessage {
+			if n == 1 {
+				random = rand.New(rand.NewPCG(1, uint64(m.Kind)))
+			}
+			if random.IntN(2) == 0 { // losing every second one would hit the same replica again and again
+				return nil
+			}
+			return []deck.ReplicaMessage{m}
+		},
+		"repeated": func(_ int, m deck.ReplicaMessage) []deck.ReplicaMessage {
+			return []deck.ReplicaMessage{m, m, m}
+		},
+		"late and out of order": func(n int, m deck.ReplicaMessage) []deck.ReplicaMessage {
+			if n == 1 {
+				held = nil
+			}
+			held = append([]deck.ReplicaMessage{m}, held...)
+			if len(held) < 3 {
+				return nil
+			}
+			out := held
+			held = nil
+			return out
+		},
+	}
+}
+
+// TestKillAtEverySave guards against a state between write, sync, answer and apply from which a replica can't go on.
+func TestKillAtEverySave(t *testing.T) {
+	for at := beforeSave; at <= beforeApply; at++ {
+		for save := 1; save <= 120; save++ {
+			s := newEmptySim(t.Fatalf, 4)
+			s.killing = func(_ *simReplica, n int) crashPoint {
+				if n%120 == save-1 {
+					return at
+				}
+				return noCrash
+			}
+			down := 0
+			s.restarting = func() {
+				if down++; down%20 == 0 { // down for at most a second
+					s.startAll()
+				}
+			}
+			wholeLife(s)
+		}
+	}
+}
+
+// TestFreeze guards against a leader that acts on what it knew before a pause longer than the election timeout.
+func TestFreeze(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t.Fatalf, 3, 3)
+	s.commit("1")
+	old := s.awaitLeader()
+	old.frozen = true
+	s.calmUntil("another leader", func() bool { l := s.leader(); return l != old && l.core.ownTermCommitted() })
+	s.commit("2")
+	old.frozen = false
+	is.Equal(s.propose(old, "stale"), deck.NotLeaderError{}) // the first call after the pause finds the time outrun
+	s.barrier(old)
+	s.settle(old, noCrash)
+	is.True(old.ended[len(old.ended)-1].Err != nil)
+	s.commit("3")
+}
+
+// TestCutInOneDirection guards against a leader that stays although a majority can't hear it, or it can't hear them.
+func TestCutInOneDirection(t *testing.T) {
+	for _, outgoing := range []bool{true, false} {
+		s := newSim(t.Fatalf, 3, 3)
+		s.commit("1")
+		old := s.awaitLeader()
+		for _, r := range s.replicas {
+			l := link{from: r.id.VM, to: old.id.VM}
+			if outgoing {
+				l = link{from: old.id.VM, to: r.id.VM}
+			}
+			s.cut[l] = true
+		}
+		cutAt := s.now
+		s.calmUntil("the old leader stops", func() bool { return old.core.state != leader })
+		if d := s.now.Sub(cutAt); d > LeadershipTimeout+50*time.Millisecond {
+			t.Fatalf("leader stopped after %s", d)
+		}
+		if outgoing { // those who still hear the leader's silence elect another one
+			s.commit("2")
+		}
+		s.heal()
+		s.commit("3")
+	}
+}
+
+// TestSecondFailureAfterRepair guards against a repair that is reported as done before the replica holds everything.
+func TestSecondFailureAfterRepair(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t.Fatalf, 3, 3)
+	for i := range 30 {
+		s.commit(strconv.Itoa(i))
+	}
+	lost := s.replicas[2]
+	if s.awaitLeader() == lost {
+		lost = s.replicas[1]
+	}
+	old := lost.id
+	s.crash(lost)
+	s.newDisk(lost)
+	s.start(lost)
+	s.repair(old, lost.id)
+	status, err := s.awaitLeader().core.Repair(lost.id)
+	is.NoErr(err)
+	is.Equal(status.Phase, deck.RepairDone)
+	s.crash(s.awaitLeader())
+	s.commit("after the second failure")
+	for _, r := range s.replicas {
+		if r.core != nil {
+			s.calm(20)
+			s.oracle.final(r)
+		}
+	}
+}
--- a/internal/state/replica/fuzz_test.go
+++ b/internal/state/replica/fuzz_test.go
@@ -49,8 +49,8 @@
 	return []func(){
 		f.quiet, f.quiet, f.quiet, f.quiet, f.quiet, f.quiet, f.proposeAnywhere, f.proposeAtLeader, f.proposeAtLeader,
 		f.proposeAtLeader, f.scramble, f.scramble, f.scramble, f.drop, f.repeat, f.tickOne, f.tickOne, f.kill,
-		f.restart, f.restart, f.restart, f.restart, f.cutLink, f.isolate, f.mend, f.mend, f.mend, f.freeze, f.thaw,
-		f.thaw, f.thaw, f.loseDisk, f.change, f.change, f.change, f.repairOne, f.barrierAnywhere, f.handOver,
+		f.restart, f.restart, f.restart, f.restart, f.cutLink, f.isolateOne, f.mend, f.mend, f.mend, f.freeze, f.thaw,
+		f.thaw, f.thaw, f.loseDisk, f.changeMembers, f.changeMembers, f.changeMembers, f.repairOne, f.barrierAnywhere, f.handOver,
 		f.inputsWithoutSettling, f.inputsWithoutSettling,
 	}
 }
@@ -129,13 +129,7 @@
 
 func (f *fuzz) cutLink() { f.cut[link{f.pick().id.VM, f.pick().id.VM}] = true }
 
-func (f *fuzz) isolate() {
-	vm := f.pick().id.VM
-	for _, r := range f.replicas {
-		f.cut[link{vm, r.id.VM}] = true
-		f.cut[link{r.id.VM, vm}] = true
-	}
-}
+func (f *fuzz) isolateOne() { f.isolate(f.pick().id.VM) }
 
 func (f *fuzz) mend() { clear(f.cut) }
 func (f *fuzz) thaw() { f.pick().frozen = false }
@@ -179,8 +173,8 @@
 	return c.membership()
 }
 
-// change asks any replica for a membership change; only leaders can do it.
-func (f *fuzz) change() {
+// changeMembers asks any replica for a membership change; only leaders can do it.
+func (f *fuzz) changeMembers() {
 	r, id := f.pick(), f.pick().id
 	if l := f.leader(); l != nil && f.draw(3) > 0 {
 		r = l
--- /dev/null
+++ b/internal/state/replica/rules_test.go
@@ -0,0 +1,244 @@
+package replica
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// TestCutOffReplicaKeepsTerm guards against a replica that comes back with a higher term and deposes a working leader.
+func TestCutOffReplicaKeepsTerm(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t.Fatalf, 3, 3)
+	s.commit("1")
+	l := s.awaitLeader()
+	term := l.core.ballot.Term
+	other := s.replicas[0]
+	if other == l {
+		other = s.replicas[1]
+	}
+	s.isolate(other.id.VM)
+	s.calm(400)
+	is.Equal(other.core.ballot.Term, term) // it asks before it starts an election
+	s.heal()
+	s.calm(100)
+	is.Equal(s.leader(), l)
+	is.Equal(l.core.ballot.Term, term)
+}
+
+// TestVoteIsRefused guards the conditions of a vote in a table.
+func TestVoteIsRefused(t *testing.T) {
+	stored := deck.StoredLog{
+		ID:     deck.ReplicaID{VM: "a", Incarnation: 1},
+		Ballot: deck.Ballot{Term: 5},
+		Entries: []deck.LogEntry{
+			{Index: 1, Term: 1, Kind: deck.EntryMembership, Membership: deck.Membership{Voters: voters()}},
+			{Index: 2, Term: 4},
+		},
+	}
+	ask := deck.ReplicaMessage{
+		Deployment: "sim", From: voters()[1], To: stored.ID, Kind: deck.MessageVote, Term: 6, Index: 2, LogTerm: 4,
+	}
+	tests := map[string]struct {
+		after  time.Duration // since the start
+		modify func(m *deck.ReplicaMessage)
+		grant  bool
+	}{
+		"granted":                   {time.Minute, func(*deck.ReplicaMessage) {}, true},
+		"longer log":                {time.Minute, func(m *deck.ReplicaMessage) { m.Index = 1; m.LogTerm = 1 }, false},
+		"newer log":                 {time.Minute, func(m *deck.ReplicaMessage) { m.Index = 9; m.LogTerm = 3 }, false},
+		"old term":                  {time.Minute, func(m *deck.ReplicaMessage) { m.Term = 4 }, false},
+		"earlier incarnation":       {time.Minute, func(m *deck.ReplicaMessage) { m.To.Incarnation = 7 }, false},
+		"other deployment":          {time.Minute, func(m *deck.ReplicaMessage) { m.Deployment = "x" }, false},
+		"leader may be alive":       {time.Second, func(*deck.ReplicaMessage) {}, false},
+		"pre-vote, leader is alive": {time.Second, func(m *deck.ReplicaMessage) { m.Kind = deck.MessagePreVote }, false},
+		"pre-vote":                  {time.Minute, func(m *deck.ReplicaMessage) { m.Kind = deck.MessagePreVote }, true},
+		"ordered by the leader":     {time.Second, func(m *deck.ReplicaMessage) { m.Transfer = true }, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			m, start := ask, time.Unix(1, 0)
+			tt.modify(&m)
+			c := New(Config{Deployment: "sim", Stored: stored}, start)
+			c.Step(start.Add(tt.after), m)
+			is.New(t).Equal(grants(c.Effects()), tt.grant)
+		})
+	}
+}
+
+func voters() []deck.ReplicaID {
+	return []deck.ReplicaID{{VM: "a", Incarnation: 1}, {VM: "b", Incarnation: 2}, {VM: "c", Incarnation: 3}}
+}
+
+func grants(e Effects) bool {
+	return len(e.Send) == 1 && !e.Send[0].Reject
+}
+
+// TestVoteSurvivesRestart guards against a second vote in one term after a restart.
+func TestVoteSurvivesRestart(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t.Fatalf, 3, 3)
+	a := s.replicas[0]
+	ask := deck.ReplicaMessage{
+		Deployment: "sim", From: s.replicas[1].id, To: a.id, Kind: deck.MessageVote, Term: 9, Index: 1, LogTerm: 1,
+	}
+	s.now = s.now.Add(time.Minute)
+	a.core.Step(s.now, ask)
+	s.settle(a, noCrash)
+	s.start(a)
+	s.network = nil
+	s.now = s.now.Add(time.Minute)
+	ask.From = s.replicas[2].id
+	a.core.Step(s.now, ask)
+	is.True(!grants(a.core.Effects()))
+}
+
+// TestEarlierTermIsNotCommittedByCount guards against committing an entry that a later leader may still replace.
+func TestEarlierTermIsNotCommittedByCount(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t.Fatalf, 3, 3)
+	a := s.replicas[0]
+	_ = a.disk.Save(deck.LogWrite{Entries: []deck.LogEntry{{Index: 2, Term: 1}}})
+	s.start(a)
+	s.now = s.now.Add(time.Minute)
+	a.core.advance(s.now)
+	a.core.elect(false)
+	s.settle(a, noCrash)
+	answer := deck.ReplicaMessage{
+		Deployment: "sim", From: s.replicas[1].id, To: a.id, Kind: deck.MessageVoteAnswer, Term: a.core.ballot.Term,
+	}
+	a.core.Step(s.now, answer)
+	s.settle(a, noCrash)
+	answer.Kind, answer.Index = deck.MessageAppendAnswer, 2
+	a.core.Step(s.now, answer)
+	is.Equal(a.core.log.commit, uint64(0)) // entry 2 is on a majority, but of an earlier term
+	answer.Index = 3
+	a.core.Step(s.now, answer)
+	is.Equal(a.core.log.commit, uint64(3))
+}
+
+// TestLearnersDoNotCount guards against a commit or a leadership that rests on learners.
+func TestLearnersDoNotCount(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t.Fatalf, 5, 3)
+	for _, r := range s.replicas[3:] {
+		s.change(func(c *Core) (uint64, uint64, error) { return c.AddLearner(s.now, r.id) })
+	}
+	s.commit("1")
+	l := s.awaitLeader()
+	for _, r := range s.replicas[:3] {
+		if r != l {
+			s.crash(r)
+		}
+	}
+	commit := l.core.log.commit
+	is.NoErr(s.propose(l, "2"))
+	s.settle(l, noCrash)
+	s.calm(40)
+	is.Equal(l.core.log.commit, commit)
+	is.True(l.core.state != leader) // learners' answers do not keep a leader
+}
+
+// TestLostDiskDoesNotCount guards against a replica that lost its disk and helps to form a majority.
+func TestLostDiskDoesNotCount(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t.Fatalf, 3, 3)
+	s.commit("1")
+	s.crash(s.replicas[0])
+	s.crash(s.replicas[1])
+	s.newDisk(s.replicas[1])
+	s.start(s.replicas[1])
+	s.calm(400)
+	is.Equal(s.leader(), nil) // one of three is left
+	s.start(s.replicas[0])
+	s.commit("2")
+}
+
+// TestMembershipChangesAreRefused guards the conditions of membership changes.
+func TestMembershipChangesAreRefused(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t.Fatalf, 5, 3)
+	for i := range 30 {
+		s.commit(string(rune('A' + i)))
+	}
+	l := s.awaitLeader()
+	d, e := s.replicas[3].id, s.replicas[4].id
+	s.cut[link{l.id.VM, d.VM}] = true
+	_, _, err := l.core.AddLearner(s.now, d)
+	is.NoErr(err)
+	_, _, err = l.core.AddLearner(s.now, e)
+	is.Equal(err, deck.ErrMembershipChange) // one at a time
+	_, _, err = l.core.Remove(s.now, s.replicas[0].id)
+	is.Equal(err, deck.ErrMembershipChange)
+	s.settle(l, noCrash)
+	s.calm(5)
+	_, _, err = l.core.Promote(s.now, d)
+	is.Equal(err, deck.ErrLearnerBehind)
+	status, err := l.core.Repair(d)
+	is.NoErr(err)
+	is.Equal(status.Phase, deck.RepairCatchingUp)
+	var refused deck.MembershipError
+	_, _, err = l.core.Promote(s.now, e)
+	is.True(errors.As(err, &refused)) // not a learner
+	_, _, err = l.core.AddLearner(s.now, deck.ReplicaID{VM: "a", Incarnation: 99})
+	is.True(errors.As(err, &refused)) // the old identity comes first
+	s.heal()
+	s.change(func(c *Core) (uint64, uint64, error) { return c.Promote(s.now, d) })
+}
+
+// TestNewLeaderWaitsBeforeChange guards against two majorities without a common replica: a leader that has committed
+// nothing in its term may not know of a change that its predecessor committed.
+func TestNewLeaderWaitsBeforeChange(t *testing.T) {
+	s := newSim(t.Fatalf, 3, 3)
+	s.calmUntil("a leader", func() bool { return s.leader() != nil && !s.leader().core.ownTermCommitted() })
+	_, _, err := s.leader().core.Remove(s.now, s.replicas[0].id)
+	is.New(t).Equal(err, deck.ErrMembershipChange)
+}
+
+// TestTransfer guards against a graceful shutdown that costs an election timeout.
+func TestTransfer(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t.Fatalf, 3, 3)
+	s.commit("1")
+	old := s.awaitLeader()
+	to, ok := old.core.Transfer(s.now)
+	is.True(ok)
+	is.Equal(s.propose(old, "late"), deck.NotLeaderError{Leader: to})
+	s.settle(old, noCrash)
+	s.calm(3)
+	is.Equal(s.leader().id, to)
+}
+
+// TestLogIsBounded guards against a log or a list of memberships that grows without limit.
+func TestLogIsBounded(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t.Fatalf, 4, 3)
+	for range 10 {
+		s.repair(deck.ReplicaID{}, s.replicas[3].id)
+		s.commit("x" + s.now.String())
+		s.change(func(c *Core) (uint64, uint64, error) { return c.Remove(s.now, s.replicas[3].id) })
+	}
+	for _, r := range s.replicas[:3] {
+		is.True(len(r.core.log.entries) <= 2*s.config.SnapshotEntries)
+		is.True(len(r.core.members) <= 2*s.config.SnapshotEntries)
+	}
+}
+
+// TestFounderWithLostDiskFormsNoSecondLog guards against two logs of one deployment.
+func TestFounderWithLostDiskFormsNoSecondLog(t *testing.T) {
+	is := is.New(t)
+	s := newEmptySim(t.Fatalf, 3)
+	s.config.Founders = []deck.VMName{"a", "b", "c"}
+	s.startAll()
+	s.commit("1")
+	s.crash(s.replicas[0])
+	s.newDisk(s.replicas[0])
+	s.start(s.replicas[0])
+	s.calm(200)
+	is.True(!s.replicas[0].core.formed())
+	s.commit("2")
+}
--- a/internal/state/replica/sim_test.go
+++ b/internal/state/replica/sim_test.go
@@ -51,10 +51,31 @@
 	oracle   oracle
 	lives    uint64
 	config   Config
+
+	saves   int                                               // carried out so far
+	tamper  func(m deck.ReplicaMessage) []deck.ReplicaMessage // replaces a message on its way; nil for none
+	killing func(r *simReplica, save int) crashPoint          // kills a replica at one of its saves; nil for none
+
+	restarting func() // called at each step of calm; nil for none
 }
 
-// newSim returns replicas of the VMs a, b, ... of which the first ones are the voters of a formed log.
+// newSim returns running replicas of the VMs a, b, ... of which the first ones are the voters of a formed log.
 func newSim(fail func(string, ...any), vms, voters int) *sim {
+	s := newEmptySim(fail, vms)
+	var m deck.Membership
+	for _, r := range s.replicas[:voters] {
+		m.Voters = append(m.Voters, r.id)
+	}
+	for _, r := range s.replicas[:voters] {
+		founding := deck.LogEntry{Index: 1, Term: 1, Kind: deck.EntryMembership, Membership: m}
+		_ = r.disk.Save(deck.LogWrite{Ballot: &deck.Ballot{Term: 1}, Entries: []deck.LogEntry{founding}})
+	}
+	s.startAll()
+	return s
+}
+
+// newEmptySim returns replicas with empty disks that are not started.
+func newEmptySim(fail func(string, ...any), vms int) *sim {
 	s := &sim{
 		fail:   fail,
 		now:    time.Unix(1, 0),
@@ -62,23 +83,21 @@
 		oracle: newOracle(fail),
 		config: Config{Deployment: "sim", SnapshotEntries: 8, ChunkBytes: 5},
 	}
-	var m deck.Membership
 	for i := range vms {
 		r := &simReplica{id: deck.ReplicaID{VM: deck.VMName(rune('a' + i))}}
 		s.replicas = append(s.replicas, r)
 		s.newDisk(r)
-		if i < voters {
-			m.Voters = append(m.Voters, r.id)
-		}
-	}
-	for _, r := range s.replicas[:voters] {
-		founding := deck.LogEntry{Index: 1, Term: 1, Kind: deck.EntryMembership, Membership: m}
-		_ = r.disk.Save(deck.LogWrite{Ballot: &deck.Ballot{Term: 1}, Entries: []deck.LogEntry{founding}})
 	}
+	return s
+}
+
+// startAll starts every replica that is down.
+func (s *sim) startAll() {
 	for _, r := range s.replicas {
-		s.start(r)
+		if r.core == nil {
+			s.start(r)
+		}
 	}
-	return s
 }
 
 // newDisk gives the replica an empty disk and so a new incarnation.
@@ -115,6 +134,10 @@
 }
 
 func (s *sim) carryOut(r *simReplica, e Effects, at crashPoint) {
+	s.saves++
+	if s.killing != nil {
+		at = s.killing(r, s.saves)
+	}
 	if at == beforeSave {
 		s.crash(r)
 		return
@@ -165,7 +188,13 @@
 // transmit puts messages on the network, which loses the oldest ones when it is full.
 func (s *sim) transmit(messages []deck.ReplicaMessage) {
 	for _, m := range messages {
-		s.network = append(s.network, &m)
+		sent := []deck.ReplicaMessage{m}
+		if s.tamper != nil {
+			sent = s.tamper(m)
+		}
+		for i := range sent {
+			s.network = append(s.network, &sent[i])
+		}
 	}
 	if n := len(s.network) - maxUnderWay; n > 0 {
 		s.network = slices.Delete(s.network, 0, n)
@@ -197,6 +226,9 @@
 func (s *sim) calm(steps int) {
 	for range steps {
 		s.now = s.now.Add(50 * time.Millisecond)
+		if s.restarting != nil {
+			s.restarting()
+		}
 		for _, r := range s.replicas {
 			if r.core != nil && !r.frozen {
 				r.core.Tick(s.now)
@@ -242,10 +274,41 @@
 	clear(s.cut)
 	for _, r := range s.replicas {
 		r.frozen = false
-		if r.core == nil {
-			s.start(r)
+	}
+	s.startAll()
+}
+
+// isolate cuts a VM off from every other.
+func (s *sim) isolate(vm deck.VMName) {
+	for _, r := range s.replicas {
+		s.cut[link{vm, r.id.VM}] = true
+		s.cut[link{r.id.VM, vm}] = true
+	}
+}
+
+// change asks the leader for a membership change until it is committed.
+func (s *sim) change(op func(c *Core) (index, term uint64, err error)) {
+	var index uint64
+	s.calmUntil("a membership change", func() bool {
+		l := s.leader()
+		if l == nil {
+			return false
 		}
+		if i, _, err := op(l.core); err == nil {
+			index = i
+			s.settle(l, noCrash)
+		}
+		return index > 0 && l.core != nil && l.core.log.applied >= index
+	})
+}
+
+// repair replaces the old identity of a VM by its present one.
+func (s *sim) repair(old, id deck.ReplicaID) {
+	if !old.IsZero() {
+		s.change(func(c *Core) (uint64, uint64, error) { return c.Remove(s.now, old) })
 	}
+	s.change(func(c *Core) (uint64, uint64, error) { return c.AddLearner(s.now, id) })
+	s.change(func(c *Core) (uint64, uint64, error) { return c.Promote(s.now, id) })
 }
 
 func (s *sim) vm(name deck.VMName) *simReplica {
