Test the disk storage by crashes at every file operation

A replica answers for what its storage confirmed, so each file operation is now a place where a test crashes, with six lengths of torn ends; every byte of a synced record is damaged once, and every length of a torn record is tried.

--- a/internal/core/deck/storage.go
+++ b/internal/core/deck/storage.go
@@ -33,7 +33,7 @@
 	Data       []byte
 }
 
-// A LogWrite is a set of changes that become durable together.
+// A LogWrite is a set of changes; a crash before Save returns may leave none, all, or only the snapshot durable.
 type LogWrite struct {
 	Ballot   *Ballot      // nil if unchanged
 	Snapshot *LogSnapshot // nil if unchanged; written before the entries
--- /dev/null
+++ b/internal/state/disk/store_test.go
@@ -0,0 +1,285 @@
+package disk
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+var errInjected = errors.New("injected")
+
+func testOptions(files deck.FileSystem) Options {
+	return Options{Files: files, Deployment: "test", VM: "a", Incarnation: func() uint64 { return 7 }}
+}
+
+func command(index, term uint64) deck.LogEntry {
+	return deck.LogEntry{Index: index, Term: term, Kind: deck.EntryCommand, Command: fmt.Appendf(nil, "%d/%d", index, term)}
+}
+
+func members() deck.Membership {
+	return deck.Membership{Voters: []deck.ReplicaID{{VM: "a", Incarnation: 7}}}
+}
+
+// history returns writes as a replica makes them: entries, a replaced end, a snapshot with a rest, one beyond the log.
+func history() []deck.LogWrite {
+	return []deck.LogWrite{
+		{Ballot: &deck.Ballot{Term: 1, Vote: deck.ReplicaID{VM: "b", Incarnation: 9}}},
+		{Entries: []deck.LogEntry{{Index: 1, Term: 1, Kind: deck.EntryMembership, Membership: members()}, command(2, 1)}},
+		{Ballot: &deck.Ballot{Term: 2}, Entries: []deck.LogEntry{command(3, 2), command(4, 2)}},
+		{Entries: []deck.LogEntry{command(4, 3), command(5, 3)}},
+		{Snapshot: &deck.LogSnapshot{Index: 3, Term: 2, Membership: members(), Data: []byte("three")}},
+		{Entries: []deck.LogEntry{command(6, 3)}},
+		{
+			Snapshot: &deck.LogSnapshot{Index: 5, Term: 4, Membership: members(), Data: []byte("five")},
+			Entries:  []deck.LogEntry{command(6, 4)},
+		},
+		{Snapshot: &deck.LogSnapshot{Index: 20, Term: 5, Membership: members()}, Ballot: &deck.Ballot{Term: 5}},
+		{Entries: []deck.LogEntry{command(21, 5)}},
+	}
+}
+
+// TestStorageContract guards against storages that differ in what they hold after the same writes.
+func TestStorageContract(t *testing.T) {
+	osFiles, err := OpenOSFiles(t.TempDir())
+	is.New(t).NoErr(err)
+	memoryFiles := &MemoryFiles{}
+	self := deck.ReplicaID{VM: "a", Incarnation: 7}
+	kept, faulty := NewMemory(self), &FaultyStorage{Storage: NewMemory(self)}
+	storages := map[string]func() (deck.Storage, error){
+		"files":           func() (deck.Storage, error) { return Open(testOptions(osFiles)) },
+		"files in memory": func() (deck.Storage, error) { return Open(testOptions(memoryFiles)) },
+		"memory":          func() (deck.Storage, error) { return kept, nil },
+		"without a fault": func() (deck.Storage, error) { return faulty, nil },
+	}
+	for name, open := range storages {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			model := NewMemory(self)
+			for _, w := range history() {
+				s, err := open()
+				is.NoErr(err)
+				is.NoErr(s.Save(w))
+				is.NoErr(s.Close())
+				is.NoErr(model.Save(w))
+				equalLogs(t, reload(t, open), model)
+			}
+			got, _ := model.Load()
+			is.Equal(len(got.Entries), 1)
+			is.Equal(got.Snapshot.Index, uint64(20))
+		})
+	}
+}
+
+func reload(t *testing.T, open func() (deck.Storage, error)) deck.StoredLog {
+	is := is.New(t)
+	s, err := open()
+	is.NoErr(err)
+	got, err := s.Load()
+	is.NoErr(err)
+	is.NoErr(s.Close())
+	return got
+}
+
+func equalLogs(t *testing.T, got deck.StoredLog, model *Memory) {
+	t.Helper()
+	want, _ := model.Load()
+	is.New(t).Equal(fmt.Sprintf("%+v", got), fmt.Sprintf("%+v", want))
+}
+
+// TestCrashAtEveryOperation guards against a sequence of file operations that loses a confirmed write or can't be
+// recovered: a crash prevents the n-th operation, with each of several lengths of torn ends.
+func TestCrashAtEveryOperation(t *testing.T) {
+	for _, torn := range []int{0, 1, 15, 17, 40, 1 << 20} {
+		for n := 1; ; n++ {
+			files := &MemoryFiles{}
+			done, crashed := runUntil(files, n, errInjected)
+			files.Fault = nil
+			files.Crash(torn)
+			s, err := Open(testOptions(files))
+			if err != nil {
+				t.Fatalf("crash at operation %d, %d bytes torn: %v", n, torn, err)
+			}
+			got, _ := s.Load()
+			if text := fmt.Sprintf("%+v", got); !slices.Contains(possibleStates(done), text) {
+				t.Fatalf("crash at operation %d, %d bytes torn, after %d writes: %s", n, torn, done, text)
+			}
+			if !crashed {
+				break
+			}
+		}
+	}
+}
+
+// runUntil makes the writes of history until the n-th operation fails and returns how many were confirmed.
+func runUntil(files *MemoryFiles, n int, failure error) (done int, crashed bool) {
+	files.Fault = func(Operation) error {
+		if n--; n <= 0 {
+			crashed = true
+			return failure
+		}
+		return nil
+	}
+	s, err := Open(testOptions(files))
+	if err != nil {
+		return 0, crashed
+	}
+	for _, w := range history() {
+		if s.Save(w) != nil {
+			return done, crashed
+		}
+		done++
+	}
+	return done, crashed
+}
+
+// possibleStates returns what may be stored after the writes and a crash during the next one.
+func possibleStates(writes int) []string {
+	states := []string{stateAfter(writes)}
+	if next := history()[writes:]; len(next) > 0 {
+		snapshotOnly := deck.LogWrite{Snapshot: next[0].Snapshot}
+		states = append(states, stateAfter(writes, next[0]), stateAfter(writes, snapshotOnly))
+	}
+	return states
+}
+
+func stateAfter(writes int, more ...deck.LogWrite) string {
+	m := NewMemory(deck.ReplicaID{VM: "a", Incarnation: 7})
+	for _, w := range append(history()[:writes], more...) {
+		_ = m.Save(w)
+	}
+	s, _ := m.Load()
+	return fmt.Sprintf("%+v", s)
+}
+
+// TestFailedSaveIsFinal guards against a retry after a failed sync or a full disk, which could confirm lost data.
+func TestFailedSaveIsFinal(t *testing.T) {
+	tests := map[string]struct {
+		kind OperationKind
+		err  error
+	}{
+		"failed sync":        {SyncOperation, errInjected},
+		"full disk":          {WriteOperation, ErrDiskFull},
+		"failed folder sync": {SyncDirOperation, errInjected},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			files := &MemoryFiles{}
+			s, err := Open(testOptions(files))
+			is.NoErr(err)
+			is.NoErr(s.Save(history()[0]))
+			files.Fault = func(op Operation) error {
+				if op.Kind == tt.kind {
+					return tt.err
+				}
+				return nil
+			}
+			w := history()[4]
+			w.Snapshot.Index = 0 // nothing stored is needed for it
+			is.True(errors.Is(s.Save(w), tt.err))
+			files.Fault = nil
+			is.True(errors.Is(s.Save(deck.LogWrite{Ballot: &deck.Ballot{Term: 9}}), tt.err)) // not retried
+		})
+	}
+}
+
+// TestTornEndIsDropped guards against a replica that refuses to start after a write that was cut off at any byte.
+func TestTornEndIsDropped(t *testing.T) {
+	whole := logAfter(t, 4)
+	before := len(logAfter(t, 3).names[logName(0)].data)
+	for size := before; size < len(whole.names[logName(0)].data); size++ {
+		files := logAfter(t, 4)
+		files.names[logName(0)].data = files.names[logName(0)].data[:size]
+		s, err := Open(testOptions(files))
+		if err != nil {
+			t.Fatalf("log cut to %d bytes: %v", size, err)
+		}
+		got, _ := s.Load()
+		is.New(t).Equal(fmt.Sprintf("%+v", got), stateAfter(3))
+		is.New(t).NoErr(s.Save(history()[3]))
+		is.New(t).NoErr(s.Close())
+		equalText(t, files, stateAfter(4))
+	}
+}
+
+func equalText(t *testing.T, files *MemoryFiles, want string) {
+	t.Helper()
+	got := reload(t, func() (deck.Storage, error) { return Open(testOptions(files)) })
+	is.New(t).Equal(fmt.Sprintf("%+v", got), want)
+}
+
+// logAfter returns the files after the first writes of history.
+func logAfter(t *testing.T, writes int) *MemoryFiles {
+	files := &MemoryFiles{}
+	s, err := Open(testOptions(files))
+	is.New(t).NoErr(err)
+	for _, w := range history()[:writes] {
+		is.New(t).NoErr(s.Save(w))
+	}
+	is.New(t).NoErr(s.Close())
+	return files
+}
+
+// TestDamageIsRefused guards against a damaged record that is taken for a torn end: every byte before the last record.
+func TestDamageIsRefused(t *testing.T) {
+	records := []int{0}
+	for writes := 1; writes <= 4; writes++ {
+		records = append(records, len(logAfter(t, writes).names[logName(0)].data))
+	}
+	for offset := range records[3] {
+		files := logAfter(t, 4)
+		files.Damage(logName(0), offset)
+		_, err := Open(testOptions(files))
+		var corrupt CorruptionError
+		if !errors.As(err, &corrupt) || corrupt.File != logName(0) || !slices.Contains(records, int(corrupt.Offset)) ||
+			int(corrupt.Offset) > offset {
+			t.Fatalf("damage at byte %d: %v", offset, err)
+		}
+	}
+}
+
+// TestFolderIsRefused guards against a data folder that lost a file or belongs to another replica.
+func TestFolderIsRefused(t *testing.T) {
+	tests := map[string]struct {
+		spoil func(f *MemoryFiles, o *Options)
+		want  string
+	}{
+		"other replica":    {func(_ *MemoryFiles, o *Options) { o.VM = "b" }, "belongs to replica a/"},
+		"other deployment": {func(_ *MemoryFiles, o *Options) { o.Deployment = "x" }, `of deployment "test"`},
+		"in use":           {func(f *MemoryFiles, _ *Options) { f.locked = true }, "in use"},
+		"no identity":      {func(f *MemoryFiles, _ *Options) { delete(f.names, identityName) }, "identity is corrupt"},
+		"damaged identity": {func(f *MemoryFiles, _ *Options) { f.Damage(identityName, 20) }, "identity is corrupt"},
+		"no log":           {func(f *MemoryFiles, _ *Options) { delete(f.names, logName(20)) }, "log-* is corrupt"},
+		"no snapshot":      {func(f *MemoryFiles, _ *Options) { delete(f.names, snapshotName(20)) }, "missing"},
+		"damaged snapshot": {func(f *MemoryFiles, _ *Options) { f.Damage(snapshotName(20), 30) }, snapshotName(20)},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			files := logAfter(t, len(history()))
+			o := testOptions(files)
+			tt.spoil(files, &o)
+			_, err := Open(o)
+			if err == nil || !strings.Contains(err.Error(), tt.want) {
+				t.Fatalf("got %v, want %q", err, tt.want)
+			}
+		})
+	}
+}
+
+// TestLockOfFolder guards against two processes that write to one data folder.
+func TestLockOfFolder(t *testing.T) {
+	is := is.New(t)
+	files, err := OpenOSFiles(t.TempDir())
+	is.NoErr(err)
+	s, err := Open(testOptions(files))
+	is.NoErr(err)
+	_, err = Open(testOptions(files))
+	is.True(err != nil)
+	is.NoErr(s.Close())
+}
