Leave a source whose proof is older than 3 s and test the feed under faults

Cause: with polls of 2 s and a proof limit of 4 s, a ticket that is accepted right after a source was isolated comes into force after more than 4 s on the VMs that poll this source. A VM that restarted in a partition called its state proven on the word of a neighbour whose proof was from before the restart.

Change: the client polls with a wait of 1 s, the limit is 3 s, and a source answers when its proof passes the limit. The first proof of a process has to be from after its start. A tighter limit with a wait of 2 s was ruled out: a relay's proof is then older than the limit in normal operation.

--- a/internal/state/feed/client.go
+++ b/internal/state/feed/client.go
@@ -11,6 +11,7 @@
 
 // Times of polling.
 const (
+	pollWait     = time.Second            // a longer wait would let the proof of a relay become too old
 	pollGrace    = 500 * time.Millisecond // for the path, beyond the time for which the source holds the poll
 	roundPause   = 500 * time.Millisecond // after all sources have failed
 	leaderPause  = 250 * time.Millisecond // between two looks whether this VM still leads the log
@@ -82,7 +83,7 @@
 // stay polls a source until it fails, and returns true once a source earlier in the order is good again.
 func (c *Client) stay(ctx context.Context, order []deck.Peer, i int) bool {
 	since := c.cfg.Clock.Now()
-	for c.poll(ctx, order[i], MaxWait) {
+	for c.poll(ctx, order[i], pollWait) {
 		if c.leads() || c.leaderMoved(order) {
 			return true
 		}
--- /dev/null
+++ b/internal/state/feed/cluster_test.go
@@ -0,0 +1,182 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/state/machine"
+	"github.com/geraniumdeck/geraniumdeck/internal/test/decktest"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/command"
+)
+
+// A cluster is a deployment of 3+3+2 VMs with a control replica in each data centre, in a synctest bubble.
+type cluster struct {
+	t      *testing.T
+	log    *decktest.Log
+	peers  []deck.Peer
+	nodes  map[deck.VMName]*clusterNode
+	number uint64
+
+	mu  sync.Mutex
+	cut map[[2]deck.VMName]bool // messages from the first to the second are lost
+}
+
+type clusterNode struct {
+	store   *Store
+	machine *machine.Machine
+	replica *decktest.LogReplica
+	stop    func()
+}
+
+func newCluster(t *testing.T) *cluster {
+	c := &cluster{t: t, log: decktest.NewLog(), nodes: make(map[deck.VMName]*clusterNode), cut: make(map[[2]deck.VMName]bool)}
+	for i, dc := range []deck.DataCentre{"graz-a", "graz-a", "graz-a", "wien-b", "wien-b", "wien-b", "innsbruck-a", "innsbruck-a"} {
+		p := deck.Peer{Name: deck.VMName(fmt.Sprint("vm", i)), DataCentre: dc, Control: i%3 == 0}
+		c.peers = append(c.peers, p)
+	}
+	for _, p := range c.peers {
+		c.start(p, nil, deck.State{}, false)
+	}
+	t.Cleanup(func() {
+		for _, n := range c.nodes {
+			n.stop()
+		}
+	})
+	return c
+}
+
+// start runs a VM's process; a replica keeps its log.
+func (c *cluster) start(p deck.Peer, saver Saver, saved deck.State, known bool) {
+	n := &clusterNode{store: NewStore(p.Name, deck.SystemClock{}, saver, saved, known)}
+	ctx, cancel := context.WithCancel(context.Background())
+	var g errgroup.Group
+	cfg := ClientConfig{Self: p, Peers: c.peers, Store: n.store, Transport: clusterTransport{c, p.Name}, Clock: deck.SystemClock{}}
+	if p.Control {
+		n.machine = machine.New(nil, Recorder{Store: n.store})
+		n.replica = c.log.Join(p.Name, n.machine)
+		cfg.Leader = func() deck.VMName { return n.replica.Status().Leader.VM }
+		g.Go(func() error { return Prover{Log: n.replica, Store: n.store, Clock: deck.SystemClock{}}.Run(ctx) })
+	}
+	g.Go(func() error { return NewClient(cfg).Run(ctx) })
+	n.stop = func() {
+		cancel()
+		_ = g.Wait()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nodes[p.Name] = n
+}
+
+func (c *cluster) restart(vm deck.VMName) {
+	c.nodes[vm].stop()
+	c.start(c.peer(vm), nil, deck.State{}, false)
+}
+
+func (c *cluster) peer(vm deck.VMName) deck.Peer {
+	return c.peers[slices.IndexFunc(c.peers, func(p deck.Peer) bool { return p.Name == vm })]
+}
+
+// isolate loses all messages to or from a VM, or only one direction.
+func (c *cluster) isolate(vm deck.VMName, to, from bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.peers {
+		c.cut[[2]deck.VMName{p.Name, vm}] = to
+		c.cut[[2]deck.VMName{vm, p.Name}] = from
+	}
+}
+
+func (c *cluster) lost(from, to deck.VMName) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cut[[2]deck.VMName{from, to}]
+}
+
+func (c *cluster) store(vm deck.VMName) *Store {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.nodes[vm].store
+}
+
+// submit commits a ticket at the leader and returns its version.
+func (c *cluster) submit() uint64 {
+	c.number++
+	x := deck.Ticket{Number: c.number, BackendServers: []deck.BackendServer{decktest.Engine("e", "graz-a", deck.Bytes(c.number))}}
+	leader := c.nodes["vm0"].replica.Status().Leader.VM
+	if leader == "" {
+		leader = c.nodes["vm3"].replica.Status().Leader.VM
+	}
+	p := machine.Proposer{Self: leader, Log: c.nodes[leader].replica, Clock: deck.SystemClock{}}
+	data, err := p.Propose(c.t.Context(), command.Encode(command.Envelope{Command: command.ApplyTicket{Ticket: x}}))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	r, err := command.DecodeResult(data)
+	if err != nil || r.Ticket.Verdict != deck.TicketAccepted {
+		c.t.Fatal(r, err)
+	}
+	return r.Ticket.Version
+}
+
+// lacking returns the VMs below a version.
+func (c *cluster) lacking(version uint64) []deck.VMName {
+	var out []deck.VMName
+	for _, p := range c.peers {
+		if c.store(p.Name).State().Version() < version {
+			out = append(out, p.Name)
+		}
+	}
+	return out
+}
+
+// inForce waits until a version is in force on all VMs but the excepted ones and returns the time that it took.
+func (c *cluster) inForce(version uint64, except ...deck.VMName) time.Duration {
+	start := time.Now()
+	for time.Since(start) < time.Minute {
+		rest := slices.DeleteFunc(c.lacking(version), func(vm deck.VMName) bool { return slices.Contains(except, vm) })
+		if len(rest) == 0 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+// A clusterTransport carries one VM's polls with a path time of 25 ms.
+type clusterTransport struct {
+	c    *cluster
+	self deck.VMName
+}
+
+func (t clusterTransport) Poll(ctx context.Context, source deck.Peer, r Request) (Answer, error) {
+	if t.c.lost(t.self, source.Name) || !sleep(ctx, 25*time.Millisecond) {
+		<-ctx.Done()
+		return Answer{}, ctx.Err()
+	}
+	a := t.c.store(source.Name).Serve(ctx, r)
+	if t.c.lost(source.Name, t.self) || !sleep(ctx, 25*time.Millisecond) {
+		<-ctx.Done()
+		return Answer{}, ctx.Err()
+	}
+	return a, nil
+}
+
+func (t clusterTransport) Offer(ctx context.Context, to deck.Peer, name string, v PayloadVersion) (bool, error) {
+	if t.c.lost(t.self, to.Name) || t.c.lost(to.Name, t.self) {
+		<-ctx.Done()
+		return false, ctx.Err()
+	}
+	return t.c.store(to.Name).Wants(name, v), nil
+}
+
+func (t clusterTransport) Publish(_ context.Context, to deck.Peer, p Payload) error {
+	t.c.store(to.Name).Publish(p)
+	return nil
+}
--- /dev/null
+++ b/internal/state/feed/feed_test.go
@@ -0,0 +1,283 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/state/machine"
+	"github.com/geraniumdeck/geraniumdeck/internal/test/decktest"
+)
+
+// Guards against an accepted ticket that is not in force within 4 s on every VM that can be reached.
+func TestTicketInForceUnderFaults(t *testing.T) {
+	tests := map[string]struct {
+		fault  func(c *cluster)
+		except []deck.VMName
+	}{
+		"no fault":                        {fault: func(*cluster) {}},
+		"source silent":                   {func(c *cluster) { c.isolate("vm0", true, true); c.isolateLog("vm0", "vm3") }, []deck.VMName{"vm0"}},
+		"requests to a source are lost":   {func(c *cluster) { c.isolate("vm3", true, false) }, nil},
+		"answers of a source are lost":    {func(c *cluster) { c.isolate("vm3", false, true) }, []deck.VMName{"vm3"}},
+		"source isolated, still answers":  {func(c *cluster) { c.log.Cut("vm3", true); c.cutControl("vm3") }, []deck.VMName{"vm3"}},
+		"source lags":                     {func(c *cluster) { c.log.Lag("vm3", true); c.cutControl("vm3") }, []deck.VMName{"vm3"}},
+		"entry VM restarts":               {fault: func(c *cluster) { c.restart("vm4") }},
+		"control replica restarts":        {fault: func(c *cluster) { c.restart("vm3") }},
+		"leader moves":                    {fault: func(c *cluster) { c.log.Lead("vm6") }},
+		"source and first relay silent":   {func(c *cluster) { c.silence("vm3", Relays("wien-b", c.peers)[0].Name) }, []deck.VMName{"vm3", "vm4", "vm5"}},
+		"second source silent just after": {func(c *cluster) { c.silence("vm6"); c.silence("vm3") }, []deck.VMName{"vm3", "vm6"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			longest := time.Duration(0)
+			for phase := range 8 { // of the polls and read barriers at the time of the fault
+				synctest.Test(t, func(t *testing.T) {
+					c := newCluster(t)
+					c.inForce(c.submit())
+					time.Sleep(5*time.Second + time.Duration(phase)*130*time.Millisecond)
+					tt.fault(c)
+					version := c.submit()
+					took := c.inForce(version, tt.except...)
+					longest = max(longest, took)
+					if took > 4*time.Second {
+						t.Errorf("in force after %s, lacking on %v", took, c.lacking(version))
+					}
+				})
+			}
+			t.Logf("in force after at most %s", longest)
+		})
+	}
+}
+
+// isolateLog cuts a replica off the log and makes another one lead.
+func (c *cluster) isolateLog(vm, leader deck.VMName) {
+	c.log.Cut(vm, true)
+	c.log.Lead(leader)
+}
+
+// cutControl loses the messages between a control replica and the VMs of other data centres.
+func (c *cluster) cutControl(vm deck.VMName) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.peers {
+		if p.DataCentre != c.peer(vm).DataCentre {
+			c.cut[[2]deck.VMName{p.Name, vm}], c.cut[[2]deck.VMName{vm, p.Name}] = true, true
+		}
+	}
+}
+
+// silence loses all messages of VMs; replicas among them leave the log.
+func (c *cluster) silence(vms ...deck.VMName) {
+	for _, vm := range vms {
+		c.isolate(vm, true, true)
+		if c.peer(vm).Control {
+			c.log.Cut(vm, true)
+		}
+	}
+}
+
+// Guards against a VM that is cut off and is not named, reverts, or does not catch up after hundreds of missed tickets.
+func TestCutOffVMCatchesUp(t *testing.T) {
+	for _, missed := range []int{1, 300, 700} {
+		t.Run(fmt.Sprint(missed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newCluster(t)
+				first := c.submit()
+				c.inForce(first)
+				c.isolate("vm4", true, true)
+				last := first
+				for range missed {
+					last = c.submit()
+				}
+				c.inForce(last, "vm4")
+				time.Sleep(2 * CutOffAfter)
+				is.Equal(c.store("vm4").State().Version(), first)
+				reader := TicketReader{"vm0", c.nodes["vm0"].replica, c.nodes["vm0"].machine, c.store("vm0"), c.peers}
+				s, err := reader.TicketStatus(t.Context(), c.number)
+				is.NoErr(err)
+				is.Equal(s.CutOff, []deck.VMName{"vm4"})
+				is.Equal(len(s.Confirmed), 7)
+				c.isolate("vm4", false, false)
+				took := c.inForce(last)
+				t.Logf("caught up with %d tickets after %s", missed, took)
+				is.True(took <= 4*time.Second)
+				time.Sleep(2 * CutOffAfter)
+				s, err = reader.TicketStatus(t.Context(), c.number)
+				is.NoErr(err)
+				is.Equal(len(s.Confirmed), 8)
+			})
+		})
+	}
+}
+
+// Guards against an entry VM that restarts in a cut-off data centre and then serves nothing, an older state than its
+// neighbours, or a state that it calls proven.
+func TestRestartInPartition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t)
+		version := c.submit()
+		c.inForce(version)
+		c.log.Cut("vm3", true)
+		for _, vm := range []deck.VMName{"vm3", "vm4", "vm5"} {
+			c.cutControl(vm)
+		}
+		time.Sleep(10 * time.Second)
+		c.restart("vm4")
+		ready, note := c.store("vm4").Readiness()
+		is.True(!ready)
+		is.Equal(note, "no-state")
+		time.Sleep(5 * time.Second)
+		is.Equal(c.store("vm4").State().Version(), version)
+		is.True(!c.store("vm4").Proven())
+		ready, note = c.store("vm4").Readiness()
+		is.True(ready)
+		is.Equal(note, "state-unproven")
+		c.mu.Lock()
+		clear(c.cut)
+		c.mu.Unlock()
+		c.log.Cut("vm3", false)
+		time.Sleep(3 * time.Second)
+		ready, note = c.store("vm4").Readiness()
+		is.True(ready)
+		is.Equal(note, "")
+	})
+}
+
+// Guards against a payload that stays at its publisher or is lost when a root restarts.
+func TestPayloadReachesDataCentre(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t)
+		self := c.peer("vm1")
+		p := NewPublisher(ClientConfig{
+			Self: self, Peers: c.peers, Store: c.store("vm1"), Transport: clusterTransport{c, "vm1"}, Clock: deck.SystemClock{},
+		}, "residency")
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		is.True(p.Publish(PayloadVersion{Epoch: 2, Sequence: 1}, []byte("new")))
+		is.True(!p.Publish(PayloadVersion{Epoch: 1, Sequence: 9}, []byte("old")))
+		p.Once(ctx)
+		time.Sleep(3 * time.Second)
+		c.restart("vm0")
+		p.Once(ctx)
+		time.Sleep(3 * time.Second)
+		for _, node := range c.peers {
+			got, ok := c.store(node.Name).Payload("residency")
+			is.Equal(ok, node.DataCentre == "graz-a")
+			is.True(!ok || string(got.Data) == "new")
+		}
+	})
+}
+
+// Guards against relays that poll each other, VMs that poll across a data centre border although a relay lives, and a
+// control replica that passes the leader over.
+func TestSources(t *testing.T) {
+	is := is.New(t)
+	var peers []deck.Peer
+	for i := range 340 {
+		dc := deck.DataCentre(fmt.Sprint("dc", i%10))
+		peers = append(peers, deck.Peer{Name: deck.VMName(fmt.Sprint("vm", i)), DataCentre: dc, Control: i < 7})
+	}
+	polls := make(map[deck.VMName]int)
+	for _, p := range peers {
+		order := Sources(p, peers, "vm3")
+		is.True(!slices.Contains(order, p))
+		polls[order[0].Name]++
+		isRelay := slices.Contains(Relays(p.DataCentre, peers), p)
+		switch {
+		case p.Control && p.Name != "vm3":
+			is.Equal(order[0].Name, deck.VMName("vm3"))
+		case !p.Control && (p.DataCentre < "dc7" || !isRelay):
+			is.Equal(order[0].DataCentre, p.DataCentre)
+		case isRelay:
+			is.True(order[0].Control)
+		}
+	}
+	for vm, n := range polls {
+		if n > 45 { // 33 VMs of its data centre, the other replicas and relays of the data centres without one
+			t.Errorf("%s is polled by %d VMs", vm, n)
+		}
+	}
+}
+
+// Guards against a gap between deltas, a proof of a version that is not in force, and a proof that drift makes too young.
+func TestTakeRefuses(t *testing.T) {
+	is := is.New(t)
+	clock := &decktest.ManualClock{}
+	clock.Advance(time.Hour)
+	s := NewStore("a", clock, nil, deck.State{}, false)
+	x := deck.Ticket{Number: 2, Models: []deck.Model{decktest.Model("m", 1)}}
+	is.True(s.Append([]Delta{{Previous: 3, Version: 6, Ticket: x}}) != nil)
+	s.Take(clock.Now(), Answer{Version: 6, Proven: true, Deltas: []Delta{{Previous: 3, Version: 6, Ticket: x}}})
+	is.Equal(s.State().Version(), uint64(0))
+	is.True(!s.Proven())
+	sent := clock.Now()
+	s.Take(sent, Answer{Proven: true, Held: 2 * time.Second, ProofAge: time.Second})
+	age, ok := s.ProofAge()
+	is.True(ok)
+	is.Equal(age, 1010*time.Millisecond-1980*time.Millisecond) // 1% off either duration
+	s.Take(sent.Add(-time.Minute), Answer{Proven: true})
+	after, _ := s.ProofAge()
+	is.Equal(after, age) // an older proof does not replace a younger one
+}
+
+// Guards against a report that arrives late through another VM and replaces a later one.
+func TestLatestConfirmationCounts(t *testing.T) {
+	is := is.New(t)
+	clock := &decktest.ManualClock{}
+	clock.Advance(time.Hour)
+	s := NewStore("a", clock, nil, deck.State{}, false)
+	s.confirm(clock.Now(), Request{VM: "v", After: 9})
+	s.confirm(clock.Now(), Request{VM: "r", Confirmed: []Confirmation{{VM: "v", Version: 3, Age: time.Second}}})
+	is.Equal(s.Spread([]deck.VMName{"v"}, 9).Confirmed, []deck.VMName{"v"})
+	s.confirm(clock.Now(), Request{VM: "v", After: 4}) // a restart lost what it had
+	is.Equal(s.Spread([]deck.VMName{"v"}, 9).Waiting, []deck.VMName{"v"})
+	clock.Advance(CutOffAfter)
+	is.Equal(s.Spread([]deck.VMName{"v"}, 4).CutOff, []deck.VMName{"v"})
+}
+
+// Guards against a state in force that a restart goes back behind.
+func TestStateIsSavedBeforeItIsInForce(t *testing.T) {
+	is := is.New(t)
+	saver := FileSaver{Folder: t.TempDir()}
+	_, ok, err := saver.Load()
+	is.NoErr(err)
+	is.True(!ok)
+	s := NewStore("a", deck.SystemClock{}, saver, deck.State{}, false)
+	next := deck.State{}.WithTicket(deck.Ticket{Models: []deck.Model{decktest.Model("m", 1)}}, 7)
+	s.Install(next)
+	loaded, ok, err := saver.Load()
+	is.NoErr(err)
+	is.True(ok)
+	is.Equal(loaded.Version(), uint64(7))
+	restarted := NewStore("a", deck.SystemClock{}, saver, loaded, ok)
+	restarted.Install(deck.State{}.WithTicket(deck.Ticket{}, 6))
+	is.Equal(len(restarted.State().Models()), 1)
+	ready, note := restarted.Readiness()
+	is.True(ready)
+	is.Equal(note, "state-unproven")
+}
+
+// Guards against a poison list that does not follow the feed or does not expire.
+func TestPoisonList(t *testing.T) {
+	is := is.New(t)
+	clock := &decktest.ManualClock{}
+	clock.Advance(2000 * time.Hour)
+	s := NewStore("a", clock, nil, deck.State{}, false)
+	l := NewPoisonList(s, clock)
+	is.True(!l.Refused("d"))
+	Recorder{Store: s}.PoisonChanged(5, []machine.PoisonRow{{Digest: "d", Until: clock.Now().Add(time.Minute)}})
+	is.True(l.Refused("d"))
+	Recorder{Store: s}.PoisonChanged(4, nil)
+	is.True(l.Refused("d")) // an older list does not replace a newer one
+	clock.Advance(time.Minute)
+	is.True(!l.Refused("d"))
+}
--- a/internal/state/feed/serve.go
+++ b/internal/state/feed/serve.go
@@ -10,11 +10,12 @@
 // MaxWait is the longest time for which a source holds a poll.
 const MaxWait = 2 * time.Second
 
-// Serve answers a poll: at once if there is something new for the polling VM, otherwise after the request's wait.
+// Serve answers a poll: at once if there is something new for the polling VM, otherwise after the request's wait, or when
+// the proof becomes too old for the polling VM to stay.
 func (s *Store) Serve(ctx context.Context, r Request) Answer {
 	start := s.clock.Now()
 	s.confirm(start, r)
-	timer := time.NewTimer(min(r.Wait, MaxWait))
+	timer := time.NewTimer(min(r.Wait, MaxWait, s.proofLeft(start)))
 	defer timer.Stop()
 	for {
 		answer, news := s.answer(start, r)
@@ -32,6 +33,16 @@
 	}
 }
 
+// proofLeft returns how long the proof stays young enough.
+func (s *Store) proofLeft(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.proven {
+		return MaxWait
+	}
+	return max(s.proof.Add(ProofLimit+time.Millisecond).Sub(now), 0)
+}
+
 func (a Answer) hasNews() bool {
 	return len(a.Deltas) > 0 || a.State != nil || len(a.Payloads) > 0
 }
--- a/internal/state/feed/store.go
+++ b/internal/state/feed/store.go
@@ -15,8 +15,10 @@
 	maxPayloads     = 64      // names of payloads
 	MaxPayloadBytes = 4 << 20 // residency of 1,400 models on 600 engines is far below this
 
-	// ProofLimit is the age of proof beyond which a source is left.
-	ProofLimit = 4 * time.Second
+	// ProofLimit is the age of proof beyond which a source is left. It is below the 4 s in which a ticket has to be in
+	// force, because a ticket may be accepted right after a source was isolated. A relay's proof is at most as old as
+	// proveInterval, pollWait and two path times together.
+	ProofLimit = 3 * time.Second
 
 	// driftShare shortens times that were measured by another VM's clock.
 	driftShare = 0.01
@@ -35,6 +37,7 @@
 	saver Saver // nil without a data folder
 
 	maxDeltas int
+	start     time.Time // a proof from before does not cover what this VM may have had in force until then
 
 	installing sync.Mutex // held over the write to disk, so that installs keep their order
 
@@ -57,7 +60,7 @@
 // is set.
 func NewStore(self deck.VMName, clock deck.Clock, saver Saver, saved deck.State, known bool) *Store {
 	return &Store{
-		self: self, clock: clock, saver: saver, maxDeltas: maxDeltas, state: saved, known: known,
+		self: self, clock: clock, saver: saver, maxDeltas: maxDeltas, start: clock.Now(), state: saved, known: known,
 		payloads: make(map[string]Payload), seen: make(map[deck.VMName]sighting),
 		changed: make(chan struct{}), news: make(chan struct{}),
 	}
@@ -178,7 +181,7 @@
 func (s *Store) Prove(at time.Time, version uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.state.Version() < version {
+	if s.state.Version() < version || at.Before(s.start) {
 		return
 	}
 	if !s.proven || at.After(s.proof) {
