--- a/internal/state/machine/snapshot.go
+++ b/internal/state/machine/snapshot.go
@@ -1,7 +1,10 @@
 package machine
 
 import (
+	"cmp"
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -66,7 +69,7 @@
 	Alone   bool   `json:"alone,omitempty"`
 }
 
-// Snapshot implements deck.StateMachine.Snapshot.
+// Snapshot implements deck.StateMachine.Snapshot; equal states have equal snapshots.
 func (m *Machine) Snapshot() ([]byte, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
@@ -118,6 +121,10 @@
 	for id, n := range s.lastSet {
 		d.LastSet = append(d.LastSet, lastSetDocument{id.Kind, id.Name, n})
 	}
+	slices.SortFunc(d.Accepted, func(a, b acceptedDocument) int { return cmp.Compare(a.Number, b.Number) })
+	slices.SortFunc(d.LastSet, func(a, b lastSetDocument) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+	})
 }
 
 func loadTickets(d snapshotDocument) (tickets, error) {
@@ -210,7 +217,8 @@
 }
 
 func (p *poison) save(d *snapshotDocument) {
-	for digest, r := range p.rows {
+	for _, digest := range slices.Sorted(maps.Keys(p.rows)) {
+		r := p.rows[digest]
 		row := poisonDocument{Digest: digest, UntilMS: milliseconds(r.until)}
 		for _, c := range r.crashes {
 			row.Crashes = append(row.Crashes, crashDocument{string(c.backend), c.id, c.alone})
--- /dev/null
+++ b/internal/state/machine/tickets_test.go
@@ -0,0 +1,147 @@
+package machine
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/test/decktest"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/command"
+)
+
+func (b *bench) ticket(x deck.Ticket) deck.TicketAnswer {
+	return b.apply(command.ApplyTicket{Ticket: x}).Ticket
+}
+
+func models(n uint64, m ...deck.Model) deck.Ticket {
+	return deck.Ticket{Number: n, Models: m}
+}
+
+// Guards against a ticket that is accepted although it can't be right, and against a refusal without its reason.
+func TestTicketValidation(t *testing.T) {
+	const gib = deck.GiB
+	server := deck.BackendServer{Name: "s1", Kind: deck.ServiceBackend, DataCentre: "graz-a", Address: "10.0.0.1:80"}
+	service := deck.Service{Name: "x", Prefix: "/x", Backends: []deck.BackendName{"s1"}}
+	engine := decktest.Engine("e2", "graz-a", gib)
+	change := func(f func(*deck.BackendServer)) deck.Ticket {
+		b := engine
+		f(&b)
+		return deck.Ticket{Number: 2, BackendServers: []deck.BackendServer{b}}
+	}
+	version := func(f func(*deck.Model)) deck.Ticket {
+		m := decktest.Model("m", gib)
+		f(&m)
+		return models(2, m)
+	}
+	tests := map[string]struct {
+		ticket deck.Ticket
+		want   string
+	}{
+		"number 0":           {models(0, decktest.Model("m", gib)), "number 0"},
+		"empty":              {models(2), "sets no object"},
+		"twice":              {models(2, decktest.Model("m", 1), decktest.Model("m", 2)), "set twice"},
+		"no name":            {models(2, decktest.Model("", 1)), "name has"},
+		"line break":         {models(2, decktest.Model("a\nb", 1)), "name has"},
+		"no place":           {models(2, decktest.Model("big", 5*gib)), "no place"},
+		"overcommitted":      {models(2, decktest.Model("m1", 3*gib), decktest.Model("m2", 2*gib)), "no place"},
+		"weight 0":           {version(func(m *deck.Model) { m.Versions[0].WeightBytes = 0 }), "impossible size"},
+		"negative transient": {version(func(m *deck.Model) { m.Versions[0].TransientBytes = -1 }), "impossible size"},
+		"overflow":           {version(func(m *deck.Model) { m.Versions[0].KVReserveBytes = 1 << 62 }), "impossible size"},
+		"version twice":      {version(func(m *deck.Model) { m.Versions = append(m.Versions, m.Versions[0]) }), "listed twice"},
+		"no active version":  {version(func(m *deck.Model) { m.Active = "v9" }), "not listed"},
+		"negative replicas":  {version(func(m *deck.Model) { m.MinReplicas = -1 }), "replicas"},
+		"next version too big": {version(func(m *deck.Model) {
+			m.Versions = append(m.Versions, deck.ModelVersion{Name: "v2", WeightBytes: 9 * gib})
+		}), "fits on no engine"},
+		"address by name":      {change(func(b *deck.BackendServer) { b.Address = "host:80" }), "IP number"},
+		"no data centre":       {change(func(b *deck.BackendServer) { b.DataCentre = "" }), "no data centre"},
+		"no accelerator":       {change(func(b *deck.BackendServer) { b.Accelerators = 0 }), "accelerators"},
+		"last engine leaves":   {change(func(b *deck.BackendServer) { b.Name, b.Leaving = "e1", true }), "no place"},
+		"adapter of no model":  {deck.Ticket{Number: 2, Adapters: []deck.Adapter{{Name: "a", Model: "none", Bytes: 1}}}, "does not exist"},
+		"adapter of 0 bytes":   {deck.Ticket{Number: 2, Adapters: []deck.Adapter{{Name: "a", Model: "m0"}}}, "0 bytes"},
+		"removes nothing":      {models(2, deck.Model{Name: "none", Absent: true}), "can't be removed"},
+		"removes what is used": {models(2, deck.Model{Name: "m0", Absent: true}), "does not exist"},
+		"service on an engine": {deck.Ticket{Number: 2, Services: []deck.Service{{Name: "x", Prefix: "/x", Backends: []deck.BackendName{"e1"}}}}, "is an engine"},
+		"prefix":               {deck.Ticket{Number: 2, Services: []deck.Service{{Name: "x", Prefix: "x", Backends: []deck.BackendName{"e1"}}}}, "start with /"},
+		"valid service":        {deck.Ticket{Number: 2, BackendServers: []deck.BackendServer{server}, Services: []deck.Service{service}}, ""},
+		"valid model":          {models(2, decktest.Model("m", gib)), ""},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench()
+			first := models(1, decktest.Model("m0", gib/2))
+			first.BackendServers = []deck.BackendServer{decktest.Engine("e1", "graz-a", 4*gib)}
+			first.Adapters = []deck.Adapter{{Name: "a0", Model: "m0", Bytes: 1}}
+			is.Equal(b.ticket(first).Verdict, deck.TicketAccepted)
+			got := b.ticket(tt.ticket)
+			is.Equal(got.Verdict == deck.TicketAccepted, tt.want == "")
+			is.True(strings.Contains(got.Reason, tt.want))
+			is.Equal(b.m.State().Version() == 2, tt.want == "")
+		})
+	}
+}
+
+// Guards against answers that differ when a ticket is sent again: two operators with one number, a correction after a
+// refusal, and an older ticket after a newer one.
+func TestTicketAnswers(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	is.Equal(b.ticket(deck.Ticket{Number: 1, BackendServers: []deck.BackendServer{decktest.Engine("e", "graz-a", 100)}}).Version, uint64(1))
+	one, two := models(5, decktest.Model("m", 10)), models(5, decktest.Model("m", 20))
+	accepted := b.ticket(one)
+	is.Equal(accepted.Verdict, deck.TicketAccepted)
+	conflict := b.ticket(two)
+	is.Equal(conflict.Verdict, deck.TicketConflict)
+	is.Equal(conflict.Digest, accepted.Digest)
+	is.True(strings.Contains(conflict.Reason, "1970-01-12T13:46:40Z"))
+	is.Equal(b.ticket(one), accepted)
+
+	tooBig := models(6, decktest.Model("n", 1000))
+	refused := b.ticket(tooBig)
+	is.Equal(b.m.Ticket(6), refused)
+	is.Equal(b.ticket(models(6, decktest.Model("n", 30))).Verdict, deck.TicketAccepted)
+	is.Equal(b.ticket(tooBig), refused)
+	is.Equal(b.m.Ticket(6).Verdict, deck.TicketAccepted)
+
+	older := b.ticket(models(4, decktest.Model("k", 1), decktest.Model("m", 1)))
+	is.Equal(older.Verdict, deck.TicketSuperseded)
+	is.Equal(older.Reason, `model "m" was set by ticket 5`)
+	is.Equal(b.ticket(models(3, decktest.Model("k", 1))).Verdict, deck.TicketAccepted)
+	is.Equal(b.ticket(models(7, deck.Model{Name: "m", Absent: true})).Verdict, deck.TicketAccepted)
+	is.Equal(b.ticket(one), accepted) // the answer is repeated, the object stays removed
+	is.Equal(len(b.m.State().Models()), 2)
+	is.Equal(b.m.Ticket(99).Verdict, deck.TicketUnknown)
+}
+
+// Guards against refusals without bound.
+func TestRefusalsAreBounded(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	for i := range MaxRefusals + 5 {
+		b.ticket(models(uint64(i+1), deck.Model{Name: "m"}))
+	}
+	is.Equal(len(b.m.tickets.refusals), MaxRefusals)
+	is.Equal(b.m.Ticket(5).Verdict, deck.TicketUnknown)
+	is.Equal(b.m.Ticket(6).Verdict, deck.TicketRefused)
+}
+
+// Guards against a snapshot that can't be read and half replaces the state, and an unreadable command that stops it.
+func TestBadInputChangesNothing(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	b.ticket(decktest.Deployment(1, 1, 1))
+	before, err := b.m.Snapshot()
+	is.NoErr(err)
+	for _, bad := range []string{"", "{", `{"state":{},"running":[{"status":"x"}]}`} {
+		is.True(b.m.Restore([]byte(bad)) != nil)
+		is.True(strings.Contains(string(b.m.Apply(9, []byte(bad))), "reason"))
+	}
+	after, err := b.m.Snapshot()
+	is.NoErr(err)
+	is.Equal(string(after), string(before))
+	is.Equal(fmt.Sprint(b.m.State().Version()), "1")
+}
