--- a/internal/state/machine/snapshot.go
+++ b/internal/state/machine/snapshot.go
@@ -1,7 +1,10 @@
 package machine
 
 import (
+	"cmp"
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,7 +22,8 @@
 	LastSet  []lastSetDocument      `json:"last-set,omitempty"`
 	Running  []recordDocument       `json:"running,omitempty"` // oldest first
 	Ended    []recordDocument       `json:"ended,omitempty"`   // oldest first
-	Released []recordDocument       `json:"released,omitempty"`
+	Released []releasedDocument     `json:"released,omitempty"`
+	Serial   uint64                 `json:"serial,omitempty"`
 	Poison   []poisonDocument       `json:"poison,omitempty"`
 	Changed  uint64                 `json:"poison-changed,omitempty"`
 }
@@ -39,6 +43,7 @@
 
 type recordDocument struct {
 	Key    string          `json:"key"`
+	Serial uint64          `json:"serial"`
 	Claim  string          `json:"claim"`
 	AtMS   int64           `json:"at-ms"`
 	Digest string          `json:"digest,omitempty"`
@@ -47,6 +52,11 @@
 	Answer *command.Answer `json:"answer,omitempty"`
 }
 
+type releasedDocument struct {
+	Claim string `json:"claim"`
+	AtMS  int64  `json:"at-ms"`
+}
+
 type poisonDocument struct {
 	Digest  string          `json:"digest"`
 	UntilMS int64           `json:"until-ms"`
@@ -59,7 +69,7 @@
 	Alone   bool   `json:"alone,omitempty"`
 }
 
-// Snapshot implements deck.StateMachine.Snapshot.
+// Snapshot implements deck.StateMachine.Snapshot; equal states have equal snapshots.
 func (m *Machine) Snapshot() ([]byte, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
@@ -111,6 +121,10 @@
 	for id, n := range s.lastSet {
 		d.LastSet = append(d.LastSet, lastSetDocument{id.Kind, id.Name, n})
 	}
+	slices.SortFunc(d.Accepted, func(a, b acceptedDocument) int { return cmp.Compare(a.Number, b.Number) })
+	slices.SortFunc(d.LastSet, func(a, b lastSetDocument) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+	})
 }
 
 func loadTickets(d snapshotDocument) (tickets, error) {
@@ -147,14 +161,15 @@
 			d.Ended = append(d.Ended, newRecordDocument(ref, r))
 		}
 	}
+	d.Serial = c.serial
 	for _, ref := range c.releasedOrder {
-		d.Released = append(d.Released, recordDocument{Key: ref.key, Claim: ref.claim, AtMS: milliseconds(ref.at)})
+		d.Released = append(d.Released, releasedDocument{ref.claim, milliseconds(ref.at)})
 	}
 }
 
 func newRecordDocument(ref reference, r *record) recordDocument {
 	d := recordDocument{
-		Key: ref.key, Claim: ref.claim, AtMS: milliseconds(ref.at),
+		Key: ref.key, Serial: ref.serial, Claim: r.claim, AtMS: milliseconds(ref.at),
 		Digest: r.digest, VM: string(r.vm), Status: command.ClaimName(r.status),
 	}
 	if r.status == deck.ClaimFinished {
@@ -166,6 +181,7 @@
 
 func loadCalls(d snapshotDocument) (calls, error) {
 	c := newCalls()
+	c.serial = d.Serial
 	for _, r := range d.Running {
 		if err := c.load(r, &c.running); err != nil {
 			return c, err
@@ -179,7 +195,7 @@
 	}
 	for _, r := range d.Released {
 		c.released[r.Claim] = true
-		c.releasedOrder = append(c.releasedOrder, reference{r.Key, r.Claim, instant(r.AtMS)})
+		c.releasedOrder = append(c.releasedOrder, releasedClaim{r.Claim, instant(r.AtMS)})
 	}
 	return c, nil
 }
@@ -189,19 +205,20 @@
 	if err != nil {
 		return err
 	}
-	r := &record{digest: d.Digest, claim: d.Claim, vm: deck.VMName(d.VM), status: status}
+	r := &record{serial: d.Serial, digest: d.Digest, claim: d.Claim, vm: deck.VMName(d.VM), status: status}
 	if d.Answer != nil {
 		if r.answer, err = d.Answer.Answer(); err != nil {
 			return err
 		}
 	}
 	c.records[d.Key] = r
-	*queue = append(*queue, reference{d.Key, d.Claim, instant(d.AtMS)})
+	*queue = append(*queue, reference{d.Key, d.Serial, instant(d.AtMS)})
 	return nil
 }
 
 func (p *poison) save(d *snapshotDocument) {
-	for digest, r := range p.rows {
+	for _, digest := range slices.Sorted(maps.Keys(p.rows)) {
+		r := p.rows[digest]
 		row := poisonDocument{Digest: digest, UntilMS: milliseconds(r.until)}
 		for _, c := range r.crashes {
 			row.Crashes = append(row.Crashes, crashDocument{string(c.backend), c.id, c.alone})
