Add the virtual-time measurement of the routing policy

The policy needs figures before it is changed. The runs drive router.Core itself with a schedule as its clock; engines are a step-time model, and baselines are round robin and least in flight within the nearest data centre, in the same run.

--- /dev/null
+++ b/internal/measure/sim/capacity.go
@@ -0,0 +1,64 @@
+package sim
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+const (
+	capacityRun  = 60 * time.Second
+	capacityWarm = 10 * time.Second
+	drainTime    = 12 * time.Second
+	attainment   = 0.95 // share of requests that must meet the objective
+)
+
+// engineCapacity returns the highest steady rate (interactive requests/s) at which one engine alone meets the objective
+// for 95 in 100 requests, without a path to its callers.
+var engineCapacity = sync.OnceValue(func() float64 {
+	low, high := 1.0, 100.0
+	for high-low > 0.25 {
+		rate := (low + high) / 2
+		if singleEngineAttainment(rate) >= attainment {
+			low = rate
+		} else {
+			high = rate
+		}
+	}
+	return low
+})
+
+// soloDeployment has one engine with one model.
+var soloDeployment = deployment{
+	name:        "solo",
+	dataCentres: deployments[0].dataCentres[:1],
+	vms:         []int{1},
+	engines:     []int{1, 0},
+	models:      []int{1, 0},
+}
+
+func singleEngineAttainment(rate float64) float64 {
+	f := newFleet(soloDeployment, 1)
+	f.addVMs(func(v *vm) policy { return newBaseline(v, false) })
+	f.interactive(capacityRun, rate, constant(rate))
+	f.s.runUntil(capacityRun + drainTime)
+	return f.attainment(capacityWarm, capacityRun)
+}
+
+// constant returns a rate that does not change.
+func constant(rate float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return rate }
+}
+
+// crest returns a rate that is a tenth of the peak until start and then rises to it within the ramp.
+func crest(peak float64, start, ramp time.Duration) func(time.Duration) float64 {
+	return func(t time.Duration) float64 {
+		x := min(1, max(0, float64(t-start)/float64(ramp)))
+		return peak * (0.1 + 0.9*x)
+	}
+}
+
+// newRand returns the random source of a run's secondary draws.
+func newRand(seed, stream uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(seed, stream))
+}
--- /dev/null
+++ b/internal/measure/sim/vm.go
@@ -0,0 +1,263 @@
+package sim
+
+import (
+	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/route/choose"
+	"github.com/geraniumdeck/geraniumdeck/internal/route/router"
+)
+
+const (
+	pollEvery = 2 * time.Second
+	// Bytes of a prompt token and of a token's event on the wire.
+	promptTokenBytes = 4
+	eventBytes       = 200
+)
+
+// An attempt is a request's present use of an engine.
+type attempt struct {
+	vm        *vm
+	hold      *router.Hold
+	engine    *engine
+	seq       *sequence
+	preempted <-chan struct{}
+}
+
+// A policy makes the decisions of one VM.
+type policy interface {
+	// arrive takes a request from a caller.
+	arrive(r *request)
+
+	// token records a token.
+	token(r *request)
+
+	// over records that the request has ended or was abandoned.
+	over(r *request, complete bool)
+}
+
+// A vm is an entry VM.
+type vm struct {
+	policy
+	index int
+	dc    int
+	fleet *fleet
+}
+
+// addVMs gives the fleet its entry VMs with the policy that build returns.
+func (f *fleet) addVMs(build func(v *vm) policy) {
+	for dc, n := range f.dep.vms {
+		for range n {
+			v := &vm{index: len(f.vms), dc: dc, fleet: f}
+			v.policy = build(v)
+			f.vms = append(f.vms, v)
+		}
+	}
+}
+
+// start sends an attempt to the engine.
+func (v *vm) start(r *request, e *engine, priority int) {
+	f := v.fleet
+	q := &sequence{req: r, vm: v, priority: priority, produced: r.delivered}
+	r.attempt.vm, r.attempt.engine, r.attempt.seq = v, e, q
+	if r.class == deck.Interactive {
+		f.attempts++
+	}
+	v.transfer(e, r.prompt*promptTokenBytes)
+	f.s.after(f.path(v.dc, e.dc), func() {
+		if !q.done {
+			e.submit(q)
+		}
+	})
+}
+
+func (v *vm) transfer(e *engine, bytes int) {
+	v.fleet.bytes += bytes
+	if e.dc != v.dc {
+		v.fleet.billed += bytes
+	}
+}
+
+// tokens takes one token of each sequence.
+func (v *vm) tokens(qs []*sequence) {
+	for _, q := range qs {
+		r := q.req
+		if r.attempt.seq != q {
+			continue
+		}
+		v.transfer(r.attempt.engine, eventBytes)
+		v.deliver(r)
+		v.token(r)
+		if r.delivered >= r.output {
+			r.attempt.seq = nil
+			v.over(r, true)
+			if r.again != nil {
+				r.again()
+			}
+		}
+	}
+}
+
+func (v *vm) deliver(r *request) {
+	now := v.fleet.s.now
+	r.delivered++
+	if r.first == 0 {
+		r.first = now
+	}
+	r.last = now
+	if r.class == deck.Batch {
+		v.fleet.batch++
+	}
+}
+
+// stop cancels the request's attempt, if there is one, at the engine.
+func (v *vm) stop(r *request) {
+	q, e := r.attempt.seq, r.attempt.engine
+	if q == nil {
+		return
+	}
+	r.attempt.seq = nil
+	v.fleet.s.after(v.fleet.path(v.dc, e.dc), func() { e.cancel(q) })
+}
+
+// abandon ends the request because its caller has gone.
+func (v *vm) abandon(r *request) {
+	v.stop(r)
+	v.over(r, false)
+}
+
+// A corePolicy drives the production decisions.
+type corePolicy struct {
+	vm   *vm
+	core *router.Core
+	last map[deck.BackendName]uint64 // cache events seen
+}
+
+var _ policy = (*corePolicy)(nil)
+
+// newCorePolicy returns the production policy, with its ticks and its polling of the engine subset.
+func newCorePolicy(v *vm, cfg router.Config) *corePolicy {
+	f := v.fleet
+	cfg.DataCentre = f.dep.dataCentres[v.dc]
+	cfg.Regions = make(map[deck.DataCentre]deck.Region)
+	for _, dc := range f.dep.dataCentres {
+		cfg.Regions[dc] = deck.Region(dc)
+	}
+	cfg.Clock, cfg.State, cfg.Residency, cfg.Poison = f.s, f, f, noPoison{}
+	cfg.Rand = newRand(f.otherRnd.Uint64(), 1)
+	p := &corePolicy{vm: v, core: router.NewCore(cfg), last: make(map[deck.BackendName]uint64)}
+	f.s.every(time.Duration(v.index)*time.Millisecond, router.TickEvery, p.core.Tick)
+	p.poll()
+	return p
+}
+
+// poll starts the staggered polling of the VM's subset of engines.
+func (p *corePolicy) poll() {
+	f := p.vm.fleet
+	var all []deck.BackendName
+	for _, e := range f.engines {
+		all = append(all, e.name)
+	}
+	var models [][]deck.BackendName
+	for _, m := range f.models {
+		var places []deck.BackendName
+		for _, e := range m.places {
+			places = append(places, e.name)
+		}
+		models = append(models, places)
+	}
+	name := deck.VMName(string(rune('a' + p.vm.index)))
+	subset := choose.Subset(name, all, models)
+	for i, b := range subset {
+		e := f.byName[b]
+		start := pollEvery * time.Duration(i) / time.Duration(len(subset))
+		f.s.every(start, pollEvery, func() { p.observe(e) })
+	}
+}
+
+func (p *corePolicy) observe(e *engine) {
+	if r, ok := e.report(p.vm.fleet.lag); ok {
+		p.core.ObserveReport(r, e.s.Now())
+	}
+	after := p.last[e.name]
+	p.core.ObserveCacheEvents(e.name, deck.CacheEvents{Events: e.events[after:], Last: uint64(len(e.events))})
+	p.last[e.name] = uint64(len(e.events))
+}
+
+// arrive implements policy.arrive.
+func (p *corePolicy) arrive(r *request) {
+	info := deck.RequestInfo{
+		Caller:       r.caller,
+		Model:        r.model.name,
+		Class:        r.class,
+		Prefixes:     r.prefixes,
+		PromptTokens: r.prompt,
+	}
+	s := p.vm.fleet.s
+	if r.class == deck.Interactive {
+		info.Deadline = s.Now().Add(firstTokenSLO - 2*p.vm.fleet.dep.toClients)
+	}
+	r.attempt = attempt{vm: p.vm}
+	r.attempt.hold = p.core.Submit(info, p.notify(r, r.sends))
+}
+
+// notify returns the function that is told whether the request may start.
+func (p *corePolicy) notify(r *request, sends int) func(*deck.Refusal) {
+	return func(ref *deck.Refusal) {
+		p.vm.fleet.s.after(0, func() {
+			if r.sends != sends || r.attempt.vm != p.vm {
+				return
+			}
+			if ref != nil {
+				p.vm.fleet.refusals++
+				p.vm.fleet.sendAgain(r, ref.RetryAfter)
+				return
+			}
+			p.begin(r)
+		})
+	}
+}
+
+func (p *corePolicy) begin(r *request) {
+	b, ok := p.core.Take(r.attempt.hold)
+	if !ok {
+		p.core.Rechoose(r.attempt.hold, nil, p.notify(r, r.sends))
+		return
+	}
+	r.attempt.preempted = p.core.Preempted(r.attempt.hold)
+	p.vm.start(r, p.vm.fleet.byName[b.Name], p.core.Priority(r.attempt.hold))
+	p.report(r, deck.ObservedStart)
+}
+
+func (p *corePolicy) report(r *request, k deck.ObservationKind) {
+	o := deck.Observation{Kind: k, Backend: r.attempt.engine.name, At: p.vm.fleet.s.Now()}
+	if k == deck.ObservedToken {
+		o.Tokens = 1
+	}
+	p.core.Observe(r.attempt.hold, o)
+}
+
+// token implements policy.token; a preempted request is cancelled and waits for another choice.
+func (p *corePolicy) token(r *request) {
+	p.report(r, deck.ObservedToken)
+	if r.delivered >= r.output {
+		return
+	}
+	select {
+	case <-r.attempt.preempted:
+		p.vm.fleet.preemptions++
+		p.vm.stop(r)
+		p.report(r, deck.ObservedCancel)
+		p.core.Rechoose(r.attempt.hold, nil, p.notify(r, r.sends))
+	default:
+	}
+}
+
+// over implements policy.over.
+func (p *corePolicy) over(r *request, complete bool) {
+	if complete {
+		p.report(r, deck.ObservedEnd)
+	}
+	p.core.Release(r.attempt.hold)
+	r.attempt.vm = nil
+}
--- a/internal/route/health/tracker.go
+++ b/internal/route/health/tracker.go
@@ -36,6 +36,7 @@
 type Tracker struct {
 	policy  Policy
 	groups  map[deck.ModelName]map[deck.BackendName]*pair
+	models  []deck.ModelName // keys of groups in order of creation, for reproducible sums
 	servers map[deck.BackendName]*server
 	last    time.Time
 }
@@ -193,7 +194,8 @@
 
 func (t *Tracker) sums(now time.Time, kind func(*pair) *estimate) map[deck.BackendName]*sum {
 	out := make(map[deck.BackendName]*sum)
-	for _, g := range t.groups {
+	for _, m := range t.models {
+		g := t.groups[m]
 		values := make(map[deck.BackendName]float64, len(g))
 		for b, p := range g {
 			if e := kind(p); e.fresh(now) {
@@ -242,6 +244,7 @@
 	if g == nil {
 		g = make(map[deck.BackendName]*pair)
 		t.groups[m] = g
+		t.models = append(t.models, m)
 	}
 	p := g[b]
 	if p == nil {
--- a/internal/route/router/observe.go
+++ b/internal/route/router/observe.go
@@ -100,7 +100,7 @@
 // next token.
 func (c *Core) sampleWaits(now time.Time) {
 	for _, s := range c.servers {
-		for a := range s.attempts {
+		for _, a := range s.attempts {
 			c.sampleWait(a, now)
 		}
 	}
--- a/internal/route/router/place.go
+++ b/internal/route/router/place.go
@@ -137,7 +137,7 @@
 		if cand.Distance != choose.SameDataCentre || now.Sub(s.preempted) < preemptEvery {
 			continue
 		}
-		for a := range s.attempts {
+		for _, a := range s.attempts {
 			if a.hold.isPreempted() || a.hold.id == h.id || a.hold.reserved == a {
 				continue
 			}
--- a/internal/route/router/refuse.go
+++ b/internal/route/router/refuse.go
@@ -39,19 +39,30 @@
 	return nil
 }
 
-// evictBatch refuses the newest waiting batch request in favour of interactive work; it returns false if none waits.
+// evictBatch refuses the newest waiting batch request of the longest queue in favour of interactive work; it returns false if none waits.
 func (c *Core) evictBatch() bool {
-	for _, q := range c.queues {
-		it, ok := q.Newest(deck.Batch)
-		if !ok {
+	var longest *admit.Queue
+	var model deck.ModelName
+	for m, q := range c.queues {
+		n := q.Waiting(deck.Batch)
+		if n == 0 {
 			continue
 		}
-		h := c.holds[it.ID]
-		c.unqueue(h)
-		h.tell(refused(deck.RefusedOverload, "too many waiting requests", c.retryAfter(q, deck.Batch)))
-		return true
+		if longest == nil || n > longest.Waiting(deck.Batch) || (n == longest.Waiting(deck.Batch) && m < model) {
+			longest, model = q, m
+		}
+	}
+	if longest == nil {
+		return false
+	}
+	it, ok := longest.Newest(deck.Batch)
+	if !ok {
+		return false
 	}
-	return false
+	h := c.holds[it.ID]
+	c.unqueue(h)
+	h.tell(refused(deck.RefusedOverload, "too many waiting requests", c.retryAfter(longest, deck.Batch)))
+	return true
 }
 
 // retryAfter returns the time after which the present queue will have drained, spread so that the refused requests do
--- a/internal/route/router/server.go
+++ b/internal/route/router/server.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"time"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
@@ -18,7 +19,7 @@
 // A server is what the router keeps of one backend server.
 type server struct {
 	name      deck.BackendName
-	attempts  map[*attempt]struct{}
+	attempts  []*attempt
 	byClass   [2]int
 	limit     admit.Limit
 	reported  bool
@@ -54,18 +55,16 @@
 }
 
 func (s *server) add(a *attempt) {
-	if s.attempts == nil {
-		s.attempts = make(map[*attempt]struct{})
-	}
-	s.attempts[a] = struct{}{}
+	s.attempts = append(s.attempts, a)
 	s.byClass[a.hold.info.Class]++
 }
 
 func (s *server) remove(a *attempt) bool {
-	if _, ok := s.attempts[a]; !ok {
+	i := slices.Index(s.attempts, a)
+	if i < 0 {
 		return false
 	}
-	delete(s.attempts, a)
+	s.attempts = slices.Delete(s.attempts, i, i+1)
 	s.byClass[a.hold.info.Class]--
 	return true
 }
@@ -84,7 +83,7 @@
 
 // EachDigest implements health.Beside.EachDigest.
 func (s *server) EachDigest(f func(digest string) bool) {
-	for a := range s.attempts {
+	for _, a := range s.attempts {
 		if !f(a.hold.info.Digest) {
 			return
 		}
