Limit the cost of dispatch and preemption under overload

Cause: at 1.5 times capacity three quarters of the time went into dispatch: each end of an attempt tried every waiting model up to four times, and each try built a map of all attempts that could be preempted. Change: only models held by the server that has become free are tried, a model's other plain requests are skipped once one has found no server, and the victim is found in one pass without allocation. Ruled out: a cache of candidates by model, since residency has no version that could void it.

--- a/internal/measure/sim/run_test.go
+++ b/internal/measure/sim/run_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -10,10 +11,14 @@
 // Guards against a figure that is not reproducible from its seed.
 func TestSameSeedSameFigure(t *testing.T) {
 	is := is.New(t)
-	c := cell{soloDeployment, 7}
+	c := cell{deployments[1], 7}
 	run := func() (float64, int) {
-		f := c.crest(production, overload, true)
-		return f.p99(0, crestEnd), f.attempts
+		f := c.fleet(production)
+		f.resend = true
+		f.interactive(10*time.Second, 700, crest(700, time.Second, time.Second))
+		f.batchLoop(100)
+		f.s.runUntil(10 * time.Second)
+		return f.p99(0, 10*time.Second), f.attempts
 	}
 	p1, n1 := run()
 	p2, n2 := run()
--- a/internal/route/admit/priority.go
+++ b/internal/route/admit/priority.go
@@ -37,26 +37,27 @@
 
 // A Running is a started request that could give way.
 type Running struct {
-	ID             uint64
 	Class          deck.Class
 	Used           int
-	ProtectedUntil time.Time // it was preempted before and may not be until then
+	Preempted      bool      // it has been asked to give way
+	ProtectedUntil time.Time // it was preempted before and may not be again until then
 }
 
-// Victim returns the request that should give way to waiting interactive work: batch before interactive, and the one
-// that has used most tokens; interactive work only as a straggler.
-func Victim(rs []Running, now time.Time) (Running, bool) {
-	var best Running
-	found := false
-	for _, r := range rs {
-		if now.Before(r.ProtectedUntil) || (r.Class == deck.Interactive && r.Used < StragglerTokens) {
-			continue
-		}
-		if !found || r.Class > best.Class || (r.Class == best.Class && r.Used > best.Used) {
-			best, found = r, true
-		}
+// MayGiveWay reports whether the request may be preempted for interactive work: batch work, or a straggler.
+func (r Running) MayGiveWay(now time.Time) bool {
+	if r.Preempted || now.Before(r.ProtectedUntil) {
+		return false
 	}
-	return best, found
+	return r.Class == deck.Batch || r.Used >= StragglerTokens
+}
+
+// Before reports whether the request should give way rather than the other: batch before interactive, then the one that
+// has used most tokens.
+func (r Running) Before(other Running) bool {
+	if r.Class != other.Class {
+		return r.Class > other.Class
+	}
+	return r.Used > other.Used
 }
 
 // Protection returns how long a request that was preempted n times is safe from the next time.
--- a/internal/route/router/admission.go
+++ b/internal/route/router/admission.go
@@ -66,9 +66,10 @@
 		c.queue(h.info.Model).Resume(h.info.Caller)
 	}
 	if h.reserved != nil {
-		c.end(h.reserved, c.cfg.Clock.Now())
+		s := h.reserved.server
+		c.end(h.reserved)
 		h.reserved = nil
-		c.dispatch(c.cfg.Clock.Now())
+		c.dispatch(s, c.cfg.Clock.Now())
 	}
 }
 
--- a/internal/route/router/core.go
+++ b/internal/route/router/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -20,8 +21,8 @@
 	nextID   uint64
 	servers  map[deck.BackendName]*server
 	queues   map[deck.ModelName]*admit.Queue
-	holds    map[uint64]*Hold // waiting requests by item ID
-	queued   int              // waiting requests over all models
+	waiting  map[deck.ModelName]*admit.Queue // those that are not empty
+	holds    map[uint64]*Hold                // waiting requests by item ID
 	health   *health.Tracker
 	leaving  health.Leaving
 	suspects health.Suspects
@@ -47,6 +48,7 @@
 		cfg:     cfg,
 		servers: make(map[deck.BackendName]*server),
 		queues:  make(map[deck.ModelName]*admit.Queue),
+		waiting: make(map[deck.ModelName]*admit.Queue),
 		holds:   make(map[uint64]*Hold),
 		health:  health.NewTracker(cfg.Health),
 	}
@@ -103,9 +105,7 @@
 		h.tell(r)
 		return
 	}
-	q.Push(h.item(now))
-	c.holds[h.id] = h
-	c.queued++
+	c.wait(h, q, now)
 	c.dispatchModel(h.info.Model, now)
 }
 
@@ -124,7 +124,7 @@
 		h.tell(nil)
 		return
 	}
-	c.yield(h, now)
+	c.yield(h)
 	h.avoid = avoid
 	h.waiting = now
 	if len(c.candidates(h, now)) == 0 {
@@ -136,15 +136,16 @@
 }
 
 // yield gives up the places of a preempted or unused attempt before the next choice.
-func (c *Core) yield(h *Hold, now time.Time) {
+func (c *Core) yield(h *Hold) {
 	if h.reserved != nil {
-		c.end(h.reserved, now)
+		c.end(h.reserved)
 		h.reserved = nil
 	}
-	if h.isPreempted() {
+	if h.givesWay {
 		for _, a := range slices.Clone(h.attempts) {
-			c.end(a, now)
+			c.end(a)
 		}
+		h.givesWay = false
 		h.preempted = make(chan struct{})
 	}
 }
@@ -161,7 +162,7 @@
 	now := c.cfg.Clock.Now()
 	b, ok = c.cfg.State.State().BackendServer(a.server.name)
 	if !ok || c.leaving.Is(b, now) {
-		c.end(a, now)
+		c.end(a)
 		return deck.BackendServer{}, false
 	}
 	a.chosen = now
@@ -185,25 +186,25 @@
 	h.notify = nil
 	h.reserved = nil
 	for _, a := range slices.Clone(h.attempts) {
-		c.end(a, now)
+		c.end(a)
+		c.dispatch(a.server, now)
 	}
-	c.dispatch(now)
 }
 
 // unqueue takes a waiting request out of its queue.
 func (c *Core) unqueue(h *Hold) {
 	c.queue(h.info.Model).Remove(h.id)
-	delete(c.holds, h.id)
-	c.queued--
+	c.forget(h)
 }
 
-// end frees an attempt's place; it has no effect on one that has ended.
-func (c *Core) end(a *attempt, _ time.Time) {
+// end frees an attempt's place; it returns false if that has happened before.
+func (c *Core) end(a *attempt) bool {
 	if !a.server.remove(a) {
-		return
+		return false
 	}
 	h := a.hold
 	h.attempts = slices.DeleteFunc(h.attempts, func(x *attempt) bool { return x == a })
+	return true
 }
 
 // Tick drops requests that can't meet their deadline, adjusts weights and starts what fits; call it every TickEvery.
@@ -213,34 +214,37 @@
 	now := c.cfg.Clock.Now()
 	c.sampleWaits(now)
 	c.health.Evaluate(now)
-	for m, q := range c.queues {
-		if q.Len() > 0 {
-			c.expire(m, q, now)
-		}
+	for _, m := range slices.Sorted(maps.Keys(c.waiting)) {
+		c.expire(m, c.waiting[m], now)
 	}
-	c.dispatch(now)
+	c.dispatch(nil, now)
 }
 
 func (c *Core) expire(m deck.ModelName, q *admit.Queue, now time.Time) {
 	for _, it := range q.Expire(now, c.expectedFirstToken(m)) {
 		h := c.holds[it.ID]
-		delete(c.holds, it.ID)
-		c.queued--
+		c.forget(h)
 		h.tell(refused(deck.RefusedOverload, "deadline can't be met", c.retryAfter(q, it.Class)))
 	}
 }
 
-// dispatch starts waiting requests of all models, the most urgent model first.
-func (c *Core) dispatch(now time.Time) {
-	if c.queued == 0 {
+// A head is the next request of a model's queue.
+type head struct {
+	model deck.ModelName
+	item  admit.Item
+}
+
+// dispatch starts waiting requests, the most urgent model first; if a server is given, only for the models that it
+// holds, because nothing has changed for the others.
+func (c *Core) dispatch(freed *server, now time.Time) {
+	if len(c.waiting) == 0 {
 		return
 	}
-	type head struct {
-		model deck.ModelName
-		item  admit.Item
-	}
-	var heads []head
-	for m, q := range c.queues {
+	heads := make([]head, 0, len(c.waiting))
+	for m, q := range c.waiting {
+		if freed != nil && !c.holdsModel(freed.name, m) {
+			continue
+		}
 		if it, ok := q.Next(now, nil); ok {
 			heads = append(heads, head{m, it})
 		}
@@ -253,30 +257,64 @@
 	}
 }
 
+func (c *Core) holdsModel(b deck.BackendName, m deck.ModelName) bool {
+	for _, r := range c.cfg.Residency.Replicas(m) {
+		if r.Backend == b {
+			return true
+		}
+	}
+	return false
+}
+
 // dispatchTries bounds the requests that are tried for a model at one time. More than one is tried because a request
 // with special needs (an adapter, a server to avoid, isolation) must not block those behind it.
 const dispatchTries = 4
 
+// dispatchModel starts requests of one model while they find a server. Once a request without special needs has found
+// none, no other such request is tried.
 func (c *Core) dispatchModel(m deck.ModelName, now time.Time) {
 	q := c.queue(m)
 	var failed []uint64
+	plainFailed := false
 	for len(failed) < dispatchTries {
-		it, ok := q.Next(now, func(it admit.Item) bool { return slices.Contains(failed, it.ID) })
+		it, ok := q.Next(now, func(it admit.Item) bool {
+			return slices.Contains(failed, it.ID) || (plainFailed && c.plain(c.holds[it.ID], now))
+		})
 		if !ok {
 			return
 		}
 		h := c.holds[it.ID]
 		if !c.start(h, now) {
 			failed = append(failed, it.ID)
+			plainFailed = plainFailed || c.plain(h, now)
 			continue
 		}
 		q.Start(it.ID, now)
-		delete(c.holds, it.ID)
-		c.queued--
+		c.forget(h)
 		h.tell(nil)
 	}
 }
 
+// plain reports whether the request has no needs beyond its model.
+func (c *Core) plain(h *Hold, now time.Time) bool {
+	return h.info.Adapter == "" && len(h.avoid) == 0 && c.suspects.Crashes(h.info.Digest, now) == 0
+}
+
+// wait puts a request into its queue.
+func (c *Core) wait(h *Hold, q *admit.Queue, now time.Time) {
+	q.Push(h.item(now))
+	c.holds[h.id] = h
+	c.waiting[h.info.Model] = q
+}
+
+// forget drops a request that no longer waits from the index of waiting requests.
+func (c *Core) forget(h *Hold) {
+	delete(c.holds, h.id)
+	if c.queue(h.info.Model).Len() == 0 {
+		delete(c.waiting, h.info.Model)
+	}
+}
+
 func (c *Core) queue(m deck.ModelName) *admit.Queue {
 	q := c.queues[m]
 	if q == nil {
--- a/internal/route/router/faults_test.go
+++ b/internal/route/router/faults_test.go
@@ -199,7 +199,7 @@
 	r.core.Tick()
 	is.Equal(waits.told, 1)
 	is.True(waits.ref != nil && waits.ref.RetryAfter >= time.Second)
-	is.Equal(r.core.queued, 0)
+	is.Equal(len(r.core.holds), 0)
 }
 
 // Guards against estimates and prefix hints that outlive the engine process they describe.
@@ -247,7 +247,7 @@
 // reserveOn adds an attempt on the given server, as if it had been chosen.
 func (c *Core) reserveOn(h *Hold, b deck.BackendName, now time.Time) {
 	if h.reserved != nil {
-		c.end(h.reserved, now)
+		c.end(h.reserved)
 	}
 	c.reserve(h, c.server(b), now)
 }
@@ -287,7 +287,7 @@
 	short := r.submit(deck.RequestInfo{})
 	r.clock.Advance(2 * preemptWait)
 	r.core.Tick()
-	is.True(victim.hold.isPreempted())
+	is.True(victim.hold.givesWay)
 	r.observe(victim, "e0", deck.ObservedCancel, 0)
 	is.Equal(short.told, 1)
 	victim.told = 0
--- a/internal/route/router/hold.go
+++ b/internal/route/router/hold.go
@@ -22,6 +22,7 @@
 	attempts []*attempt          // that occupy a server
 
 	preempted   chan struct{}
+	givesWay    bool // preempted is closed
 	preemptions int
 	protected   time.Time
 }
@@ -68,11 +69,8 @@
 	}
 }
 
-func (h *Hold) isPreempted() bool {
-	select {
-	case <-h.preempted:
-		return true
-	default:
-		return false
-	}
+// running returns the attempt as the preemption rule sees it.
+func (a *attempt) running() admit.Running {
+	h := a.hold
+	return admit.Running{Class: h.info.Class, Used: h.used, Preempted: h.givesWay, ProtectedUntil: h.protected}
 }
--- a/internal/route/router/observe.go
+++ b/internal/route/router/observe.go
@@ -43,7 +43,7 @@
 		gap := now.Sub(a.last) / time.Duration(tokens)
 		c.health.ObserveGap(s.name, h.info.Model, gap, now)
 		if s.limit.Observe(gap, len(s.attempts), now) {
-			c.dispatch(now)
+			c.dispatch(s, now)
 		}
 	}
 	a.last, a.sampled = now, now
@@ -67,8 +67,9 @@
 	case deck.ObservedCrash:
 		c.observeCrash(a, now)
 	}
-	c.end(a, now)
-	c.dispatch(now)
+	if c.end(a) {
+		c.dispatch(s, now)
+	}
 }
 
 // observeCrash counts the crash for the attempt's own request only: each attempt that was in flight on a crashed server
--- a/internal/route/router/place.go
+++ b/internal/route/router/place.go
@@ -130,25 +130,23 @@
 	if h.info.Class != deck.Interactive || now.Sub(h.waiting) < preemptWait {
 		return
 	}
-	var running []admit.Running
-	byID := make(map[uint64]*attempt)
+	var victim *attempt
 	for _, cand := range cs {
 		s := c.servers[cand.Backend]
 		if cand.Distance != choose.SameDataCentre || now.Sub(s.preempted) < preemptEvery {
 			continue
 		}
 		for _, a := range s.attempts {
-			if a.hold.isPreempted() || a.hold.id == h.id || a.hold.reserved == a {
+			if a.hold.id == h.id || a.hold.reserved == a || !a.running().MayGiveWay(now) {
 				continue
 			}
-			running = append(running, admit.Running{
-				ID: a.hold.id, Class: a.hold.info.Class, Used: a.hold.used, ProtectedUntil: a.hold.protected,
-			})
-			byID[a.hold.id] = a
+			if victim == nil || a.running().Before(victim.running()) {
+				victim = a
+			}
 		}
 	}
-	if v, ok := admit.Victim(running, now); ok {
-		c.giveWay(byID[v.ID], now)
+	if victim != nil {
+		c.giveWay(victim, now)
 	}
 }
 
@@ -157,6 +155,7 @@
 	a.server.preempted = now
 	h.protected = now.Add(admit.Protection(h.preemptions))
 	h.preemptions++
+	h.givesWay = true
 	close(h.preempted)
 }
 
--- a/internal/route/router/refuse.go
+++ b/internal/route/router/refuse.go
@@ -33,7 +33,7 @@
 	if now.Add(q.Wait(class)).After(last) {
 		return refused(deck.RefusedOverload, "deadline can't be met", c.retryAfter(q, class))
 	}
-	if c.queued >= maxQueuedTotal && (class == deck.Batch || !c.evictBatch()) {
+	if len(c.holds) >= maxQueuedTotal && (class == deck.Batch || !c.evictBatch()) {
 		return refused(deck.RefusedOverload, "too many waiting requests", c.retryAfter(q, class))
 	}
 	return nil
@@ -43,7 +43,7 @@
 func (c *Core) evictBatch() bool {
 	var longest *admit.Queue
 	var model deck.ModelName
-	for m, q := range c.queues {
+	for m, q := range c.waiting {
 		n := q.Waiting(deck.Batch)
 		if n == 0 {
 			continue
--- a/internal/route/router/router_test.go
+++ b/internal/route/router/router_test.go
@@ -61,7 +61,7 @@
 		defer cancel()
 		_, ref := r.Admit(ctx, deck.RequestInfo{Model: "m"})
 		is.True(ref != nil)
-		is.Equal(r.queued, 0)
+		is.Equal(len(r.holds), 0)
 		is.Equal(len(r.servers["e0"].attempts), 8)
 	})
 }
