Keep a spare place and evict old versions first

Cause: with every place taken, the fuzz found tickets whose new version could load nowhere, and evictions that removed active replicas in turns. Change: homes set memory for the largest model of a data centre aside before second homes take it, Changeable names a data centre without it, memory that no ticket explains is kept from the planner, and an active replica is evicted only if another is reported. Sums of floats follow a fixed order, since map order made plans differ. Refusing tight states in Feasible was ruled out, because they can be served.

--- a/internal/place/execute/advance.go
+++ b/internal/place/execute/advance.go
@@ -22,6 +22,7 @@
 		Leaving:    c.in.Leaving,
 		Current:    c.placements(),
 		Avoid:      c.avoided(),
+		Taken:      c.taken(),
 		Demand:     c.in.Demand,
 		Rate:       c.in.Rate,
 		Now:        c.now,
@@ -36,6 +37,17 @@
 	return out
 }
 
+// taken returns the memory of each engine that no ticket explains.
+func (c *Controller) taken() map[deck.BackendName]deck.Bytes {
+	out := make(map[deck.BackendName]deck.Bytes)
+	for name, e := range c.engines {
+		if b := e.ledger.Unexplained(); b > 0 {
+			out[name] = b
+		}
+	}
+	return out
+}
+
 func (c *Controller) placements() []plan.Placement {
 	var out []plan.Placement
 	for _, e := range c.ordered() {
--- a/internal/place/execute/elsewhere.go
+++ b/internal/place/execute/elsewhere.go
@@ -73,10 +73,9 @@
 		free := e.ledger.Free()
 		var chosen []place
 		for _, it := range e.ledger.Items() {
-			m, _ := c.state.Model(it.Model)
-			if free < need && it.Version == m.Active && c.serves(e, it) && c.readyReplicas(it.Model, it.Version) > 1 {
+			if free < need && c.serves(e, it) && c.replaceable(e, it) {
 				chosen = append(chosen, place{e.backend.Name, it})
-				free += c.size(it)
+				free += e.ledger.Bytes(it)
 			}
 		}
 		if free >= need && len(chosen) > 0 && (best == nil || len(chosen) < len(best)) {
@@ -88,6 +87,16 @@
 	}
 }
 
+// replaceable reports whether the model stays reachable without the item. An old version may go if any version serves
+// elsewhere, the active one only if another replica of it does.
+func (c *Controller) replaceable(e *engine, it memory.Item) bool {
+	m, _ := c.state.Model(it.Model)
+	if it.Version == m.Active {
+		return c.others(e, it, m.Active) > 0
+	}
+	return c.others(e, it, "") > 0
+}
+
 // forgetEvictions lets the planner use an evicted place again after evictionHold.
 func (c *Controller) forgetEvictions() {
 	for p, at := range c.evictions {
--- a/internal/place/execute/remove.go
+++ b/internal/place/execute/remove.go
@@ -91,21 +91,23 @@
 	if !ok {
 		return true
 	}
-	if c.needed(e, it, m) {
-		return false
+	if _, evicted := c.evictions[place{e.backend.Name, it}]; evicted {
+		return c.replaceable(e, it)
 	}
-	others := c.readyReplicas(it.Model, m.Active)
-	if it.Version == m.Active && c.serves(e, it) {
-		others--
+	return !c.needed(e, it, m) && c.others(e, it, m.Active) > 0
+}
+
+// others counts the reported replicas of a model beside the item; an empty version stands for any.
+func (c *Controller) others(e *engine, it memory.Item, v deck.VersionName) int {
+	n := c.readyReplicas(it.Model, v)
+	if (v == "" || v == it.Version) && c.serves(e, it) {
+		n--
 	}
-	return others > 0
+	return n
 }
 
 // needed reports whether the engine is to keep the item even if another place is reported.
 func (c *Controller) needed(e *engine, it memory.Item, m deck.Model) bool {
-	if _, out := c.evictions[place{e.backend.Name, it}]; out {
-		return false
-	}
 	if !c.target.Wants(e.backend.Name, it.Model) {
 		return it.Version == m.Active && c.now.Sub(e.ledger.ReadyAt(it)) < plan.MinResidence
 	}
--- a/internal/place/memory/ledger.go
+++ b/internal/place/memory/ledger.go
@@ -106,6 +106,11 @@
 	return max(l.settled(), l.unexplained()) + l.reserved()
 }
 
+// Unexplained returns the reported memory that neither items nor outstanding loads explain.
+func (l *Ledger) Unexplained() deck.Bytes {
+	return max(0, l.unexplained()-l.settled())
+}
+
 // Free returns the memory that new operations may reserve; it is negative after an overcommit.
 func (l *Ledger) Free() deck.Bytes {
 	return l.capacity - l.Committed()
@@ -147,6 +152,11 @@
 	return ok, ok && e.ready && e.missingAt.IsZero()
 }
 
+// Bytes returns the memory that is counted for a resident item.
+func (l *Ledger) Bytes(it Item) deck.Bytes {
+	return l.items[it].bytes
+}
+
 // ReadyAt returns the request time of the report that first showed the item ready.
 func (l *Ledger) ReadyAt(it Item) time.Time {
 	return l.items[it].readyAt
--- a/internal/place/plan/balance.go
+++ b/internal/place/plan/balance.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -65,14 +66,13 @@
 	for i, s := range p.shelf.slots {
 		s.load = load{}
 		for m := range s.held {
-			p.places[m] = append(p.places[m], i)
+			if m != spareModel {
+				p.places[m] = append(p.places[m], i)
+			}
 		}
 	}
-	for m, at := range p.places {
-		for _, i := range at {
-			s := p.shelf.slots[i]
-			s.load = s.load.plus(p.demand(m), 1/float64(len(at)))
-		}
+	for _, m := range slices.Sorted(maps.Keys(p.places)) { // in a fixed order, since sums of floats depend on it
+		p.share(m, 1)
 	}
 }
 
@@ -161,7 +161,7 @@
 
 // byShare returns the slot's models, those with the largest demand per replica first.
 func (p *packing) byShare(s *slot) []deck.ModelName {
-	out := sortedKeys(s.held)
+	out := slices.DeleteFunc(sortedKeys(s.held), func(m deck.ModelName) bool { return m == spareModel })
 	share := func(m deck.ModelName) float64 { return p.demand(m).wanted / float64(max(1, len(p.places[m]))) }
 	slices.SortStableFunc(out, func(a, b deck.ModelName) int { return cmp.Compare(share(b), share(a)) })
 	return out
@@ -258,9 +258,9 @@
 		p.shift(change, m, a.slot, -1)
 	}
 	var gain float64
-	for i, d := range change {
+	for _, i := range slices.Sorted(maps.Keys(change)) {
 		s := p.shelf.slots[i]
-		gain += s.loss(s.load) - s.loss(s.load.plus(d, 1))
+		gain += s.loss(s.load) - s.loss(s.load.plus(change[i], 1))
 	}
 	return gain
 }
--- a/internal/place/plan/homes.go
+++ b/internal/place/plan/homes.go
@@ -17,6 +17,7 @@
 type Homes struct {
 	centres map[deck.ModelName][]deck.DataCentre
 	atRisk  []deck.ModelName
+	tight   []deck.DataCentre
 }
 
 // Of returns the home data centres of the model, the preferred one first.
@@ -34,6 +35,21 @@
 	return slices.Clone(h.atRisk)
 }
 
+// Tight returns the data centres without a spare place for their largest model, ordered by name. There, a version can't
+// be replaced and an engine can't be drained without taking a model's place.
+func (h Homes) Tight() []deck.DataCentre {
+	return slices.Clone(h.tight)
+}
+
+// Changeable returns an error that names a data centre without a spare place; a feasible state may have none.
+func Changeable(s deck.State) error {
+	h, err := Assign(s)
+	if err == nil && len(h.tight) > 0 {
+		return errors.Wrapf(ErrInfeasible, "data centre %s has no spare place for its largest model", h.tight[0])
+	}
+	return err
+}
+
 // Feasible returns an error that names the first model without a place if the state in force can't be placed.
 func Feasible(s deck.State) error {
 	_, err := Assign(s)
@@ -54,6 +70,7 @@
 				n.model, n.resident, n.transient)
 		}
 	}
+	h.spare(needs, shelves)
 	for _, n := range needs {
 		h.settle(n, shelves)
 	}
@@ -66,6 +83,20 @@
 	return h, nil
 }
 
+// spare sets memory for the largest model of each data centre aside, before second homes take it.
+func (h *Homes) spare(needs []need, shelves map[deck.DataCentre]*shelf) {
+	done := make(map[deck.DataCentre]bool)
+	for _, n := range needs {
+		for _, dc := range h.centres[n.model] {
+			if !done[dc] && shelves[dc].place(n.spare()) < 0 {
+				h.tight = append(h.tight, dc)
+			}
+			done[dc] = true
+		}
+	}
+	slices.Sort(h.tight)
+}
+
 // settle places all replicas that a further home of the model needs in the preferred data centre with room.
 func (h *Homes) settle(n need, shelves map[deck.DataCentre]*shelf) bool {
 	for _, dc := range ranked(n.model, shelves) {
--- a/internal/place/plan/local.go
+++ b/internal/place/plan/local.go
@@ -21,9 +21,10 @@
 	State      deck.State
 	DataCentre deck.DataCentre
 	Homes      Homes
-	Leaving    map[deck.BackendName]bool // servers that leave, beside those that the state marks
-	Current    []Placement               // ordered by backend server and model
-	Avoid      map[Place]bool            // places that were given up to make room
+	Leaving    map[deck.BackendName]bool       // servers that leave, beside those that the state marks
+	Current    []Placement                     // ordered by backend server and model
+	Avoid      map[Place]bool                  // places that were given up to make room
+	Taken      map[deck.BackendName]deck.Bytes // memory that can't be used for models
 	Demand     map[deck.ModelName]Rates
 	Rate       float64 // tokens per second of one accelerator; 0 stands for DefaultRate
 	Now        time.Time
@@ -65,7 +66,9 @@
 	}
 	p := newPacking(in, needs)
 	p.keep()
-	if !p.pack() {
+	if p.pack() {
+		p.spare()
+	} else {
 		p = newPacking(in, needs)
 		p.repack()
 	}
@@ -104,6 +107,8 @@
 	p.shelf = newShelf(p.staying())
 	for i, s := range p.shelf.slots {
 		p.index[s.backend.Name] = i
+		s.capacity -= in.Taken[s.backend.Name]
+		p.shelf.update(i)
 		s.rate = cmp.Or(in.Rate, DefaultRate) * float64(s.backend.Accelerators)
 	}
 	for _, c := range in.Current {
@@ -175,6 +180,9 @@
 // repack fills the engines in the order in which Assign proved that the home models fit.
 func (p *packing) repack() {
 	for pass := range 2 {
+		if pass == 1 {
+			p.spare()
+		}
 		for _, n := range p.needs {
 			if home := p.in.Homes.Of(n.model); pass >= len(home) || home[pass] != p.in.DataCentre {
 				continue
@@ -191,6 +199,17 @@
 	}
 }
 
+// spare sets memory for the largest home model aside where the other homes leave it, so that a version can be replaced
+// and a lost place restored at once.
+func (p *packing) spare() {
+	for _, n := range p.needs {
+		if p.in.Homes.Of(n.model)[0] == p.in.DataCentre {
+			p.shelf.place(n.spare())
+			return
+		}
+	}
+}
+
 // keepSurplus leaves further replicas where memory allows, those with most demand first, because unloading them gains
 // nothing.
 func (p *packing) keepSurplus() {
@@ -208,6 +227,7 @@
 func (p *packing) target() Target {
 	t := Target{models: make(map[deck.BackendName][]deck.ModelName, len(p.shelf.slots)), missing: p.missing}
 	for _, s := range p.shelf.slots {
+		delete(s.held, spareModel)
 		t.models[s.backend.Name] = sortedKeys(s.held)
 	}
 	return t
--- a/internal/place/plan/slots.go
+++ b/internal/place/plan/slots.go
@@ -43,6 +43,15 @@
 	return n.resident + n.transient
 }
 
+// spareModel is the name under which a slot sets memory aside; no model has it.
+const spareModel deck.ModelName = ""
+
+// spare returns the same need under the name of the memory that is set aside.
+func (n need) spare() need {
+	n.model = spareModel
+	return n
+}
+
 // A shelf is the engines of a data centre under a segment tree of their slack, so that the first engine with room is
 // found in logarithmic time.
 type shelf struct {
