Add demand counts, platform clients and fault tables of placement

A load that runs counts its transient need twice in the ledger, but not for the planner, whose plans would change with every load.

--- /dev/null
+++ b/internal/api/peer/demand.go
@@ -0,0 +1,54 @@
+package peer
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// DemandPath is the path of the entry VMs' demand counts.
+const DemandPath = "/peer/demand"
+
+// maxDemandBody is far above what senders cut their messages to.
+const maxDemandBody = 64 << 10
+
+type demandDocument struct {
+	VM     string      `json:"vm"`
+	Models []demandRow `json:"models"`
+}
+
+type demandRow struct {
+	Model    string `json:"model"`
+	Requests int    `json:"requests,omitempty"`
+	Tokens   int    `json:"tokens,omitempty"`
+}
+
+// DemandHandler serves POST /peer/demand for the sink; a VM that is not the placement leader answers 409.
+func DemandHandler(sink deck.DemandSink, leads func() bool) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !leads() {
+			http.Error(w, "not the placement leader", http.StatusConflict)
+			return
+		}
+		var d demandDocument
+		dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxDemandBody))
+		dec.DisallowUnknownFields()
+		if err := dec.Decode(&d); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		demand := deck.Demand{VM: deck.VMName(d.VM)}
+		for _, row := range d.Models {
+			if row.Requests < 0 || row.Tokens < 0 {
+				http.Error(w, "negative count of "+row.Model, http.StatusBadRequest)
+				return
+			}
+			demand.Counts = append(demand.Counts, deck.ModelDemand{
+				Model: deck.ModelName(row.Model), Requests: row.Requests, Tokens: row.Tokens,
+			})
+		}
+		sink.AddDemand(demand)
+		w.WriteHeader(http.StatusNoContent)
+	})
+}
--- a/internal/place/execute/fuzz_test.go
+++ b/internal/place/execute/fuzz_test.go
@@ -82,11 +82,25 @@
 		w.flush()
 	case 11:
 		w.run(5 * time.Second)
+	case 12, 13:
+		fuzzTakeover(rt, w)
 	default:
 		fuzzNetwork(rt, w)
 	}
 }
 
+// fuzzTakeover lets a new leader work on a new ticket while the old leader's operations are still on their way.
+func fuzzTakeover(rt *rapid.T, w *world) {
+	w.tick(time.Second)
+	fuzzTicket(rt, w)
+	fuzzTicket(rt, w)
+	w.replaceLeader()
+	w.runOnly(time.Duration(rapid.IntRange(1, 9).Draw(rt, "seconds")) * time.Second)
+	for i := len(w.ops) - 1; i >= 0; i-- {
+		w.deliver(i, true, rapid.Bool().Draw(rt, "again"))
+	}
+}
+
 // fuzzNetwork delivers, repeats, loses or holds back messages in any order.
 func fuzzNetwork(rt *rapid.T, w *world) {
 	for range rapid.IntRange(1, 6).Draw(rt, "messages") {
--- a/internal/place/execute/world_test.go
+++ b/internal/place/execute/world_test.go
@@ -142,6 +142,23 @@
 	}
 }
 
+// runOnly is run with the messages of earlier leaders held back.
+func (w *world) runOnly(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.tick(250 * time.Millisecond)
+		for i := len(w.ops) - 1; i >= 0; i-- {
+			if w.ops[i].by == w.ctl {
+				w.deliver(i, true, false)
+			}
+		}
+		for i := len(w.reports) - 1; i >= 0; i-- {
+			if w.reports[i].by == w.ctl {
+				w.report(i, true)
+			}
+		}
+	}
+}
+
 func (w *world) flush() {
 	for len(w.ops) > 0 {
 		w.deliver(0, true, false)
--- a/internal/place/memory/ledger.go
+++ b/internal/place/memory/ledger.go
@@ -103,12 +103,12 @@
 
 // Committed returns the memory that is or may come into use, the larger of the report's and the ledger's count.
 func (l *Ledger) Committed() deck.Bytes {
-	return max(l.settled(), l.unexplained()) + l.reserved()
+	return max(l.settled(), l.unexplained(false)) + l.reserved()
 }
 
 // Unexplained returns the reported memory that neither items nor outstanding loads explain.
 func (l *Ledger) Unexplained() deck.Bytes {
-	return max(0, l.unexplained()-l.settled())
+	return max(0, l.unexplained(true)-l.settled())
 }
 
 // Free returns the memory that new operations may reserve; it is negative after an overcommit.
@@ -200,18 +200,20 @@
 	return sum
 }
 
-// unexplained returns the reported memory without the part that outstanding loads already show.
-func (l *Ledger) unexplained() deck.Bytes {
+// unexplained returns the reported memory without the part that outstanding loads already show. How much of its transient
+// need a running load uses is not reported: what must not be overcommitted counts none of it as shown.
+func (l *Ledger) unexplained(transient bool) deck.Bytes {
 	used := l.report.UsedBytes
 	shown := reported(l.report)
 	for _, r := range l.outstanding {
 		m, ok := shown[ItemOf(r.op)]
-		if !ok || !isLoad(r.op.Kind) {
-			continue
-		}
-		if m.Ready || r.op.Kind == deck.OpLoadAdapter {
+		switch {
+		case !ok || !isLoad(r.op.Kind):
+		case m.Ready || r.op.Kind == deck.OpLoadAdapter:
 			used -= r.op.ResidentBytes
-		} else {
+		case transient:
+			used -= needOf(r.op)
+		default:
 			used -= min(m.Bytes, needOf(r.op))
 		}
 	}
--- /dev/null
+++ b/internal/place/memory/ledger_test.go
@@ -0,0 +1,159 @@
+package memory
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func load(id string, model deck.ModelName) deck.Operation {
+	return deck.Operation{
+		ID: deck.OperationID(id), Kind: deck.OpLoadModel, Model: model, Version: "v1", FencingToken: 1,
+		ResidentBytes: 10 * deck.GiB, TransientBytes: 2 * deck.GiB,
+	}
+}
+
+func unload(id string, model deck.ModelName) deck.Operation {
+	return deck.Operation{ID: deck.OperationID(id), Kind: deck.OpUnloadModel, Model: model, Version: "v1", FencingToken: 1}
+}
+
+// report shows ready models of 10 GiB in the engine's first life.
+func report(models ...deck.ModelName) deck.EngineReport {
+	r := deck.EngineReport{BootID: "a", FencingToken: 1, UsedBytes: deck.Bytes(len(models)) * 10 * deck.GiB}
+	for _, m := range models {
+		r.Models = append(r.Models, deck.ResidentModel{Model: m, Version: "v1", Ready: true, Bytes: 10 * deck.GiB})
+	}
+	return r
+}
+
+func declared(Item) deck.Bytes { return 10 * deck.GiB }
+
+func newTestLedger(r deck.EngineReport) *Ledger {
+	b := deck.BackendServer{Accelerators: 1, AcceleratorBytes: 34 * deck.GiB, ChecksFencing: true}
+	l := NewLedger(b, 1, start)
+	l.Observe(r, at(0), declared)
+	return l
+}
+
+var done = deck.OperationResult{Outcome: deck.OutcomeDone}
+
+// Guards against a reservation that is released before the operation can no longer take effect.
+func TestReservationIsReleasedOnlyByALaterReport(t *testing.T) {
+	loading := report("m0")
+	loading.Models[0].Ready = false
+	loading.UsedBytes = 12 * deck.GiB
+	restarted := report()
+	restarted.BootID = "b"
+	type step struct {
+		report    deck.EngineReport
+		requested float64
+		committed deck.Bytes
+	}
+	for name, tt := range map[string]struct {
+		settled float64 // when the end became known; 0 if the answer was lost
+		steps   []step
+	}{
+		"requested before the end":         {2, []step{{report("m0"), 1.5, 12}, {report("m0"), 2.5, 10}}},
+		"refused, requested before":        {2, []step{{report(), 1.5, 12}, {report(), 2.5, 0}}},
+		"answer lost, within the lifetime": {0, []step{{report(), 5, 12}, {report(), 10.5, 12}, {report(), 11, 0}}},
+		"answer lost, seen ready":          {0, []step{{report("m0"), 5, 12}, {report("m0"), 6, 10}}},
+		"still running after the lifetime": {0, []step{{loading, 12, 14}, {report("m0"), 30, 10}}}, // its transient need counts twice
+		"engine restarted":                 {0, []step{{restarted, 5, 12}, {restarted, 11, 0}}},
+		"restarted after the release": {2, []step{
+			{report("m0"), 3, 10}, {restarted, 4, 12}, {restarted, 10.5, 12}, {restarted, 11.5, 0},
+		}},
+		"reports out of order": {2, []step{{report("m0"), 3, 10}, {report(), 2.5, 10}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := newTestLedger(report())
+			is.NoErr(l.Reserve(load("1", "m0"), at(1)))
+			is.Equal(l.Committed(), 12*deck.GiB) // resident and transient are reserved before the send
+			if tt.settled > 0 {
+				l.Settle("1", done, at(tt.settled))
+			}
+			for _, s := range tt.steps {
+				l.Observe(s.report, at(s.requested), declared)
+				is.Equal(l.Committed()/deck.GiB, s.committed)
+			}
+		})
+	}
+}
+
+// Guards against operations that overcommit, race on one item or leave before the engine is taken over.
+func TestReserveRefuses(t *testing.T) {
+	is := is.New(t)
+	l := newTestLedger(report("m0", "m1"))
+	is.NoErr(l.Reserve(load("1", "m2"), at(1)))
+	is.Equal(l.Reserve(load("2", "m2"), at(1)), ErrBusy)
+	is.Equal(l.Reserve(load("3", "m3"), at(1)), ErrMemory)
+	l.Settle("1", done, at(2))
+	l.Observe(report("m0", "m1", "m2"), at(3), declared)
+	is.Equal(l.Reserve(unload("4", "m2"), at(10)), ErrBusy) // the load may be repeated after a restart
+	is.NoErr(l.Reserve(unload("5", "m2"), at(11)))
+	is.Equal(l.Reserve(load("6", "m2"), at(12)), ErrBusy) // the unload may arrive after the load
+	is.Equal(l.Committed(), 30*deck.GiB)                  // counted until a later report lacks it
+	l.Settle("5", done, at(12))
+	l.Observe(report("m0", "m1"), at(13), declared)
+	is.Equal(l.Committed(), 20*deck.GiB)
+}
+
+// Guards against an old holder's operation that takes effect after the new holder's first.
+func TestLedgerIsReadyOnlyAfterTakeover(t *testing.T) {
+	is := is.New(t)
+	b := deck.BackendServer{Accelerators: 1, AcceleratorBytes: 34 * deck.GiB}
+	l := NewLedger(b, 2, start)
+	l.Observe(report(), at(9.9), declared)
+	is.Equal(l.Reserve(load("1", "m0"), at(10)), ErrNotReady) // the engine ignores tokens
+	l.Observe(report(), at(10), declared)
+	is.NoErr(l.Reserve(load("1", "m0"), at(10)))
+
+	b.ChecksFencing = true
+	l = NewLedger(b, 2, start)
+	l.Observe(report(), at(60), declared)
+	is.Equal(l.Reserve(load("1", "m0"), at(60)), ErrNotReady) // the report still shows token 1
+	fenced := report()
+	fenced.FencingToken = 2
+	l.Observe(fenced, at(61), declared)
+	is.NoErr(l.Reserve(load("1", "m0"), at(61)))
+	lost := report()
+	lost.BootID = "b"
+	l.Observe(lost, at(62), declared)
+	is.True(!l.Ready()) // a restarted engine may have lost the token
+}
+
+// Guards against trust in the smaller of two counts, and against a disagreement that nobody sees.
+func TestLargerCountWins(t *testing.T) {
+	is := is.New(t)
+	l := newTestLedger(report("m0"))
+	_, differs := l.Disagreement()
+	is.True(!differs)
+
+	more := report("m0")
+	more.UsedBytes = 25 * deck.GiB
+	l.Observe(more, at(1), declared)
+	is.Equal(l.Committed(), 25*deck.GiB)
+	is.Equal(l.Reserve(load("1", "m1"), at(1)), ErrMemory)
+	d, differs := l.Disagreement()
+	is.True(differs)
+	is.Equal(d.ReportBytes, 25*deck.GiB)
+	is.Equal(d.LedgerBytes, 10*deck.GiB)
+
+	l.Observe(report(), at(2), declared) // the model went missing without an unload
+	is.Equal(l.Committed(), 10*deck.GiB)
+	d, _ = l.Disagreement()
+	is.Equal(len(d.Missing), 1)
+	_, ready := l.Holds(Item{Model: "m0", Version: "v1"})
+	is.True(!ready)
+	l.Observe(report(), at(12), declared)
+	is.Equal(l.Committed(), deck.Bytes(0))
+}
--- /dev/null
+++ b/internal/platform/vmlist/client.go
@@ -0,0 +1,60 @@
+package vmlist
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// maxBody bounds the list; a row of 340 VMs and 600 backend servers takes about 60 bytes.
+const maxBody = 1 << 20
+
+// A Client reads the list from one platform address.
+type Client struct {
+	url  string
+	http *http.Client
+}
+
+var _ deck.VMList = (*Client)(nil)
+
+// New returns a client for the platform at the address, host:port by IP number.
+func New(address string, c *http.Client) *Client {
+	return &Client{url: "http://" + address + "/platform/vms", http: c}
+}
+
+type document struct {
+	VMs []struct {
+		VM      string `json:"vm"`
+		Leaving bool   `json:"leaving"`
+	} `json:"vms"`
+}
+
+// List implements deck.VMList.List.
+func (c *Client) List(ctx context.Context) ([]deck.VMStatus, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, http.NoBody)
+	if err != nil {
+		return nil, errors.Wrap(err, "platform list")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "platform list")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Newf("platform list: status %d", resp.StatusCode)
+	}
+	var d document
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxBody)).Decode(&d); err != nil {
+		return nil, errors.Wrap(err, "platform list")
+	}
+	out := make([]deck.VMStatus, 0, len(d.VMs))
+	for _, v := range d.VMs {
+		out = append(out, deck.VMStatus{VM: v.VM, Leaving: v.Leaving})
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/platform/weightstore/client.go
@@ -0,0 +1,57 @@
+package weightstore
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// maxBody bounds the answer, which holds two numbers.
+const maxBody = 4 << 10
+
+// A Client asks one weight store.
+type Client struct {
+	url  string
+	http *http.Client
+}
+
+var _ deck.WeightStore = (*Client)(nil)
+
+// New returns a client for the weight store at the address, host:port by IP number.
+func New(address string, c *http.Client) *Client {
+	return &Client{url: "http://" + address + "/weight-store/load", http: c}
+}
+
+type document struct {
+	InFlight *int `json:"in-flight"`
+	Limit    *int `json:"limit"`
+}
+
+// Available implements deck.WeightStore.Available.
+func (c *Client) Available(ctx context.Context) (inFlight, limit int, err error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, http.NoBody)
+	if err != nil {
+		return 0, 0, errors.Wrap(err, "weight store")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, 0, errors.Wrap(err, "weight store")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return 0, 0, errors.Newf("weight store: status %d", resp.StatusCode)
+	}
+	var d document
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxBody)).Decode(&d); err != nil {
+		return 0, 0, errors.Wrap(err, "weight store")
+	}
+	if d.InFlight == nil || d.Limit == nil || *d.InFlight < 0 || *d.Limit < 0 {
+		return 0, 0, errors.New("weight store: answer without valid in-flight and limit")
+	}
+	return *d.InFlight, *d.Limit, nil
+}
--- /dev/null
+++ b/internal/platform/weightstore/doc.go
@@ -0,0 +1,2 @@
+// Package weightstore asks the rate-limited store of model weights for its load over HTTP.
+package weightstore
