Pass confirmations on without waiting for the next long poll

Cause: a confirmation waited for the next long poll of each VM between its sender and the control leader. Ruled out: the push itself, since every VM had the ticket within 0.1 s. A VM now polls its source once more, 100 ms after VMs behind it confirmed a version.

--- a/internal/state/feed/client.go
+++ b/internal/state/feed/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -18,6 +19,7 @@
 	retryFirst   = 30 * time.Second       // between two tries to get back to a source earlier in the order
 	surveyPause  = 3 * time.Second        // between two surveys of the data centre while the state is unproven
 	surveyAtOnce = 8                      // polls of a survey in flight
+	passOnPause  = 100 * time.Millisecond // gathers the confirmations of many VMs in one poll
 )
 
 // A ClientConfig holds what a client needs.
@@ -35,6 +37,7 @@
 	cfg      ClientConfig
 	done     chan struct{}
 	surveyed time.Time // of the last survey; zero before the first
+	source   atomic.Pointer[deck.Peer]
 }
 
 // NewClient returns a client; Run does its work.
@@ -50,6 +53,38 @@
 // Run polls until the context ends.
 func (c *Client) Run(ctx context.Context) error {
 	defer close(c.done)
+	var g errgroup.Group
+	g.Go(func() error {
+		c.passOn(ctx)
+		return nil
+	})
+	g.Go(func() error {
+		c.follow(ctx)
+		return nil
+	})
+	return g.Wait()
+}
+
+// passOn tells the source at once when VMs behind this one have confirmed a version. With the next long poll alone a
+// confirmation would wait for one poll at each level, 2 to 4 s in all.
+func (c *Client) passOn(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.cfg.Store.raised:
+		}
+		if !sleep(ctx, passOnPause) {
+			return
+		}
+		if p := c.source.Load(); p != nil && !c.leads() {
+			c.poll(ctx, *p, 0)
+		}
+	}
+}
+
+// follow keeps the store up to date.
+func (c *Client) follow(ctx context.Context) {
 	for ctx.Err() == nil {
 		if c.leads() {
 			sleep(ctx, leaderPause)
@@ -61,7 +96,6 @@
 		c.survey(ctx)
 		sleep(ctx, roundPause)
 	}
-	return nil
 }
 
 // round tries the sources in order, stays with each good one until it fails, and reports whether there was any.
@@ -83,6 +117,7 @@
 // stay polls a source until it fails, and returns true once a source earlier in the order is good again.
 func (c *Client) stay(ctx context.Context, order []deck.Peer, i int) bool {
 	since := c.cfg.Clock.Now()
+	c.source.Store(&order[i])
 	for c.poll(ctx, order[i], pollWait) {
 		if c.leads() || c.leaderMoved(order) {
 			return true
--- a/internal/state/feed/status.go
+++ b/internal/state/feed/status.go
@@ -46,6 +46,13 @@
 		return
 	}
 	s.seen[vm] = n
+	if n.version <= old.version {
+		return
+	}
+	select {
+	case s.raised <- struct{}{}:
+	default:
+	}
 }
 
 // Confirmations returns the VMs that were heard from within CutOffAfter.
--- a/internal/state/feed/store.go
+++ b/internal/state/feed/store.go
@@ -51,6 +51,7 @@
 	seen       map[deck.VMName]sighting
 	changed    chan struct{} // closed when the state is replaced
 	news       chan struct{} // closed when the state or a payload is replaced
+	raised     chan struct{} // holds a value after another VM has confirmed a higher version
 	saveErrors uint64
 }
 
@@ -62,7 +63,7 @@
 	return &Store{
 		self: self, clock: clock, saver: saver, maxDeltas: maxDeltas, start: clock.Now(), state: saved, known: known,
 		payloads: make(map[string]Payload), seen: make(map[deck.VMName]sighting),
-		changed: make(chan struct{}), news: make(chan struct{}),
+		changed: make(chan struct{}), news: make(chan struct{}), raised: make(chan struct{}, 1),
 	}
 }
 
