Prove the state after the VM's start in the feed's HTTP test

Change: the test proves after the VM's start and gives the VM a manual clock. The rule stays as it is.

--- a/internal/api/peer/feed_test.go
+++ b/internal/api/peer/feed_test.go
@@ -19,6 +19,7 @@
 type controlVM struct {
 	peer  deck.Peer
 	store *feed.Store
+	prove func()
 }
 
 func newControlVM(t *testing.T, log *decktest.Log, name deck.VMName, peers func() []deck.Peer) controlVM {
@@ -33,10 +34,11 @@
 	RegisterFeed(mux, store)
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
-	feed.Prover{Log: replica, Store: store, Clock: clock}.Once(t.Context())
+	prover := feed.Prover{Log: replica, Store: store, Clock: clock}
 	return controlVM{
 		peer:  deck.Peer{Name: name, DataCentre: "graz-a", Address: server.Listener.Addr().String(), Control: true},
 		store: store,
+		prove: func() { prover.Once(t.Context()) },
 	}
 }
 
@@ -74,14 +76,17 @@
 	is.NoErr(err)
 	is.Equal(answer.Verdict, deck.TicketAccepted)
 
-	store := feed.NewStore("e", deck.SystemClock{}, nil, deck.State{}, false)
+	clock := &decktest.ManualClock{}
+	store := feed.NewStore("e", clock, nil, deck.State{}, false)
+	clock.Advance(time.Minute) // a proof counts from the start of the process on
 	transport := FeedClient{HTTP: http.DefaultClient}
 	poll := func() {
-		sent := time.Now()
+		sent := clock.Now()
 		got, err := transport.Poll(ctx, a.peer, feed.Request{VM: "e", DataCentre: "graz-a", After: store.State().Version()})
 		is.NoErr(err)
 		store.Take(sent, got)
 	}
+	a.prove()
 	poll()
 	is.Equal(len(store.State().Models()), 3)
 	is.True(store.Proven())
