Keep a VM that hears no answers from taking the placement lease's votes

Cause: in TestRuntimeUnderFaults a holder whose answers were lost left its data centre without a holder for 28 s. It stood as candidate again and again, and the others counted their turn from the end of its last vote, not from its release.

Change: a failed candidate waits twice as long after each failure, up to 16 s, and the turn of the others starts when they see their own vote free. A fixed longer wait was ruled out, because it delays the takeover after a crash as well.

--- a/internal/state/lease/runtime.go
+++ b/internal/state/lease/runtime.go
@@ -19,6 +19,7 @@
 	candidatePoll = 100 * time.Millisecond // between two looks whether the lease is free
 	rankPause     = 150 * time.Millisecond // for each candidate that stands before this VM
 	maxRankPause  = 2 * time.Second
+	maxBackoff    = 16 * time.Second // of a candidate that keeps failing, for example because it hears no answers
 )
 
 // A Config holds what a runtime needs.
@@ -43,6 +44,8 @@
 	handed   Handover
 	handedAt time.Time
 	pause    time.Time // no candidacy before
+	busy     bool      // this VM's vote was not free when it was last looked at
+	failures int       // candidacies that failed since the last one that did not
 	skew     time.Duration
 }
 
@@ -120,26 +123,47 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if free > 0 {
-		wait := time.Duration(rank(r.cfg.Self.DataCentre, r.cfg.Self.Name, r.cfg.Peers)) * rankPause
-		r.pause = now.Add(free + min(wait, maxRankPause))
+		r.busy = true
 		return false
 	}
+	if r.busy {
+		r.busy = false
+		r.standFrom(now.Add(r.turn()))
+	}
 	return !now.Before(r.pause)
 }
 
-// stand tries to acquire the lease. A candidate that does not win frees the votes that it got and lets others try.
+// turn returns how long the candidates before this VM are given.
+func (r *Runtime) turn() time.Duration {
+	place := rank(r.cfg.Self.DataCentre, r.cfg.Self.Name, r.cfg.Peers)
+	return min(time.Duration(place)*rankPause, maxRankPause)
+}
+
+// standFrom delays the next candidacy; a later time that was set before is kept.
+func (r *Runtime) standFrom(t time.Time) {
+	if t.After(r.pause) {
+		r.pause = t
+	}
+}
+
+// stand tries to acquire the lease. A candidate that does not win frees the votes that it got and lets others try, longer
+// after each failure: a VM that is heard but hears nothing would otherwise keep taking the votes.
 func (r *Runtime) stand(ctx context.Context, g *errgroup.Group) {
 	r.mu.Lock()
 	request := r.holder.Acquire(r.cfg.Clock.Now())
 	r.mu.Unlock()
-	if r.ask(ctx, g, request) && r.renew(ctx, g) {
-		return
+	won := r.ask(ctx, g, request) && r.renew(ctx, g)
+	if !won {
+		r.release(ctx, g, "")
 	}
-	r.release(ctx, g, "")
-	place := rank(r.cfg.Self.DataCentre, r.cfg.Self.Name, r.cfg.Peers)
 	r.mu.Lock()
-	r.pause = r.cfg.Clock.Now().Add(askTimeout + min(time.Duration(place)*rankPause, maxRankPause))
-	r.mu.Unlock()
+	defer r.mu.Unlock()
+	if won {
+		r.failures = 0
+		return
+	}
+	r.standFrom(r.cfg.Clock.Now().Add(min(askTimeout<<r.failures, maxBackoff) + r.turn()))
+	r.failures = min(r.failures+1, 5)
 }
 
 func (r *Runtime) renew(ctx context.Context, g *errgroup.Group) bool {
@@ -212,7 +236,7 @@
 	var g errgroup.Group
 	r.mu.Lock()
 	request := r.holder.Release(r.cfg.Clock.Now(), to.Name)
-	r.pause = r.cfg.Clock.Now().Add(r.cfg.Duration)
+	r.standFrom(r.cfg.Clock.Now().Add(r.cfg.Duration))
 	r.mu.Unlock()
 	h := Handover{DataCentre: l.DataCentre, From: l.Holder, Token: l.FencingToken, Ledger: ledger}
 	err := r.cfg.Transport.HandOver(ctx, to, h)
--- /dev/null
+++ b/internal/state/lease/runtime_test.go
@@ -0,0 +1,236 @@
+package lease
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// A lan connects the runtimes of a data centre and its witness in a synctest bubble.
+type lan struct {
+	peers    []deck.Peer
+	mu       sync.Mutex
+	votes    map[deck.VMName]*Votes
+	runtimes map[deck.VMName]*Runtime
+	cut      map[[2]deck.VMName]bool // messages from the first to the second are lost
+	group    errgroup.Group
+	cancel   map[deck.VMName]context.CancelFunc
+}
+
+func newLAN(t *testing.T, peers ...deck.Peer) *lan {
+	l := &lan{
+		peers: peers, votes: make(map[deck.VMName]*Votes), runtimes: make(map[deck.VMName]*Runtime),
+		cut: make(map[[2]deck.VMName]bool), cancel: make(map[deck.VMName]context.CancelFunc),
+	}
+	for _, p := range peers {
+		l.start(p)
+	}
+	t.Cleanup(func() {
+		for _, cancel := range l.cancel {
+			cancel()
+		}
+		_ = l.group.Wait()
+	})
+	return l
+}
+
+func (l *lan) start(p deck.Peer) {
+	votes := NewVotes(p.Name, l.peers, deck.SystemClock{}, Duration)
+	r := NewRuntime(Config{Self: p, Peers: l.peers, Votes: votes, Transport: lanTransport{l, p.Name}, Clock: deck.SystemClock{}})
+	ctx, cancel := context.WithCancel(context.Background())
+	l.mu.Lock()
+	l.votes[p.Name], l.runtimes[p.Name], l.cancel[p.Name] = votes, r, cancel
+	l.mu.Unlock()
+	l.group.Go(func() error { return r.Run(ctx) })
+}
+
+// isolate loses the messages to or from a VM.
+func (l *lan) isolate(vm deck.VMName, to, from bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range l.peers {
+		l.cut[[2]deck.VMName{p.Name, vm}], l.cut[[2]deck.VMName{vm, p.Name}] = to, from
+	}
+}
+
+// holders returns the VMs of a data centre that hold its lease.
+func (l *lan) holders(dc deck.DataCentre) (out []deck.VMName) {
+	for _, p := range l.peers {
+		if _, ok := l.runtimes[p.Name].Held(); ok && p.DataCentre == dc {
+			out = append(out, p.Name)
+		}
+	}
+	return out
+}
+
+// watch checks for a while that there is never more than one holder, and returns how long there was none.
+func (l *lan) watch(t *testing.T, d time.Duration) (without time.Duration) {
+	t.Helper()
+	const step = 10 * time.Millisecond
+	for range d / step {
+		time.Sleep(step)
+		switch holders := l.holders("x"); {
+		case len(holders) > 1:
+			t.Fatalf("holders %v", holders)
+		case len(holders) == 0:
+			without += step
+		}
+	}
+	return without
+}
+
+type lanTransport struct {
+	l    *lan
+	self deck.VMName
+}
+
+func (t lanTransport) lost(from, to deck.VMName) bool {
+	t.l.mu.Lock()
+	defer t.l.mu.Unlock()
+	return t.l.cut[[2]deck.VMName{from, to}]
+}
+
+func (t lanTransport) Ask(ctx context.Context, voter deck.Peer, r Request) (Response, error) {
+	sleep(ctx, time.Millisecond)
+	if t.lost(t.self, voter.Name) {
+		<-ctx.Done()
+		return Response{}, ctx.Err()
+	}
+	t.l.mu.Lock()
+	votes := t.l.votes[voter.Name]
+	t.l.mu.Unlock()
+	a := votes.Handle(r)
+	sleep(ctx, time.Millisecond)
+	if t.lost(voter.Name, t.self) {
+		<-ctx.Done()
+		return Response{}, ctx.Err()
+	}
+	return a, nil
+}
+
+func (t lanTransport) HandOver(_ context.Context, to deck.Peer, h Handover) error {
+	if t.lost(t.self, to.Name) {
+		return errors.New("lost")
+	}
+	t.l.runtimes[to.Name].Receive(h)
+	return nil
+}
+
+func vm(name deck.VMName, dc deck.DataCentre) deck.Peer {
+	return deck.Peer{Name: name, DataCentre: dc}
+}
+
+// Guards against two holders, and against a data centre that stays without one, under the faults of a data centre.
+func TestRuntimeUnderFaults(t *testing.T) {
+	tests := map[string]struct {
+		fault func(l *lan, holder deck.VMName)
+		limit time.Duration // without a holder
+	}{
+		"no fault":                  {func(*lan, deck.VMName) {}, 0},
+		"holder cut off":            {func(l *lan, h deck.VMName) { l.isolate(h, true, true) }, 4 * time.Second},
+		"requests of the holder":    {func(l *lan, h deck.VMName) { l.isolate(h, false, true) }, 4 * time.Second},
+		"answers to the holder":     {func(l *lan, h deck.VMName) { l.isolate(h, true, false) }, 8 * time.Second},
+		"graceful shutdown":         {func(l *lan, h deck.VMName) { l.cancel[h]() }, 2 * time.Second},
+		"all voters restart":        {func(l *lan, _ deck.VMName) { l.restartVotes() }, 8 * time.Second},
+		"voters restart one by one": {func(l *lan, h deck.VMName) { l.restartVotes(l.others(h)[0]) }, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := newLAN(t, vm("a", "x"), vm("b", "x"), vm("c", "x"), vm("d", "y"))
+				l.watch(t, 6*time.Second)
+				holders := l.holders("x")
+				if len(holders) != 1 {
+					t.Fatalf("holders %v", holders)
+				}
+				tt.fault(l, holders[0])
+				without := l.watch(t, 30*time.Second)
+				t.Logf("without a holder for %s", without)
+				if without > tt.limit {
+					t.Errorf("without a holder for %s, limit %s", without, tt.limit)
+				}
+			})
+		})
+	}
+}
+
+func (l *lan) others(vm deck.VMName) (out []deck.VMName) {
+	for _, p := range l.peers {
+		if p.Name != vm && p.DataCentre == "x" {
+			out = append(out, p.Name)
+		}
+	}
+	return out
+}
+
+// restartVotes makes the given voters, or all, lose their memory.
+func (l *lan) restartVotes(vms ...deck.VMName) {
+	if len(vms) == 0 {
+		vms = []deck.VMName{"a", "b", "c"}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, vm := range vms {
+		v := l.votes[vm]
+		v.mu.Lock()
+		for dc := range v.voters {
+			v.voters[dc] = NewVoter(time.Now(), Duration)
+		}
+		v.mu.Unlock()
+	}
+}
+
+// Guards against a data centre of two VMs without a holder after one of them is lost.
+func TestWitnessKeepsTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := newLAN(t, vm("a", "x"), vm("b", "x"), vm("d", "y"))
+		l.watch(t, 6*time.Second)
+		lost := l.holders("x")[0]
+		l.isolate(lost, true, true)
+		is.True(l.watch(t, 20*time.Second) < 4*time.Second)
+		is.True(l.holders("x")[0] != lost)
+		is.Equal(l.holders("y"), []deck.VMName{"d"})
+	})
+}
+
+// Guards against a handover that keeps two holders, loses the ledger, or counts after another holder or too late.
+func TestHandOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := newLAN(t, vm("a", "x"), vm("b", "x"), vm("c", "x"))
+		l.watch(t, 6*time.Second)
+		old := l.holders("x")[0]
+		next := l.others(old)[0]
+		_, ok := l.runtimes[old].Handed()
+		is.True(!ok)
+		before, _ := l.runtimes[old].Held()
+		is.NoErr(l.runtimes[old].HandOver(t.Context(), vm(next, "x"), []byte("ledger")))
+		is.True(!l.held(old))
+		is.True(l.watch(t, 2*time.Second) < time.Second)
+		h, ok := l.runtimes[next].Handed()
+		is.True(ok)
+		is.Equal(string(h.Ledger), "ledger")
+		after, _ := l.runtimes[next].Held()
+		is.True(after.FencingToken > before.FencingToken)
+
+		l.isolate(old, true, true)
+		is.True(l.runtimes[next].HandOver(t.Context(), vm(old, "x"), nil) != nil) // the successor is cut off
+		l.watch(t, 10*time.Second)
+		_, ok = l.runtimes[l.holders("x")[0]].Handed()
+		is.True(!ok)
+	})
+}
+
+func (l *lan) held(vm deck.VMName) bool {
+	_, ok := l.runtimes[vm].Held()
+	return ok
+}
