--- a/internal/test/decktest/log.go
+++ b/internal/test/decktest/log.go
@@ -33,8 +33,7 @@
 	delayed  [][]byte
 	leader   deck.VMName
 	replicas map[deck.VMName]*LogReplica
-
-	Fault func() LogFault // decides on each proposal; nil means none fails
+	fault    func() LogFault
 }
 
 // A LogReplica is one replica of a fake log.
@@ -67,6 +66,13 @@
 	return r
 }
 
+// SetFault sets the function that decides on each proposal; nil means that none fails.
+func (l *Log) SetFault(f func() LogFault) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fault = f
+}
+
 // Lead makes a VM the leader; an empty name leaves none.
 func (l *Log) Lead(vm deck.VMName) {
 	l.mu.Lock()
@@ -132,8 +138,8 @@
 		return nil, ErrLogLost
 	}
 	fault := LogOK
-	if r.log.Fault != nil {
-		fault = r.log.Fault()
+	if r.log.fault != nil {
+		fault = r.log.fault()
 	}
 	switch fault {
 	case LogLost:
