Bound each write to a caller

Only streams had a write deadline; a caller that takes no data could hold a whole answer or a service's answer, and its place among the streams, for good. Each response now has the deadline of 30 s. net/http removes a deadline after its response (checked by a test, since a left deadline would cut the next answer on the connection). Without the deadline, TestStuckCaller fails: the request is not released.

--- a/internal/api/caller/calls.go
+++ b/internal/api/caller/calls.go
@@ -187,6 +187,5 @@
 			w.Header().Set(name, value)
 		}
 	}
-	w.WriteHeader(a.Status)
-	_, _ = w.Write(a.Body) // a caller that left needs no answer
+	send(w, a.Status, a.Body)
 }
--- a/internal/api/caller/infer_test.go
+++ b/internal/api/caller/infer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -104,6 +105,41 @@
 	})
 }
 
+// TestStuckCaller guards against an answer that is held for good because its caller takes no data.
+func TestStuckCaller(t *testing.T) {
+	run(t, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		conn, err := r.net.Dial(t.Context(), "", "entry:80")
+		is.NoErr(err)
+		defer func() { _ = conn.Close() }()
+		_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: entry\r\nContent-Length: %d\r\n\r\n%s", chat, len(streamBody), streamBody)
+		is.NoErr(err)
+		time.Sleep(writeTimeout - time.Second)
+		is.Equal(r.router.Released(), 0)
+		time.Sleep(2 * time.Second)
+		is.Equal(r.router.Released(), 1)
+		is.Equal(r.router.Observations("e1"), []deck.ObservationKind{deck.ObservedStart, deck.ObservedCancel})
+	})
+}
+
+// TestConnectionReuse guards against a write deadline that ends a later response on the same connection.
+func TestConnectionReuse(t *testing.T) {
+	run(t, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		r.client.Transport = &http.Transport{DialContext: r.net.Dial}
+		defer r.client.CloseIdleConnections()
+		for range 2 {
+			is.Equal(r.post(t.Context(), chat, streamBody).body, wholeStream())
+			time.Sleep(writeTimeout + time.Second)
+			// net/http answers the first path with a redirect, for which no deadline is set.
+			is.Equal(r.send(t.Context(), http.MethodGet, "//v1/models", "").status, http.StatusOK)
+			time.Sleep(writeTimeout + time.Second)
+			is.Equal(r.send(t.Context(), http.MethodGet, "//v1/models", "").status, http.StatusOK)
+		}
+		is.Equal(r.net.Dials("entry:80"), 1)
+	})
+}
+
 // withoutComments drops heartbeats.
 func withoutComments(s string) string {
 	return strings.ReplaceAll(s, ": running\n\n", "")
--- a/internal/api/caller/problem.go
+++ b/internal/api/caller/problem.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"encoding/json"
 	"math"
 	"net/http"
 	"strconv"
@@ -101,18 +100,3 @@
 		return typeServer
 	}
 }
-
-func writeJSON(w http.ResponseWriter, status int, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_, _ = w.Write(encode(v)) // a caller that left needs no answer
-}
-
-// encode encodes a value that JSON can express.
-func encode(v any) []byte {
-	data, err := json.Marshal(v)
-	if err != nil {
-		panic(err)
-	}
-	return data
-}
--- a/internal/api/caller/sink.go
+++ b/internal/api/caller/sink.go
@@ -12,9 +12,6 @@
 	wire "github.com/geraniumdeck/geraniumdeck/internal/wire/engine"
 )
 
-// writeTimeout is how long a caller may take no data before it counts as gone.
-const writeTimeout = 30 * time.Second
-
 // A streamSink writes server-sent events to a caller.
 type streamSink struct {
 	w     http.ResponseWriter
