Shorten the feed's polls and offers

Cause: each poll listed the version of every data centre's residency, placement leaders offered theirs to each control replica every 2 s, and two relays served all VMs of a data centre. Polls now carry a digest of the payload versions, offers are repeated every 10 s, and there is a relay for each 8 VMs.

--- a/internal/api/peer/feedwire.go
+++ b/internal/api/peer/feedwire.go
@@ -22,6 +22,7 @@
 	Deltas     []feedDelta     `json:"deltas,omitempty"`
 	State      json.RawMessage `json:"state,omitempty"`
 	Payloads   []feedPayload   `json:"payloads,omitempty"`
+	Differ     bool            `json:"differ,omitempty"`
 }
 
 type feedDelta struct {
@@ -50,6 +51,9 @@
 		"after":       {strconv.FormatUint(r.After, 10)},
 		"wait":        {r.Wait.String()},
 	}
+	if r.Digest != 0 {
+		q.Set("digest", strconv.FormatUint(r.Digest, 16))
+	}
 	for name, v := range r.Payloads {
 		q.Add("payload", joinValue(v.Epoch, v.Sequence, name))
 	}
@@ -68,6 +72,11 @@
 	if r.Wait, err = time.ParseDuration(q.Get("wait")); err != nil {
 		return r, errors.Wrap(err, "wait")
 	}
+	if d := q.Get("digest"); d != "" {
+		if r.Digest, err = strconv.ParseUint(d, 16, 64); err != nil {
+			return r, errors.Wrap(err, "digest")
+		}
+	}
 	r.Payloads = make(map[string]feed.PayloadVersion)
 	for _, value := range q["payload"] {
 		epoch, sequence, name, err := splitValue(value)
@@ -110,7 +119,7 @@
 func encodeFeedAnswer(a feed.Answer) []byte {
 	w := feedAnswer{
 		Version: a.Version, Proven: a.Proven,
-		ProofAgeMS: ceilMS(a.ProofAge), HeldMS: a.Held.Milliseconds(),
+		ProofAgeMS: ceilMS(a.ProofAge), HeldMS: a.Held.Milliseconds(), Differ: a.Differ,
 	}
 	for _, d := range a.Deltas {
 		w.Deltas = append(w.Deltas, feedDelta{d.Previous, d.Version, ticket.NewDocument(d.Ticket)})
@@ -135,7 +144,7 @@
 		return feed.Answer{}, errors.Wrap(err, "feed answer")
 	}
 	a := feed.Answer{
-		Version: w.Version, Proven: w.Proven,
+		Version: w.Version, Proven: w.Proven, Differ: w.Differ,
 		ProofAge: time.Duration(w.ProofAgeMS) * time.Millisecond, Held: time.Duration(w.HeldMS) * time.Millisecond,
 	}
 	for _, d := range w.Deltas {
--- a/internal/state/feed/client.go
+++ b/internal/state/feed/client.go
@@ -38,6 +38,7 @@
 	done     chan struct{}
 	surveyed time.Time // of the last survey; zero before the first
 	source   atomic.Pointer[deck.Peer]
+	differ   atomic.Bool // the last answer asked for a list of the payloads
 }
 
 // NewClient returns a client; Run does its work.
@@ -161,17 +162,29 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+pollGrace)
 	defer cancel()
 	start := c.cfg.Clock.Now()
-	a, err := c.cfg.Transport.Poll(ctx, source, Request{
-		VM: c.cfg.Self.Name, DataCentre: c.cfg.Self.DataCentre, After: c.cfg.Store.State().Version(), Wait: wait,
-		Payloads: c.cfg.Store.payloadVersions(), Confirmed: c.cfg.Store.Confirmations(),
-	})
+	a, err := c.cfg.Transport.Poll(ctx, source, c.request(wait))
 	if err != nil {
 		return false
 	}
+	c.differ.Store(a.Differ)
 	c.cfg.Store.Take(start, a)
 	return a.Proven && a.ProofAge <= ProofLimit
 }
 
+// request returns a poll; it lists the payloads only after the last answer said that their digest differs.
+func (c *Client) request(wait time.Duration) Request {
+	r := Request{
+		VM: c.cfg.Self.Name, DataCentre: c.cfg.Self.DataCentre, After: c.cfg.Store.State().Version(), Wait: wait,
+		Confirmed: c.cfg.Store.Confirmations(),
+	}
+	if c.differ.Load() {
+		r.Payloads = c.cfg.Store.payloadVersions()
+		return r
+	}
+	r.Digest = c.cfg.Store.payloadDigest(c.cfg.Self.DataCentre)
+	return r
+}
+
 // Take installs what is new in an answer to a poll that was sent at the given time by this VM's clock.
 func (s *Store) Take(sent time.Time, a Answer) {
 	if a.State != nil {
--- a/internal/state/feed/message.go
+++ b/internal/state/feed/message.go
@@ -14,6 +14,7 @@
 	After      uint64                    // the state version in force on the polling VM, which confirms it
 	Wait       time.Duration             // how long the source holds the request if it has nothing new
 	Payloads   map[string]PayloadVersion // payloads that the polling VM has
+	Digest     uint64                    // instead of Payloads: their digest; 0 if Payloads is given
 	Confirmed  []Confirmation            // VMs that poll through the polling VM
 }
 
@@ -26,6 +27,7 @@
 	Deltas   []Delta       // tickets after the request's version, in order
 	State    *deck.State   // the whole state, if the deltas do not reach back far enough
 	Payloads []Payload     // those newer than the request's
+	Differ   bool          // the digests differ; the next request must list the payloads
 }
 
 // A Delta is an accepted ticket with the state versions before and after it.
--- a/internal/state/feed/publisher.go
+++ b/internal/state/feed/publisher.go
@@ -10,7 +10,7 @@
 
 // Times of publishing.
 const (
-	offerInterval  = 2 * time.Second // finds a root that restarted and lost the payload
+	offerInterval  = 10 * time.Second // finds a root that restarted; at 2 s offers were a third of a control VM's traffic
 	publishTimeout = time.Second
 )
 
--- a/internal/state/feed/serve.go
+++ b/internal/state/feed/serve.go
@@ -2,8 +2,13 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 )
 
@@ -44,7 +49,7 @@
 }
 
 func (a Answer) hasNews() bool {
-	return len(a.Deltas) > 0 || a.State != nil || len(a.Payloads) > 0
+	return len(a.Deltas) > 0 || a.State != nil || len(a.Payloads) > 0 || a.Differ
 }
 
 // answer returns what is new for the request and the channel that tells of the next news. ProofAge and Held are taken
@@ -60,6 +65,10 @@
 	if r.After < s.state.Version() {
 		a.Deltas, a.State = s.after(r.After)
 	}
+	if r.Digest != 0 {
+		a.Differ = r.Digest != s.digest(r.DataCentre)
+		return a, s.news
+	}
 	for _, p := range s.payloads {
 		if p.DataCentre != "" && p.DataCentre != r.DataCentre {
 			continue
@@ -81,3 +90,24 @@
 	state := s.state
 	return nil, &state
 }
+
+// digest returns the digest of the payload versions that a data centre's VMs receive. With a version of each data
+// centre's residency a poll would be three times as long. The caller holds the lock.
+func (s *Store) digest(dc deck.DataCentre) uint64 {
+	h := xxhash.New()
+	for _, name := range slices.Sorted(maps.Keys(s.payloads)) {
+		p := s.payloads[name]
+		if p.DataCentre != "" && p.DataCentre != dc {
+			continue
+		}
+		_, _ = fmt.Fprintf(h, "%s\x00%d\x00%d\x00", name, p.Version.Epoch, p.Version.Sequence) // never fails
+	}
+	return max(h.Sum64(), 1) // 0 stands for no digest
+}
+
+// payloadDigest returns the digest of the payloads for VMs of the data centre.
+func (s *Store) payloadDigest(dc deck.DataCentre) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.digest(dc)
+}
--- a/internal/state/feed/sources.go
+++ b/internal/state/feed/sources.go
@@ -9,10 +9,13 @@
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 )
 
-// relaysPerDataCentre is the number of VMs of a data centre that poll across its border if it has no control replica.
-const relaysPerDataCentre = 2
+// Relays are the VMs of a data centre that poll across its border if it has no control replica.
+const (
+	minRelays   = 2
+	vmsPerRelay = 8 // with 16 a relay's polls exceed 8 KB/s
+)
 
-// Relays returns the relays of a data centre: its first two VMs by rendezvous hash.
+// Relays returns the relays of a data centre: its first VMs by rendezvous hash, at least two and one for each eight VMs.
 func Relays(dc deck.DataCentre, peers []deck.Peer) []deck.Peer {
 	var own []deck.Peer
 	for _, p := range peers {
@@ -21,7 +24,7 @@
 		}
 	}
 	byRendezvous(own, string(dc))
-	return own[:min(len(own), relaysPerDataCentre)]
+	return own[:min(len(own), max(minRelays, len(own)/vmsPerRelay))]
 }
 
 // Sources returns the VMs that a VM polls, in the order in which it tries them: control replicas of its data centre,
