--- a/internal/state/replica/config.go
+++ b/internal/state/replica/config.go
@@ -19,8 +19,9 @@
 	SnapshotBytes       = 4 << 20
 	maxBatchBytes       = 512 << 10 // commands in one append message, unless one command is larger
 	ChunkBytes          = 256 << 10
-	maxUncommitted      = 4096 // entries
-	entryOverheadBytes  = 64   // index, term and framing, for batch sizes only
+	maxUncommitted      = 4096                  // entries
+	resendInterval      = 4 * HeartbeatInterval // shorter ones repeat batches that a slow path still carries
+	entryOverheadBytes  = 64                    // index, term and framing, for batch sizes only
 	maxSnapshotBytes    = 1 << 30
 	maxRemoteBarriers   = 1024
 	barrierRetryLimit   = LeadershipTimeout
--- a/internal/state/replica/progress.go
+++ b/internal/state/replica/progress.go
@@ -11,7 +11,8 @@
 type progress struct {
 	match      uint64 // highest entry that the replica holds durably and that equals the leader's
 	next       uint64
-	waiting    bool      // a batch or chunk is under way; it is sent again after a heartbeat interval
+	waiting    bool      // a batch or chunk is under way
+	sentAt     time.Time // when it was sent
 	heard      time.Time // when the latest answered round was sent
 	round      uint64    // latest answered round
 	snapshot   *deck.LogSnapshot
@@ -77,7 +78,8 @@
 	c.heartbeatAt = c.now
 	c.startRound()
 	for _, id := range c.peerIDs() {
-		c.peers[id].waiting = false
+		p := c.peers[id]
+		p.waiting = p.waiting && c.now.Sub(p.sentAt) < resendInterval
 		c.replicate(id)
 	}
 }
@@ -119,7 +121,7 @@
 	}
 	prev := p.next - 1
 	term, _ := c.log.term(prev)
-	p.waiting = true
+	p.waiting, p.sentAt = true, c.now
 	c.send(deck.ReplicaMessage{
 		Kind: deck.MessageAppend, To: id, Index: prev, LogTerm: term, Commit: c.log.commit, Round: c.round,
 		Entries: c.log.batch(p.next),
--- a/internal/state/replica/snapshot.go
+++ b/internal/state/replica/snapshot.go
@@ -52,7 +52,7 @@
 	}
 	s := p.snapshot
 	end := min(p.nextOffset+c.cfg.ChunkBytes, len(s.Data))
-	p.waiting = true
+	p.waiting, p.sentAt = true, c.now
 	c.send(deck.ReplicaMessage{
 		Kind: deck.MessageSnapshot, To: id, Index: s.Index, LogTerm: s.Term, Round: c.round,
 		Chunk: deck.SnapshotChunk{
