Test the survey, old handovers and repeated records by their rules

Cause: removing a rule at a time on a scratch copy showed rules that no test failed without: the time that does not turn back, numbered records, the survey of the data centre, the age of a handover.

Change: a test for each. The age limit of a handover is shortened by the drift bound.

--- a/internal/state/feed/feed_test.go
+++ b/internal/state/feed/feed_test.go
@@ -151,6 +151,38 @@
 	})
 }
 
+// Guards against a VM that restarts in a cut-off data centre and misses the state of a neighbour that it does not poll.
+func TestSurveyFindsTheState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t)
+		version := c.submit()
+		c.inForce(version)
+		c.silence("vm3")
+		c.cutControl("vm4")
+		c.cutControl("vm5")
+		lost := Relays("wien-b", c.peers)[0].Name // relays do not poll each other
+		is.True(lost != "vm3")
+		c.restart(lost)
+		time.Sleep(5 * time.Second)
+		is.Equal(c.store(lost).State().Version(), version)
+	})
+}
+
+// Guards against a source that holds a poll until its proof is too old, so that the polling VM leaves it late.
+func TestSourceAnswersWhenItsProofIsTooOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := NewStore("a", deck.SystemClock{}, nil, deck.State{}, false)
+		s.Prove(time.Now(), 0)
+		time.Sleep(ProofLimit - 300*time.Millisecond)
+		start := time.Now()
+		a := s.Serve(t.Context(), Request{VM: "b", Wait: MaxWait})
+		is.True(time.Since(start) < 350*time.Millisecond)
+		is.True(a.ProofAge > ProofLimit)
+	})
+}
+
 // Guards against a payload that stays at its publisher or is lost when a root restarts.
 func TestPayloadReachesDataCentre(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/state/lease/runtime.go
+++ b/internal/state/lease/runtime.go
@@ -266,7 +266,8 @@
 	if _, held := r.holder.Held(r.cfg.Clock.Now()); !held || r.handed.Token == 0 {
 		return Handover{}, false
 	}
-	inTime := r.holder.acquired.Sub(r.handedAt) < r.cfg.Duration
+	limit := time.Duration(float64(r.cfg.Duration) * (1 - r.cfg.Drift))
+	inTime := r.holder.acquired.Sub(r.handedAt) < limit
 	return r.handed, inTime && r.holder.Previous() == r.handed.Token
 }
 
--- a/internal/state/lease/runtime_test.go
+++ b/internal/state/lease/runtime_test.go
@@ -230,6 +230,37 @@
 	})
 }
 
+// Guards against a holder that skips the wait because of a handover that its lease does not directly follow.
+func TestOldHandoverDoesNotCount(t *testing.T) {
+	tests := map[string]struct {
+		before, after time.Duration // the handover arrives
+		below         uint64        // its token lies below that of the last holder by this much
+	}{
+		"too old":              {after: Duration + time.Second},
+		"another holder since": {before: time.Second, below: 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				l := newLAN(t, vm("a", "x"), vm("b", "x"), vm("c", "x"))
+				l.watch(t, 6*time.Second)
+				old := l.holders("x")[0]
+				lease, _ := l.runtimes[old].Held()
+				time.Sleep(tt.before)
+				for _, vm := range l.others(old) {
+					l.runtimes[vm].Receive(Handover{DataCentre: "x", Token: lease.FencingToken - tt.below})
+				}
+				time.Sleep(tt.after)
+				l.isolate(old, true, true)
+				l.watch(t, 6*time.Second)
+				_, ok := l.runtimes[l.holders("x")[0]].Handed()
+				is.True(!ok)
+			})
+		})
+	}
+}
+
 func (l *lan) held(vm deck.VMName) bool {
 	_, ok := l.runtimes[vm].Held()
 	return ok
--- a/internal/state/machine/calls_test.go
+++ b/internal/state/machine/calls_test.go
@@ -80,9 +80,14 @@
 			b.begin("k", "d", "c1")
 			b.finish("k", "c1", deck.OutcomeDone)
 			b.wait(-time.Hour)
-			b.begin("l", "d", "c3")
 			b.wait(RecordRetention)
 		}, "d", deck.ClaimFinished},
+		"claimed under a clock that is behind": {func(b *bench) {
+			b.wait(0)
+			b.wait(-time.Hour)
+			b.begin("k", "d", "c1")
+			b.wait(time.Hour + ClaimTimeout - time.Second)
+		}, "d", deck.ClaimInProgress},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -137,6 +142,19 @@
 	is.Equal(b.begin("k6", "d", "other"), deck.ClaimGranted)
 }
 
+// Guards against a second record of a key and claim that expires with the first one.
+func TestRecordsOfOneClaimAreDistinct(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	b.m.calls.maxEnded = 0
+	b.begin("k", "d", "c1")
+	b.finish("k", "c1", deck.OutcomeDone)
+	b.wait(ClaimTimeout / 2)
+	is.Equal(b.begin("k", "d", "c1"), deck.ClaimGranted) // a repeated message, after retention dropped the record
+	b.wait(ClaimTimeout / 2)
+	is.Equal(b.begin("k", "d", "c2"), deck.ClaimInProgress)
+}
+
 // Guards against a crash that counts twice, a refusal too early or too late, and rows without bound.
 func TestPoison(t *testing.T) {
 	crash := func(boot string, alone bool) command.ReportCrash {
--- a/internal/state/machine/client_test.go
+++ b/internal/state/machine/client_test.go
@@ -129,9 +129,10 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		var g errgroup.Group
 		g.Go(func() error { return e.Run(ctx) })
-		n.log.SetFault(func() decktest.LogFault { return decktest.LogDelayed })
+		first := faults(decktest.LogDelayed)
+		n.log.SetFault(func() decktest.LogFault { return max(first(), decktest.LogLost) })
 		is.Equal(e.Begin(ctx, "k", "d").Status, deck.ClaimUnavailable)
-		time.Sleep(40 * time.Second)
+		time.Sleep(40 * time.Second) // all releases are lost
 		n.log.SetFault(nil)
 		time.Sleep(5 * time.Second) // the release is committed before the claim
 		n.log.CommitDelayed()
