--- a/internal/state/lease/runtime.go
+++ b/internal/state/lease/runtime.go
@@ -19,7 +19,6 @@
 	candidatePoll = 100 * time.Millisecond // between two looks whether the lease is free
 	rankPause     = 150 * time.Millisecond // for each candidate that stands before this VM
 	maxRankPause  = 2 * time.Second
-	maxBackoff    = 16 * time.Second // of a candidate that keeps failing, for example because it hears no answers
 )
 
 // A Config holds what a runtime needs.
@@ -45,7 +44,6 @@
 	handedAt time.Time
 	pause    time.Time // no candidacy before
 	busy     bool      // this VM's vote was not free when it was last looked at
-	failures int       // candidacies that failed since the last one that did not
 	skew     time.Duration
 }
 
@@ -146,24 +144,18 @@
 	}
 }
 
-// stand tries to acquire the lease. A candidate that does not win frees the votes that it got and lets others try, longer
-// after each failure: a VM that is heard but hears nothing would otherwise keep taking the votes.
+// stand tries to acquire the lease. A candidate that does not win frees the votes that it got and lets others try.
 func (r *Runtime) stand(ctx context.Context, g *errgroup.Group) {
 	r.mu.Lock()
 	request := r.holder.Acquire(r.cfg.Clock.Now())
 	r.mu.Unlock()
-	won := r.ask(ctx, g, request) && r.renew(ctx, g)
-	if !won {
-		r.release(ctx, g, "")
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if won {
-		r.failures = 0
+	if r.ask(ctx, g, request) && r.renew(ctx, g) {
 		return
 	}
-	r.standFrom(r.cfg.Clock.Now().Add(min(askTimeout<<r.failures, maxBackoff) + r.turn()))
-	r.failures = min(r.failures+1, 5)
+	r.release(ctx, g, "")
+	r.mu.Lock()
+	r.standFrom(r.cfg.Clock.Now().Add(askTimeout + r.turn()))
+	r.mu.Unlock()
 }
 
 func (r *Runtime) renew(ctx context.Context, g *errgroup.Group) bool {
