Add measurements of the feed and the shared state

Change: internal/measure/distribution with plain functions that return figures, over HTTP on loopback with a log in memory and 25 ms between data centres. A virtual-time variant was ruled out, because bytes and processor time need the real codec and connections.

--- /dev/null
+++ b/internal/measure/distribution/doc.go
@@ -0,0 +1,2 @@
+// Package distribution measures how tickets spread through the feed and what the shared state costs.
+package distribution
--- /dev/null
+++ b/internal/measure/distribution/measure.go
@@ -0,0 +1,227 @@
+package distribution
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/state/machine"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/command"
+)
+
+// pathTime is the one-way time between data centres of different regions.
+const pathTime = 25 * time.Millisecond
+
+// A Figure is one measured value.
+type Figure struct {
+	Name  string
+	Value float64
+	Unit  string
+}
+
+// TicketInForce returns the median and the longest time from a ticket's acceptance until it is in force on all VMs.
+func TicketInForce(ctx context.Context, vms, tickets int) ([]Figure, error) {
+	d, err := start(ctx, vms, pathTime)
+	if err != nil {
+		return nil, err
+	}
+	defer d.stop()
+	if err := d.warmUp(ctx); err != nil {
+		return nil, err
+	}
+	var times []time.Duration
+	for n := range tickets {
+		took, err := d.submit(ctx, uint64(n+2))
+		if err != nil {
+			return nil, err
+		}
+		times = append(times, took)
+		pause(ctx, time.Duration(n%10)*20*time.Millisecond) // spreads the tickets over the phases of the polls
+	}
+	slices.Sort(times)
+	name := fmt.Sprintf("ticket-in-force-%d-vms", vms)
+	return []Figure{
+		{name + "-p50", milliseconds(times[len(times)/2]), "ms"},
+		{name + "-max", milliseconds(times[len(times)-1]), "ms"},
+	}, nil
+}
+
+// warmUp submits ticket 1 and waits until every VM has found a source and has it in force.
+func (d *deployment) warmUp(ctx context.Context) error {
+	_, err := d.submit(ctx, 1)
+	return err
+}
+
+// submit accepts a ticket and waits until it is in force on all VMs.
+func (d *deployment) submit(ctx context.Context, number uint64) (time.Duration, error) {
+	x := oneTicket(number)
+	begin := time.Now()
+	data, err := d.proposer.Propose(ctx, command.Encode(command.Envelope{Command: command.ApplyTicket{Ticket: x}}))
+	if err != nil {
+		return 0, err
+	}
+	r, err := command.DecodeResult(data)
+	if err != nil || r.Ticket.Verdict != deck.TicketAccepted {
+		return 0, errors.Newf("ticket: %+v, %v", r.Ticket, err)
+	}
+	for _, s := range d.stores {
+		for changed := s.Changed(); s.State().Version() < r.Ticket.Version; changed = s.Changed() {
+			select {
+			case <-ctx.Done():
+				return 0, ctx.Err()
+			case <-changed:
+			}
+		}
+	}
+	return time.Since(begin), nil
+}
+
+// FeedCost returns the bytes and processor time of polls without news and of a ticket's distribution. Bytes count both
+// directions at the polling VM; processor time is that of polling VM and source together.
+func FeedCost(ctx context.Context, vms, tickets int, idle time.Duration) ([]Figure, error) {
+	d, err := start(ctx, vms, pathTime)
+	if err != nil {
+		return nil, err
+	}
+	defer d.stop()
+	if err := d.warmUp(ctx); err != nil {
+		return nil, err
+	}
+	bytes, used := d.total(), processorTime()
+	pause(ctx, idle)
+	idleBytes, idleUsed := d.total()-bytes, processorTime()-used
+	bytes, used = d.total(), processorTime()
+	begin := time.Now()
+	for n := range tickets {
+		if _, err := d.submit(ctx, uint64(n+2)); err != nil {
+			return nil, err
+		}
+	}
+	took := time.Since(begin).Seconds()
+	seconds, count := idle.Seconds(), float64(vms)
+	perTicket := func(total, idleTotal float64) float64 {
+		return max(total-idleTotal/seconds*took, 0) / count / float64(tickets)
+	}
+	name := func(s string) string { return fmt.Sprintf("%s-%d-vms", s, vms) }
+	return []Figure{
+		{name("feed-poll-bytes"), float64(idleBytes) / count / seconds, "B/s/VM"},
+		{name("feed-poll-cpu"), float64(idleUsed.Microseconds()) / count / seconds, "us/s/VM"},
+		{name("ticket-bytes"), perTicket(float64(d.total()-bytes), float64(idleBytes)), "B/VM"},
+		{name("ticket-cpu"), perTicket(microseconds(processorTime()-used), microseconds(idleUsed)), "us/VM"},
+	}, nil
+}
+
+func (d *deployment) total() int64 {
+	sum := int64(0)
+	for _, b := range d.bytes {
+		sum += b.Load()
+	}
+	return sum
+}
+
+// StateMemory returns the heap that a control replica needs for the state of a deployment with the given models, three
+// adapters for each, and one engine for about two models, after as many tickets as there are models.
+func StateMemory(models int) ([]Figure, error) {
+	before := heap()
+	m := machine.New(nil, nil)
+	index := uint64(0)
+	for _, x := range stateTickets(models) {
+		index++
+		r, err := command.DecodeResult(m.Apply(index, command.Encode(command.Envelope{
+			At: time.Unix(int64(index), 0), Command: command.ApplyTicket{Ticket: x},
+		})))
+		if err != nil || r.Ticket.Verdict != deck.TicketAccepted {
+			return nil, errors.Newf("ticket: %+v, %v", r.Ticket, err)
+		}
+	}
+	used := heap() - before
+	snapshot, err := m.Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	return []Figure{
+		{fmt.Sprintf("state-memory-%d-models", models), float64(used) / 1024, "KiB"},
+		{fmt.Sprintf("state-snapshot-%d-models", models), float64(len(snapshot)) / 1024, "KiB"},
+	}, nil
+}
+
+// CallCost returns the processor time that a replica needs to apply a begin-call with its finish-call, with an answer of
+// the given size, and the heap that the record keeps.
+func CallCost(calls, body int) ([]Figure, error) {
+	m := machine.New(nil, nil)
+	answer := deck.ServiceAnswer{Outcome: deck.OutcomeDone, Status: 200, Body: make([]byte, body)}
+	before, begin := heap(), processorTime()
+	for i := range calls {
+		key := fmt.Sprint("key-", i)
+		at := time.Unix(int64(i/1000+1), 0)
+		m.Apply(uint64(2*i+1), command.Encode(command.Envelope{
+			At: at, Command: command.BeginCall{Key: key, Digest: "digest", VM: "vm", Claim: key},
+		}))
+		m.Apply(uint64(2*i+2), command.Encode(command.Envelope{
+			At: at, Command: command.FinishCall{Key: key, Claim: key, Answer: answer},
+		}))
+	}
+	used := processorTime() - begin
+	kept := heap() - before
+	runtime.KeepAlive(m)
+	return []Figure{
+		{fmt.Sprintf("call-cpu-%d-byte-answer", body), microseconds(used) / float64(calls), "us"},
+		{fmt.Sprintf("call-memory-%d-byte-answer", body), float64(kept) / float64(calls), "B"},
+	}, nil
+}
+
+// All returns the figures at the sizes of the design page.
+func All(ctx context.Context) ([]Figure, error) {
+	var out []Figure
+	steps := []func() ([]Figure, error){
+		func() ([]Figure, error) { return StateMemory(35) },
+		func() ([]Figure, error) { return StateMemory(350) },
+		func() ([]Figure, error) { return StateMemory(1400) },
+		func() ([]Figure, error) { return CallCost(20_000, 200) },
+		func() ([]Figure, error) { return CallCost(2_000, 60<<10) },
+		func() ([]Figure, error) { return TicketInForce(ctx, 8, 100) },
+		func() ([]Figure, error) { return FeedCost(ctx, 8, 20, 10*time.Second) },
+		func() ([]Figure, error) { return FeedCost(ctx, 64, 20, 10*time.Second) },
+		func() ([]Figure, error) { return FeedCost(ctx, 340, 20, 10*time.Second) },
+	}
+	for _, step := range steps {
+		figures, err := step()
+		if err != nil {
+			return out, err
+		}
+		out = append(out, figures...)
+	}
+	return out, nil
+}
+
+// heap returns the live heap in bytes. The second collection frees what the first one found through finalizers.
+func heap() int64 {
+	runtime.GC()
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return int64(s.HeapAlloc)
+}
+
+// processorTime returns the user and system time that this process has used.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func milliseconds(d time.Duration) float64 {
+	return float64(d.Microseconds()) / 1000
+}
+
+func microseconds(d time.Duration) float64 {
+	return float64(d.Nanoseconds()) / 1000
+}
