--- a/internal/route/admit/limit.go
+++ b/internal/route/admit/limit.go
@@ -13,12 +13,13 @@
 	highGap = TargetGap * 85 / 100
 	lowGap  = TargetGap * 75 / 100
 	// adjustEvery is several token intervals, so that a change shows before the next one.
-	adjustEvery  = 200 * time.Millisecond
-	initialLimit = 8
+	adjustEvery = 200 * time.Millisecond
+	// InitialLimit is generous: a low one made requests queue before idle engines when a peer slowed down.
+	InitialLimit = 24
 	minLimit     = 1
 	maxLimit     = 512
 	fall         = 0.93
-	rise         = 0.05
+	rise         = 0.1
 	// batchShare of the limit is open to batch work; the rest is kept free for bursts of interactive work.
 	batchShare = 0.6
 	// gapSmoothing is the weight of one token's sample.
@@ -69,7 +70,7 @@
 
 func (l *Limit) current() float64 {
 	if l.limit == 0 {
-		return initialLimit
+		return InitialLimit
 	}
 	return l.limit
 }
--- a/internal/route/choose/pick.go
+++ b/internal/route/choose/pick.go
@@ -15,6 +15,8 @@
 	affinityMinHit = 0.25
 	// affinityGain is the share of a request's cost that a fully cached prompt saves.
 	affinityGain = 0.5
+	// nearWeight is the least weight of a near server that keeps work from going to farther ones.
+	nearWeight = 0.5
 	// Bounds of the latency factor; a single odd sample must neither attract nor repel all work.
 	minLatencyFactor = 0.7
 	maxLatencyFactor = 4.0
@@ -37,13 +39,10 @@
 	if i, found := probe(cs, pool, need); found {
 		return i, true
 	}
-	a := draw(cs, pool, rnd)
-	b := draw(cs, pool, rnd)
-	if a == b && len(pool) > 1 {
-		b = pool[(position(pool, a)+1+rnd.IntN(len(pool)-1))%len(pool)]
-		if cs[b].Weight < rnd.Float64() {
-			b = a
-		}
+	a := draw(cs, pool, -1, rnd)
+	b := a
+	if len(pool) > 1 {
+		b = draw(cs, pool, a, rnd)
 	}
 	s := newScorer(cs, pool)
 	best := a
@@ -64,26 +63,36 @@
 	return nil
 }
 
-// tiers returns the nearest distance's candidates with room; exists reports whether a usable candidate exists at all.
+// tiers returns the candidates with room, nearest distance first, up to the first distance that has one of nearly full
+// weight; exists reports whether a usable candidate exists at all. A slow server does not keep work near: waiting for it
+// costs more than the traffic.
 func tiers(cs []Candidate, need Need, strict bool) (pool []int, exists bool) {
+	healthy := false
 	for d := SameDataCentre; d < distances; d++ {
-		if exists && d > need.Farthest {
-			return nil, true
+		if healthy && (d > need.Farthest || anyHealthy(cs, pool)) {
+			break
 		}
 		for i, c := range cs {
 			if c.Distance != d || !usable(c, need, strict) {
 				continue
 			}
 			exists = true
+			healthy = healthy || c.Weight >= nearWeight
 			if c.Room > 0 || need.Forced {
 				pool = append(pool, i)
 			}
 		}
-		if len(pool) > 0 {
-			return pool, true
+	}
+	return pool, exists
+}
+
+func anyHealthy(cs []Candidate, pool []int) bool {
+	for _, i := range pool {
+		if cs[i].Weight >= nearWeight {
+			return true
 		}
 	}
-	return nil, exists
+	return false
 }
 
 func usable(c Candidate, need Need, strict bool) bool {
@@ -105,27 +114,25 @@
 	return 0, false
 }
 
-// draw returns a candidate at random in proportion to the weights.
-func draw(cs []Candidate, pool []int, rnd deck.Rand) int {
+// draw returns a candidate other than the excepted one, at random in proportion to the weights.
+func draw(cs []Candidate, pool []int, except int, rnd deck.Rand) int {
 	total := 0.0
 	for _, i := range pool {
-		total += cs[i].Weight
+		if i != except {
+			total += cs[i].Weight
+		}
 	}
 	x := rnd.Float64() * total
+	last := 0
 	for _, i := range pool {
+		if i == except {
+			continue
+		}
 		x -= cs[i].Weight
+		last = i
 		if x < 0 {
-			return i
-		}
-	}
-	return pool[len(pool)-1]
-}
-
-func position(pool []int, index int) int {
-	for p, i := range pool {
-		if i == index {
-			return p
+			break
 		}
 	}
-	return 0
+	return last
 }
--- a/internal/route/choose/score.go
+++ b/internal/route/choose/score.go
@@ -38,9 +38,10 @@
 	return float64(c.Load.Own) + others
 }
 
-// cost returns the relative time that one more request would take on the server.
+// cost returns the relative time that one more request would take on the server. Dividing by the weight keeps an idle
+// server of reduced weight from winning every comparison, which made its share several times its weight.
 func (s scorer) cost(c Candidate) float64 {
-	return (s.load(c) + 1) * s.latencyFactor(c) * (1 - affinityGain*c.PrefixHit)
+	return (s.load(c) + 1) * s.latencyFactor(c) * (1 - affinityGain*c.PrefixHit) / c.Weight
 }
 
 func (s scorer) latencyFactor(c Candidate) float64 {
--- a/internal/route/health/estimate.go
+++ b/internal/route/health/estimate.go
@@ -7,7 +7,7 @@
 
 const (
 	// gapConstant and firstTokenConstant are time constants: a change shows within a second, single samples do not.
-	gapConstant        = 500 * time.Millisecond
+	gapConstant        = 250 * time.Millisecond
 	firstTokenConstant = 1500 * time.Millisecond
 	// minSamples is the number of samples below which an estimate is not compared.
 	minSamples = 3
--- a/internal/route/router/place.go
+++ b/internal/route/router/place.go
@@ -13,7 +13,7 @@
 	spillAfter = time.Second
 	// Servers of reduced weight are tried by batch work first and by interactive work if there is none.
 	batchProbe       = 500 * time.Millisecond
-	interactiveProbe = 2 * time.Second
+	interactiveProbe = 20 * time.Second
 	// preemptEvery lets the effect of one preemption on a server show before the next.
 	preemptEvery = 100 * time.Millisecond
 	// preemptWait is the wait of interactive work that makes longer work give way.
