--- a/internal/route/admit/limit.go
+++ b/internal/route/admit/limit.go
@@ -20,30 +20,40 @@
 	maxLimit     = 512
 	fall         = 0.93
 	rise         = 0.1
-	// batchShare of the limit is open to batch work; the rest is kept free for bursts of interactive work.
-	batchShare = 0.6
+	// quietGap bounds batch work on a server that also has interactive work: a burst must find short steps, because a
+	// first token waits for the step that is running.
+	quietGap     = TargetGap * 45 / 100
+	initialBatch = 4
 	// gapSmoothing is the weight of one token's sample.
 	gapSmoothing = 0.02
 )
 
 // A Limit is the adaptive bound of own work in flight on one backend server; its zero value is ready for use.
 type Limit struct {
-	limit    float64
+	all      bound
+	batch    bound
 	gap      float64 // smoothed seconds between tokens
 	adjusted time.Time
 }
 
+// A Work is own work in flight on one backend server.
+type Work struct {
+	All         int
+	Batch       int
+	Interactive bool // there is or was interactive work lately
+}
+
 // Max returns the bound for a class.
 func (l *Limit) Max(c deck.Class) int {
-	n := l.current()
+	n := l.all.current(InitialLimit)
 	if c == deck.Batch {
-		n *= batchShare
+		n = min(n, l.batch.current(initialBatch))
 	}
 	return max(minLimit, int(n))
 }
 
-// Observe adjusts the bound by the time between two tokens; it returns true if the bound rose.
-func (l *Limit) Observe(gap time.Duration, inFlight int, now time.Time) bool {
+// Observe adjusts the bounds by the time between two tokens; it returns true if one rose.
+func (l *Limit) Observe(gap time.Duration, w Work, now time.Time) bool {
 	if l.gap == 0 {
 		l.gap = gap.Seconds()
 	}
@@ -51,26 +61,35 @@
 	if now.Sub(l.adjusted) < adjustEvery {
 		return false
 	}
-	before := l.Max(deck.Interactive)
-	l.adjust(float64(inFlight))
 	l.adjusted = now
-	return l.Max(deck.Interactive) > before
+	rose := l.all.adjust(l.gap, highGap, lowGap, w.All, InitialLimit)
+	high, low := highGap, lowGap
+	if w.Interactive {
+		high, low = quietGap, quietGap*9/10
+	}
+	return l.batch.adjust(l.gap, high, low, w.Batch, initialBatch) || rose
 }
 
-func (l *Limit) adjust(inFlight float64) {
-	n := l.current()
-	switch {
-	case l.gap > highGap.Seconds():
-		n = min(n, max(n*fall, inFlight*fall))
-	case l.gap < lowGap.Seconds() && inFlight >= 0.8*n:
-		n += max(1, n*rise)
+// A bound is a number that falls while the gap is too high and rises while it is low and the bound is used.
+type bound float64
+
+func (b *bound) current(initial float64) float64 {
+	if *b == 0 {
+		return initial
 	}
-	l.limit = min(maxLimit, max(minLimit, n))
+	return float64(*b)
 }
 
-func (l *Limit) current() float64 {
-	if l.limit == 0 {
-		return InitialLimit
+// adjust returns true if the bound rose.
+func (b *bound) adjust(gap float64, high, low time.Duration, used int, initial float64) bool {
+	old := b.current(initial)
+	n := old
+	switch {
+	case gap > high.Seconds():
+		n = min(n, max(n*fall, float64(used)*fall))
+	case gap < low.Seconds() && float64(used) >= 0.8*n:
+		n += max(1, n*rise)
 	}
-	return l.limit
+	*b = bound(min(maxLimit, max(minLimit, n)))
+	return float64(*b) > old
 }
--- a/internal/route/admit/queue.go
+++ b/internal/route/admit/queue.go
@@ -13,10 +13,9 @@
 
 // A Queue holds the waiting requests of one model; its zero value is empty.
 type Queue struct {
-	items    []Item
-	running  map[string]int // started requests by caller
-	interval time.Duration  // smoothed time between starts while requests wait
-	last     time.Time      // last start
+	items   []Item
+	running map[string]int // started requests by caller
+	rate    [2]startRate   // by class: batch work starts rarely, which says nothing about interactive work
 }
 
 // Push adds an item; it returns false if the class's queue is full. Items that have started are always taken.
@@ -100,7 +99,7 @@
 	it := q.items[i]
 	q.items = slices.Delete(q.items, i, i+1)
 	q.count(it.Caller, 1)
-	q.observeStart(now, now.Sub(it.Enqueued))
+	q.rate[it.Class].observe(now, now.Sub(it.Enqueued))
 }
 
 // Resume counts up the caller's running work for a request that gave up waiting for a further attempt but still runs.
@@ -148,31 +147,33 @@
 
 // Wait returns the expected wait of a new item of a class from the recent rate of starts.
 func (q *Queue) Wait(c deck.Class) time.Duration {
-	ahead := q.Waiting(deck.Interactive)
+	wait := time.Duration(q.Waiting(c)) * q.rate[c].interval
 	if c == deck.Batch {
-		ahead = len(q.items)
+		wait += q.Wait(deck.Interactive)
 	}
-	return time.Duration(ahead) * q.interval
+	return wait
 }
 
-// Interval returns the smoothed time between starts.
-func (q *Queue) Interval() time.Duration {
-	return q.interval
+// Interval returns the smoothed time between starts of a class.
+func (q *Queue) Interval(c deck.Class) time.Duration {
+	return q.rate[c].interval
 }
 
-// observeStart updates the interval between starts; starts without a wait say nothing about the rate.
-func (q *Queue) observeStart(now time.Time, waited time.Duration) {
+// A startRate estimates the time between starts while requests wait.
+type startRate struct {
+	interval time.Duration
+	last     time.Time
+}
+
+// observe updates the interval; a start without a wait says nothing about the rate and lets it decay.
+func (r *startRate) observe(now time.Time, waited time.Duration) {
 	const smoothing = 0.1
-	if waited <= 0 {
-		q.last = now
-		q.interval = time.Duration(float64(q.interval) * (1 - smoothing))
-		return
-	}
-	if !q.last.IsZero() {
-		d := min(now.Sub(q.last), waited)
-		q.interval += time.Duration(smoothing * float64(d-q.interval))
+	sample := time.Duration(0)
+	if waited > 0 && !r.last.IsZero() {
+		sample = min(now.Sub(r.last), waited)
 	}
-	q.last = now
+	r.interval += time.Duration(smoothing * float64(sample-r.interval))
+	r.last = now
 }
 
 func (q *Queue) count(caller string, d int) {
--- a/internal/route/router/core.go
+++ b/internal/route/router/core.go
@@ -271,14 +271,15 @@
 const dispatchTries = 4
 
 // dispatchModel starts requests of one model while they find a server. Once a request without special needs has found
-// none, no other such request is tried.
+// none, no other such request of its class or a lower one is tried; interactive work finds room where batch work,
+// though aged and therefore first, does not.
 func (c *Core) dispatchModel(m deck.ModelName, now time.Time) {
 	q := c.queue(m)
 	var failed []uint64
-	plainFailed := false
+	noRoomFrom := deck.Batch + 1
 	for len(failed) < dispatchTries {
 		it, ok := q.Next(now, func(it admit.Item) bool {
-			return slices.Contains(failed, it.ID) || (plainFailed && c.plain(c.holds[it.ID], now))
+			return slices.Contains(failed, it.ID) || (it.Class >= noRoomFrom && c.plain(c.holds[it.ID], now))
 		})
 		if !ok {
 			return
@@ -286,7 +287,9 @@
 		h := c.holds[it.ID]
 		if !c.start(h, now) {
 			failed = append(failed, it.ID)
-			plainFailed = plainFailed || c.plain(h, now)
+			if c.plain(h, now) {
+				noRoomFrom = min(noRoomFrom, it.Class)
+			}
 			continue
 		}
 		q.Start(it.ID, now)
--- a/internal/route/router/faults_test.go
+++ b/internal/route/router/faults_test.go
@@ -307,3 +307,24 @@
 	is.Equal(victim.told, 1)
 	is.True(victim.ref == nil)
 }
+
+// Guards against aged batch work that has no room and holds up interactive work that has.
+func TestAgedBatchBlocksNoInteractive(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 1)
+	var running []*wait
+	for range admit.InitialLimit {
+		w, _ := r.run(deck.RequestInfo{})
+		running = append(running, w)
+	}
+	for range 2 * dispatchTries {
+		r.submit(deck.RequestInfo{Class: deck.Batch})
+	}
+	r.clock.Advance(time.Minute)
+	short := r.submit(deck.RequestInfo{})
+	is.Equal(short.told, 0)
+	for _, w := range running[:6] { // more than batch work may use
+		r.core.Release(w.hold)
+	}
+	is.Equal(short.told, 1)
+}
--- a/internal/route/router/hold.go
+++ b/internal/route/router/hold.go
@@ -74,3 +74,9 @@
 	h := a.hold
 	return admit.Running{Class: h.info.Class, Used: h.used, Preempted: h.givesWay, ProtectedUntil: h.protected}
 }
+
+// comparable reports whether the attempt's time to its first token says something about the server: engines let batch
+// work wait for interactive work, and a resumed answer has a longer prompt.
+func (a *attempt) comparable() bool {
+	return a.hold.info.Class == deck.Interactive && a.hold.used == 0
+}
--- a/internal/route/router/observe.go
+++ b/internal/route/router/observe.go
@@ -35,17 +35,19 @@
 	s, h := a.server, a.hold
 	s.worked()
 	a.stalled = false
-	h.used += tokens
 	if !a.first {
 		a.first = true
-		c.health.ObserveFirstToken(s.name, h.info.Model, now.Sub(a.chosen), now)
+		if a.comparable() {
+			c.health.ObserveFirstToken(s.name, h.info.Model, now.Sub(a.chosen), now)
+		}
 	} else if tokens > 0 {
 		gap := now.Sub(a.last) / time.Duration(tokens)
 		c.health.ObserveGap(s.name, h.info.Model, gap, now)
-		if s.limit.Observe(gap, len(s.attempts), now) {
+		if s.limit.Observe(gap, s.work(now), now) {
 			c.dispatch(s, now)
 		}
 	}
+	h.used += tokens
 	a.last, a.sampled = now, now
 }
 
@@ -112,7 +114,7 @@
 	if a.hold.reserved == a || now.Sub(a.sampled) < overdueSample {
 		return
 	}
-	if !a.first && waited > 2*c.health.FirstToken(s.name) && c.health.FirstToken(s.name) > 0 {
+	if !a.first && a.comparable() && waited > 2*c.health.FirstToken(s.name) && c.health.FirstToken(s.name) > 0 {
 		c.health.ObserveFirstToken(s.name, a.hold.info.Model, waited, now)
 		a.sampled = now
 	}
--- a/internal/route/router/place.go
+++ b/internal/route/router/place.go
@@ -39,6 +39,9 @@
 	h.attempts = append(h.attempts, a)
 	h.reserved = a
 	h.admitted = true
+	if h.info.Class == deck.Interactive {
+		s.interactive = now
+	}
 	h.avoid = nil
 	c.health.ObserveStart(s.name, now)
 	c.hints.Sent(s.name, h.info.Prefixes)
@@ -57,7 +60,7 @@
 	q := c.queue(h.info.Model)
 	wait := q.Wait(h.info.Class)
 	if c.holds[h.id] != nil {
-		wait = q.Interval() // it is tried because it is next
+		wait = q.Interval(h.info.Class) // it is tried because it is next
 	}
 	if now.Add(wait).Before(last.Add(-spillMargin)) {
 		return choose.SameDataCentre
--- a/internal/route/router/server.go
+++ b/internal/route/router/server.go
@@ -14,22 +14,25 @@
 	// A server whose attempts fail is left alone for a time that doubles from firstBackoff to maxBackoff.
 	firstBackoff = 500 * time.Millisecond
 	maxBackoff   = 10 * time.Second
+	// interactiveMemory is how long a server counts as used by interactive work after it was last given some.
+	interactiveMemory = 5 * time.Second
 )
 
 // A server is what the router keeps of one backend server.
 type server struct {
-	name      deck.BackendName
-	attempts  []*attempt
-	byClass   [2]int
-	limit     admit.Limit
-	reported  bool
-	total     int // running and queued in the last report
-	ownThen   int // own attempts when the report was requested
-	requested time.Time
-	bootID    string
-	failures  int // in a row
-	downUntil time.Time
-	preempted time.Time // last time that an attempt here was asked to give way
+	name        deck.BackendName
+	attempts    []*attempt
+	byClass     [2]int
+	limit       admit.Limit
+	reported    bool
+	total       int // running and queued in the last report
+	ownThen     int // own attempts when the report was requested
+	requested   time.Time
+	bootID      string
+	failures    int // in a row
+	downUntil   time.Time
+	interactive time.Time // last time that interactive work was given to it
+	preempted   time.Time // last time that an attempt here was asked to give way
 }
 
 func (s *server) load(now time.Time) choose.Load {
@@ -42,6 +45,15 @@
 	}
 }
 
+// work returns the own work in flight for the adaptive limit.
+func (s *server) work(now time.Time) admit.Work {
+	return admit.Work{
+		All:         len(s.attempts),
+		Batch:       s.byClass[deck.Batch],
+		Interactive: s.byClass[deck.Interactive] > 0 || now.Sub(s.interactive) < interactiveMemory,
+	}
+}
+
 // room returns how many attempts of the class may be added.
 func (s *server) room(c deck.Class, weight float64) int {
 	bound := func(c deck.Class) int {
