--- a/internal/route/admit/item.go
+++ b/internal/route/admit/item.go
@@ -33,6 +33,11 @@
 	return now.Sub(it.Enqueued) > it.ageing()
 }
 
+// Aged reports whether a request of the class that has not started goes ahead of all others after the wait.
+func Aged(c deck.Class, wait time.Duration) bool {
+	return wait > Item{Class: c}.ageing()
+}
+
 // LastStart returns the latest time at which the item may start, given the time that a first token takes.
 func (it Item) LastStart(firstToken time.Duration) time.Time {
 	if it.Deadline.IsZero() {
--- /dev/null
+++ b/internal/route/health/fuzz_test.go
@@ -0,0 +1,185 @@
+package health
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/test/decktest"
+)
+
+// A truth is what the oracle knows of one server.
+type truth struct {
+	name    deck.BackendName
+	slow    bool
+	since   time.Time // last change of any server's speed
+	changes int
+	turns   int // changes of the weight's direction
+	rising  bool
+	weight  float64
+}
+
+// An oracle compares the tracker's weights with the true speeds.
+type oracle struct {
+	tracker *Tracker
+	now     time.Time
+	servers []*truth
+}
+
+func newOracle(servers int) *oracle {
+	o := &oracle{tracker: NewTracker(DefaultPolicy()), now: time.Unix(1000, 0)}
+	for i := range servers {
+		o.servers = append(o.servers, &truth{name: deck.BackendName(fmt.Sprint(i)), weight: 1, since: o.now})
+	}
+	return o
+}
+
+// step feeds 100 ms of samples.
+func (o *oracle) step() {
+	for range 5 {
+		o.now = o.now.Add(20 * time.Millisecond)
+		for _, s := range o.servers {
+			gap := 20 * time.Millisecond
+			if s.slow {
+				gap = 80 * time.Millisecond
+			}
+			o.tracker.ObserveGap(s.name, "m", gap, o.now)
+		}
+	}
+	o.tracker.Evaluate(o.now)
+}
+
+func (o *oracle) run(t *rapid.T) {
+	for range rapid.IntRange(1, 40).Draw(t, "steps") {
+		o.step()
+		o.check(t)
+	}
+}
+
+func (o *oracle) change(s *truth, slow bool) {
+	if s.slow != slow {
+		s.slow, s.changes = slow, s.changes+1
+		for _, x := range o.servers {
+			x.since = o.now
+		}
+	}
+}
+
+// toggle changes one server's speed; it slows none beyond a minority.
+func (o *oracle) toggle(t *rapid.T) {
+	s := rapid.SampledFrom(o.servers).Draw(t, "server")
+	slow := 0
+	for _, x := range o.servers {
+		if x.slow {
+			slow++
+		}
+	}
+	if s.slow || 2*(slow+1) < len(o.servers) {
+		o.change(s, !s.slow)
+	}
+}
+
+// all makes all servers equally slow or fast.
+func (o *oracle) all(t *rapid.T) {
+	slow := rapid.Bool().Draw(t, "slow")
+	for _, s := range o.servers {
+		o.change(s, slow)
+	}
+}
+
+func (o *oracle) check(t *rapid.T) {
+	const settles = 6 * time.Second // estimates follow within a second, then four steps
+	equal, slow := true, 0
+	for _, s := range o.servers {
+		equal = equal && s.slow == o.servers[0].slow
+		if s.slow {
+			slow++
+		}
+	}
+	minority := 2*slow < len(o.servers) // a slow majority has no fast median to be compared with
+	for _, s := range o.servers {
+		w := o.tracker.Weight(s.name)
+		o.checkStep(t, s, w)
+		stable := o.now.Sub(s.since) > settles
+		switch {
+		case stable && s.slow && minority && w > 0.1:
+			t.Fatalf("server %s is slow and has weight %v", s.name, w)
+		case stable && (!s.slow || equal) && w < 1:
+			t.Fatalf("server %s is as fast as its peers and has weight %v", s.name, w)
+		case w <= 0:
+			t.Fatalf("server %s is removed", s.name)
+		}
+	}
+}
+
+// checkStep follows a weight and reports a jump over a step, or turns without changes of speed.
+func (o *oracle) checkStep(t *rapid.T, s *truth, w float64) {
+	if w == s.weight {
+		return
+	}
+	from, to := stepOf(s.weight), stepOf(w)
+	if from-to > 1 || to-from > 1 {
+		t.Fatalf("server %s jumped from weight %v to %v", s.name, s.weight, w)
+	}
+	if rising := w > s.weight; rising != s.rising {
+		s.rising = rising
+		s.turns++
+	}
+	s.weight = w
+	total := 0
+	for _, x := range o.servers {
+		total += x.changes
+	}
+	if s.turns > 2*total+1 {
+		t.Fatalf("server %s flaps: %d turns after %d changes of speed", s.name, s.turns, total)
+	}
+}
+
+func stepOf(w float64) int {
+	for i, s := range steps {
+		if s == w {
+			return i
+		}
+	}
+	return -10
+}
+
+// Guards against slow servers that keep their weight, weights that never return, flapping and emptied models.
+func TestFuzzSlowServers(t *testing.T) {
+	decktest.Check(t, func(rt *rapid.T) {
+		o := newOracle(rapid.IntRange(1, 6).Draw(rt, "servers"))
+		rt.Repeat(map[string]func(*rapid.T){"run": o.run, "toggle": o.toggle, "all": o.all})
+	})
+}
+
+// Guards against a suspect that shares a server with another one after 2 crashes, and against counts that never end.
+func TestSuspects(t *testing.T) {
+	var s Suspects
+	now := time.Unix(1000, 0)
+	beside := digests{"other"}
+	for n, want := range []bool{true, true, false} {
+		if got := s.MayShare("poison", beside, now); got != want {
+			t.Fatalf("after %d crashes: may share %v, want %v", n, got, want)
+		}
+		s.ObserveCrash("poison", now)
+		if n == 0 {
+			s.ObserveCrash("other", now)
+		}
+	}
+	if s.Crashes("poison", now.Add(2*suspectLife)) != 0 {
+		t.Fatal("suspicion does not expire")
+	}
+}
+
+type digests []string
+
+func (d digests) EachDigest(f func(string) bool) {
+	for _, x := range d {
+		if !f(x) {
+			return
+		}
+	}
+}
