--- /dev/null
+++ b/internal/route/choose/choose_test.go
@@ -0,0 +1,155 @@
+package choose
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// picks returns how often each candidate is chosen in 1000 choices with a fixed seed.
+func picks(cs []Candidate, need Need) []int {
+	rnd := rand.New(rand.NewPCG(1, 1))
+	out := make([]int, len(cs))
+	for range 1000 {
+		if i, ok := Pick(cs, need, rnd); ok {
+			out[i]++
+		}
+	}
+	return out
+}
+
+func server(change func(*Candidate)) Candidate {
+	c := Candidate{HasAdapter: true, Room: 10, Weight: 1}
+	if change != nil {
+		change(&c)
+	}
+	return c
+}
+
+// Guards against each way of choosing a server that the view rules out.
+func TestPick(t *testing.T) {
+	far := func(c *Candidate) { c.Distance = Elsewhere }
+	for name, c := range map[string]struct {
+		cs    []Candidate
+		need  Need
+		never int // index that must not be chosen
+		total int
+	}{
+		"no room":          {[]Candidate{server(nil), server(func(c *Candidate) { c.Room = 0 })}, Need{}, 1, 1000},
+		"no adapter":       {[]Candidate{server(nil), server(func(c *Candidate) { c.HasAdapter = false })}, Need{Adapter: true}, 1, 1000},
+		"far while near":   {[]Candidate{server(nil), server(far)}, Need{Farthest: Elsewhere}, 1, 1000},
+		"far not allowed":  {[]Candidate{server(func(c *Candidate) { c.Room = 0 }), server(far)}, Need{}, 1, 0},
+		"far if none near": {[]Candidate{server(far), server(func(c *Candidate) { c.HasAdapter = false })}, Need{Adapter: true}, 1, 1000},
+		"down":             {[]Candidate{server(nil), server(func(c *Candidate) { c.Down = true })}, Need{}, 1, 1000},
+		"avoid":            {[]Candidate{server(nil), server(func(c *Candidate) { c.Avoid = true })}, Need{}, 1, 1000},
+		"loaded":           {[]Candidate{server(nil), server(func(c *Candidate) { c.Load.Own = 5 })}, Need{}, 1, 1000},
+		"reported load": {[]Candidate{
+			server(func(c *Candidate) { c.Load = Load{Reported: true, Total: 5} }),
+			server(func(c *Candidate) { c.Load = Load{Reported: true, Total: 20, OwnAtReport: 1} }),
+		}, Need{}, 1, 1000},
+		"near but slow": {[]Candidate{server(far), server(func(c *Candidate) { c.Weight = 0.02 })}, Need{}, 1, 1000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			n := picks(c.cs, c.need)
+			is.True(n[c.never] <= 20) // a server of reduced weight may be drawn at its share
+			if c.cs[c.never].Weight == 1 {
+				is.Equal(n[c.never], 0)
+			}
+			is.Equal(n[0]+n[1], c.total)
+		})
+	}
+}
+
+// Guards against VMs that all choose the one server that a stale report shows as idle.
+func TestTwoChoicesSpread(t *testing.T) {
+	is := is.New(t)
+	var cs []Candidate
+	for i := range 10 {
+		cs = append(cs, server(func(c *Candidate) { c.Load = Load{Reported: true, Total: i} }))
+	}
+	n := picks(cs, Need{})
+	is.True(n[0] < 250)
+	is.Equal(n[9], 0)
+}
+
+// Guards against prefix affinity that overloads a server, and against affinity without effect.
+func TestAffinityBoundedByLoad(t *testing.T) {
+	is := is.New(t)
+	for own, want := range map[int]int{2: 1000, 30: 0} {
+		cs := []Candidate{server(nil), server(nil), server(nil), server(func(c *Candidate) { c.PrefixHit = 1 })}
+		for i := range cs {
+			cs[i].Load.Own = 3
+		}
+		cs[3].Load.Own = own
+		is.Equal(picks(cs, Need{})[3], want)
+	}
+}
+
+// Guards against a stale report that still counts.
+func TestStaleReport(t *testing.T) {
+	is := is.New(t)
+	n, ok := Load{Reported: true, Total: 7, OwnAtReport: 9, ReportAge: time.Second}.Others()
+	is.Equal(n, 0)
+	is.True(ok)
+	_, ok = Load{Reported: true, ReportAge: time.Minute}.Others()
+	is.True(!ok)
+}
+
+// Guards against polling of too many engines, of too few for a model, and against the same engines on all VMs.
+func TestSubset(t *testing.T) {
+	is := is.New(t)
+	var all []deck.BackendName
+	for i := range 600 {
+		all = append(all, deck.BackendName(fmt.Sprintf("e%d", i)))
+	}
+	is.Equal(len(Subset("vm1", all, nil)), SubsetSize)
+	is.Equal(len(Subset("vm1", all[:5], nil)), 5)
+	models := [][]deck.BackendName{all[10:13], all[20:21]}
+	got := Subset("vm1", all, models)
+	count := func(names []deck.BackendName) (n int) {
+		for _, b := range got {
+			for _, x := range names {
+				if b == x {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	is.True(count(models[0]) >= 2)
+	is.Equal(count(models[1]), 1)
+	same := 0
+	for _, b := range Subset("vm2", all, nil) {
+		same += count([]deck.BackendName{b})
+	}
+	is.True(same < SubsetSize/2)
+	var many [][]deck.BackendName
+	for i := range 100 {
+		many = append(many, all[2*i:2*i+2])
+	}
+	is.Equal(len(Subset("vm1", all, many)), maxSubset)
+}
+
+// Guards against hints that outlive an eviction, a gap in the events or the memory bound.
+func TestPrefixHints(t *testing.T) {
+	is := is.New(t)
+	var h PrefixHints
+	h.Sent("e", []uint64{1, 2, 3, 4})
+	is.Equal(h.Hit("e", []uint64{1, 2, 9, 4}), 0.5)
+	h.Observe("e", deck.CacheEvents{Events: []deck.CacheEvent{{Prefix: 2, Evicted: true}, {Prefix: 7}}})
+	is.Equal(h.Hit("e", []uint64{1, 2, 3, 4}), 0.25)
+	h.Observe("e", deck.CacheEvents{Gap: true, Events: []deck.CacheEvent{{Prefix: 8}}})
+	is.Equal(h.Hit("e", []uint64{1}), 0.0)
+	is.Equal(h.Hit("e", []uint64{8}), 1.0)
+	for p := range uint64(2 * maxHints) {
+		h.Sent("e", []uint64{100 + p})
+	}
+	is.True(len(h.servers["e"].held) <= maxHints)
+	is.Equal(h.Hit("other", []uint64{1}), 0.0)
+}
--- a/internal/route/choose/subset.go
+++ b/internal/route/choose/subset.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -14,31 +15,28 @@
 	SubsetSize = 16
 	// subsetPerModel is the least number of watched engines for a model, so that its choice compares two reports.
 	subsetPerModel = 2
+	// maxSubset bounds the watched engines if the models need more than SubsetSize: 24 reports of 0.25 KB every 2 s are
+	// 3 KB/s of the 8 KB/s that a node has.
+	maxSubset = 24
 )
 
-// Subset returns the engines whose reports the VM polls, ordered by rendezvous hash, at least two for each model's list
-// where it has them; models may therefore exceed SubsetSize.
+// Subset returns the engines whose reports the VM polls, in rendezvous order: two for each model that the VM serves, as
+// far as maxSubset allows, and further ones up to SubsetSize. The models' replicas are given most used model first.
 func Subset(vm deck.VMName, engines []deck.BackendName, models [][]deck.BackendName) []deck.BackendName {
 	taken := make(map[deck.BackendName]bool)
-	var out []deck.BackendName
-	for _, replicas := range models {
-		for _, b := range ranked(vm, replicas)[:min(subsetPerModel, len(replicas))] {
-			if !taken[b] {
+	add := func(names []deck.BackendName, bound int) {
+		for _, b := range names {
+			if len(taken) < bound {
 				taken[b] = true
-				out = append(out, b)
 			}
 		}
 	}
-	for _, b := range ranked(vm, engines) {
-		if len(out) >= SubsetSize {
-			break
-		}
-		if !taken[b] {
-			taken[b] = true
-			out = append(out, b)
-		}
+	for _, replicas := range models {
+		best := ranked(vm, replicas)
+		add(best[:min(subsetPerModel, len(best))], maxSubset)
 	}
-	return ranked(vm, out)
+	add(ranked(vm, engines), SubsetSize)
+	return ranked(vm, slices.Collect(maps.Keys(taken)))
 }
 
 // ranked returns the names in the VM's rendezvous order.
--- a/internal/route/router/core.go
+++ b/internal/route/router/core.go
@@ -22,6 +22,7 @@
 	servers  map[deck.BackendName]*server
 	queues   map[deck.ModelName]*admit.Queue
 	waiting  map[deck.ModelName]*admit.Queue // those that are not empty
+	used     map[deck.ModelName]time.Time    // last request for a known model
 	holds    map[uint64]*Hold                // waiting requests by item ID
 	health   *health.Tracker
 	leaving  health.Leaving
@@ -49,6 +50,7 @@
 		servers: make(map[deck.BackendName]*server),
 		queues:  make(map[deck.ModelName]*admit.Queue),
 		waiting: make(map[deck.ModelName]*admit.Queue),
+		used:    make(map[deck.ModelName]time.Time),
 		holds:   make(map[uint64]*Hold),
 		health:  health.NewTracker(cfg.Health),
 	}
@@ -78,6 +80,7 @@
 	if _, ok := c.cfg.State.State().Model(h.info.Model); !ok {
 		return refused(deck.RefusedUnknownModel, "unknown model", 0)
 	}
+	c.used[h.info.Model] = now
 	if h.info.Digest != "" && c.cfg.Poison.Refused(h.info.Digest) {
 		return refused(deck.RefusedPoison, "the request has crashed backend servers", 0)
 	}
--- a/internal/route/router/observe.go
+++ b/internal/route/router/observe.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
@@ -167,3 +169,15 @@
 	defer c.mu.Unlock()
 	c.draining = true
 }
+
+// usedMemory is how long a model counts as served by this VM after its last request.
+const usedMemory = time.Minute
+
+// Used returns the models that callers have lately asked this VM for, ordered by name.
+func (c *Core) Used() []deck.ModelName {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.cfg.Clock.Now()
+	maps.DeleteFunc(c.used, func(_ deck.ModelName, at time.Time) bool { return now.Sub(at) > usedMemory })
+	return slices.Sorted(maps.Keys(c.used))
+}
--- /dev/null
+++ b/internal/route/watch/watcher_test.go
@@ -0,0 +1,131 @@
+package watch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// A fakeFleet is the state, the residency, the engines and the sink of a test.
+type fakeFleet struct {
+	mu      sync.Mutex
+	state   deck.State
+	hang    deck.BackendName // its reports never arrive
+	boot    string
+	polls   map[deck.BackendName][]time.Time
+	after   []uint64
+	reports int
+}
+
+func (f *fakeFleet) State() deck.State                                     { return f.state }
+func (f *fakeFleet) Changed() <-chan struct{}                              { return nil }
+func (f *fakeFleet) Proven() bool                                          { return true }
+func (f *fakeFleet) Replicas(deck.ModelName) []deck.Replica                { return []deck.Replica{{Backend: "e00"}} }
+func (f *fakeFleet) HasAdapter(deck.BackendName, deck.AdapterName) bool    { return false }
+func (f *fakeFleet) Used() []deck.ModelName                                { return []deck.ModelName{"m"} }
+func (f *fakeFleet) ObserveCacheEvents(deck.BackendName, deck.CacheEvents) {}
+
+func (f *fakeFleet) ObserveReport(deck.EngineReport, time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reports++
+}
+
+// A fakeEngine answers polls; the other calls are not used.
+type fakeEngine struct {
+	deck.Engine
+	f    *fakeFleet
+	name deck.BackendName
+}
+
+func (e fakeEngine) Report(ctx context.Context) (deck.EngineReport, error) {
+	e.f.mu.Lock()
+	e.f.polls[e.name] = append(e.f.polls[e.name], time.Now())
+	hang, boot := e.f.hang == e.name, e.f.boot
+	e.f.mu.Unlock()
+	if hang {
+		<-ctx.Done()
+		return deck.EngineReport{}, errors.New("no answer")
+	}
+	return deck.EngineReport{BootID: boot}, nil
+}
+
+func (e fakeEngine) CacheEvents(_ context.Context, after uint64) (deck.CacheEvents, error) {
+	e.f.mu.Lock()
+	defer e.f.mu.Unlock()
+	if e.name == "e00" {
+		e.f.after = append(e.f.after, after)
+	}
+	return deck.CacheEvents{Last: after + 10}, nil
+}
+
+func newFleet(engines int) *fakeFleet {
+	f := &fakeFleet{polls: make(map[deck.BackendName][]time.Time), boot: "1"}
+	var t deck.Ticket
+	for i := range engines {
+		t.BackendServers = append(t.BackendServers, deck.BackendServer{Name: deck.BackendName(fmt.Sprintf("e%02d", i))})
+	}
+	f.state = f.state.WithTicket(t, 1)
+	return f
+}
+
+// watch runs a watcher for the given time and returns once its done channel is closed.
+func (f *fakeFleet) watch(t *testing.T, d time.Duration, during func()) {
+	ctx, cancel := context.WithTimeout(t.Context(), d)
+	defer cancel()
+	var g errgroup.Group
+	w := New(Config{
+		VM: "vm1", Clock: deck.SystemClock{}, State: f, Residency: f, Sink: f,
+		Client: func(b deck.BackendServer) deck.Engine { return fakeEngine{f: f, name: b.Name} },
+	})
+	done := w.Start(ctx, &g)
+	if during != nil {
+		during()
+	}
+	<-done
+	_ = g.Wait()
+}
+
+// Guards against polls of all engines, bursts of polls, and one silent engine that holds up the polls of the others.
+func TestPollsSubsetStaggered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(40)
+		f.hang = "e00"
+		f.watch(t, 20*time.Second+time.Millisecond, nil)
+		is.Equal(len(f.polls), 16)
+		first := make(map[time.Time]bool)
+		for b, times := range f.polls {
+			is.True(len(times) >= 10)
+			is.Equal(times[1].Sub(times[0]), PollEvery)
+			is.True(!first[times[0]])
+			first[times[0]] = true
+			is.True(b != "")
+		}
+		is.True(f.reports >= 15*10)
+	})
+}
+
+// Guards against cache events that are skipped because a restarted engine counts anew.
+func TestCacheEventsAfterRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1)
+		f.watch(t, 7*time.Second, func() {
+			time.Sleep(3 * time.Second)
+			f.mu.Lock()
+			f.boot = "2"
+			f.mu.Unlock()
+		})
+		is.Equal(f.after, []uint64{0, 10, 0, 10})
+	})
+}
