--- a/internal/route/router/core.go
+++ b/internal/route/router/core.go
@@ -22,6 +22,7 @@
 	servers  map[deck.BackendName]*server
 	queues   map[deck.ModelName]*admit.Queue
 	waiting  map[deck.ModelName]*admit.Queue // those that are not empty
+	used     map[deck.ModelName]time.Time    // last request for a known model
 	holds    map[uint64]*Hold                // waiting requests by item ID
 	health   *health.Tracker
 	leaving  health.Leaving
@@ -49,6 +50,7 @@
 		servers: make(map[deck.BackendName]*server),
 		queues:  make(map[deck.ModelName]*admit.Queue),
 		waiting: make(map[deck.ModelName]*admit.Queue),
+		used:    make(map[deck.ModelName]time.Time),
 		holds:   make(map[uint64]*Hold),
 		health:  health.NewTracker(cfg.Health),
 	}
@@ -78,6 +80,7 @@
 	if _, ok := c.cfg.State.State().Model(h.info.Model); !ok {
 		return refused(deck.RefusedUnknownModel, "unknown model", 0)
 	}
+	c.used[h.info.Model] = now
 	if h.info.Digest != "" && c.cfg.Poison.Refused(h.info.Digest) {
 		return refused(deck.RefusedPoison, "the request has crashed backend servers", 0)
 	}
@@ -271,14 +274,15 @@
 const dispatchTries = 4
 
 // dispatchModel starts requests of one model while they find a server. Once a request without special needs has found
-// none, no other such request is tried.
+// none, no other such request of its class or a lower one is tried; interactive work finds room where batch work,
+// though aged and therefore first, does not.
 func (c *Core) dispatchModel(m deck.ModelName, now time.Time) {
 	q := c.queue(m)
 	var failed []uint64
-	plainFailed := false
+	noRoomFrom := deck.Batch + 1
 	for len(failed) < dispatchTries {
 		it, ok := q.Next(now, func(it admit.Item) bool {
-			return slices.Contains(failed, it.ID) || (plainFailed && c.plain(c.holds[it.ID], now))
+			return slices.Contains(failed, it.ID) || (it.Class >= noRoomFrom && c.plain(c.holds[it.ID], now))
 		})
 		if !ok {
 			return
@@ -286,7 +290,9 @@
 		h := c.holds[it.ID]
 		if !c.start(h, now) {
 			failed = append(failed, it.ID)
-			plainFailed = plainFailed || c.plain(h, now)
+			if c.plain(h, now) {
+				noRoomFrom = min(noRoomFrom, it.Class)
+			}
 			continue
 		}
 		q.Start(it.ID, now)
--- a/internal/route/router/place.go
+++ b/internal/route/router/place.go
@@ -13,7 +13,7 @@
 	spillAfter = time.Second
 	// Servers of reduced weight are tried by batch work first and by interactive work if there is none.
 	batchProbe       = 500 * time.Millisecond
-	interactiveProbe = 2 * time.Second
+	interactiveProbe = 20 * time.Second
 	// preemptEvery lets the effect of one preemption on a server show before the next.
 	preemptEvery = 100 * time.Millisecond
 	// preemptWait is the wait of interactive work that makes longer work give way.
@@ -39,6 +39,9 @@
 	h.attempts = append(h.attempts, a)
 	h.reserved = a
 	h.admitted = true
+	if h.info.Class == deck.Interactive {
+		s.interactive = now
+	}
 	h.avoid = nil
 	c.health.ObserveStart(s.name, now)
 	c.hints.Sent(s.name, h.info.Prefixes)
@@ -57,7 +60,7 @@
 	q := c.queue(h.info.Model)
 	wait := q.Wait(h.info.Class)
 	if c.holds[h.id] != nil {
-		wait = q.Interval() // it is tried because it is next
+		wait = q.Interval(h.info.Class) // it is tried because it is next
 	}
 	if now.Add(wait).Before(last.Add(-spillMargin)) {
 		return choose.SameDataCentre
