--- a/internal/route/router/observe.go
+++ b/internal/route/router/observe.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
@@ -35,17 +37,19 @@
 	s, h := a.server, a.hold
 	s.worked()
 	a.stalled = false
-	h.used += tokens
 	if !a.first {
 		a.first = true
-		c.health.ObserveFirstToken(s.name, h.info.Model, now.Sub(a.chosen), now)
+		if a.comparable() {
+			c.health.ObserveFirstToken(s.name, h.info.Model, now.Sub(a.chosen), now)
+		}
 	} else if tokens > 0 {
 		gap := now.Sub(a.last) / time.Duration(tokens)
 		c.health.ObserveGap(s.name, h.info.Model, gap, now)
-		if s.limit.Observe(gap, len(s.attempts), now) {
+		if s.limit.Observe(gap, s.work(now), now) {
 			c.dispatch(s, now)
 		}
 	}
+	h.used += tokens
 	a.last, a.sampled = now, now
 }
 
@@ -112,7 +116,7 @@
 	if a.hold.reserved == a || now.Sub(a.sampled) < overdueSample {
 		return
 	}
-	if !a.first && waited > 2*c.health.FirstToken(s.name) && c.health.FirstToken(s.name) > 0 {
+	if !a.first && a.comparable() && waited > 2*c.health.FirstToken(s.name) && c.health.FirstToken(s.name) > 0 {
 		c.health.ObserveFirstToken(s.name, a.hold.info.Model, waited, now)
 		a.sampled = now
 	}
@@ -165,3 +169,15 @@
 	defer c.mu.Unlock()
 	c.draining = true
 }
+
+// usedMemory is how long a model counts as served by this VM after its last request.
+const usedMemory = time.Minute
+
+// Used returns the models that callers have lately asked this VM for, ordered by name.
+func (c *Core) Used() []deck.ModelName {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.cfg.Clock.Now()
+	maps.DeleteFunc(c.used, func(_ deck.ModelName, at time.Time) bool { return now.Sub(at) > usedMemory })
+	return slices.Sorted(maps.Keys(c.used))
+}
