Finish what follows a token when the caller leaves with it

A longer fuzz run (3,000 checks) found that a caller who leaves while a token is delivered stopped the actions after it: the loser of a hedge was not cancelled at its engine and the router went on counting it. Departure is now handled after the actions; an answer whose last token could not be delivered counts as left, not as done.

The model was wrong about the runner, which relied on the engine client to notice the ended context; the runner now checks it, TestAbandonedBeforeStart holds it to that, and the model follows.

--- a/internal/route/attempt/life_test.go
+++ b/internal/route/attempt/life_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -103,6 +104,8 @@
 			numbers = append(numbers, n+1)
 		}
 	}
+	// An attempt that is abandoned before its start sends nothing; try.send checks that.
+	numbers = slices.DeleteFunc(numbers, func(n int) bool { return s.attempts[n].abandoned && !s.attempts[n].sent })
 	if len(numbers) == 0 {
 		s.t.Skip("no attempt left")
 	}
--- a/internal/route/attempt/rig_test.go
+++ b/internal/route/attempt/rig_test.go
@@ -14,14 +14,14 @@
 // A recorder is a sink that keeps what it gets.
 type recorder struct {
 	tokens []deck.Token
-	limit  int // tokens after which the caller is gone; 0 for none
+	limit  int // tokens after which the caller is gone; 0 for a caller that stays, -1 for one that takes no token
 	pause  time.Duration
 }
 
 func (r *recorder) Heartbeat() error { return nil }
 
 func (r *recorder) Token(t deck.Token) error {
-	if r.limit > 0 && len(r.tokens) == r.limit {
+	if r.limit != 0 && len(r.tokens) == max(r.limit, 0) {
 		return errLeft
 	}
 	time.Sleep(r.pause)
--- a/internal/route/attempt/run.go
+++ b/internal/route/attempt/run.go
@@ -29,6 +29,7 @@
 	preempted <-chan struct{}
 	ignored   <-chan struct{} // closed earlier and already acted upon
 	hedge     *time.Timer
+	gone      bool // the sink failed
 	result    *Result
 }
 
@@ -85,11 +86,11 @@
 func (x *run) step(e Event) {
 	e.At = x.runner.Clock.Now()
 	for _, a := range x.life.Step(e) {
-		if x.result != nil {
-			return
-		}
 		x.act(a)
 	}
+	if x.gone && x.result == nil {
+		x.step(Event{Kind: EventGone})
+	}
 }
 
 // note keeps what belongs to an attempt that starts.
@@ -152,9 +153,7 @@
 	if x.version == nil {
 		x.version = &x.handles[a.Attempt].version
 	}
-	if err := x.sink.Token(a.Token); err != nil {
-		x.step(Event{Kind: EventGone})
-	}
+	x.gone = x.gone || x.sink.Token(a.Token) != nil
 }
 
 func (x *run) beat() {
@@ -209,10 +208,13 @@
 }
 
 func (x *run) finish(r Result) {
-	x.result = &r
 	if r.Kind == Done {
 		x.runner.Suspects.Clear(x.req.Info.Digest)
 	}
+	if r.Kind == Done && x.gone {
+		r.Kind = Gone
+	}
+	x.result = &r
 }
 
 // choose asks the router for a backend server.
--- a/internal/route/attempt/run_test.go
+++ b/internal/route/attempt/run_test.go
@@ -44,7 +44,7 @@
 		class:  deck.Class(rapid.IntRange(0, 1).Draw(t, "class")),
 		leaves: time.Duration(rapid.SampledFrom([]int{0, 0, 0, 5, 700, 2500}).Draw(t, "leaves")) * time.Millisecond,
 		sink: recorder{
-			limit: rapid.SampledFrom([]int{0, 0, 0, 1, 3}).Draw(t, "limit"),
+			limit: rapid.SampledFrom([]int{0, 0, 0, -1, 1, 3}).Draw(t, "limit"),
 			pause: time.Duration(rapid.SampledFrom([]int{0, 0, 40}).Draw(t, "pause")) * time.Millisecond,
 		},
 	}
@@ -195,6 +195,47 @@
 	return n
 }
 
+// TestGoneAtWin guards against a loser of a hedge that runs on because the caller left with the first token.
+func TestGoneAtWin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(2, answerOf(1))
+		f.engines["e1"].Plan = []decktest.Behaviour{{Delay: 5 * time.Second}}
+		is.Equal(f.runner.Run(t.Context(), f.request("r"), &recorder{limit: -1}).Kind, Gone)
+		f.runner.Wait()
+		is.Equal(len(f.engines["e1"].Canceled()), 1)
+		is.Equal(len(f.engines["e2"].Canceled()), 1)
+		is.Equal(f.router.Faults(), nil)
+	})
+}
+
+// TestAbandonedBeforeStart guards against a request that reaches an engine after it was called not run: the start of an
+// attempt and its end by the loop race.
+func TestAbandonedBeforeStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1, answerOf(1))
+		for range 64 { // either side of the race wins with even chances
+			ctx, cancel := context.WithCancel(t.Context())
+			x := &run{runner: f.runner, req: f.request("r"), events: make(chan message)}
+			x.adm, _ = f.router.Admit(ctx, x.req.Info)
+			server, _ := x.adm.Choose(ctx, nil)
+			place, _ := f.runner.Suspects.TryEnter("r", server.Name)
+			var loop errgroup.Group
+			loop.Go(func() error {
+				select {
+				case <-x.events:
+				case <-t.Context().Done():
+				}
+				return nil
+			})
+			synctest.Wait()
+			cancel()
+			(&try{run: x, ctx: ctx, number: 1}).send(server, place)
+		}
+		is.New(t).Equal(len(f.engines["e1"].Calls()), 0)
+	})
+}
+
 // TestBudget guards against retries that multiply the load of engines that fail.
 func TestBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/route/attempt/try.go
+++ b/internal/route/attempt/try.go
@@ -126,6 +126,9 @@
 		t.unused(server)
 		return
 	}
+	if t.ctx.Err() != nil {
+		return // the loop had abandoned the attempt, and nothing may be sent
+	}
 	stream, err := engine.Generate(t.ctx, t.generation(version))
 	if err != nil {
 		t.broke(err)
