Count a crash as alone if any of the digest's runs was alone

The crash was recorded from the first run as one beside others, and the second run's finding was dropped as a repetition, so the request needed a third crash to be refused. The finding now counts, and is reported to the other VMs, which merge it into the same crash.

--- a/internal/route/attempt/suspects.go
+++ b/internal/route/attempt/suspects.go
@@ -103,8 +103,8 @@
 	delete(s.seen, digest)
 }
 
-// Crash records that the run was present when its backend server crashed. It returns false if the crash was already
-// recorded for the digest, as happens when two callers send the same content.
+// Crash records that the run was present when its backend server crashed. It returns false if that is nothing new: the
+// crash was already recorded for the digest, as happens when two callers send the same content.
 func (r *Run) Crash(boot string) bool {
 	s := r.s
 	s.mu.Lock()
@@ -116,14 +116,15 @@
 	}
 	key := crashKey{r.backend, boot}
 	at, known := v.crashes[key]
+	newlyAlone := r.alone && !v.alone
+	v.alone = v.alone || r.alone
 	if known && (boot != "" || now.Sub(at) < unknownBootTTL) {
-		return false
+		return newlyAlone
 	}
 	if known {
 		key.boot = now.String()
 	}
 	v.crashes[key] = now
-	v.alone = v.alone || r.alone
 	v.last = now
 	return true
 }
