--- a/internal/command/process/serving.go
+++ b/internal/command/process/serving.go
@@ -11,6 +11,7 @@
 	"github.com/geraniumdeck/geraniumdeck/internal/core/kernel"
 	"github.com/geraniumdeck/geraniumdeck/internal/route/health"
 	"github.com/geraniumdeck/geraniumdeck/internal/route/router"
+	"github.com/geraniumdeck/geraniumdeck/internal/route/watch"
 	settings "github.com/geraniumdeck/geraniumdeck/internal/settings/yaml"
 	"github.com/geraniumdeck/geraniumdeck/internal/state/machine"
 )
@@ -45,8 +46,12 @@
 		Poison: commands, Clock: p.clock, VM: p.vm.Name, DataCentre: p.vm.DataCentre,
 		MaxStreams: p.settings.Limits.MaxStreams, Served: served,
 	}
+	w := watch.New(watch.Config{
+		VM: p.vm.Name, Clock: p.clock, State: p.store, Residency: res, Client: eng.Engine, Sink: r,
+	})
 	return errors.Join(
 		p.kernel.Add(nameRouter, newRunner(groupRun(r.Start))),
+		p.kernel.Add(nameWatch, newRunner(groupRun(w.Start))),
 		p.kernel.Add(nameCallers, h),
 	)
 }
