Check that a request beside crashes it did not cause is served

The check fails: a request that was in flight at one crash is refused as poison when it is sent again. Router and attempt both report the crash, and the router's report carries no boot id, so that one crash counts twice.

--- a/internal/test/deployment/example.go
+++ b/internal/test/deployment/example.go
@@ -92,6 +92,16 @@
 	} `json:"places"`
 }
 
+// Has reports whether the engine serves the model.
+func (s State) Has(model, engine string) bool {
+	for _, p := range s.Places {
+		if p.Model == model && p.Backend == engine && p.Ready {
+			return true
+		}
+	}
+	return false
+}
+
 // State returns what a VM of the single-machine example shows to operators.
 func (d *Deployment) State(ctx context.Context, vm string) (State, error) {
 	var s State
--- a/scripts/faults/main.go
+++ b/scripts/faults/main.go
@@ -28,6 +28,7 @@
 		{"engine-crash", engineCrash},
 		{"silent-connection", silentConnection},
 		{"poison-request", poisonRequest},
+		{"innocent-beside-crashes", innocentBesideCrashes},
 		{"booking-answer-lost", bookingAnswerLost},
 		{"entry-killed", entryKilled},
 		{"ticket-races", ticketRaces},
--- a/scripts/faults/serving.go
+++ b/scripts/faults/serving.go
@@ -149,6 +149,50 @@
 	return fmt.Sprintf("sent 18 times through three VMs it crashed %d engines and is refused everywhere", after-before), nil
 }
 
+// innocentBesideCrashes sends a request that is in flight whenever its engine crashes, for reasons of its own.
+func innocentBesideCrashes(ctx context.Context, d *deployment.Deployment) (string, error) {
+	const prompt, rounds = "an innocent question", 2
+	for range rounds {
+		engine, err := awaitLocalPlace(ctx, d, "manual")
+		if err != nil {
+			return "", err
+		}
+		var faultErr error
+		_, err = chat(ctx, d.Caller(1), "manual", prompt, longAnswer, func(n int) {
+			if n == longAnswer/3 {
+				faultErr = setEngineFaults(ctx, d, engine, `{"crash":true}`)
+			}
+		})
+		if err = errors.Join(err, faultErr); err != nil {
+			return "", errors.Wrap(err, "present at a crash")
+		}
+	}
+	for n := 1; n <= deployment.Entries; n++ {
+		if _, err := chat(ctx, d.Caller(n), "manual", prompt, longAnswer, nil); err != nil {
+			return "", errors.Wrapf(err, "entry-%d, after the crashes", n)
+		}
+	}
+	return fmt.Sprintf("a request that was in flight at %d crashes is whole each time and still served by all VMs", rounds), nil
+}
+
+// awaitLocalPlace waits until entry-1 knows an engine of its own data centre that serves the model.
+func awaitLocalPlace(ctx context.Context, d *deployment.Deployment, model string) (engine int, err error) {
+	err = deployment.Eventually(ctx, func() error {
+		s, err := d.State(ctx, "entry-1")
+		if err != nil {
+			return err
+		}
+		for _, n := range []int{1, 2} {
+			if s.Has(model, fmt.Sprintf("engine-%d", n)) {
+				engine = n
+				return nil
+			}
+		}
+		return errors.Newf("no engine in the data centre of entry-1 serves %s", model)
+	})
+	return engine, err
+}
+
 // crashes returns how often any engine has crashed.
 func crashes(ctx context.Context, d *deployment.Deployment) (int, error) {
 	n := 0
