Test the exactness of forwarded proposals and the lease's codec

Cause: an error of a forwarded proposal decides whether a caller hears "not run", and no test held it to that.

Change: a table of transport faults over loopback HTTP, and a contract test of the lease's messages.

--- /dev/null
+++ b/internal/api/peer/propose_test.go
@@ -0,0 +1,123 @@
+package peer
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/state/lease"
+	"github.com/geraniumdeck/geraniumdeck/internal/state/machine"
+	"github.com/geraniumdeck/geraniumdeck/internal/test/decktest"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/command"
+)
+
+// Guards against "not proposed" where the command may be in the log, and the reverse, which would cost availability.
+func TestForwardErrorsAreExact(t *testing.T) {
+	noOp := command.Encode(command.Envelope{Command: command.NoOp{}})
+	log := decktest.NewLog()
+	leader, follower := newControlVM(t, log, "a", nil), newControlVM(t, log, "b", nil)
+	reply := func(h http.HandlerFunc) string {
+		s := httptest.NewServer(h)
+		t.Cleanup(s.Close)
+		return s.Listener.Addr().String()
+	}
+	closed := httptest.NewServer(http.NotFoundHandler())
+	closed.Close()
+	tests := map[string]struct {
+		address string
+		data    []byte
+		fault   decktest.LogFault
+		want    string
+	}{
+		"committed":           {leader.peer.Address, noOp, decktest.LogOK, "none"},
+		"connection refused":  {closed.Listener.Addr().String(), noOp, decktest.LogOK, "not proposed"},
+		"follower":            {follower.peer.Address, noOp, decktest.LogOK, "leader a"},
+		"not a command":       {leader.peer.Address, []byte("{"), decktest.LogOK, "not proposed"},
+		"too large":           {leader.peer.Address, make([]byte, command.MaxBytes+1), decktest.LogOK, "not proposed"},
+		"proposal lost":       {leader.peer.Address, noOp, decktest.LogLost, "maybe"},
+		"answer lost":         {leader.peer.Address, noOp, decktest.LogAnswerLost, "maybe"},
+		"connection cut":      {reply(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }), noOp, decktest.LogOK, "maybe"},
+		"unexpected status":   {reply(http.NotFound), noOp, decktest.LogOK, "maybe"},
+		"leader is not known": {reply(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) }), noOp, decktest.LogOK, "leader "},
+		"answer is cut off": {reply(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "9")
+			_, _ = w.Write([]byte("{"))
+		}), noOp, decktest.LogOK, "maybe"},
+		"replica has failed":   {reply(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }), noOp, decktest.LogOK, "maybe"},
+		"address is malformed": {"\x7f", noOp, decktest.LogOK, "not proposed"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			log.SetFault(func() decktest.LogFault { return tt.fault })
+			_, err := ProposeClient{HTTP: http.DefaultClient}.Forward(t.Context(), deck.Peer{Address: tt.address}, tt.data)
+			is.New(t).Equal(kind(err), tt.want)
+		})
+	}
+}
+
+func kind(err error) string {
+	var other *machine.NotLeaderError
+	var none *machine.NotProposedError
+	switch {
+	case err == nil:
+		return "none"
+	case errors.As(err, &other):
+		return "leader " + string(other.Hint)
+	case errors.As(err, &none):
+		return "not proposed"
+	default:
+		return "maybe"
+	}
+}
+
+// Guards against lease fields that the codec loses, and requests without bound.
+func TestLeaseOverHTTP(t *testing.T) {
+	is := is.New(t)
+	clock := &decktest.ManualClock{}
+	for range 8 {
+		clock.Advance(250 * 365 * 24 * time.Hour) // tokens follow the wall clock from 1970 on
+	}
+	peers := []deck.Peer{{Name: "a", DataCentre: "x"}}
+	votes := lease.NewVotes("a", peers, clock, lease.Duration)
+	runtime := lease.NewRuntime(lease.Config{Self: peers[0], Peers: peers, Votes: votes, Clock: clock})
+	mux := http.NewServeMux()
+	RegisterLease(mux, votes, runtime)
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	to := deck.Peer{Address: server.Listener.Addr().String()}
+	client := LeaseClient{HTTP: http.DefaultClient}
+	ask := func(vm deck.VMName, action lease.Action, token uint64) lease.Response {
+		r, err := client.Ask(t.Context(), to, lease.Request{
+			DataCentre: "x", Action: action, Token: token, Wall: clock.Now(),
+			Claimant: lease.Claimant{VM: vm, Instance: "i", Attempt: 1},
+		})
+		is.NoErr(err)
+		return r
+	}
+	is.Equal(ask("b", lease.ActAcquire, 0).Remaining, lease.Duration)
+	clock.Advance(lease.Duration)
+	granted := ask("b", lease.ActAcquire, 0)
+	is.True(granted.Granted)
+	is.Equal(granted.Token, uint64(clock.Now().UnixMilli()))
+	is.True(ask("b", lease.ActConfirm, granted.Token+5).Granted)
+	refused := ask("c", lease.ActAcquire, 0)
+	is.True(!refused.Granted)
+	is.Equal(refused.Holder, deck.VMName("b"))
+	is.Equal(refused.Previous, granted.Token+5)
+	is.True(refused.Wall.Equal(clock.Now()))
+	is.True(ask("b", lease.ActRelease, 0).Granted)
+	is.True(ask("c", lease.ActAcquire, 0).Token > granted.Token+5)
+	is.NoErr(client.HandOver(t.Context(), to, lease.Handover{DataCentre: "x", From: "b", Token: 7, Ledger: []byte("l")}))
+	for _, body := range []string{"{", `{"action":"steal"}`, `{"vm":"` + strings.Repeat("a", maxLeaseBytes) + `"}`} {
+		resp, err := http.Post("http://"+to.Address+leasePath, "application/json", strings.NewReader(body))
+		is.NoErr(err)
+		resp.Body.Close()
+		is.Equal(resp.StatusCode, http.StatusBadRequest)
+	}
+}
