Share the weight store and adapter loads by data centre and wire the platform

Cause: the executor used fixed limits, ignored the platform's list and loaded while the weight store did not answer. Change: owned halves by engine count with turns where there are more data centres than loads, a leased pool that grants nothing for one lease after a change of control leader, demand collector, status with disagreements and models at risk. A replaced lease counts until it ends, since its answer may be lost; trusting the newest answer was ruled out.

--- a/internal/place/execute/executor.go
+++ b/internal/place/execute/executor.go
@@ -24,18 +24,23 @@
 	defaultAdapters = 8
 )
 
-// A Config is what an Executor needs; Leaving, Loads, Publish, ObserveToken and Log may be nil or zero.
+// A Config is what an Executor needs; every field after Engine may be nil or zero.
 type Config struct {
-	DataCentre   deck.DataCentre
-	Clock        deck.Clock
-	Lease        deck.LeaseSource
-	States       deck.StateSource
-	Engine       func(deck.BackendServer) deck.Engine
-	Leaving      func() map[deck.BackendName]bool
-	Loads        func(inFlight int) int    // model loads that may be in flight by the data centre's share
-	Publish      func(deck.ResidencyTable) // called on every change
-	ObserveToken func(uint64)              // called with a token of an engine that is higher than the lease's
-	Log          logr.Logger
+	DataCentre     deck.DataCentre
+	Clock          deck.Clock
+	Lease          deck.LeaseSource
+	States         deck.StateSource
+	Engine         func(deck.BackendServer) deck.Engine
+	VMs            deck.VMList
+	Store          deck.WeightStore
+	Demand         *Collector
+	LeasedLoads    func(now time.Time) int   // the part of the weight store's pool that the data centre has leased
+	AdapterLimit   int                       // adapter loads in flight over all engines; 0 for a small default
+	LeasedAdapters func(now time.Time) int   // the part of the adapter limit's pool that the data centre has leased
+	Rate           float64                   // tokens per second of one accelerator; 0 stands for plan.DefaultRate
+	Publish        func(deck.ResidencyTable) // called on every change
+	ObserveToken   func(uint64)              // called with a token of an engine that is higher than the lease's
+	Log            logr.Logger
 }
 
 // An Executor is the loop of a data centre's placement leader; on other VMs it waits for the lease.
@@ -43,9 +48,10 @@
 	cfg  Config
 	done chan struct{}
 
-	mu    sync.Mutex
-	ctl   *Controller
-	table deck.ResidencyTable
+	mu       sync.Mutex
+	ctl      *Controller
+	table    deck.ResidencyTable
+	platform platform
 }
 
 var _ deck.Residency = (*Executor)(nil)
@@ -64,6 +70,7 @@
 func (e *Executor) Run(ctx context.Context) error {
 	defer close(e.done)
 	g, ctx := errgroup.WithContext(ctx)
+	e.watch(ctx, g)
 	g.Go(func() error { return e.loop(ctx, g) })
 	return g.Wait()
 }
@@ -95,15 +102,16 @@
 
 func (e *Executor) decide() Output {
 	l, held := e.cfg.Lease.Held()
-	in := Input{Now: e.cfg.Clock.Now(), Lease: l, Held: held, State: e.cfg.States.State(), Loads: defaultLoads, Adapters: defaultAdapters}
-	if e.cfg.Leaving != nil {
-		in.Leaving = e.cfg.Leaving()
+	now, state := e.cfg.Clock.Now(), e.cfg.States.State()
+	in := Input{Now: now, Lease: l, Held: held, State: state, Rate: e.cfg.Rate}
+	if e.cfg.Demand != nil {
+		in.Demand = e.cfg.Demand.Rates(now)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.cfg.Loads != nil {
-		in.Loads = e.cfg.Loads(e.ctl.loadsInFlight())
-	}
+	in.Leaving = e.platform.leaving
+	in.Loads = e.loads(state, now)
+	in.Adapters = e.adapterLoads(state, now)
 	return e.ctl.Step(in)
 }
 
@@ -175,3 +183,10 @@
 func (e *Executor) HasAdapter(b deck.BackendName, a deck.AdapterName) bool {
 	return e.Table().HasAdapter(b, a)
 }
+
+// Status returns what an operator sees of the data centre's placement.
+func (e *Executor) Status() Status {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.ctl.Status()
+}
--- a/internal/place/execute/executor_test.go
+++ b/internal/place/execute/executor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/test/decktest"
 )
 
 // Guards against an executor that leaves a home model without a published place.
@@ -46,3 +48,60 @@
 		})
 	}
 }
+
+// An expiringLease is valid when the executor decides and has expired when it sends.
+type expiringLease struct {
+	lease deck.PlacementLease
+	asked atomic.Int32
+}
+
+func (l *expiringLease) Held() (deck.PlacementLease, bool) {
+	if l.asked.Add(1)%2 == 0 {
+		return deck.PlacementLease{}, false
+	}
+	return l.lease, true
+}
+
+type countingEngine struct {
+	deck.Engine
+	operations atomic.Int32
+}
+
+func (c *countingEngine) Operate(context.Context, deck.Operation) deck.OperationResult {
+	c.operations.Add(1)
+	return deck.OperationResult{Outcome: deck.OutcomeDone}
+}
+
+// Guards against an operation that leaves a process which was frozen past its lease after the decision.
+func TestOperationIsNotSentAfterTheLeaseExpired(t *testing.T) {
+	is := is.New(t)
+	engine := &countingEngine{}
+	lease := &expiringLease{lease: deck.PlacementLease{Holder: "vm", FencingToken: 7, Expires: time.Now().Add(time.Hour)}}
+	e := New(Config{
+		DataCentre: "dc", Clock: deck.SystemClock{}, Lease: lease, States: fixedState{testState(1, 1, true)},
+		Engine: func(deck.BackendServer) deck.Engine { return engine },
+	})
+	out := e.decide()
+	is.Equal(len(out.Sends), 1) // the fence
+	e.operate(t.Context(), out.Sends[0])
+	is.Equal(engine.operations.Load(), int32(0))
+}
+
+type store struct{ err error }
+
+func (s store) Available(context.Context) (inFlight, limit int, err error) { return 2, 9, s.err }
+
+// Guards against loads that leave while the weight store does not answer, and against more loads than the share.
+func TestLoadsWaitForTheWeightStore(t *testing.T) {
+	is := is.New(t)
+	state := testState(2, 1, true)
+	e := New(Config{DataCentre: "dc", Clock: &decktest.ManualClock{}, Store: store{}, LeasedLoads: func(time.Time) int { return 1 }})
+	now := e.cfg.Clock.Now().Add(time.Hour)
+	e.cfg.Clock.(*decktest.ManualClock).Advance(time.Hour)
+	is.Equal(e.loads(state, now), 0)
+	e.pollStore(t.Context())
+	is.Equal(e.loads(state, now), 6) // five of nine owned, one leased
+	e.cfg.Store = store{err: context.DeadlineExceeded}
+	e.pollStore(t.Context())
+	is.Equal(e.loads(state, now), 0)
+}
--- a/internal/place/execute/faults_test.go
+++ b/internal/place/execute/faults_test.go
@@ -104,7 +104,7 @@
 // Guards against a new leader that fills memory which an old leader's late operation then takes.
 func TestLeaderReplacedInTheMiddleOfATicket(t *testing.T) {
 	for _, checks := range []bool{true, false} {
-		for _, late := range []time.Duration{time.Second, 5 * time.Second, 9 * time.Second} {
+		for _, late := range []time.Duration{0, time.Second, 5 * time.Second, 9 * time.Second} {
 			is := is.New(t)
 			w := newWorld(tightState(checks))
 			w.run(15 * time.Second) // the first leader takes over
@@ -119,6 +119,10 @@
 			next.Models = append(next.Models, testModel("m3", "v1"), testModel("m4", "v1"))
 			is.True(w.apply(next))
 			w.replaceLeader()
+			if late == 0 { // the old operations overtake the new leader's first ones
+				w.reportsOnly(20)
+				w.flush()
+			}
 			w.runOnly(late)
 			for i := len(w.ops) - 1; i >= 0; i-- {
 				w.deliver(i, true, false)
--- /dev/null
+++ b/internal/place/execute/share_test.go
@@ -0,0 +1,57 @@
+package execute
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// Guards against owned parts that together exceed the limit less its pool, and against a data centre that never loads.
+func TestOwnSharesStayWithinTheLimit(t *testing.T) {
+	for _, limit := range []int{1, 2, 7, 9, 55, 70} {
+		for _, centres := range []int{1, 3, 10} {
+			is := is.New(t)
+			engines := make(map[deck.DataCentre]int)
+			for i := range centres {
+				engines[deck.DataCentre(rune('a'+i))] = 6 + 7*i
+			}
+			had := make(map[deck.DataCentre]bool)
+			for s := range 10 * centres {
+				now, sum := time.Unix(int64(10*s), 0), 0
+				for dc := range engines {
+					n := OwnShare(limit, engines, dc, now)
+					sum += n
+					had[dc] = had[dc] || n > 0
+				}
+				is.True(sum <= limit-PoolSize(limit))
+			}
+			is.Equal(len(had), centres)
+			for _, ok := range had {
+				is.True(ok)
+			}
+		}
+	}
+}
+
+// Guards against a pool that leases more than it has, also across control leaders and for a data centre that is cut off.
+func TestPoolLeasesExpire(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	p := NewPool(9, now)
+	is.Equal(p.Grant("a", 4, now.Add(4*time.Second)), 0) // an earlier leader's leases may run
+	now = now.Add(PoolLease)
+	is.Equal(p.Grant("a", 9, now), 4)
+	is.Equal(p.Grant("b", 2, now), 0)
+	is.Equal(p.Grant("a", 1, now.Add(time.Second)), 1)
+	is.Equal(p.Grant("b", 2, now.Add(2*time.Second)), 0) // the larger lease may still be in use
+	is.Equal(p.Grant("b", 4, now.Add(PoolLease)), 2)     // shared while both want it
+	is.Equal(p.Grant("b", 4, now.Add(PoolLease+2*time.Second)), 4)
+
+	var s Share
+	s.Lease(3, now)
+	is.Equal(s.Leased(now.Add(PoolLease-1)), 3)
+	is.Equal(s.Leased(now.Add(PoolLease)), 0)
+}
--- a/internal/place/execute/world_test.go
+++ b/internal/place/execute/world_test.go
@@ -159,6 +159,16 @@
 	}
 }
 
+// reportsOnly holds every operation back for some quarters of a second.
+func (w *world) reportsOnly(quarters int) {
+	for range quarters {
+		w.tick(250 * time.Millisecond)
+		for len(w.reports) > 0 {
+			w.report(0, true)
+		}
+	}
+}
+
 func (w *world) flush() {
 	for len(w.ops) > 0 {
 		w.deliver(0, true, false)
--- a/internal/place/memory/ledger_test.go
+++ b/internal/place/memory/ledger_test.go
@@ -71,7 +71,7 @@
 		"restarted after the release": {2, []step{
 			{report("m0"), 3, 10}, {restarted, 4, 12}, {restarted, 10.5, 12}, {restarted, 11.5, 0},
 		}},
-		"reports out of order": {2, []step{{report("m0"), 3, 10}, {report(), 2.5, 10}}},
+		"reports out of order": {2, []step{{report(), 3, 0}, {report("m0"), 2.5, 0}}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -154,6 +154,8 @@
 	is.Equal(len(d.Missing), 1)
 	_, ready := l.Holds(Item{Model: "m0", Version: "v1"})
 	is.True(!ready)
+	l.Observe(report(), at(5), declared)
+	is.Equal(l.Committed(), 10*deck.GiB)
 	l.Observe(report(), at(12), declared)
 	is.Equal(l.Committed(), deck.Bytes(0))
 }
