Move long answers off leaving engines by KV export and import

Cause: a leaving server's long answers could only be waited for. Cancelling it at the old engine was ruled out, because the import may not be used.

--- /dev/null
+++ b/internal/place/execute/drain_test.go
@@ -0,0 +1,56 @@
+package execute
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+type kvEngine struct {
+	deck.Engine
+	kv map[deck.RequestID][]byte
+}
+
+func (k kvEngine) ExportKV(_ context.Context, id deck.RequestID) ([]byte, error) {
+	return k.kv[id], nil
+}
+
+func (k kvEngine) ImportKV(_ context.Context, id deck.RequestID, kv []byte) error {
+	k.kv[id] = kv
+	return nil
+}
+
+// Guards against a KV cache that is copied although the answer ends sooner, or copied to an engine that leaves too.
+func TestLongAnswerMovesToAStayingReplica(t *testing.T) {
+	is := is.New(t)
+	v := deck.ModelVersion{KVBytesPerToken: 128 * deck.KiB}
+	a := LongAnswer{ID: "r", Model: "m0", Version: "v1", Tokens: 8192, Remaining: 10 * time.Second}
+	is.True(MovePays(a, v)) // 1 GiB
+	a.Remaining = 2500 * time.Millisecond
+	is.True(!MovePays(a, v))
+
+	w := newWorld(testState(3, 3, true))
+	w.run(time.Minute)
+	table, _ := w.ctl.Residency()
+	from := table.Replicas("m0")[0].Backend
+	kv := make(map[deck.BackendName]kvEngine)
+	for name := range w.fakes {
+		kv[name] = kvEngine{kv: make(map[deck.RequestID][]byte)}
+	}
+	kv[from].kv["r"] = []byte("cache")
+	e := New(Config{Engine: func(b deck.BackendServer) deck.Engine { return kv[b.Name] }})
+	e.ctl = w.ctl
+	_, err := e.MoveAnswer(t.Context(), w.fakes[from].backend, a)
+	is.Equal(err, ErrNoReplica)
+	w.leaving = map[deck.BackendName]bool{from: true}
+	w.run(time.Minute)
+	w.ctl.Residency()
+	to, err := e.MoveAnswer(t.Context(), w.fakes[from].backend, a)
+	is.NoErr(err)
+	is.True(to != from)
+	is.Equal(string(kv[to].kv["r"]), "cache")
+}
