Measure placement policy and fill free memory with replicas

Cause: attainment fell short of greedy rebalancing, and even of static placement, which uses all memory: the policy left memory free until an engine was loaded. Change: virtual-time measurement with the production planner and controller against greedy and static placement; the planner adds replicas of the models with most slow demand per replica where nothing has to go for them.

--- /dev/null
+++ b/internal/measure/placement/run_test.go
@@ -0,0 +1,52 @@
+package placement
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/place/plan"
+)
+
+// Guards against a simulation whose figures vary between runs of one seed, or that moves nothing at all.
+func TestSimulationIsRepeatable(t *testing.T) {
+	is := is.New(t)
+	d := deployments[1]
+	var results []result
+	for range 2 {
+		s, err := newSim(d, 1)
+		is.NoErr(err)
+		results = append(results, s.run(&production{}))
+	}
+	is.Equal(results[0], results[1])
+	is.True(results[0].share > 0.5)
+}
+
+// Guards against a mistyped figure name that measures nothing.
+func TestRunRefusesUnknownNames(t *testing.T) {
+	is := is.New(t)
+	var out strings.Builder
+	is.True(Run(&out, []string{"attainment"}) != nil)
+	is.NoErr(Run(&out, []string{"planner"}))
+	is.Equal(strings.Count(out.String(), "measure planner-"), 2*len(plannerSizes))
+}
+
+func BenchmarkPlanner(b *testing.B) {
+	for _, size := range plannerSizes {
+		b.Run(fmt.Sprintf("models=%d/engines=%d", size.models, size.engines), func(b *testing.B) {
+			in, err := plannerInput(size.models, size.engines)
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := plan.Assign(in.State); err != nil {
+					b.Fatal(err)
+				}
+				plan.Local(in)
+			}
+		})
+	}
+}
--- a/internal/place/execute/faults_test.go
+++ b/internal/place/execute/faults_test.go
@@ -157,3 +157,29 @@
 		is.True(slices.ContainsFunc(t.Replicas(m.Name), func(r deck.Replica) bool { return r.Ready && r.Backend != "e0" }))
 	}
 }
+
+// Guards against a replica that goes soon after it came because the plan changed.
+func TestUnwantedReplicaStaysForMinimumResidence(t *testing.T) {
+	is := is.New(t)
+	s := testState(2, 2, true)
+	var t2 deck.Ticket
+	for _, b := range s.BackendServers() {
+		b.AcceleratorBytes = 27 * deck.GiB // two models and a transient need
+		t2.BackendServers = append(t2.BackendServers, b)
+	}
+	w := newWorld(s.WithTicket(t2, 2))
+	w.run(time.Minute)
+	is.Equal(len(w.fakes["e1"].models), 1)
+	m, _ := w.state.Model("m0")
+	w.fakes["e1"].run(deck.Operation{
+		ID: "other", Kind: deck.OpLoadModel, Model: "m0", Version: "v1", FencingToken: w.token, ResidentBytes: m.Versions[0].ResidentBytes(),
+	})
+	w.run(10 * time.Second)
+	is.True(w.apply(deck.Ticket{Models: []deck.Model{testModel("m2", "v1")}}))
+	w.run(90 * time.Second)
+	is.Equal(w.ctl.target.Wants("e1", "m0"), false)
+	is.Equal(len(w.fakes["e1"].models), 2)
+	w.run(time.Minute)
+	is.Equal(len(w.fakes["e1"].models), 1)
+	is.Equal(len(w.unplaced()), 0)
+}
--- a/internal/place/plan/local.go
+++ b/internal/place/plan/local.go
@@ -74,6 +74,7 @@
 	}
 	p.keepSurplus()
 	p.balance()
+	p.fill()
 	return p.target()
 }
 
