--- a/internal/place/plan/balance.go
+++ b/internal/place/plan/balance.go
@@ -27,7 +27,7 @@
 	// coldSeconds is the time for which a new replica computes prompts that another engine has cached.
 	coldSeconds = 2
 	// storeWeight is the share of an engine's rate that a second of the weight store is worth.
-	storeWeight = 0.25
+	storeWeight = 1.0
 	// maxAdditions bounds the replicas that one plan adds, and with them its time.
 	maxAdditions = 8
 )
