Report each crash once, from the attempt that knows the boot id

Cause: router and attempt both reported a crash to the replicated log, and the router's report had no boot id, so that one crash counted twice and an innocent request was refused after it. Ruled out: the count in the log, which tells crashes apart by boot id.

--- a/internal/measure/consensus/catchup.go
+++ b/internal/measure/consensus/catchup.go
@@ -133,7 +133,7 @@
 		return nil, errors.CombineErrors(err, store.Close())
 	}
 	mux := http.NewServeMux()
-	peer.RegisterReplica(mux, node)
+	peer.RegisterReplica(mux, node, nil)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	ctx, stop := context.WithCancel(ctx)
 	listener := s.listeners[i]
--- a/internal/route/router/core.go
+++ b/internal/route/router/core.go
@@ -29,17 +29,9 @@
 	suspects health.Suspects
 	hints    choose.PrefixHints
 	draining bool
-	crashes  []Crash // not yet reported
 	scratch  []choose.Candidate
 }
 
-// A Crash is a crash to be reported to the poison store.
-type Crash struct {
-	Digest  string
-	Backend deck.BackendName
-	Alone   bool
-}
-
 // NewCore returns a Core without observations.
 func NewCore(cfg Config) *Core {
 	if cfg.Health == (health.Policy{}) {
--- a/internal/route/router/fake_test.go
+++ b/internal/route/router/fake_test.go
@@ -18,7 +18,6 @@
 	replicas map[deck.ModelName][]deck.Replica
 	adapters map[deck.BackendName][]deck.AdapterName
 	refused  map[string]bool
-	reported []Crash
 }
 
 var (
@@ -35,8 +34,7 @@
 func (f *fakeSource) HasAdapter(b deck.BackendName, a deck.AdapterName) bool {
 	return slices.Contains(f.adapters[b], a)
 }
-func (f *fakeSource) ReportCrash(_ context.Context, digest string, b deck.BackendName, alone bool) error {
-	f.reported = append(f.reported, Crash{digest, b, alone})
+func (f *fakeSource) ReportCrash(context.Context, string, deck.BackendName, bool) error {
 	return nil
 }
 
--- a/internal/route/router/faults_test.go
+++ b/internal/route/router/faults_test.go
@@ -242,9 +242,9 @@
 		r.core.Release(w.hold)
 	}
 	last, b := r.run(deck.RequestInfo{Digest: "poison"})
-	r.core.TakeCrashes()
+	is.True(r.core.suspects.Alone("poison", r.core.servers[b], r.clock.Now()))
 	r.observe(last, b, deck.ObservedCrash, 0)
-	is.Equal(r.core.TakeCrashes(), []Crash{{Digest: "poison", Backend: b, Alone: true}})
+	is.Equal(r.core.suspects.Crashes("poison", r.clock.Now()), 3)
 	r.src.refused = map[string]bool{"poison": true}
 	is.Equal(r.submit(deck.RequestInfo{Digest: "poison"}).ref.Kind, deck.RefusedPoison)
 }
--- a/internal/route/router/observe.go
+++ b/internal/route/router/observe.go
@@ -77,7 +77,8 @@
 }
 
 // observeCrash counts the crash for the attempt's own request only: each attempt that was in flight on a crashed server
-// tells of it, while a single reset connection must not make suspects of the server's other requests.
+// tells of it, while a single reset connection must not make suspects of the server's other requests. The count serves to
+// keep suspects apart; the attempt, which knows the boot id, reports the crash to the other VMs.
 func (c *Core) observeCrash(a *attempt, now time.Time) {
 	s := a.server
 	s.failed(now)
@@ -87,18 +88,7 @@
 	if digest == "" {
 		return
 	}
-	alone := c.suspects.Alone(digest, s, now)
 	c.suspects.ObserveCrash(digest, now)
-	c.crashes = append(c.crashes, Crash{Digest: digest, Backend: s.name, Alone: alone})
-}
-
-// TakeCrashes returns the crashes observed since the last call, to be reported to the poison store.
-func (c *Core) TakeCrashes() []Crash {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	out := c.crashes
-	c.crashes = nil
-	return out
 }
 
 // sampleWaits takes the wait for an overdue token as a sample, so that a server that has become slow shows before its
