Take only runs that were present at a crash for its witnesses

A run now counts only if it entered before the crash was recorded, by a counter instead of the clock, which may not move between.

--- a/internal/route/attempt/suspects.go
+++ b/internal/route/attempt/suspects.go
@@ -24,6 +24,7 @@
 	Clock deck.Clock
 
 	mu      sync.Mutex
+	order   uint64 // counts entries and crashes
 	seen    map[string]*suspicion
 	running map[deck.BackendName]map[*Run]struct{}
 	left    chan struct{} // closed when a suspect leaves a backend server
@@ -31,11 +32,24 @@
 
 // A suspicion is what is known about one digest.
 type suspicion struct {
-	crashes map[crashKey]time.Time
+	crashes map[crashKey]crashRecord
 	alone   bool // it ran alone at one of the crashes
 	last    time.Time
 }
 
+// noteAlone notes that the digest ran alone at a crash and reports whether that is new.
+func (v *suspicion) noteAlone(alone bool) bool {
+	added := alone && !v.alone
+	v.alone = v.alone || alone
+	return added
+}
+
+// A crashRecord tells when a crash was recorded; runs that entered before it, by order, were present.
+type crashRecord struct {
+	time  time.Time
+	order uint64
+}
+
 // A crashKey tells one crash from another.
 type crashKey struct {
 	backend deck.BackendName
@@ -48,6 +62,7 @@
 	digest  string
 	backend deck.BackendName
 	alone   bool
+	order   uint64
 }
 
 // Refused reports whether this VM's own count is enough to refuse the digest.
@@ -116,15 +131,15 @@
 	}
 	key := crashKey{r.backend, boot}
 	at, known := v.crashes[key]
-	newlyAlone := r.alone && !v.alone
-	v.alone = v.alone || r.alone
-	if known && (boot != "" || now.Sub(at) < unknownBootTTL) {
-		return newlyAlone
+	if known && (boot != "" || now.Sub(at.time) < unknownBootTTL) {
+		return v.noteAlone(r.alone && r.order < at.order)
 	}
 	if known {
 		key.boot = now.String()
 	}
-	v.crashes[key] = now
+	s.order++
+	v.crashes[key] = crashRecord{now, s.order}
+	v.noteAlone(r.alone)
 	v.last = now
 	return true
 }
@@ -160,7 +175,8 @@
 			return nil, false
 		}
 	}
-	r := &Run{s: s, digest: digest, backend: backend, alone: alone}
+	s.order++
+	r := &Run{s: s, digest: digest, backend: backend, alone: alone, order: s.order}
 	if s.running == nil {
 		s.running = make(map[deck.BackendName]map[*Run]struct{})
 	}
@@ -193,7 +209,7 @@
 	if len(s.seen) >= maxSuspects {
 		s.dropOldest()
 	}
-	v := &suspicion{crashes: make(map[crashKey]time.Time)}
+	v := &suspicion{crashes: make(map[crashKey]crashRecord)}
 	s.seen[digest] = v
 	return v
 }
