Wire demand counts, load shares and the platform's list of VMs

Entry VMs count what callers ask and tell the placement leader; the control leader leases out the pools of the weight store and of adapter loads; relays read the platform's list and the feed brings it to the routers. The platform clients take base URLs as the settings give them; with host:port the weight store was never reached and no model was loaded.

--- /dev/null
+++ b/internal/api/peer/pool.go
@@ -0,0 +1,108 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/place/execute"
+)
+
+const (
+	poolPath    = "/peer/pool"
+	maxPoolBody = 4 << 10
+)
+
+type poolDocument struct {
+	DataCentre string `json:"data-centre,omitempty"`
+	Loads      int    `json:"loads"`
+	Adapters   int    `json:"adapters"`
+}
+
+// Pools are the leased halves of the weight store's and the adapter loads' limits, which the control leader hosts.
+type Pools struct {
+	Clock    deck.Clock
+	Loads    int         // limit of model loads over all data centres
+	Adapters int         // limit of adapter loads over all engines
+	Leads    func() bool // whether this VM leads the replicated log
+
+	mu       sync.Mutex
+	led      bool
+	loads    *execute.Pool
+	adapters *execute.Pool
+}
+
+// Register serves POST /peer/pool; a VM that does not lead the log answers 409.
+func (p *Pools) Register(mux *http.ServeMux) {
+	mux.HandleFunc("POST "+poolPath, p.serve)
+}
+
+func (p *Pools) serve(w http.ResponseWriter, r *http.Request) {
+	var d poolDocument
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxPoolBody))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&d); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	granted, ok := p.grant(d)
+	if !ok {
+		http.Error(w, "not the leader of the replicated log", http.StatusConflict)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(granted)
+}
+
+// grant leases from the pools. A VM that has just begun to lead starts with new pools, which grant nothing for one
+// lease, because the leases of the leader before are unknown.
+func (p *Pools) grant(d poolDocument) (poolDocument, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Clock.Now()
+	if !p.Leads() {
+		p.led = false
+		return poolDocument{}, false
+	}
+	if !p.led {
+		p.led = true
+		p.loads, p.adapters = execute.NewPool(p.Loads, now), execute.NewPool(p.Adapters, now)
+	}
+	dc := deck.DataCentre(d.DataCentre)
+	return poolDocument{Loads: p.loads.Grant(dc, d.Loads, now), Adapters: p.adapters.Grant(dc, d.Adapters, now)}, true
+}
+
+// A PoolClient leases parts of the pools from the control leader.
+type PoolClient struct {
+	HTTP *http.Client
+}
+
+// Lease asks the VM at the address for loads and returns what was granted.
+func (c PoolClient) Lease(ctx context.Context, address string, dc deck.DataCentre, loads, adapters int) (int, int, error) {
+	body, err := json.Marshal(poolDocument{DataCentre: string(dc), Loads: loads, Adapters: adapters})
+	if err != nil {
+		return 0, 0, errors.Wrap(err, "pool")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+poolPath, bytes.NewReader(body))
+	if err != nil {
+		return 0, 0, errors.Wrap(err, "pool")
+	}
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return 0, 0, errors.Wrap(err, "pool")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return 0, 0, errors.Newf("pool: status %d", resp.StatusCode)
+	}
+	var d poolDocument
+	err = json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxPoolBody)).Decode(&d)
+	return max(d.Loads, 0), max(d.Adapters, 0), errors.Wrap(err, "pool")
+}
+
+// PoolInterval is the time between two leases, so that one lost request does not end a lease.
+const PoolInterval = execute.PoolLease * 2 / 5
--- /dev/null
+++ b/internal/api/peer/pool_test.go
@@ -0,0 +1,44 @@
+package peer
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/place/execute"
+	"github.com/geraniumdeck/geraniumdeck/internal/test/decktest"
+)
+
+// Guards against a pool that is leased out by a VM that does not lead, or right after it began to lead.
+func TestPoolLease(t *testing.T) {
+	is := is.New(t)
+	clock := &decktest.ManualClock{}
+	clock.Advance(time.Hour)
+	leads := true
+	p := &Pools{Clock: clock, Loads: 9, Adapters: 70, Leads: func() bool { return leads }}
+	mux := http.NewServeMux()
+	p.Register(mux)
+	srv := httptest.NewServer(mux)
+	defer srv.Close()
+	lease := func(loads int) (int, error) {
+		n, _, err := PoolClient{HTTP: http.DefaultClient}.Lease(t.Context(), srv.Listener.Addr().String(), "graz-a", loads, 0)
+		return n, err
+	}
+	n, err := lease(2)
+	is.NoErr(err)
+	is.Equal(n, 0)
+	clock.Advance(execute.PoolLease)
+	n, err = lease(2)
+	is.NoErr(err)
+	is.Equal(n, 2)
+	leads = false
+	_, err = lease(2)
+	is.True(err != nil)
+	leads = true
+	n, err = lease(2)
+	is.NoErr(err)
+	is.Equal(n, 0)
+}
--- /dev/null
+++ b/internal/command/process/demand.go
@@ -0,0 +1,58 @@
+package process
+
+import (
+	"context"
+	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/api/peer"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// demandTimeout bounds one message to the placement leader.
+const demandTimeout = time.Second
+
+// demand counts what callers ask of this VM and sends it to the data centre's placement leader.
+type demand struct {
+	parts     *parts
+	residency *residency
+	next      deck.ServedRecorder
+	counter   peer.DemandCounter
+	client    peer.DemandClient
+}
+
+var _ deck.ServedRecorder = (*demand)(nil)
+
+// Record implements deck.ServedRecorder.Record; refused requests count too, because they are demand that was not met.
+func (d *demand) Record(s deck.Served) {
+	d.counter.Count(s.Model, 1, s.Tokens)
+	d.next.Record(s)
+}
+
+func (d *demand) run(ctx context.Context) error {
+	vms := len(d.parts.settings.InDataCentre(d.parts.vm.DataCentre))
+	t := time.NewTicker(peer.DemandInterval(vms))
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			d.send(ctx, vms)
+		}
+	}
+}
+
+// send tells the placement leader; counts that are lost on the way are made up for by the following ones.
+func (d *demand) send(ctx context.Context, vms int) {
+	address, ok := d.parts.address(d.residency.leader(d.parts.vm.DataCentre))
+	if !ok {
+		return
+	}
+	rows := d.counter.Take(vms)
+	if len(rows) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, demandTimeout)
+	defer cancel()
+	_ = d.client.Send(ctx, address, deck.Demand{VM: d.parts.vm.Name, Counts: rows})
+}
--- a/internal/command/process/residency.go
+++ b/internal/command/process/residency.go
@@ -67,6 +67,12 @@
 	return out
 }
 
+// leader returns the VM that last published the data centre's residency.
+func (r *residency) leader(dc deck.DataCentre) deck.VMName {
+	p, _ := r.store.Payload(residencyPrefix + string(dc))
+	return holderOf(p.Data)
+}
+
 // leases returns what the published tables tell about the placement leaders.
 func (r *residency) leases() []deck.PlacementLease {
 	out := make([]deck.PlacementLease, 0, len(r.dcs))
--- /dev/null
+++ b/internal/command/process/vms.go
@@ -0,0 +1,97 @@
+package process
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/state/feed"
+)
+
+const (
+	vmsInterval = time.Second
+	vmsTimeout  = 2 * time.Second
+	vmsPayload  = "platform-vms"
+)
+
+type vmRow struct {
+	VM      string `json:"vm"`
+	Leaving bool   `json:"leaving,omitempty"`
+}
+
+// A platformVMs carries the platform's list of VMs through the feed: relays read it, all VMs of the data centre take it.
+type platformVMs struct {
+	parts     *parts
+	list      deck.VMList // nil on a VM that is no relay
+	publisher *feed.Publisher
+	observe   func([]deck.VMStatus) // nil on a VM that does not serve callers
+	last      []deck.VMStatus
+}
+
+// run reads the list on a relay, and passes on what the feed brings.
+func (v *platformVMs) run(ctx context.Context) error {
+	t := time.NewTicker(vmsInterval)
+	defer t.Stop()
+	for {
+		news := v.parts.store.News()
+		v.take()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-news:
+		case <-t.C:
+			v.read(ctx)
+		}
+	}
+}
+
+// read publishes the list if it has changed.
+func (v *platformVMs) read(ctx context.Context) {
+	if v.list == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, vmsTimeout)
+	defer cancel()
+	rows, err := v.list.List(ctx)
+	if err != nil || v.last != nil && slices.Equal(rows, v.last) {
+		return
+	}
+	v.last = append([]deck.VMStatus{}, rows...)
+	data, err := encodeVMs(rows)
+	if err != nil {
+		return
+	}
+	// Relays read the same list, so that the later reading wins whichever relay made it.
+	v.publisher.Publish(feed.PayloadVersion{Epoch: uint64(v.parts.clock.Now().UnixMilli())}, data)
+}
+
+func (v *platformVMs) take() {
+	if v.observe == nil {
+		return
+	}
+	if p, ok := v.parts.store.Payload(vmsPayload); ok {
+		if rows, err := decodeVMs(p.Data); err == nil {
+			v.observe(rows)
+		}
+	}
+}
+
+func encodeVMs(rows []deck.VMStatus) ([]byte, error) {
+	out := make([]vmRow, 0, len(rows))
+	for _, r := range rows {
+		out = append(out, vmRow(r))
+	}
+	return json.Marshal(out)
+}
+
+func decodeVMs(data []byte) ([]deck.VMStatus, error) {
+	var rows []vmRow
+	err := json.Unmarshal(data, &rows)
+	out := make([]deck.VMStatus, 0, len(rows))
+	for _, r := range rows {
+		out = append(out, deck.VMStatus(r))
+	}
+	return out, err
+}
--- a/internal/platform/vmlist/client.go
+++ b/internal/platform/vmlist/client.go
@@ -22,9 +22,9 @@
 
 var _ deck.VMList = (*Client)(nil)
 
-// New returns a client for the platform at the address, host:port by IP number.
-func New(address string, c *http.Client) *Client {
-	return &Client{url: "http://" + address + "/platform/vms", http: c}
+// New returns a client for the platform at the base URL, http://IP:port.
+func New(base string, c *http.Client) *Client {
+	return &Client{url: base + "/platform/vms", http: c}
 }
 
 type document struct {
--- a/internal/platform/weightstore/client.go
+++ b/internal/platform/weightstore/client.go
@@ -22,9 +22,9 @@
 
 var _ deck.WeightStore = (*Client)(nil)
 
-// New returns a client for the weight store at the address, host:port by IP number.
-func New(address string, c *http.Client) *Client {
-	return &Client{url: "http://" + address + "/weight-store/load", http: c}
+// New returns a client for the weight store at the base URL, http://IP:port.
+func New(base string, c *http.Client) *Client {
+	return &Client{url: base + "/weight-store/load", http: c}
 }
 
 type document struct {
