Run kills against real log files and bound the replica client's connections

A kill between write and sync met a storage in memory only; every eighth case now runs on the file store over files that lose what is not synced and keep some bytes of an unfinished write. The replica client used the default transport, which follows proxy settings and keeps idle connections for 90 s; it now has its own, without a proxy, with 10 s. Short messages are given up after 300 ms, so that silent connections in both directions are replaced before the leader's limit of 1.1 s.

--- a/internal/api/peer/replicaclient.go
+++ b/internal/api/peer/replicaclient.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -12,15 +14,24 @@
 	"github.com/geraniumdeck/geraniumdeck/internal/wire/replication"
 )
 
-// maxErrorBody bounds what is read of a peer's refusal.
-const maxErrorBody = 4 << 10
+const (
+	maxErrorBody       = 4 << 10 // of a peer's refusal
+	replicaDialTimeout = 300 * time.Millisecond
+	replicaIdleTimeout = 10 * time.Second // a connection that lost its state on the network path is not kept for long
+)
+
+// defaultReplicaClient uses no proxy, because peers are reached by their IP addresses.
+var defaultReplicaClient = &http.Client{Transport: &http.Transport{
+	DialContext:     (&net.Dialer{Timeout: replicaDialTimeout}).DialContext,
+	IdleConnTimeout: replicaIdleTimeout,
+}}
 
 // A ReplicaClient sends messages to other replicas over HTTP.
 type ReplicaClient struct {
 	// Address returns the host:port of a VM's peers' listener.
 	Address func(vm deck.VMName) (address string, ok bool)
 
-	// Client sends the requests; nil for http.DefaultClient.
+	// Client sends the requests; nil for one that is shared by all ReplicaClients.
 	Client *http.Client
 }
 
@@ -48,7 +59,7 @@
 func (c *ReplicaClient) do(req *http.Request) error {
 	client := c.Client
 	if client == nil {
-		client = http.DefaultClient
+		client = defaultReplicaClient
 	}
 	resp, err := client.Do(req)
 	if err != nil {
--- a/internal/state/replica/faults_test.go
+++ b/internal/state/replica/faults_test.go
@@ -124,6 +124,11 @@
 	for at := beforeSave; at <= beforeApply; at++ {
 		for save := 1; save <= 120; save++ {
 			s := newEmptySim(t.Fatalf, 4)
+			if s.onFiles = save%8 == 0; s.onFiles {
+				for _, r := range s.replicas {
+					s.newDisk(r)
+				}
+			}
 			s.killing = func(_ *simReplica, n int) crashPoint {
 				if n%120 == save-1 {
 					return at
--- a/internal/state/replica/send.go
+++ b/internal/state/replica/send.go
@@ -10,7 +10,7 @@
 // Queues and time limits of sending.
 const (
 	outboxQueue  = 64
-	shortTimeout = 500 * time.Millisecond // a connection that went silent is given up before a leader must stop
+	shortTimeout = 300 * time.Millisecond // silent connections in both directions are given up before a leader must stop
 	bulkTimeout  = 5 * time.Second        // 512 KB on a slow path between regions
 )
 
--- a/internal/state/replica/sim_test.go
+++ b/internal/state/replica/sim_test.go
@@ -33,6 +33,7 @@
 type simReplica struct {
 	id       deck.ReplicaID
 	disk     deck.Storage
+	files    *disk.MemoryFiles // under the disk; nil for a disk in memory
 	core     *Core
 	state    uint64 // the state machine's state: a hash of the applied commands
 	frozen   bool
@@ -52,6 +53,7 @@
 	oracle   oracle
 	lives    uint64
 	config   Config
+	onFiles  bool // new disks are stores on files that lose what is not synced
 
 	saves   int                                               // carried out so far
 	tamper  func(m deck.ReplicaMessage) []deck.ReplicaMessage // replaces a message on its way; nil for none
@@ -106,9 +108,29 @@
 	s.lives++
 	r.id.Incarnation = s.lives
 	r.disk = disk.NewMemory(r.id)
+	if s.onFiles {
+		r.files = &disk.MemoryFiles{}
+		s.reopen(r, 0)
+	}
+}
+
+// reopen opens the replica's files after a crash that left some bytes of an unfinished write.
+func (s *sim) reopen(r *simReplica, torn int) {
+	r.files.Crash(torn)
+	store, err := disk.Open(disk.Options{
+		Files: r.files, Deployment: "sim", VM: r.id.VM, Incarnation: func() uint64 { return r.id.Incarnation },
+	})
+	if err != nil {
+		s.fail("reopen %s: %v", r.id, err)
+		return
+	}
+	r.disk = store
 }
 
 func (s *sim) start(r *simReplica) {
+	if r.files != nil {
+		s.reopen(r, int(s.lives%64))
+	}
 	cfg := s.config
 	cfg.Stored, _ = r.disk.Load()
 	s.lives++
