--- a/internal/state/replica/faults_test.go
+++ b/internal/state/replica/faults_test.go
@@ -37,10 +37,7 @@
 	s.tamper, s.killing = nil, nil
 	s.heal()
 	s.commit("last")
-	s.calm(40)
-	for _, r := range s.replicas {
-		s.oracle.final(r)
-	}
+	s.checkVoters()
 }
 
 // barrierEnds asks for a barrier now and then until one succeeds.
@@ -210,10 +207,5 @@
 	is.Equal(status.Phase, deck.RepairDone)
 	s.crash(s.awaitLeader())
 	s.commit("after the second failure")
-	for _, r := range s.replicas {
-		if r.core != nil {
-			s.calm(20)
-			s.oracle.final(r)
-		}
-	}
+	s.checkVoters()
 }
--- a/internal/state/replica/fuzz_test.go
+++ b/internal/state/replica/fuzz_test.go
@@ -268,10 +268,5 @@
 		return
 	}
 	f.commit(f.command())
-	f.calm(40)
-	for _, id := range f.awaitLeader().core.membership().Voters {
-		if r := f.vm(id.VM); r.id == id {
-			f.oracle.final(r)
-		}
-	}
+	f.checkVoters()
 }
--- a/internal/state/replica/oracle_test.go
+++ b/internal/state/replica/oracle_test.go
@@ -94,7 +94,8 @@
 func (o *oracle) final(r *simReplica) {
 	for index, command := range o.acked {
 		if o.history[index].command != command || r.core.log.applied < index {
-			o.fail("acknowledged entry %d (%s) is lost", index, command)
+			o.fail("replica %s has applied %d entries; acknowledged entry %d (%s) is lost, entry is %v",
+				r.id, r.core.log.applied, index, command, o.history[index])
 		}
 	}
 	if r.state != o.history[r.core.log.applied].state {
--- a/internal/state/replica/sim_test.go
+++ b/internal/state/replica/sim_test.go
@@ -389,6 +389,18 @@
 	})
 }
 
+// checkVoters waits until every running voter has applied everything, and checks that nothing acknowledged is missing.
+func (s *sim) checkVoters() {
+	for _, id := range s.awaitLeader().core.membership().Voters {
+		r := s.vm(id.VM)
+		if r.id != id || r.core == nil {
+			continue
+		}
+		s.calmUntil("all entries at "+id.String(), func() bool { return r.core.log.applied >= s.oracle.last })
+		s.oracle.final(r)
+	}
+}
+
 func (s *sim) barrier(r *simReplica) {
 	s.lives++
 	r.barriers[s.lives] = s.oracle.last
