Keep proofs young enough behind relays, push payloads to all relays

With a leader's proof renewed every 500 ms and polls of 1 s at each level, a relay's proof passed 3 s in normal operation: 10 of 12 VMs of a data centre without a control replica left their relay, some across the border. A publisher still pushed to the first and the last relay only, although a data centre may now have four. The log takes commands of 256 KiB, but the client sent up to 4 MiB and called the refusal a command that may have been committed.

Change: the leader renews its proof 100 ms after the last one, which costs no message, and control replicas poll with a wait of 700 ms. Publishers push to every relay. The limit of a command is that of the log, and the log's refusals count as not proposed. A shorter poll at every level was ruled out, because it costs each VM bytes; now only the control replicas poll 1.4 times as often.

--- a/internal/state/feed/client.go
+++ b/internal/state/feed/client.go
@@ -13,6 +13,7 @@
 // Times of polling.
 const (
 	pollWait     = time.Second            // a longer wait would let the proof of a relay become too old
+	controlWait  = 700 * time.Millisecond // of a control replica, whose proof the relays pass on a second later
 	pollGrace    = 500 * time.Millisecond // for the path, beyond the time for which the source holds the poll
 	roundPause   = 500 * time.Millisecond // after all sources have failed
 	leaderPause  = 250 * time.Millisecond // between two looks whether this VM still leads the log
@@ -119,7 +120,7 @@
 func (c *Client) stay(ctx context.Context, order []deck.Peer, i int) bool {
 	since := c.cfg.Clock.Now()
 	c.source.Store(&order[i])
-	for c.poll(ctx, order[i], pollWait) {
+	for c.poll(ctx, order[i], c.wait()) {
 		if c.leads() || c.leaderMoved(order) {
 			return true
 		}
@@ -136,6 +137,13 @@
 	return false
 }
 
+func (c *Client) wait() time.Duration {
+	if c.cfg.Leader != nil {
+		return controlWait
+	}
+	return pollWait
+}
+
 func (c *Client) order() []deck.Peer {
 	return Sources(c.cfg.Self, c.cfg.Peers, c.leader())
 }
--- a/internal/state/feed/cluster_test.go
+++ b/internal/state/feed/cluster_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
@@ -24,6 +25,9 @@
 	nodes  map[deck.VMName]*clusterNode
 	number uint64
 
+	heartbeats bool                                 // the leader proves its state by heartbeats
+	polled     map[deck.VMName]map[deck.VMName]bool // sources of each VM; nil if they are not recorded
+
 	mu  sync.Mutex
 	cut map[[2]deck.VMName]bool // messages from the first to the second are lost
 }
@@ -36,10 +40,18 @@
 }
 
 func newCluster(t *testing.T) *cluster {
-	c := &cluster{t: t, log: decktest.NewLog(), nodes: make(map[deck.VMName]*clusterNode), cut: make(map[[2]deck.VMName]bool)}
+	var peers []deck.Peer
 	for i, dc := range []deck.DataCentre{"graz-a", "graz-a", "graz-a", "wien-b", "wien-b", "wien-b", "innsbruck-a", "innsbruck-a"} {
 		p := deck.Peer{Name: deck.VMName(fmt.Sprint("vm", i)), DataCentre: dc, Control: i%3 == 0}
-		c.peers = append(c.peers, p)
+		peers = append(peers, p)
+	}
+	return newClusterOf(t, peers, false)
+}
+
+func newClusterOf(t *testing.T, peers []deck.Peer, heartbeats bool) *cluster {
+	c := &cluster{
+		t: t, log: decktest.NewLog(), peers: peers, nodes: make(map[deck.VMName]*clusterNode),
+		cut: make(map[[2]deck.VMName]bool), heartbeats: heartbeats,
 	}
 	for _, p := range c.peers {
 		c.start(p, nil, deck.State{}, false)
@@ -62,7 +74,11 @@
 		n.machine = machine.New(nil, Recorder{Store: n.store})
 		n.replica = c.log.Join(p.Name, n.machine)
 		cfg.Leader = func() deck.VMName { return n.replica.Status().Leader.VM }
-		g.Go(func() error { return Prover{Log: n.replica, Store: n.store, Clock: deck.SystemClock{}}.Run(ctx) })
+		var log deck.Log = n.replica
+		if c.heartbeats {
+			log = heartbeatLog{n.replica}
+		}
+		g.Go(func() error { return Prover{Log: log, Store: n.store, Clock: deck.SystemClock{}}.Run(ctx) })
 	}
 	g.Go(func() error { return NewClient(cfg).Run(ctx) })
 	n.stop = func() {
@@ -156,6 +172,7 @@
 }
 
 func (t clusterTransport) Poll(ctx context.Context, source deck.Peer, r Request) (Answer, error) {
+	t.record(source.Name)
 	if t.c.lost(t.self, source.Name) || !sleep(ctx, 25*time.Millisecond) {
 		<-ctx.Done()
 		return Answer{}, ctx.Err()
@@ -168,6 +185,31 @@
 	return a, nil
 }
 
+func (t clusterTransport) record(source deck.VMName) {
+	t.c.mu.Lock()
+	defer t.c.mu.Unlock()
+	if t.c.polled == nil {
+		return
+	}
+	if t.c.polled[t.self] == nil {
+		t.c.polled[t.self] = make(map[deck.VMName]bool)
+	}
+	t.c.polled[t.self][source] = true
+}
+
+// A heartbeatLog proves the leader's state with the next heartbeat, which is at most 350 ms away and takes 50 ms.
+type heartbeatLog struct {
+	*decktest.LogReplica
+}
+
+func (l heartbeatLog) HeartbeatBarrier(ctx context.Context) error {
+	if s := l.Status(); s.Leader.VM != s.Self.VM {
+		return errors.New("not the leader")
+	}
+	sleep(ctx, 400*time.Millisecond)
+	return ctx.Err()
+}
+
 func (t clusterTransport) Offer(ctx context.Context, to deck.Peer, name string, v PayloadVersion) (bool, error) {
 	if t.c.lost(t.self, to.Name) || t.c.lost(to.Name, t.self) {
 		<-ctx.Done()
--- a/internal/state/feed/control.go
+++ b/internal/state/feed/control.go
@@ -12,9 +12,13 @@
 // PoisonPayload is the name of the payload with the refused request digests.
 const PoisonPayload = "poison"
 
-// proveInterval is the time between two read barriers of a control replica. The age of proof grows by one poll's wait
-// for each relay below it and has to stay under ProofLimit.
-const proveInterval = 500 * time.Millisecond
+// Times between two proofs of a control replica. A leader's proof is as old as two heartbeats and heartbeatPause, a
+// follower's older by controlWait and a relay's by pollWait more, each with two path times. The sum stays under ProofLimit
+// for path times below 90 ms.
+const (
+	heartbeatPause = 100 * time.Millisecond // after a proof by heartbeats, which cost no message
+	proveInterval  = 500 * time.Millisecond // between two looks of a follower at the age of its proof
+)
 
 // proofReserve is the age of proof at which a control replica that can't learn it from the leader's feed asks for a
 // barrier itself.
@@ -69,10 +73,14 @@
 // learn it from the leader's feed, and start a barrier only if that fails.
 func (p Prover) Run(ctx context.Context) error {
 	for {
-		if !p.heartbeat(ctx) && p.due() {
-			p.Once(ctx)
+		interval := heartbeatPause
+		if !p.heartbeat(ctx) {
+			interval = proveInterval
+			if p.due() {
+				p.Once(ctx)
+			}
 		}
-		if !sleep(ctx, proveInterval) {
+		if !sleep(ctx, interval) {
 			return nil
 		}
 	}
--- a/internal/state/feed/feed_test.go
+++ b/internal/state/feed/feed_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/state/disk"
 	"github.com/geraniumdeck/geraniumdeck/internal/state/machine"
 	"github.com/geraniumdeck/geraniumdeck/internal/test/decktest"
 )
@@ -169,6 +170,39 @@
 	})
 }
 
+// Guards against VMs that leave a healthy source because its proof is too old in normal operation: a data centre without
+// a control replica, whose relays poll a follower, which learns of the leader's proof by its own polls.
+func TestProofStaysYoung(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var peers []deck.Peer
+		for i := range 22 {
+			dc := []deck.DataCentre{"graz-a", "wien-b", "bare"}[min(i/4, 2)]
+			peers = append(peers, deck.Peer{Name: deck.VMName(fmt.Sprint("vm", i)), DataCentre: dc, Control: i == 0 || i == 4 || i == 5})
+		}
+		c := newClusterOf(t, peers, true)
+		time.Sleep(retryFirst + 10*time.Second) // VMs start before the leader's first proof and come back to it
+		c.mu.Lock()
+		c.polled = make(map[deck.VMName]map[deck.VMName]bool)
+		c.mu.Unlock()
+		oldest := make(map[deck.VMName]time.Duration)
+		for range 600 {
+			time.Sleep(100 * time.Millisecond)
+			for _, p := range peers {
+				age, _ := c.store(p.Name).ProofAge()
+				oldest[p.Name] = max(oldest[p.Name], age)
+			}
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for _, p := range peers {
+			t.Logf("%s %s: proof at most %s old, polls %v", p.Name, p.DataCentre, oldest[p.Name], c.polled[p.Name])
+			if len(c.polled[p.Name]) > 1 {
+				t.Errorf("%s polls %v", p.Name, c.polled[p.Name])
+			}
+		}
+	})
+}
+
 // Guards against a source that holds a poll until its proof is too old, so that the polling VM leaves it late.
 func TestSourceAnswersWhenItsProofIsTooOld(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -209,6 +243,23 @@
 	})
 }
 
+// Guards against relays whose VMs never get a payload.
+func TestRootsAreAllRelays(t *testing.T) {
+	is := is.New(t)
+	var peers []deck.Peer
+	for i := range 34 {
+		peers = append(peers, deck.Peer{Name: deck.VMName(fmt.Sprint("vm", i)), DataCentre: "x", Control: i == 0})
+	}
+	roots := Roots(deck.Peer{Name: "publisher", DataCentre: "x"}, peers)
+	is.True(len(Relays("x", peers)) > 2)
+	for _, p := range peers {
+		first := Sources(p, peers, "")
+		is.True(len(first) == 0 || slices.Contains(roots, first[0]))
+		second := Sources(p, peers[1:], "") // without the control replica the relays are polled
+		is.True(len(second) == 0 || slices.Contains(Roots(deck.Peer{Name: "publisher", DataCentre: "x"}, peers[1:]), second[0]))
+	}
+}
+
 // Guards against relays that poll each other, VMs that poll across a data centre border although a relay lives, and a
 // control replica that passes the leader over.
 func TestSources(t *testing.T) {
@@ -279,7 +330,7 @@
 // Guards against a state in force that a restart goes back behind.
 func TestStateIsSavedBeforeItIsInForce(t *testing.T) {
 	is := is.New(t)
-	saver := FileSaver{Folder: t.TempDir()}
+	saver := disk.StateFile{Folder: t.TempDir()}
 	_, ok, err := saver.Load()
 	is.NoErr(err)
 	is.True(!ok)
--- a/internal/state/feed/publisher.go
+++ b/internal/state/feed/publisher.go
@@ -112,7 +112,7 @@
 	var out []deck.Peer
 	relays := Relays(self.DataCentre, peers)
 	for _, p := range peers {
-		relay := len(relays) > 0 && (p.Name == relays[0].Name || p.Name == relays[len(relays)-1].Name)
+		relay := slices.ContainsFunc(relays, func(r deck.Peer) bool { return r.Name == p.Name })
 		if p.DataCentre == self.DataCentre && p.Name != self.Name && (p.Control || relay) {
 			out = append(out, p)
 		}
--- a/internal/state/machine/client_test.go
+++ b/internal/state/machine/client_test.go
@@ -186,6 +186,23 @@
 	})
 }
 
+// Guards against a refusal of the log that counts as a command that may be committed, and the reverse.
+func TestLogErrorsAreExact(t *testing.T) {
+	tests := map[error]bool{ // whether the command certainly was not proposed
+		deck.NotLeaderError{Leader: deck.ReplicaID{VM: "b"}}: true,
+		deck.ErrLogBusy:          true,
+		deck.ErrCommandTooLarge:  true,
+		deck.ErrLeadershipLost:   false,
+		deck.ErrReplicaStopped:   false,
+		context.DeadlineExceeded: false,
+	}
+	for err, want := range tests {
+		t.Run(err.Error(), func(t *testing.T) {
+			is.New(t).Equal(certainlyNot(proposeError(err)), want)
+		})
+	}
+}
+
 // Guards against a recorded answer that is cut off, and a VM with a replica that does not use it.
 func TestLargeAnswerAndLocalReplica(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/wire/command/codec.go
+++ b/internal/wire/command/codec.go
@@ -10,8 +10,9 @@
 	"github.com/geraniumdeck/geraniumdeck/internal/wire/ticket"
 )
 
-// MaxBytes is the largest encoded command; a ticket is the largest one.
-const MaxBytes = ticket.MaxBytes + 64<<10
+// MaxBytes is the largest encoded command. The replicated log takes no larger one; a ticket that exceeds it is split by
+// the operator.
+const MaxBytes = 256 << 10
 
 var (
 	outcomes = []deck.Outcome{deck.OutcomeUnknown, deck.OutcomeDone, deck.OutcomeNotRun}
