--- a/internal/route/choose/candidate.go
+++ b/internal/route/choose/candidate.go
@@ -1,6 +1,7 @@
 package choose
 
 import (
+	"math"
 	"time"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
@@ -34,6 +35,22 @@
 	return max(0, l.Total-l.OwnAtReport), true
 }
 
+// noLoad stands for the load of no server at all.
+const noLoad = math.MaxInt
+
+// known returns the work on the server as far as it is known.
+func (l Load) known() int {
+	n, _ := l.Others()
+	return l.Own + n
+}
+
+// worthSpill reports whether a farther server has clearly less work than the least loaded near one; one without a
+// report may have.
+func (l Load) worthSpill(near int) bool {
+	_, ok := l.Others()
+	return !ok || near == noLoad || float64(l.known()) < spillShare*float64(near)
+}
+
 // A Candidate is a backend server that could run an attempt.
 type Candidate struct {
 	Backend    deck.BackendName
--- a/internal/route/choose/choose_test.go
+++ b/internal/route/choose/choose_test.go
@@ -52,6 +52,10 @@
 			server(func(c *Candidate) { c.Load = Load{Reported: true, Total: 5} }),
 			server(func(c *Candidate) { c.Load = Load{Reported: true, Total: 20, OwnAtReport: 1} }),
 		}, Need{}, 1, 1000},
+		"far no less loaded": {[]Candidate{
+			server(func(c *Candidate) { c.Room, c.Load = 0, Load{Reported: true, Total: 10} }),
+			server(func(c *Candidate) { c.Distance, c.Load = Elsewhere, Load{Reported: true, Total: 9} }),
+		}, Need{Farthest: Elsewhere}, 1, 0},
 		"near but slow": {[]Candidate{server(far), server(func(c *Candidate) { c.Weight = 0.02 })}, Need{}, 1, 1000},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/route/choose/pick.go
+++ b/internal/route/choose/pick.go
@@ -15,6 +15,9 @@
 	affinityMinHit = 0.25
 	// affinityGain is the share of a request's cost that a fully cached prompt saves.
 	affinityGain = 0.5
+	// spillShare is the largest load of a farther server, relative to the least loaded near one, that is worth the way:
+	// between equally loaded data centres an exchange of work wastes traffic and cached prefixes.
+	spillShare = 0.8
 	// nearWeight is the least weight of a near server that keeps work from going to farther ones.
 	nearWeight = 0.5
 	// Bounds of the latency factor; a single odd sample must neither attract nor repel all work.
@@ -67,18 +70,21 @@
 // weight; exists reports whether a usable candidate exists at all. A slow server does not keep work near: waiting for it
 // costs more than the traffic.
 func tiers(cs []Candidate, need Need, strict bool) (pool []int, exists bool) {
-	healthy := false
+	near := noLoad
 	for d := SameDataCentre; d < distances; d++ {
-		if healthy && (d > need.Farthest || anyHealthy(cs, pool)) {
+		if near != noLoad && (d > need.Farthest || anyHealthy(cs, pool)) {
 			break
 		}
+		bound := near
 		for i, c := range cs {
 			if c.Distance != d || !usable(c, need, strict) {
 				continue
 			}
 			exists = true
-			healthy = healthy || c.Weight >= nearWeight
-			if c.Room > 0 || need.Forced {
+			if c.Weight >= nearWeight {
+				near = min(near, c.Load.known())
+			}
+			if (c.Room > 0 || need.Forced) && c.Load.worthSpill(bound) {
 				pool = append(pool, i)
 			}
 		}
--- a/internal/route/router/place.go
+++ b/internal/route/router/place.go
@@ -68,6 +68,9 @@
 	return choose.Elsewhere
 }
 
+// firstTokenCaution is in percent of the mean time to a first token; it covers most of the variation around it.
+const firstTokenCaution = 160
+
 // spillMargin covers the path to another region and back.
 const spillMargin = 150 * time.Millisecond
 
@@ -162,7 +165,8 @@
 	close(h.preempted)
 }
 
-// expectedFirstToken returns the least known time to a first token over the model's servers.
+// expectedFirstToken returns a cautious estimate from the least known time to a first token over the model's servers.
+// Work that starts later than this allows mostly misses its deadline and wastes what it used.
 func (c *Core) expectedFirstToken(m deck.ModelName) time.Duration {
 	least := time.Duration(0)
 	for _, r := range c.cfg.Residency.Replicas(m) {
@@ -170,7 +174,7 @@
 			least = d
 		}
 	}
-	return least
+	return least * firstTokenCaution / 100
 }
 
 func contains(names []deck.BackendName, b deck.BackendName) bool {
