Check the holds of slow-server marks in the fuzz test

Cause: removing the hold before a weight rises or falls failed no test. Change: the oracle reports a loss of weight sooner than the hold after a server became slow, and two gains within the hold.

--- a/internal/route/health/fuzz_test.go
+++ b/internal/route/health/fuzz_test.go
@@ -20,6 +20,9 @@
 	turns   int // changes of the weight's direction
 	rising  bool
 	weight  float64
+	raised  time.Time
+	own     time.Time // last change of its own speed
+	slowed  time.Time // last change to slow after it was fast for a while
 }
 
 // An oracle compares the tracker's weights with the true speeds.
@@ -61,7 +64,11 @@
 
 func (o *oracle) change(s *truth, slow bool) {
 	if s.slow != slow {
-		s.slow, s.changes = slow, s.changes+1
+		const memory = time.Second // an estimate outlasts a shorter change of speed
+		if slow && o.now.Sub(s.own) > memory {
+			s.slowed = o.now
+		}
+		s.slow, s.changes, s.own = slow, s.changes+1, o.now
 		for _, x := range o.servers {
 			x.since = o.now
 		}
@@ -124,6 +131,7 @@
 	if from-to > 1 || to-from > 1 {
 		t.Fatalf("server %s jumped from weight %v to %v", s.name, s.weight, w)
 	}
+	o.checkHolds(t, s, w)
 	if rising := w > s.weight; rising != s.rising {
 		s.rising = rising
 		s.turns++
@@ -138,6 +146,20 @@
 	}
 }
 
+// checkHolds reports a change of weight before its condition can have held for the threshold.
+func (o *oracle) checkHolds(t *rapid.T, s *truth, w float64) {
+	p := DefaultPolicy()
+	if s.weight == 1 && o.now.Sub(s.slowed) < p.DownHold {
+		t.Fatalf("server %s lost weight %v after it became slow", s.name, o.now.Sub(s.slowed))
+	}
+	if w > s.weight {
+		if o.now.Sub(s.raised) < p.UpHold {
+			t.Fatalf("server %s gained weight twice within %v", s.name, o.now.Sub(s.raised))
+		}
+		s.raised = o.now
+	}
+}
+
 func stepOf(w float64) int {
 	for i, s := range steps {
 		if s == w {
