--- a/internal/route/choose/choose_test.go
+++ b/internal/route/choose/choose_test.go
@@ -52,6 +52,9 @@
 			server(func(c *Candidate) { c.Load = Load{Reported: true, Total: 5} }),
 			server(func(c *Candidate) { c.Load = Load{Reported: true, Total: 20, OwnAtReport: 1} }),
 		}, Need{}, 1, 1000},
+		"near beyond the target": {[]Candidate{
+			server(far), server(func(c *Candidate) { c.Room, c.Gap = 0, 2*nearGap }),
+		}, Need{}, 1, 1000},
 		"far no less loaded": {[]Candidate{
 			server(func(c *Candidate) { c.Room, c.Load = 0, Load{Reported: true, Total: 10} }),
 			server(func(c *Candidate) { c.Distance, c.Load = Elsewhere, Load{Reported: true, Total: 9} }),
--- a/internal/route/choose/pick.go
+++ b/internal/route/choose/pick.go
@@ -18,8 +18,11 @@
 	// spillShare is the largest load of a farther server, relative to the least loaded near one, that is worth the way:
 	// between equally loaded data centres an exchange of work wastes traffic and cached prefixes.
 	spillShare = 0.8
-	// nearWeight is the least weight of a near server that keeps work from going to farther ones.
+	// nearWeight is the least weight and nearGap the longest time between tokens of a near server that keeps work from
+	// going to farther ones. A server that is alone with its model has no peers that could show it as slow, but one that
+	// misses the 47 ms between tokens that users need is not worth a wait.
 	nearWeight = 0.5
+	nearGap    = 47 * time.Millisecond
 	// Bounds of the latency factor; a single odd sample must neither attract nor repel all work.
 	minLatencyFactor = 0.7
 	maxLatencyFactor = 4.0
@@ -81,7 +84,7 @@
 				continue
 			}
 			exists = true
-			if c.Weight >= nearWeight {
+			if keepsNear(c) {
 				near = min(near, c.Load.known())
 			}
 			if (c.Room > 0 || need.Forced) && c.Load.worthSpill(bound) {
@@ -94,13 +97,17 @@
 
 func anyHealthy(cs []Candidate, pool []int) bool {
 	for _, i := range pool {
-		if cs[i].Weight >= nearWeight {
+		if keepsNear(cs[i]) {
 			return true
 		}
 	}
 	return false
 }
 
+func keepsNear(c Candidate) bool {
+	return c.Weight >= nearWeight && c.Gap <= nearGap
+}
+
 func usable(c Candidate, need Need, strict bool) bool {
 	if need.Adapter && !c.HasAdapter {
 		return false
--- a/internal/route/health/tracker.go
+++ b/internal/route/health/tracker.go
@@ -29,7 +29,7 @@
 
 // DefaultPolicy is the policy that measured best; see the commits of internal/measure/sim.
 func DefaultPolicy() Policy {
-	return Policy{DownHold: time.Second, StepHold: 300 * time.Millisecond, UpHold: time.Second}
+	return Policy{DownHold: time.Second, StepHold: 300 * time.Millisecond, UpHold: 300 * time.Millisecond}
 }
 
 // A Tracker compares backend servers with their peers and sets their weights.
