--- a/internal/route/choose/pick.go
+++ b/internal/route/choose/pick.go
@@ -15,8 +15,14 @@
 	affinityMinHit = 0.25
 	// affinityGain is the share of a request's cost that a fully cached prompt saves.
 	affinityGain = 0.5
-	// nearWeight is the least weight of a near server that keeps work from going to farther ones.
+	// spillShare is the largest load of a farther server, relative to the least loaded near one, that is worth the way:
+	// between equally loaded data centres an exchange of work wastes traffic and cached prefixes.
+	spillShare = 0.8
+	// nearWeight is the least weight and nearGap the longest time between tokens of a near server that keeps work from
+	// going to farther ones. A server that is alone with its model has no peers that could show it as slow, but one that
+	// misses the 47 ms between tokens that users need is not worth a wait.
 	nearWeight = 0.5
+	nearGap    = 47 * time.Millisecond
 	// Bounds of the latency factor; a single odd sample must neither attract nor repel all work.
 	minLatencyFactor = 0.7
 	maxLatencyFactor = 4.0
@@ -67,18 +73,21 @@
 // weight; exists reports whether a usable candidate exists at all. A slow server does not keep work near: waiting for it
 // costs more than the traffic.
 func tiers(cs []Candidate, need Need, strict bool) (pool []int, exists bool) {
-	healthy := false
+	near := noLoad
 	for d := SameDataCentre; d < distances; d++ {
-		if healthy && (d > need.Farthest || anyHealthy(cs, pool)) {
+		if near != noLoad && (d > need.Farthest || anyHealthy(cs, pool)) {
 			break
 		}
+		bound := near
 		for i, c := range cs {
 			if c.Distance != d || !usable(c, need, strict) {
 				continue
 			}
 			exists = true
-			healthy = healthy || c.Weight >= nearWeight
-			if c.Room > 0 || need.Forced {
+			if keepsNear(c) {
+				near = min(near, c.Load.known())
+			}
+			if (c.Room > 0 || need.Forced) && c.Load.worthSpill(bound) {
 				pool = append(pool, i)
 			}
 		}
@@ -88,13 +97,17 @@
 
 func anyHealthy(cs []Candidate, pool []int) bool {
 	for _, i := range pool {
-		if cs[i].Weight >= nearWeight {
+		if keepsNear(cs[i]) {
 			return true
 		}
 	}
 	return false
 }
 
+func keepsNear(c Candidate) bool {
+	return c.Weight >= nearWeight && c.Gap <= nearGap
+}
+
 func usable(c Candidate, need Need, strict bool) bool {
 	if need.Adapter && !c.HasAdapter {
 		return false
