--- a/internal/api/peer/doc.go
+++ b/internal/api/peer/doc.go
@@ -1,2 +1,2 @@
-// Package peer holds the peers' listener and client with their JSON codecs.
+// Package peer implements the listener for the other VMs and its clients.
 package peer
--- /dev/null
+++ b/internal/route/choose/pick.go
@@ -0,0 +1,138 @@
+package choose
+
+import (
+	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+const (
+	// staleReport is 5 polling intervals; an older report says nothing about the present load.
+	staleReport = 10 * time.Second
+	// affinityLoadBound is how far above the mean load a server with a cached prefix may be and still be preferred.
+	affinityLoadBound = 1.25
+	// affinityMinHit is the least cached share of a prompt that is worth a detour.
+	affinityMinHit = 0.25
+	// affinityGain is the share of a request's cost that a fully cached prompt saves.
+	affinityGain = 0.5
+	// nearWeight is the least weight of a near server that keeps work from going to farther ones.
+	nearWeight = 0.5
+	// Bounds of the latency factor; a single odd sample must neither attract nor repel all work.
+	minLatencyFactor = 0.7
+	maxLatencyFactor = 4.0
+)
+
+// A Need is what an attempt requires of the choice.
+type Need struct {
+	Adapter  bool     // an adapter must be present
+	Farthest Distance // farther servers are used only if there is no nearer one at all
+	Probe    bool     // the request may be used to try a server of reduced weight
+	Forced   bool     // a server without room is acceptable
+}
+
+// Pick returns the index of the candidate for the next attempt; ok is false if none has room.
+func Pick(cs []Candidate, need Need, rnd deck.Rand) (index int, ok bool) {
+	pool := eligible(cs, need)
+	if len(pool) == 0 {
+		return 0, false
+	}
+	if i, found := probe(cs, pool, need); found {
+		return i, true
+	}
+	a := draw(cs, pool, -1, rnd)
+	b := a
+	if len(pool) > 1 {
+		b = draw(cs, pool, a, rnd)
+	}
+	s := newScorer(cs, pool)
+	best := a
+	if s.cost(cs[b]) < s.cost(cs[a]) {
+		best = b
+	}
+	return s.withAffinity(cs, pool, best), true
+}
+
+// eligible returns the indices of the usable candidates of the nearest allowed distance.
+func eligible(cs []Candidate, need Need) []int {
+	for _, strict := range []bool{true, false} {
+		pool, exists := tiers(cs, need, strict)
+		if exists {
+			return pool
+		}
+	}
+	return nil
+}
+
+// tiers returns the candidates with room, nearest distance first, up to the first distance that has one of nearly full
+// weight; exists reports whether a usable candidate exists at all. A slow server does not keep work near: waiting for it
+// costs more than the traffic.
+func tiers(cs []Candidate, need Need, strict bool) (pool []int, exists bool) {
+	healthy := false
+	for d := SameDataCentre; d < distances; d++ {
+		if healthy && (d > need.Farthest || anyHealthy(cs, pool)) {
+			break
+		}
+		for i, c := range cs {
+			if c.Distance != d || !usable(c, need, strict) {
+				continue
+			}
+			exists = true
+			healthy = healthy || c.Weight >= nearWeight
+			if c.Room > 0 || need.Forced {
+				pool = append(pool, i)
+			}
+		}
+	}
+	return pool, exists
+}
+
+func anyHealthy(cs []Candidate, pool []int) bool {
+	for _, i := range pool {
+		if cs[i].Weight >= nearWeight {
+			return true
+		}
+	}
+	return false
+}
+
+func usable(c Candidate, need Need, strict bool) bool {
+	if need.Adapter && !c.HasAdapter {
+		return false
+	}
+	return !strict || (!c.Down && !c.Avoid)
+}
+
+func probe(cs []Candidate, pool []int, need Need) (int, bool) {
+	if !need.Probe {
+		return 0, false
+	}
+	for _, i := range pool {
+		if cs[i].ProbeDue {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// draw returns a candidate other than the excepted one, at random in proportion to the weights.
+func draw(cs []Candidate, pool []int, except int, rnd deck.Rand) int {
+	total := 0.0
+	for _, i := range pool {
+		if i != except {
+			total += cs[i].Weight
+		}
+	}
+	x := rnd.Float64() * total
+	last := 0
+	for _, i := range pool {
+		if i == except {
+			continue
+		}
+		x -= cs[i].Weight
+		last = i
+		if x < 0 {
+			break
+		}
+	}
+	return last
+}
