Set not-after on operations

Cause: engines refuse to start an operation after its not-after time, but the placement leader set none, so the lifetime rested on the network alone. Change: not-after is the operation lifetime less the 3 s by which wall clocks may differ. The whole lifetime was ruled out, since an engine with a slow clock would start an operation after its reservation is released.

--- a/internal/place/execute/controller.go
+++ b/internal/place/execute/controller.go
@@ -15,6 +15,9 @@
 // Pace of reports and steps.
 const (
 	minReportInterval = time.Second
+	// startWindow is the operation lifetime less the bound on the difference of wall clocks, so that an engine whose clock
+	// is slow still starts nothing after the lifetime.
+	startWindow = memory.OperationLifetime - 3*time.Second
 	// reportsPerSecond bounds what the leader receives in reports of about 0.5 KB.
 	reportsPerSecond = 6
 	// retireDelay lets entry VMs learn that a replica goes before it is unloaded.
@@ -225,6 +228,7 @@
 func (c *Controller) send(out *Output, e *engine, op deck.Operation) bool {
 	op.FencingToken = c.lease.FencingToken
 	op.ID = deck.OperationID(fmt.Sprintf("%s-%d-%d", c.dc, c.lease.FencingToken, c.sequence+1))
+	op.NotAfter = c.now.Add(startWindow)
 	if err := e.ledger.Reserve(op, c.now); err != nil {
 		return false
 	}
