Let further replicas use the spare place and weigh loads more

Change: the spare place is kept from second homes only, since further replicas can go at any time; a second of the weight store costs three times an engine's rate.

--- a/internal/place/plan/balance.go
+++ b/internal/place/plan/balance.go
@@ -27,7 +27,7 @@
 	// coldSeconds is the time for which a new replica computes prompts that another engine has cached.
 	coldSeconds = 2
 	// storeWeight is the share of an engine's rate that a second of the weight store is worth.
-	storeWeight = 1.0
+	storeWeight = 3.0
 	// maxAdditions bounds the replicas that one plan adds, and with them its time.
 	maxAdditions = 8
 )
@@ -66,9 +66,7 @@
 	for i, s := range p.shelf.slots {
 		s.load = load{}
 		for m := range s.held {
-			if m != spareModel {
-				p.places[m] = append(p.places[m], i)
-			}
+			p.places[m] = append(p.places[m], i)
 		}
 	}
 	for _, m := range slices.Sorted(maps.Keys(p.places)) { // in a fixed order, since sums of floats depend on it
@@ -161,7 +159,7 @@
 
 // byShare returns the slot's models, those with the largest demand per replica first.
 func (p *packing) byShare(s *slot) []deck.ModelName {
-	out := slices.DeleteFunc(sortedKeys(s.held), func(m deck.ModelName) bool { return m == spareModel })
+	out := sortedKeys(s.held)
 	share := func(m deck.ModelName) float64 { return p.demand(m).wanted / float64(max(1, len(p.places[m]))) }
 	slices.SortStableFunc(out, func(a, b deck.ModelName) int { return cmp.Compare(share(b), share(a)) })
 	return out
--- a/internal/place/plan/local.go
+++ b/internal/place/plan/local.go
@@ -66,9 +66,7 @@
 	}
 	p := newPacking(in, needs)
 	p.keep()
-	if p.pack() {
-		p.spare()
-	} else {
+	if !p.pack() {
 		p = newPacking(in, needs)
 		p.repack()
 	}
@@ -180,9 +178,10 @@
 
 // repack fills the engines in the order in which Assign proved that the home models fit.
 func (p *packing) repack() {
+	spare := -1
 	for pass := range 2 {
 		if pass == 1 {
-			p.spare()
+			spare = p.spare()
 		}
 		for _, n := range p.needs {
 			if home := p.in.Homes.Of(n.model); pass >= len(home) || home[pass] != p.in.DataCentre {
@@ -198,17 +197,20 @@
 			}
 		}
 	}
+	if spare >= 0 { // further replicas may use it, since they can go at any time
+		p.drop(spare, spareModel)
+	}
 }
 
-// spare sets memory for the largest home model aside where the other homes leave it, so that a version can be replaced
-// and a lost place restored at once.
-func (p *packing) spare() {
+// spare sets memory for the largest home model aside before second homes take it, as Assign does, and returns its slot.
+func (p *packing) spare() int {
 	for _, n := range p.needs {
 		if p.in.Homes.Of(n.model)[0] == p.in.DataCentre {
-			p.shelf.place(n.spare())
-			return
+			p.all[spareModel] = n.spare()
+			return p.shelf.place(n.spare())
 		}
 	}
+	return -1
 }
 
 // keepSurplus leaves further replicas where memory allows, those with most demand first, because unloading them gains
@@ -228,7 +230,6 @@
 func (p *packing) target() Target {
 	t := Target{models: make(map[deck.BackendName][]deck.ModelName, len(p.shelf.slots)), missing: p.missing}
 	for _, s := range p.shelf.slots {
-		delete(s.held, spareModel)
 		t.models[s.backend.Name] = sortedKeys(s.held)
 	}
 	return t
