--- a/internal/place/execute/controller.go
+++ b/internal/place/execute/controller.go
@@ -15,6 +15,9 @@
 // Pace of reports and steps.
 const (
 	minReportInterval = time.Second
+	// startWindow is the operation lifetime less the bound on the difference of wall clocks, so that an engine whose clock
+	// is slow still starts nothing after the lifetime.
+	startWindow = memory.OperationLifetime - 3*time.Second
 	// reportsPerSecond bounds what the leader receives in reports of about 0.5 KB.
 	reportsPerSecond = 6
 	// retireDelay lets entry VMs learn that a replica goes before it is unloaded.
@@ -34,7 +37,8 @@
 	takenOver time.Time
 	state     deck.State
 	homes     plan.Homes
-	assigned  bool // homes belong to state
+	assigned  bool // homes and adapters belong to state
+	adapters  map[deck.ModelName][]deck.Adapter
 	target    plan.Target
 	planned   uint64 // state version of the target + 1; 0 if there is none
 	plannedAt time.Time
@@ -150,6 +154,10 @@
 	if h, err := plan.Assign(s); err == nil {
 		c.homes = h
 	}
+	c.adapters = make(map[deck.ModelName][]deck.Adapter)
+	for _, a := range s.Adapters() {
+		c.adapters[a.Model] = append(c.adapters[a.Model], a)
+	}
 	c.assigned = true
 }
 
@@ -220,6 +228,7 @@
 func (c *Controller) send(out *Output, e *engine, op deck.Operation) bool {
 	op.FencingToken = c.lease.FencingToken
 	op.ID = deck.OperationID(fmt.Sprintf("%s-%d-%d", c.dc, c.lease.FencingToken, c.sequence+1))
+	op.NotAfter = c.now.Add(startWindow)
 	if err := e.ledger.Reserve(op, c.now); err != nil {
 		return false
 	}
