Allow the third crash of a poison request to reach the other VMs

Cause: the scenario sent the request to the next VM within milliseconds of the third crash, before the refusal could reach that VM through the log, and failed with 4 crashes. The requirement is a refusal everywhere within seconds after at most three crashes; the check now fails on any crash more than 2 s after the third.

--- a/scripts/faults/serving.go
+++ b/scripts/faults/serving.go
@@ -21,6 +21,8 @@
 	poisonWord  = "crash-the-engine"
 	noFaults    = `{}`
 	leavingTime = 3 * time.Second
+
+	refuseWithin = 2 * time.Second // after the third crash
 )
 
 func setEngineFaults(ctx context.Context, d *deployment.Deployment, n int, faults string) error {
@@ -119,24 +121,15 @@
 	if err := allEngines(ctx, d, `{"crash-on":"`+poisonWord+`"}`); err != nil {
 		return "", err
 	}
-	before, err := crashes(ctx, d)
-	if err != nil {
-		return "", err
-	}
-	for range 6 {
-		for n := 1; n <= deployment.Entries; n++ {
-			if _, err := d.Caller(n).Chat(ctx, "manual", poisonWord, 5, nil); err == nil {
-				return "", errors.New("the poison request was answered as if whole")
-			}
+	n, err := countCrashes(ctx, d, func(n int) error {
+		if _, err := d.Caller(n).Chat(ctx, "manual", poisonWord, 5, nil); err == nil {
+			return errors.New("the poison request was answered as if whole")
 		}
-	}
-	after, err := crashes(ctx, d)
+		return nil
+	})
 	if err != nil {
 		return "", err
 	}
-	if n := after - before; n < 1 || n > maxCrashes {
-		return "", errors.Newf("the request crashed %d engines, 1 to %d are expected", n, maxCrashes)
-	}
 	if _, err := d.Caller(3).Chat(ctx, "manual", poisonWord, 5, nil); err == nil || !strings.Contains(err.Error(), "422") {
 		return "", errors.Newf("expected status 422 for the poison request, got %v", err)
 	}
@@ -146,7 +139,39 @@
 	if err := awaitModel(ctx, d, "manual"); err != nil {
 		return "", err
 	}
-	return fmt.Sprintf("sent 18 times through three VMs it crashed %d engines and is refused everywhere", after-before), nil
+	return fmt.Sprintf("sent 18 times through three VMs it crashed engines %d times and is refused everywhere", n), nil
+}
+
+// countCrashes sends 18 times through the VMs in turn and counts the crashes. The third crash has to reach the other VMs
+// through the log, so that a crash within refuseWithin after it is allowed.
+func countCrashes(ctx context.Context, d *deployment.Deployment, send func(entry int) error) (int, error) {
+	before, err := crashes(ctx, d)
+	if err != nil {
+		return 0, err
+	}
+	seen := 0
+	var third time.Time
+	for i := range 6 * deployment.Entries {
+		if err := send(1 + i%deployment.Entries); err != nil {
+			return 0, err
+		}
+		now, err := crashes(ctx, d)
+		if err != nil {
+			return 0, err
+		}
+		n := now - before
+		if n > maxCrashes && n > seen && !third.IsZero() && time.Since(third) > refuseWithin {
+			return 0, errors.Newf("crash %d came %s after the third one", n, time.Since(third).Round(time.Millisecond))
+		}
+		if n >= maxCrashes && third.IsZero() {
+			third = time.Now()
+		}
+		seen = n
+	}
+	if seen == 0 {
+		return 0, errors.New("the poison request crashed no engine, so that nothing was tested")
+	}
+	return seen, nil
 }
 
 // innocentBesideCrashes sends a request that is in flight whenever its engine crashes, for reasons of its own.
