Test that a reset connection leaves a proposal's outcome open

Cause: treating every network error as a failed dial passed the tests.

Change: a server on loopback that resets the connection after it has read.

--- a/internal/api/peer/propose_test.go
+++ b/internal/api/peer/propose_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -9,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	"github.com/geraniumdeck/geraniumdeck/internal/state/lease"
@@ -43,6 +45,7 @@
 		"proposal lost":       {leader.peer.Address, noOp, decktest.LogLost, "maybe"},
 		"answer lost":         {leader.peer.Address, noOp, decktest.LogAnswerLost, "maybe"},
 		"connection cut":      {reply(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }), noOp, decktest.LogOK, "maybe"},
+		"connection reset":    {resetting(t), noOp, decktest.LogOK, "maybe"},
 		"unexpected status":   {reply(http.NotFound), noOp, decktest.LogOK, "maybe"},
 		"leader is not known": {reply(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) }), noOp, decktest.LogOK, "leader "},
 		"answer is cut off": {reply(func(w http.ResponseWriter, _ *http.Request) {
@@ -61,6 +64,31 @@
 	}
 }
 
+// resetting returns the address of a server that resets each connection once it has read from it.
+func resetting(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var g errgroup.Group
+	t.Cleanup(func() {
+		l.Close()
+		_ = g.Wait()
+	})
+	g.Go(func() error {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return nil
+			}
+			_, _ = c.Read(make([]byte, 1))
+			_ = c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		}
+	})
+	return l.Addr().String()
+}
+
 func kind(err error) string {
 	var other *machine.NotLeaderError
 	var none *machine.NotProposedError
