--- a/internal/api/peer/propose_test.go
+++ b/internal/api/peer/propose_test.go
@@ -83,7 +83,7 @@
 			}
 			_, _ = c.Read(make([]byte, 1))
 			_ = c.(*net.TCPConn).SetLinger(0)
-			c.Close()
+			_ = c.Close()
 		}
 	})
 	return l.Addr().String()
