--- a/internal/place/execute/faults_test.go
+++ b/internal/place/execute/faults_test.go
@@ -104,7 +104,7 @@
 // Guards against a new leader that fills memory which an old leader's late operation then takes.
 func TestLeaderReplacedInTheMiddleOfATicket(t *testing.T) {
 	for _, checks := range []bool{true, false} {
-		for _, late := range []time.Duration{time.Second, 5 * time.Second, 9 * time.Second} {
+		for _, late := range []time.Duration{0, time.Second, 5 * time.Second, 9 * time.Second} {
 			is := is.New(t)
 			w := newWorld(tightState(checks))
 			w.run(15 * time.Second) // the first leader takes over
@@ -119,6 +119,10 @@
 			next.Models = append(next.Models, testModel("m3", "v1"), testModel("m4", "v1"))
 			is.True(w.apply(next))
 			w.replaceLeader()
+			if late == 0 { // the old operations overtake the new leader's first ones
+				w.reportsOnly(20)
+				w.flush()
+			}
 			w.runOnly(late)
 			for i := len(w.ops) - 1; i >= 0; i-- {
 				w.deliver(i, true, false)
@@ -153,3 +157,30 @@
 		is.True(slices.ContainsFunc(t.Replicas(m.Name), func(r deck.Replica) bool { return r.Ready && r.Backend != "e0" }))
 	}
 }
+
+// Guards against a replica that goes soon after it came because the plan changed.
+func TestUnwantedReplicaStaysForMinimumResidence(t *testing.T) {
+	is := is.New(t)
+	s := testState(2, 2, true)
+	var t2 deck.Ticket
+	for _, b := range s.BackendServers() {
+		b.AcceleratorBytes = 27 * deck.GiB // two models and a transient need
+		t2.BackendServers = append(t2.BackendServers, b)
+	}
+	w := newWorld(s.WithTicket(t2, 2))
+	w.run(time.Minute)
+	is.Equal(len(w.fakes["e1"].models), 1)
+	m, _ := w.state.Model("m0")
+	w.fakes["e1"].run(deck.Operation{
+		ID: "other", Kind: deck.OpLoadModel, Model: "m0", Version: "v1", FencingToken: w.token, ResidentBytes: m.Versions[0].ResidentBytes(),
+	})
+	w.run(10 * time.Second)
+	// With its adapter m1 leaves no room for m0 beside it.
+	w.state = w.state.WithTicket(deck.Ticket{Adapters: []deck.Adapter{{Name: "a", Model: "m1", Bytes: 6 * deck.GiB}}}, 3)
+	w.run(90 * time.Second)
+	is.Equal(w.ctl.target.Wants("e1", "m0"), false)
+	is.Equal(len(w.fakes["e1"].models), 2)
+	w.run(time.Minute)
+	is.Equal(len(w.fakes["e1"].models), 1)
+	is.Equal(len(w.unplaced()), 0)
+}
--- a/internal/state/replica/progress.go
+++ b/internal/state/replica/progress.go
@@ -130,6 +130,13 @@
 	})
 }
 
+// Lost tells the core that a batch or chunk did not reach the replica, so that the next heartbeat repeats it.
+func (c *Core) Lost(id deck.ReplicaID) {
+	if p := c.peers[id]; p != nil {
+		p.waiting = false
+	}
+}
+
 func (c *Core) replicateAll() {
 	for _, id := range c.peerIDs() {
 		c.replicate(id)
@@ -192,6 +199,9 @@
 }
 
 func (c *Core) handleAppendAnswer(m deck.ReplicaMessage, p *progress) {
+	if p.waiting && !m.Reject && m.Index <= p.match {
+		return // repeated or late; the batch that is under way has not been answered
+	}
 	p.waiting = false
 	if m.Reject {
 		// The hint is the last entry that may be equal; it never goes below what is known to be equal.
