--- a/scripts/faults/serving.go
+++ b/scripts/faults/serving.go
@@ -213,7 +213,7 @@
 				return nil
 			}
 		}
-		return errors.Newf("no engine in the data centre of entry-1 serves %s", model)
+		return errors.Newf("no engine in the data centre of entry-1 serves %s; places are %v", model, s.Places)
 	})
 	return engine, err
 }
