Count a crash once for several attempts with the same content

Cause: a caller that sent the same content three times to one server made it a suspect of three crashes by one crash. Change: a crash of the same server within 2 s is counted once by digest.

--- a/internal/route/health/suspects.go
+++ b/internal/route/health/suspects.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 )
 
 const (
@@ -9,6 +11,8 @@
 	AloneAfter  = 2
 	suspectLife = 10 * time.Minute
 	maxSuspects = 4096
+	// sameCrash is less than an engine needs to start again, and more than the attempts' news of one crash differ by.
+	sameCrash = 2 * time.Second
 )
 
 // A Suspects counts the crashes at which requests were present, by digest; its zero value is empty.
@@ -19,22 +23,29 @@
 type suspect struct {
 	crashes int
 	expires time.Time
+	backend deck.BackendName // of the last crash
+	at      time.Time
 }
 
-// ObserveCrash counts a crash for the request with the digest and returns its count.
-func (s *Suspects) ObserveCrash(digest string, now time.Time) int {
+// ObserveCrash counts a crash of the server for the request with the digest; it returns false if the crash was counted
+// before, since each of several attempts with the same content tells of it.
+func (s *Suspects) ObserveCrash(digest string, b deck.BackendName, now time.Time) bool {
 	if digest == "" {
-		return 0
+		return false
 	}
 	if s.rows == nil {
 		s.rows = make(map[string]suspect)
 	}
+	r := s.rows[digest]
+	if r.backend == b && now.Sub(r.at) < sameCrash {
+		return false
+	}
 	if len(s.rows) >= maxSuspects {
 		s.dropOldest(now)
 	}
-	r := suspect{crashes: s.Crashes(digest, now) + 1, expires: now.Add(suspectLife)}
-	s.rows[digest] = r
-	return r.crashes
+	n := s.Crashes(digest, now) + 1
+	s.rows[digest] = suspect{crashes: n, expires: now.Add(suspectLife), backend: b, at: now}
+	return true
 }
 
 // Crashes returns the number of crashes at which the request was present.
--- a/internal/route/router/observe.go
+++ b/internal/route/router/observe.go
@@ -84,11 +84,10 @@
 	c.health.Forget(s.name)
 	c.hints.Forget(s.name)
 	digest := a.hold.info.Digest
-	if digest == "" {
+	alone := c.suspects.Alone(digest, s, now)
+	if !c.suspects.ObserveCrash(digest, s.name, now) {
 		return
 	}
-	alone := c.suspects.Alone(digest, s, now)
-	c.suspects.ObserveCrash(digest, now)
 	c.crashes = append(c.crashes, Crash{Digest: digest, Backend: s.name, Alone: alone})
 }
 
