--- /dev/null
+++ b/internal/api/peer/doc.go
@@ -0,0 +1,2 @@
+// Package peer implements the listener for the other VMs and its clients.
+package peer
--- /dev/null
+++ b/internal/state/feed/serve.go
@@ -0,0 +1,113 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// MaxWait is the longest time for which a source holds a poll.
+const MaxWait = 2 * time.Second
+
+// Serve answers a poll: at once if there is something new for the polling VM, otherwise after the request's wait, or when
+// the proof becomes too old for the polling VM to stay.
+func (s *Store) Serve(ctx context.Context, r Request) Answer {
+	start := s.clock.Now()
+	s.confirm(start, r)
+	timer := time.NewTimer(min(r.Wait, MaxWait, s.proofLeft(start)))
+	defer timer.Stop()
+	for {
+		answer, news := s.answer(start, r)
+		if answer.hasNews() || r.Wait <= 0 {
+			return answer
+		}
+		select {
+		case <-news:
+			continue
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		answer, _ = s.answer(start, r)
+		return answer
+	}
+}
+
+// proofLeft returns how long the proof stays young enough.
+func (s *Store) proofLeft(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.proven {
+		return MaxWait
+	}
+	return max(s.proof.Add(ProofLimit+time.Millisecond).Sub(now), 0)
+}
+
+func (a Answer) hasNews() bool {
+	return len(a.Deltas) > 0 || a.State != nil || len(a.Payloads) > 0 || a.Differ
+}
+
+// answer returns what is new for the request and the channel that tells of the next news. ProofAge and Held are taken
+// at one instant, because the polling VM subtracts one from the other.
+func (s *Store) answer(start time.Time, r Request) (Answer, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	a := Answer{Version: s.state.Version(), Proven: s.proven, Held: now.Sub(start)}
+	if s.proven {
+		a.ProofAge = now.Sub(s.proof)
+	}
+	if r.After < s.state.Version() {
+		a.Deltas, a.State = s.after(r.After)
+	}
+	if r.Digest != 0 {
+		a.Differ = r.Digest != s.digest(r.DataCentre)
+		return a, s.news
+	}
+	for _, p := range s.payloads {
+		if p.DataCentre != "" && p.DataCentre != r.DataCentre {
+			continue
+		}
+		if have, ok := r.Payloads[p.Name]; !ok || have.Less(p.Version) {
+			a.Payloads = append(a.Payloads, p)
+		}
+	}
+	return a, s.news
+}
+
+// after returns the deltas that follow a version, or the whole state if they do not reach back to it.
+func (s *Store) after(version uint64) ([]Delta, *deck.State) {
+	for i, d := range s.deltas {
+		if d.Previous == version {
+			return append([]Delta(nil), s.deltas[i:]...), nil
+		}
+	}
+	state := s.state
+	return nil, &state
+}
+
+// digest returns the digest of the payload versions that a data centre's VMs receive. With a version of each data
+// centre's residency a poll would be three times as long. The caller holds the lock.
+func (s *Store) digest(dc deck.DataCentre) uint64 {
+	h := xxhash.New()
+	for _, name := range slices.Sorted(maps.Keys(s.payloads)) {
+		p := s.payloads[name]
+		if p.DataCentre != "" && p.DataCentre != dc {
+			continue
+		}
+		_, _ = fmt.Fprintf(h, "%s\x00%d\x00%d\x00", name, p.Version.Epoch, p.Version.Sequence) // never fails
+	}
+	return max(h.Sum64(), 1) // 0 stands for no digest
+}
+
+// payloadDigest returns the digest of the payloads for VMs of the data centre.
+func (s *Store) payloadDigest(dc deck.DataCentre) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.digest(dc)
+}
