--- a/internal/route/router/observe.go
+++ b/internal/route/router/observe.go
@@ -84,11 +84,7 @@
 	s.failed(now)
 	c.health.Forget(s.name)
 	c.hints.Forget(s.name)
-	digest := a.hold.info.Digest
-	if digest == "" {
-		return
-	}
-	c.suspects.ObserveCrash(digest, now)
+	c.suspects.ObserveCrash(a.hold.info.Digest, s.name, now)
 }
 
 // sampleWaits takes the wait for an overdue token as a sample, so that a server that has become slow shows before its
