Pass base URLs in the tests of the platform clients

Cause: New takes a base URL since the platform was wired, but the tests still passed an address, so both failed on every answer. Change: the tests pass the server's URL; what they check is the same. Result: both pass under -race.

--- a/internal/platform/vmlist/client_test.go
+++ b/internal/platform/vmlist/client_test.go
@@ -4,7 +4,6 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -29,7 +28,7 @@
 			w.WriteHeader(tt.status)
 			io.WriteString(w, tt.body) //nolint:errcheck // the client reports what is missing
 		}))
-		got, err := New(strings.TrimPrefix(srv.URL, "http://"), srv.Client()).List(t.Context())
+		got, err := New(srv.URL, srv.Client()).List(t.Context())
 		srv.Close()
 		is.Equal(err != nil, tt.fails)
 		is.Equal(got, tt.want)
--- a/internal/platform/weightstore/client_test.go
+++ b/internal/platform/weightstore/client_test.go
@@ -4,7 +4,6 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -29,7 +28,7 @@
 			w.WriteHeader(tt.status)
 			io.WriteString(w, tt.body) //nolint:errcheck // the client reports what is missing
 		}))
-		inFlight, limit, err := New(strings.TrimPrefix(srv.URL, "http://"), srv.Client()).Available(t.Context())
+		inFlight, limit, err := New(srv.URL, srv.Client()).Available(t.Context())
 		srv.Close()
 		is.Equal(err != nil, tt.fails)
 		is.Equal(inFlight, tt.inFlight)
