Let a running answer wait for its model to be loaded again

Cause: after an engine crashed, an answer that had begun tried the remaining engines 8 times within milliseconds; those that did not hold the model yet answered 404, and the answer was cut. Ruled out: the patience of 30 s, which was never reached. A 404 now is an outcome of its own (nothing ran), and a running answer tries again every 0.5 s for up to 30 s; a request that has not run is refused as before.

--- a/internal/backend/engine/client.go
+++ b/internal/backend/engine/client.go
@@ -185,6 +185,8 @@
 	switch {
 	case isDraining(resp):
 		e.Kind = deck.EngineDraining
+	case resp.StatusCode == http.StatusNotFound:
+		e.Kind = deck.EngineNotLoaded
 	case isRejection(resp.StatusCode):
 		e.Kind = deck.EngineRejected
 	}
--- a/internal/core/deck/engineerror.go
+++ b/internal/core/deck/engineerror.go
@@ -14,11 +14,12 @@
 	EngineCrashed                            // the connection was reset or the boot id changed
 	EngineDraining                           // the engine refused because it is leaving; nothing ran
 	EngineRejected                           // the engine refused the request's content; nothing ran
+	EngineNotLoaded                          // the engine does not hold the model or adapter; nothing ran
 )
 
 // String returns the kind's name as used in logs.
 func (k EngineErrorKind) String() string {
-	names := [...]string{"failed", "unreachable", "stalled", "broken", "crashed", "draining", "rejected"}
+	names := [...]string{"failed", "unreachable", "stalled", "broken", "crashed", "draining", "rejected", "not-loaded"}
 	if k < 0 || int(k) >= len(names) {
 		return "invalid"
 	}
--- a/internal/route/attempt/life.go
+++ b/internal/route/attempt/life.go
@@ -12,6 +12,7 @@
 	maxFruitless = 8
 	patience     = 30 * time.Second
 	waitDelay    = 500 * time.Millisecond
+	maxNotLoaded = int(patience / waitDelay) // a running answer waits for its model to be loaded again
 	retryAfter   = 2 * time.Second
 )
 
@@ -97,6 +98,7 @@
 	count     int // attempts so far, which numbers them
 	avoid     []deck.BackendName
 	fruitless int       // failed attempts since the last new token
+	notLoaded int       // attempts since the last new token at engines that did not hold the model
 	stuck     time.Time // the last attempt that was sent, or the last new token
 	hedged    bool
 	ran       bool // an attempt that is over may have run at an engine
@@ -201,6 +203,7 @@
 func (l *Life) progress(e Event, tokens int) []Action {
 	a := l.attempts[e.Attempt]
 	l.fruitless = 0
+	l.notLoaded = 0
 	l.stuck = e.At
 	a.open.Same = ""
 	acts := []Action{observe(a, deck.ObservedToken, tokens)}
@@ -220,7 +223,11 @@
 func (l *Life) broke(a *live, e Event) []Action {
 	l.drop(e.Attempt)
 	l.ran = l.ran || !provenNotRun(e.Err.Kind)
-	l.fruitless++
+	if e.Err.Kind == deck.EngineNotLoaded && l.ran {
+		l.notLoaded++
+	} else {
+		l.fruitless++
+	}
 	alone := len(l.attempts) == 0
 	reconnect := alone && a.open.Same == "" && onPath(e.Err.Kind) && !l.exhausted(e.At)
 	acts := observeBreak(a, e.Err.Kind, reconnect)
@@ -251,10 +258,13 @@
 }
 
 func (l *Life) elsewhere(a *live, k deck.EngineErrorKind) []Action {
+	o := Open{Charge: !provenNotRun(k) || a.open.Same != ""}
 	if !slices.Contains(l.avoid, a.backend) {
 		l.avoid = append(l.avoid, a.backend)
+	} else if k == deck.EngineNotLoaded {
+		o.Delay = waitDelay // every engine was tried; the model is being loaded again
 	}
-	return l.start(Open{Charge: !provenNotRun(k) || a.open.Same != ""})
+	return l.start(o)
 }
 
 // none handles an attempt that could not be started.
@@ -362,5 +372,5 @@
 }
 
 func (l *Life) exhausted(now time.Time) bool {
-	return l.fruitless >= maxFruitless || now.Sub(l.stuck) > patience
+	return l.fruitless >= maxFruitless || l.notLoaded >= maxNotLoaded || now.Sub(l.stuck) > patience
 }
--- a/internal/route/attempt/result.go
+++ b/internal/route/attempt/result.go
@@ -34,7 +34,12 @@
 
 // provenNotRun reports whether the error proves that the engine did not run the attempt.
 func provenNotRun(k deck.EngineErrorKind) bool {
-	return k == deck.EngineUnreachable || k == deck.EngineDraining || k == deck.EngineRejected
+	switch k {
+	case deck.EngineUnreachable, deck.EngineDraining, deck.EngineRejected, deck.EngineNotLoaded:
+		return true
+	default:
+		return false
+	}
 }
 
 // onPath reports whether the connection rather than the backend server may be at fault.
