Don't attribute a crash to a boot id of an earlier response

A crash before the headers was reported with the last boot id seen, which may be that of a process that crashed before; the crash then counted as a repetition, and a poison request could crash one more engine. Such a crash now carries no boot id. Suspects tell a repeated witness of one crash by whether it entered before the crash was recorded, instead of by a time.

--- a/internal/backend/engine/client.go
+++ b/internal/backend/engine/client.go
@@ -129,11 +129,13 @@
 
 // sendFailure says what a request without a response means.
 func (c *Client) sendFailure(ctx context.Context, err error, reused bool) error {
-	e := classify(ctx, err, c.lastBoot())
+	// The boot id of an earlier response may be that of an earlier process, so the error carries none.
+	e := classify(ctx, err, "")
+	boot := c.lastBoot()
 	if e.Kind == deck.EngineStalled {
 		c.pool.closeIdle()
 	}
-	if e.Kind == deck.EngineCrashed && reused && c.sameBoot(ctx, e.BootID) {
+	if e.Kind == deck.EngineCrashed && reused && c.sameBoot(ctx, boot) {
 		e.Kind = deck.EngineBroken
 	}
 	if ctx.Err() != nil && e.Kind != deck.EngineStalled {
--- a/internal/route/attempt/suspects.go
+++ b/internal/route/attempt/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -10,12 +11,11 @@
 
 // The rules for suspects: requests that were running on a backend server when it crashed.
 const (
-	aloneAfter     = 2 // crashes after which a suspect runs alone
-	refuseAfter    = 3 // crashes after which a suspect is refused
-	refuseAlone    = 2 // the same if one of the crashes happened while it ran alone
-	suspectTTL     = 10 * time.Minute
-	maxSuspects    = 4096
-	unknownBootTTL = 2 * time.Second // crashes of a backend server without a known boot id within it are one crash
+	aloneAfter  = 2 // crashes after which a suspect runs alone
+	refuseAfter = 3 // crashes after which a suspect is refused
+	refuseAlone = 2 // the same if one of the crashes happened while it ran alone
+	suspectTTL  = 10 * time.Minute
+	maxSuspects = 4096
 )
 
 // Suspects counts the crashes that this VM saw for each request digest and keeps suspects apart. Its zero value needs a
@@ -32,8 +32,8 @@
 
 // A suspicion is what is known about one digest.
 type suspicion struct {
-	crashes map[crashKey]crashRecord
-	alone   bool // it ran alone at one of the crashes
+	crashes map[crashKey]uint64 // the order of its record
+	alone   bool                // it ran alone at one of the crashes
 	last    time.Time
 }
 
@@ -44,12 +44,6 @@
 	return added
 }
 
-// A crashRecord tells when a crash was recorded; runs that entered before it, by order, were present.
-type crashRecord struct {
-	time  time.Time
-	order uint64
-}
-
 // A crashKey tells one crash from another.
 type crashKey struct {
 	backend deck.BackendName
@@ -124,26 +118,37 @@
 	s := r.s
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.Clock.Now()
 	v := s.suspicion(r.digest)
 	if v == nil {
 		v = s.add(r.digest)
 	}
-	key := crashKey{r.backend, boot}
-	at, known := v.crashes[key]
-	if known && (boot != "" || now.Sub(at.time) < unknownBootTTL) {
-		return v.noteAlone(r.alone && r.order < at.order)
+	if v.sawCrash(r) {
+		return v.noteAlone(r.alone)
 	}
-	if known {
-		key.boot = now.String()
+	key := crashKey{r.backend, boot}
+	if _, known := v.crashes[key]; known && boot != "" {
+		return false // the process of the recorded crash still runs
 	}
 	s.order++
-	v.crashes[key] = crashRecord{now, s.order}
+	if boot == "" {
+		key.boot = "unknown-" + strconv.FormatUint(s.order, 10)
+	}
+	v.crashes[key] = s.order
 	v.noteAlone(r.alone)
-	v.last = now
+	v.last = s.Clock.Now()
 	return true
 }
 
+// sawCrash reports whether a crash of the run's backend server was recorded after the run entered.
+func (v *suspicion) sawCrash(r *Run) bool {
+	for key, order := range v.crashes {
+		if key.backend == r.backend && r.order < order {
+			return true
+		}
+	}
+	return false
+}
+
 // Alone reports whether the run began as the only suspect on its backend server because it must run alone.
 func (r *Run) Alone() bool {
 	return r.alone
@@ -209,7 +214,7 @@
 	if len(s.seen) >= maxSuspects {
 		s.dropOldest()
 	}
-	v := &suspicion{crashes: make(map[crashKey]crashRecord)}
+	v := &suspicion{crashes: make(map[crashKey]uint64)}
 	s.seen[digest] = v
 	return v
 }
