Put the settings for body size and operation lifetime into effect

Two settings were read and not used. The queue bound and the retention of idempotency records are no longer settings: the retention is part of the replicated state machine, where VMs with different values would diverge, and the queue bound is a constant of the router.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SEED ?= 1
 FUZZ_CHECKS ?= 200
 
-.PHONY: build demo test fmt-check lint vet race prove fuzz measure slopes
+.PHONY: build demo faults test fmt-check lint vet race prove fuzz measure slopes
 
 build:
 	$(GO) build -o $(BIN) .
@@ -13,11 +13,11 @@
 	bash scripts/demo.sh
 
 # test runs every check; CI calls it.
-test: fmt-check vet lint race
+test: fmt-check vet lint race demo faults
 	bash scripts/known-red.sh
 
 fmt-check:
-	@out=$$(gofmt -l main.go internal); if [ -n "$$out" ]; then echo "gofmt needed:"; echo "$$out"; exit 1; fi
+	@out=$$(gofmt -l main.go internal scripts); if [ -n "$$out" ]; then echo "gofmt needed:"; echo "$$out"; exit 1; fi
 
 vet:
 	$(GO) vet ./...
@@ -28,6 +28,10 @@
 race:
 	bash scripts/test.sh
 
+# faults brings about failures of separate processes.
+faults: build
+	$(GO) run ./scripts/faults
+
 # prove runs exactly the tests that docs/proof.md names.
 prove:
 	bash scripts/prove.sh
--- a/internal/api/caller/decode.go
+++ b/internal/api/caller/decode.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -107,15 +108,19 @@
 }
 
 // readBody reads a request's body within the bounds of size and time.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *problem) {
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *problem) {
+	limit := h.MaxBody
+	if limit == 0 {
+		limit = maxBody
+	}
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout)) // test servers have none
 	defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
 	var b bytes.Buffer
-	_, err := b.ReadFrom(http.MaxBytesReader(w, r.Body, maxBody))
+	_, err := b.ReadFrom(http.MaxBytesReader(w, r.Body, limit))
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
-		return nil, refused(http.StatusRequestEntityTooLarge, "body_too_large", "the body exceeds 4 MiB", 0)
+		return nil, refused(http.StatusRequestEntityTooLarge, "body_too_large", fmt.Sprintf("the body exceeds %d bytes", limit), 0)
 	}
 	if err != nil {
 		return nil, invalid("body_unreadable", "the body could not be read")
--- a/internal/api/caller/handler.go
+++ b/internal/api/caller/handler.go
@@ -27,6 +27,7 @@
 	DataCentre  deck.DataCentre             // whose service instances are called first
 	Leaving     func(deck.BackendName) bool // instances known to be leaving besides the state in force; may be nil
 	MaxStreams  int                         // requests in progress; 0 for the default
+	MaxBody     int64                       // bytes of a request's body; 0 for the default
 	Served      deck.ServedRecorder         // takes the summaries of finished requests; may be nil
 
 	once   sync.Once
--- a/internal/api/caller/infer.go
+++ b/internal/api/caller/infer.go
@@ -11,7 +11,7 @@
 
 // infer serves a request to the inference API.
 func (h *Handler) infer(w http.ResponseWriter, r *http.Request) {
-	body, problem := readBody(w, r)
+	body, problem := h.readBody(w, r)
 	if problem != nil {
 		problem.write(w)
 		return
--- a/internal/api/caller/services.go
+++ b/internal/api/caller/services.go
@@ -27,7 +27,7 @@
 		refused(http.StatusNotFound, "not_found", "nothing is served under this path", 0).write(w)
 		return
 	}
-	body, problem := readBody(w, r)
+	body, problem := h.readBody(w, r)
 	if problem != nil {
 		problem.write(w)
 		return
--- a/internal/command/process/placement.go
+++ b/internal/command/process/placement.go
@@ -29,7 +29,7 @@
 	cfg := execute.Config{
 		DataCentre: p.vm.DataCentre, Clock: p.clock, Lease: l, States: p.store, Engine: e.Engine, Demand: col,
 		LeasedLoads: sh.loads.Leased, AdapterLimit: p.settings.Platform.AdapterLoads, LeasedAdapters: sh.adapters.Leased,
-		Publish: p.publishResidency(pub), ObserveToken: l.RaiseTo, Log: p.log,
+		Publish: p.publishResidency(pub), ObserveToken: l.RaiseTo, Lifetime: p.settings.OpLifetime, Log: p.log,
 	}
 	p.platformClients(&cfg)
 	x := execute.New(cfg)
--- a/internal/command/process/serving.go
+++ b/internal/command/process/serving.go
@@ -47,9 +47,9 @@
 	})
 	d := &demand{parts: p, residency: res, next: served, client: peer.DemandClient{HTTP: p.client}}
 	h := &caller.Handler{
-		Router: r, Engine: eng.Engine, State: p.store, Services: service.New(nil), Idempotency: commands,
+		Router: r, Engine: eng.Engine, State: p.store, Residency: res, Services: service.New(nil), Idempotency: commands,
 		Poison: commands, Clock: p.clock, VM: p.vm.Name, DataCentre: p.vm.DataCentre,
-		MaxStreams: p.settings.Limits.MaxStreams, Served: d,
+		MaxStreams: p.settings.Limits.MaxStreams, MaxBody: p.settings.Limits.MaxBodyBytes, Served: d,
 	}
 	w := watch.New(watch.Config{
 		VM: p.vm.Name, Clock: p.clock, State: p.store, Residency: res, Client: eng.Engine, Sink: r,
--- a/internal/place/execute/controller.go
+++ b/internal/place/execute/controller.go
@@ -15,9 +15,9 @@
 // Pace of reports and steps.
 const (
 	minReportInterval = time.Second
-	// startWindow is the operation lifetime less the bound on the difference of wall clocks, so that an engine whose clock
-	// is slow still starts nothing after the lifetime.
-	startWindow = memory.OperationLifetime - 3*time.Second
+	// wallClockBound is the largest difference of wall clocks. An operation's not-after time is that much earlier than the
+	// end of its lifetime, so that an engine whose clock is late does not start it afterwards.
+	wallClockBound = 3 * time.Second
 	// reportsPerSecond bounds what the leader receives in reports of about 0.5 KB.
 	reportsPerSecond = 6
 	// retireDelay lets entry VMs learn that a replica goes before it is unloaded.
@@ -32,6 +32,7 @@
 
 // A Controller decides which operations leave next; it is a pure state machine driven by its caller's time.
 type Controller struct {
+	lifetime  time.Duration // of an operation
 	dc        deck.DataCentre
 	lease     deck.PlacementLease
 	takenOver time.Time
@@ -100,12 +101,18 @@
 func NewController(dc deck.DataCentre) *Controller {
 	return &Controller{
 		dc:        dc,
+		lifetime:  memory.OperationLifetime,
 		engines:   make(map[deck.BackendName]*engine),
 		retiring:  make(map[place]time.Time),
 		evictions: make(map[place]time.Time),
 	}
 }
 
+// SetLifetime replaces the bound on how late an operation may arrive; it is called before the first step.
+func (c *Controller) SetLifetime(d time.Duration) {
+	c.lifetime = d
+}
+
 // Step returns the operations and report requests that are due.
 func (c *Controller) Step(in Input) Output {
 	c.now, c.in = in.Now, in
@@ -172,7 +179,7 @@
 		e, ok := c.engines[b.Name]
 		if !ok || e.backend.Address != b.Address || e.backend.ChecksFencing != b.ChecksFencing {
 			e = &engine{
-				ledger:    memory.NewLedger(b, c.lease.FencingToken, c.now),
+				ledger:    memory.NewLedger(b, c.lease.FencingToken, c.now, c.lifetime),
 				refusedAt: make(map[memory.Item]time.Time),
 			}
 			c.engines[b.Name] = e
@@ -186,7 +193,7 @@
 
 // known reports whether every engine was taken over, or has had the time to answer.
 func (c *Controller) known() bool {
-	if c.now.Sub(c.takenOver) >= memory.OperationLifetime+retireDelay {
+	if c.now.Sub(c.takenOver) >= c.lifetime+retireDelay {
 		return true
 	}
 	for _, e := range c.engines {
@@ -228,7 +235,7 @@
 func (c *Controller) send(out *Output, e *engine, op deck.Operation) bool {
 	op.FencingToken = c.lease.FencingToken
 	op.ID = deck.OperationID(fmt.Sprintf("%s-%d-%d", c.dc, c.lease.FencingToken, c.sequence+1))
-	op.NotAfter = c.now.Add(startWindow)
+	op.NotAfter = c.now.Add(max(c.lifetime-wallClockBound, c.lifetime/2))
 	if err := e.ledger.Reserve(op, c.now); err != nil {
 		return false
 	}
--- a/internal/place/execute/executor.go
+++ b/internal/place/execute/executor.go
@@ -9,16 +9,13 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
-	"github.com/geraniumdeck/geraniumdeck/internal/place/memory"
 )
 
 // Timing of the executor's loop.
 const (
 	tick          = 250 * time.Millisecond
 	reportTimeout = 2 * time.Second
-	// operateTimeout ends a send that could otherwise arrive after the operation's lifetime.
-	operateTimeout = memory.OperationLifetime
-	platformPoll   = time.Second
+	platformPoll  = time.Second
 	// defaultLoads bounds the loads in flight where no share of the weight store is set.
 	defaultLoads    = 1
 	defaultAdapters = 8
@@ -40,6 +37,7 @@
 	Rate           float64                   // tokens per second of one accelerator; 0 stands for plan.DefaultRate
 	Publish        func(deck.ResidencyTable) // called on every change
 	ObserveToken   func(uint64)              // called with a token of an engine that is higher than the lease's
+	Lifetime       time.Duration             // bound on how late an operation may arrive; 0 for memory.OperationLifetime
 	Log            logr.Logger
 }
 
@@ -58,7 +56,11 @@
 
 // New returns an executor that does nothing until Run is called.
 func New(cfg Config) *Executor {
-	return &Executor{cfg: cfg, done: make(chan struct{}), ctl: NewController(cfg.DataCentre)}
+	e := &Executor{cfg: cfg, done: make(chan struct{}), ctl: NewController(cfg.DataCentre)}
+	if cfg.Lifetime > 0 {
+		e.ctl.SetLifetime(cfg.Lifetime)
+	}
+	return e
 }
 
 // Done returns a channel that is closed after Run has returned.
@@ -120,7 +122,7 @@
 func (e *Executor) operate(ctx context.Context, s Send) {
 	r := deck.OperationResult{Outcome: deck.OutcomeNotRun, Reason: "placement lease expired before the operation was sent"}
 	if e.holds(s.Operation.FencingToken) {
-		ctx, cancel := context.WithTimeout(ctx, operateTimeout)
+		ctx, cancel := context.WithTimeout(ctx, e.ctl.lifetime) // a longer send could arrive after the lifetime
 		defer cancel()
 		r = e.cfg.Engine(s.Backend).Operate(ctx, s.Operation)
 	}
--- a/internal/place/memory/ledger.go
+++ b/internal/place/memory/ledger.go
@@ -10,7 +10,7 @@
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 )
 
-// OperationLifetime is the stated bound on how late an operation may arrive at an engine.
+// OperationLifetime is the default of the stated bound on how late an operation may arrive at an engine.
 const OperationLifetime = 10 * time.Second
 
 // The reasons for which Reserve refuses an operation.
@@ -22,6 +22,7 @@
 
 // A Ledger counts the memory of one engine; it is not safe for concurrent use.
 type Ledger struct {
+	lifetime    time.Duration
 	capacity    deck.Bytes
 	token       uint64
 	takenOver   time.Time
@@ -50,12 +51,14 @@
 }
 
 // NewLedger returns the ledger of an engine that a holder with the fencing token takes over at the given time.
-func NewLedger(b deck.BackendServer, token uint64, takenOver time.Time) *Ledger {
+// No operation arrives later than lifetime after it was sent.
+func NewLedger(b deck.BackendServer, token uint64, takenOver time.Time, lifetime time.Duration) *Ledger {
 	return &Ledger{
 		capacity:    b.MemoryBytes(),
 		token:       token,
 		takenOver:   takenOver,
 		checksToken: b.ChecksFencing,
+		lifetime:    lifetime,
 		items:       make(map[Item]entry),
 		outstanding: make(map[deck.OperationID]reservation),
 		recent:      make(map[deck.OperationID]reservation),
@@ -223,7 +226,7 @@
 // repeatable reports whether a repeated message could still load the item at an engine that restarts.
 func (l *Ledger) repeatable(it Item, now time.Time) bool {
 	for _, r := range l.recent {
-		if ItemOf(r.op) == it && now.Before(r.sentAt.Add(OperationLifetime)) {
+		if ItemOf(r.op) == it && now.Before(r.sentAt.Add(l.lifetime)) {
 			return true
 		}
 	}
--- a/internal/place/memory/ledger_test.go
+++ b/internal/place/memory/ledger_test.go
@@ -39,7 +39,7 @@
 
 func newTestLedger(r deck.EngineReport) *Ledger {
 	b := deck.BackendServer{Accelerators: 1, AcceleratorBytes: 34 * deck.GiB, ChecksFencing: true}
-	l := NewLedger(b, 1, start)
+	l := NewLedger(b, 1, start, OperationLifetime)
 	l.Observe(r, at(0), declared)
 	return l
 }
@@ -111,14 +111,14 @@
 func TestLedgerIsReadyOnlyAfterTakeover(t *testing.T) {
 	is := is.New(t)
 	b := deck.BackendServer{Accelerators: 1, AcceleratorBytes: 34 * deck.GiB}
-	l := NewLedger(b, 2, start)
+	l := NewLedger(b, 2, start, OperationLifetime)
 	l.Observe(report(), at(9.9), declared)
 	is.Equal(l.Reserve(load("1", "m0"), at(10)), ErrNotReady) // the engine ignores tokens
 	l.Observe(report(), at(10), declared)
 	is.NoErr(l.Reserve(load("1", "m0"), at(10)))
 
 	b.ChecksFencing = true
-	l = NewLedger(b, 2, start)
+	l = NewLedger(b, 2, start, OperationLifetime)
 	l.Observe(report(), at(60), declared)
 	is.Equal(l.Reserve(load("1", "m0"), at(60)), ErrNotReady) // the report still shows token 1
 	fenced := report()
--- a/internal/place/memory/observe.go
+++ b/internal/place/memory/observe.go
@@ -29,7 +29,7 @@
 // message.
 func (l *Ledger) restore(requestedAt time.Time) {
 	for id, r := range l.recent {
-		if requestedAt.Before(r.sentAt.Add(OperationLifetime)) {
+		if requestedAt.Before(r.sentAt.Add(l.lifetime)) {
 			r.endedAt = time.Time{}
 			l.outstanding[id] = r
 		}
@@ -43,13 +43,13 @@
 	if l.checksToken {
 		return r.FencingToken >= l.token
 	}
-	return !requestedAt.Before(l.takenOver.Add(OperationLifetime))
+	return !requestedAt.Before(l.takenOver.Add(l.lifetime))
 }
 
 // release drops the reservations of operations whose effect the report shows.
 func (l *Ledger) release(shown map[Item]deck.ResidentModel, requestedAt time.Time) {
 	for id, r := range l.outstanding {
-		if !r.over(requestedAt) {
+		if !l.over(r, requestedAt) {
 			l.noteEnd(id, r, shown, requestedAt)
 			continue
 		}
@@ -69,19 +69,19 @@
 // remember keeps a settled load until its message can no longer be repeated.
 func (l *Ledger) remember(id deck.OperationID, r reservation, requestedAt time.Time) {
 	for old, o := range l.recent {
-		if !requestedAt.Before(o.sentAt.Add(OperationLifetime)) {
+		if !requestedAt.Before(o.sentAt.Add(l.lifetime)) {
 			delete(l.recent, old)
 		}
 	}
-	if isLoad(r.op.Kind) && requestedAt.Before(r.sentAt.Add(OperationLifetime)) {
+	if isLoad(r.op.Kind) && requestedAt.Before(r.sentAt.Add(l.lifetime)) {
 		l.recent[id] = r
 	}
 }
 
 // over reports whether the operation could no longer start when a report was requested.
-func (r reservation) over(requestedAt time.Time) bool {
+func (l *Ledger) over(r reservation, requestedAt time.Time) bool {
 	ended := !r.endedAt.IsZero() && requestedAt.After(r.endedAt)
-	expired := !requestedAt.Before(r.sentAt.Add(OperationLifetime))
+	expired := !requestedAt.Before(r.sentAt.Add(l.lifetime))
 	return ended || expired
 }
 
@@ -123,7 +123,7 @@
 			l.items[it] = e
 			continue
 		}
-		if !requestedAt.Before(e.missingAt.Add(OperationLifetime)) && !l.Busy(it) {
+		if !requestedAt.Before(e.missingAt.Add(l.lifetime)) && !l.Busy(it) {
 			delete(l.items, it)
 		}
 	}
--- a/internal/settings/yaml/check.go
+++ b/internal/settings/yaml/check.go
@@ -20,12 +20,10 @@
 const (
 	defaultMaxBodyBytes  = 4 << 20
 	defaultMaxStreams    = 2000
-	defaultQueuePerModel = 256
 	defaultHeaderTimeout = 5 * time.Second
 	defaultDrainTimeout  = 5 * time.Minute
 	defaultClockDrift    = 0.01
 	defaultOpLifetime    = 10 * time.Second
-	defaultRetention     = 24 * time.Hour
 	defaultTarget        = 0.95
 )
 
@@ -70,7 +68,6 @@
 		c.addf("safety.clock-drift", "got %v, expected a share from 0 to %v", s.ClockDrift, maxClockDrift)
 	}
 	s.OpLifetime = c.duration("safety.operation-lifetime", f.Safety.OpLifetime, defaultOpLifetime, time.Second, time.Hour)
-	s.Retention = c.duration("safety.idempotency-retention", f.Safety.Retention, defaultRetention, time.Minute, 30*24*time.Hour)
 	return s
 }
 
@@ -204,7 +201,6 @@
 	out := Limits{
 		MaxBodyBytes:  c.size("limits.max-body", l.MaxBody, defaultMaxBodyBytes, maxBodyBytes),
 		MaxStreams:    c.count("limits.max-streams", l.MaxStreams, defaultMaxStreams, maxStreams),
-		QueuePerModel: c.count("limits.queue-per-model", l.QueuePerModel, defaultQueuePerModel, maxStreams),
 		HeaderTimeout: c.duration("limits.header-timeout", l.HeaderTimeout, defaultHeaderTimeout, 100*time.Millisecond, time.Minute),
 		DrainTimeout:  c.duration("limits.drain-timeout", l.DrainTimeout, defaultDrainTimeout, time.Second, time.Hour),
 	}
--- a/internal/settings/yaml/settings.go
+++ b/internal/settings/yaml/settings.go
@@ -55,7 +55,6 @@
 type Limits struct {
 	MaxBodyBytes  int64
 	MaxStreams    int
-	QueuePerModel int
 	HeaderTimeout time.Duration
 	DrainTimeout  time.Duration
 }
@@ -77,7 +76,6 @@
 	Objectives []Objective
 	ClockDrift float64 // largest relative error of a VM's clock rate
 	OpLifetime time.Duration
-	Retention  time.Duration // of idempotency records
 }
 
 // ControlVMs returns the VMs that hold a replica of the log.
--- a/internal/settings/yaml/wire.go
+++ b/internal/settings/yaml/wire.go
@@ -45,7 +45,6 @@
 type limits struct {
 	MaxBody       string `yaml:"max-body"`
 	MaxStreams    int    `yaml:"max-streams"`
-	QueuePerModel int    `yaml:"queue-per-model"`
 	HeaderTimeout string `yaml:"header-timeout"`
 	DrainTimeout  string `yaml:"drain-timeout"`
 }
@@ -60,5 +59,4 @@
 type safety struct {
 	ClockDrift float64 `yaml:"clock-drift"`
 	OpLifetime string  `yaml:"operation-lifetime"`
-	Retention  string  `yaml:"idempotency-retention"`
 }
--- a/internal/test/deployment/example.go
+++ b/internal/test/deployment/example.go
@@ -88,6 +88,7 @@
 	Places []struct {
 		Model   string `json:"model"`
 		Backend string `json:"backend-server"`
+		Version string `json:"version"`
 		Ready   bool   `json:"ready"`
 	} `json:"places"`
 }
--- a/scripts/faults/main.go
+++ b/scripts/faults/main.go
@@ -35,6 +35,7 @@
 		{"leader-killed-in-burst", leaderKilledInBurst},
 		{"leader-frozen", leaderFrozen},
 		{"lost-disk", lostDisk},
+		{"version-change", versionChange},
 		{"leaving-server", leavingServer},
 		{"no-majority", noMajority},
 	}
--- a/scripts/faults/serving.go
+++ b/scripts/faults/serving.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/test/deployment"
 )
@@ -318,3 +319,60 @@
 	}
 	return "engine-1 left by ticket: 60 requests after 3 s went elsewhere and were whole", applyText(ctx, d, 5001, "backend-servers:\n"+line)
 }
+
+// versionChange makes another version of a model active while answers run.
+func versionChange(ctx context.Context, d *deployment.Deployment) (string, error) {
+	const model = `models:
+  - name: manual
+    active-version: v2
+    versions:
+      - {name: v1, weight-bytes: 4294967296, kv-reserve-bytes: 2147483648, transient-bytes: 536870912}
+      - {name: v2, weight-bytes: 4294967296, kv-reserve-bytes: 2147483648, transient-bytes: 536870912}
+`
+	stop, cancel := context.WithCancel(ctx)
+	defer cancel()
+	whole := 0
+	var g errgroup.Group
+	g.Go(func() error {
+		for stop.Err() == nil {
+			if _, err := chat(ctx, d.Caller(2), "manual", "during the change", 10, nil); err != nil {
+				return err
+			}
+			whole++
+		}
+		return nil
+	})
+	err := applyText(ctx, d, 6000, model)
+	if err == nil {
+		err = awaitVersion(ctx, d, "manual", "v2")
+	}
+	cancel()
+	if err = errors.Join(err, g.Wait()); err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("v2 replaced v1; %d answers before, during and after were whole and none was refused", whole), nil
+}
+
+// awaitVersion waits until the model is served in this version only.
+func awaitVersion(ctx context.Context, d *deployment.Deployment, model, version string) error {
+	return deployment.Eventually(ctx, func() error {
+		s, err := d.State(ctx, "entry-2")
+		if err != nil {
+			return err
+		}
+		found := false
+		for _, p := range s.Places {
+			if p.Model != model {
+				continue
+			}
+			if p.Version != version || !p.Ready {
+				return errors.Newf("%s still has %s in version %s", p.Backend, model, p.Version)
+			}
+			found = true
+		}
+		if !found {
+			return errors.Newf("no place of %s", model)
+		}
+		return nil
+	})
+}
