Commit crash reports before a caller hears of the failure

Cause: crash reports went out behind the answer, so that a caller who sent a poison request again at once reached another VM before the log knew of the crash; 4 crashes were seen where 3 are the limit. A failed request now waits up to 2 s for its reports, after its hold on the router is released. The emulated engine hashes prompt prefixes with the function that the caller's side uses, so that cache hints match.

--- a/internal/emulate/engine/generate.go
+++ b/internal/emulate/engine/generate.go
@@ -19,7 +19,6 @@
 const (
 	maxBody          = 16 << 20
 	defaultMaxTokens = 16
-	prefixBlock      = 256 // bytes of prompt text for each cached prefix
 )
 
 // A completion is the part of the inference API's request that the emulator reads.
@@ -132,10 +131,19 @@
 
 // remember stores the prompt's prefixes and reports whether the first one was cached; the caller holds the lock.
 func (e *Engine) remember(model string, c completion) bool {
-	text := string(c.Prompt) + string(c.Messages)
+	fields := make(map[string]json.RawMessage)
+	if c.Messages != nil {
+		fields["messages"] = c.Messages
+	}
+	if c.Prompt != nil {
+		fields["prompt"] = c.Prompt
+	}
+	text, err := wire.Prompt(fields)
+	if err != nil {
+		return false // without a prompt there is nothing to cache
+	}
 	warm := false
-	for n := prefixBlock; n <= len(text); n += prefixBlock {
-		h := xxhash.Sum64String(model + "\x00" + text[:n])
+	for _, h := range wire.Prefixes(model, text) {
 		warm = warm || e.events.known[h]
 		e.events.store(h, e.faults.DropCacheEvents)
 	}
--- a/internal/route/attempt/run.go
+++ b/internal/route/attempt/run.go
@@ -29,7 +29,8 @@
 	preempted <-chan struct{}
 	ignored   <-chan struct{} // closed earlier and already acted upon
 	hedge     *time.Timer
-	gone      bool // the sink failed
+	reports   []chan struct{} // each is closed when a crash report is done
+	gone      bool            // the sink failed
 	result    *Result
 }
 
@@ -200,13 +201,30 @@
 		return
 	}
 	alone := h.place.Alone()
+	reported := make(chan struct{})
+	x.reports = append(x.reports, reported)
 	x.runner.behind(func() {
+		defer close(reported)
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), crashTimeout)
 		defer cancel()
 		_ = x.runner.report(ctx, x.req.Info.Digest, a, alone) // the local count stands
 	})
 }
 
+// awaitReports gives the crash reports time to be committed before the caller hears of the failure and sends the request
+// again to another VM.
+func (x *run) awaitReports() {
+	t := time.NewTimer(reportWait)
+	defer t.Stop()
+	for _, c := range x.reports {
+		select {
+		case <-c:
+		case <-t.C:
+			return
+		}
+	}
+}
+
 func (x *run) finish(r Result) {
 	if r.Kind == Done {
 		x.runner.Suspects.Clear(x.req.Info.Digest)
--- a/internal/route/attempt/runner.go
+++ b/internal/route/attempt/runner.go
@@ -16,6 +16,7 @@
 	heartbeat     = 5 * time.Second
 	cancelTimeout = 5 * time.Second
 	crashTimeout  = 10 * time.Second
+	reportWait    = 2 * time.Second
 )
 
 // maxBackground bounds the cancels and crash reports in flight.
@@ -79,7 +80,6 @@
 	if refusal != nil {
 		return Result{Kind: Refused, Refusal: refusal, NotRun: true}
 	}
-	defer adm.Release()
 	r.Budget.Request()
 	ctx, cancel := context.WithCancel(ctx)
 	x := &run{
@@ -95,6 +95,10 @@
 	result := x.loop()
 	cancel()
 	_ = x.group.Wait()
+	adm.Release()
+	if result.Kind != Done && result.Kind != Gone {
+		x.awaitReports()
+	}
 	return result
 }
 
