Keep the placement holder's fencing token steady

Cause: a voter that had seen a higher token refused each renewal; its vote stayed free, its own VM stood as candidate each second and raised the token further, so that the holder took a new token each second and published its residency anew. Found by counting requests by path at 64 VMs; ruled out: the feed's digests, which only made each new table cost two polls. TestTokenIsSteady fails without this for 6 and 7 VMs, and for 3 VMs that start 0.7 s apart. Only the VM that published a payload offers it, and pools are asked for only while loads wait.

--- a/internal/command/process/listeners.go
+++ b/internal/command/process/listeners.go
@@ -24,7 +24,7 @@
 	}
 	timeout := p.settings.Limits.HeaderTimeout
 	err = errors.Join(
-		p.listenToPeers(bounded(lean(p.peerMux), timeout)),
+		p.listenToPeers(bounded(p.traffic.counted(lean(p.peerMux)), timeout)),
 		p.listen("operators-listener", p.vm.Listen.Operators, bounded(operators, timeout)),
 	)
 	if p.vm.Has(settings.RoleEntry) {
--- a/internal/command/process/placement.go
+++ b/internal/command/process/placement.go
@@ -33,6 +33,7 @@
 	}
 	p.platformClients(&cfg)
 	x := execute.New(cfg)
+	sh.waiting = func() int { return x.Status().Waiting }
 	p.peerMux.Handle("POST "+peer.DemandPath, peer.DemandHandler(col, func() bool {
 		_, held := l.Held()
 		return held
--- a/internal/command/process/shares.go
+++ b/internal/command/process/shares.go
@@ -12,7 +12,7 @@
 // poolTimeout bounds one request for a part of the pools.
 const poolTimeout = time.Second
 
-// shares renew the data centre's parts of the pools while this VM is the placement leader. Without an answer they expire
+// shares renew the data centre's parts of the pools while this VM is the placement leader and loads wait. Without an answer they expire
 // and the data centre uses what it owns.
 type shares struct {
 	parts    *parts
@@ -20,6 +20,8 @@
 	loads    execute.Share
 	adapters execute.Share
 	client   peer.PoolClient
+	waiting  func() int // loads that the data centre's own part holds back
+	last     deck.Peer  // the replica that granted last
 }
 
 func (s *shares) run(ctx context.Context) error {
@@ -31,16 +33,20 @@
 			return nil
 		case <-t.C:
 		}
-		if _, held := s.lease.Held(); held {
+		if _, held := s.lease.Held(); held && s.waiting() > 0 {
 			s.renew(ctx)
 		}
 	}
 }
 
-// renew asks the control replicas in turn, since only the log's leader grants.
+// renew asks the replica that granted last, and otherwise all in turn, since only the log's leader grants.
 func (s *shares) renew(ctx context.Context) {
+	if s.last.Name != "" && s.ask(ctx, s.last) {
+		return
+	}
 	for _, p := range controlPeers(s.parts.peers) {
-		if s.ask(ctx, p) {
+		if p.Name != s.last.Name && s.ask(ctx, p) {
+			s.last = p
 			return
 		}
 	}
--- a/internal/command/process/traffic.go
+++ b/internal/command/process/traffic.go
@@ -3,26 +3,42 @@
 import (
 	"context"
 	"net"
+	"net/http"
+	"strings"
 
+	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 )
 
 // A traffic counts the bytes of the system's own messages, which have a budget for each VM.
 type traffic struct {
-	bytes metric.Int64Counter
-	in    metric.MeasurementOption
-	out   metric.MeasurementOption
+	bytes    metric.Int64Counter
+	requests metric.Int64Counter
+	in       metric.MeasurementOption
+	out      metric.MeasurementOption
 }
 
 func newTraffic(meter metric.Meter) (*traffic, error) {
-	c, err := meter.Int64Counter("geraniumdeck.control.traffic",
-		metric.WithUnit("By"), metric.WithDescription("Bytes exchanged with other VMs and, for reports, with engines."))
+	b, err := meter.Int64Counter("geraniumdeck.control.traffic",
+		metric.WithUnit("By"), metric.WithDescription("Bytes exchanged with other VMs."))
+	r, err2 := meter.Int64Counter("geraniumdeck.control.requests",
+		metric.WithUnit("{request}"), metric.WithDescription("Requests of other VMs by path."))
 	return &traffic{
-		bytes: c,
-		in:    metric.WithAttributeSet(attribute.NewSet(attribute.String("direction", "in"))),
-		out:   metric.WithAttributeSet(attribute.NewSet(attribute.String("direction", "out"))),
-	}, err
+		bytes:    b,
+		requests: r,
+		in:       metric.WithAttributeSet(attribute.NewSet(attribute.String("direction", "in"))),
+		out:      metric.WithAttributeSet(attribute.NewSet(attribute.String("direction", "out"))),
+	}, errors.Join(err, err2)
+}
+
+// counted returns a handler that counts the requests by path.
+func (t *traffic) counted(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.ServeHTTP(w, r)
+		_, path, _ := strings.Cut(r.Pattern, " ")
+		t.requests.Add(context.Background(), 1, metric.WithAttributes(attribute.String("path", path)))
+	})
 }
 
 // dial opens a counted connection.
--- a/internal/state/feed/publisher.go
+++ b/internal/state/feed/publisher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
@@ -21,6 +22,9 @@
 	done   chan struct{}
 	name   string
 	global bool
+
+	mu   sync.Mutex
+	mine PayloadVersion // of the value that this VM published last
 }
 
 // NewGlobalPublisher returns a publisher of a payload that the VMs of all data centres receive.
@@ -42,6 +46,11 @@
 		payload.DataCentre = ""
 	}
 	ok := p.cfg.Store.Publish(payload)
+	if ok {
+		p.mu.Lock()
+		p.mine = v
+		p.mu.Unlock()
+	}
 	select {
 	case p.wake <- struct{}{}:
 	default:
@@ -74,8 +83,11 @@
 // Once offers the payload to each root and sends it to those that lack it.
 func (p *Publisher) Once(ctx context.Context) {
 	payload, ok := p.cfg.Store.Payload(p.name)
-	if !ok {
-		return
+	p.mu.Lock()
+	current := payload.Version == p.mine
+	p.mu.Unlock()
+	if !ok || !current {
+		return // another VM published a newer value and offers it
 	}
 	for _, root := range p.roots() {
 		p.send(ctx, root, payload)
--- a/internal/state/lease/holder.go
+++ b/internal/state/lease/holder.go
@@ -83,6 +83,11 @@
 	}
 }
 
+// Raised reports whether the next confirmation has a higher token than the last one.
+func (h *Holder) Raised() bool {
+	return h.phase == phaseConfirm && h.lease.Holder != "" && h.token > h.lease.FencingToken
+}
+
 // Release ends the lease or acquisition and returns the request that tells the voters; a successor may be empty.
 func (h *Holder) Release(now time.Time, successor deck.VMName) Request {
 	h.lease, h.phase = deck.PlacementLease{}, phaseIdle
--- a/internal/state/lease/runtime.go
+++ b/internal/state/lease/runtime.go
@@ -16,6 +16,7 @@
 const (
 	renewInterval = time.Second
 	askTimeout    = 500 * time.Millisecond // below a third of the lease, so that two renewals may fail
+	raisePause    = 50 * time.Millisecond  // gathers the answers of a round before the token is raised
 	candidatePoll = 100 * time.Millisecond // between two looks whether the lease is free
 	rankPause     = 150 * time.Millisecond // for each candidate that stands before this VM
 	maxRankPause  = 2 * time.Second
@@ -37,6 +38,7 @@
 	cfg    Config
 	voters []deck.Peer
 	done   chan struct{}
+	raised chan struct{} // holds a value after a voter or an engine has shown a higher token
 
 	mu       sync.Mutex
 	holder   *Holder
@@ -57,7 +59,7 @@
 	if cfg.Drift == 0 {
 		cfg.Drift = DriftBound
 	}
-	r := &Runtime{cfg: cfg, voters: Electorate(cfg.Self.DataCentre, cfg.Peers), done: make(chan struct{})}
+	r := &Runtime{cfg: cfg, voters: Electorate(cfg.Self.DataCentre, cfg.Peers), done: make(chan struct{}), raised: make(chan struct{}, 1)}
 	var names []deck.VMName
 	for _, p := range r.voters {
 		names = append(names, p.Name)
@@ -78,6 +80,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.holder.RaiseTo(seen)
+	r.noteRaise()
 }
 
 // Skew returns the largest difference between this VM's wall clock and that of a voter.
@@ -101,7 +104,7 @@
 		switch {
 		case held:
 			r.renew(ctx, &g)
-			sleep(ctx, renewInterval)
+			r.awaitRenewal(ctx)
 		case r.mayStand():
 			r.stand(ctx, &g)
 		default:
@@ -217,6 +220,32 @@
 	}
 	r.skew = max(r.skew, a.Wall.Sub(request.Wall).Abs()-r.cfg.Clock.Now().Sub(request.Wall))
 	r.holder.Answer(p.Name, request, a)
+	r.noteRaise()
+}
+
+// noteRaise wakes the renewal if the next confirmation has a higher token than the last one; the caller holds the lock.
+func (r *Runtime) noteRaise() {
+	if !r.holder.Raised() {
+		return
+	}
+	select {
+	case r.raised <- struct{}{}:
+	default:
+	}
+}
+
+// awaitRenewal waits until the lease is to be renewed. A voter that refuses because it has seen a higher token is asked
+// again soon. Until the next regular renewal its vote would stay free, its VM would stand as candidate and raise the
+// token further, and the holder would change its token each second.
+func (r *Runtime) awaitRenewal(ctx context.Context) {
+	t := time.NewTimer(renewInterval)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-r.raised:
+		sleep(ctx, raisePause)
+	}
 }
 
 // HandOver ends the lease and passes it on with the ledger. The caller has stopped sending operations.
--- a/internal/state/lease/runtime_test.go
+++ b/internal/state/lease/runtime_test.go
@@ -107,6 +107,10 @@
 	t.l.mu.Lock()
 	votes := t.l.votes[voter.Name]
 	t.l.mu.Unlock()
+	if votes == nil { // the VM has not started yet
+		<-ctx.Done()
+		return Response{}, ctx.Err()
+	}
 	a := votes.Handle(r)
 	sleep(ctx, time.Millisecond)
 	if t.lost(voter.Name, t.self) {
--- /dev/null
+++ b/internal/state/lease/steady_test.go
@@ -0,0 +1,53 @@
+package lease
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// Guards against a holder that changes its fencing token at each renewal because one voter's vote stays free and its VM
+// stands as candidate again and again. It was seen in data centres with 6 and 7 VMs that start one after the other.
+func TestTokenIsSteady(t *testing.T) {
+	for _, stagger := range []time.Duration{0, 40 * time.Millisecond, 150 * time.Millisecond, 700 * time.Millisecond} {
+		for _, vms := range []int{3, 6, 7} {
+			t.Run(fmt.Sprintf("%d VMs %s apart", vms, stagger), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { steady(t, vms, stagger) })
+			})
+		}
+	}
+}
+
+func steady(t *testing.T, vms int, stagger time.Duration) {
+	is := is.New(t)
+	l := newLAN(t)
+	for i := range vms {
+		l.peers = append(l.peers, vm(deck.VMName(fmt.Sprintf("v%d", i)), "x"))
+	}
+	for _, p := range l.peers {
+		l.start(p)
+		time.Sleep(stagger)
+	}
+	time.Sleep(10 * time.Second)
+	before := l.token()
+	l.watch(t, 20*time.Second)
+	is.True(before > 0)
+	is.Equal(l.token(), before)
+}
+
+// token returns the fencing token of the data centre's holder.
+func (l *lan) token() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range l.runtimes {
+		if lease, ok := r.Held(); ok {
+			return lease.FencingToken
+		}
+	}
+	return 0
+}
--- a/scripts/slopes/vms.go
+++ b/scripts/slopes/vms.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -35,8 +37,9 @@
 // A usage is what one process has used so far.
 type usage struct {
 	bytes  float64
-	cpu    float64 // seconds
-	memory float64 // bytes
+	cpu    float64            // seconds
+	memory float64            // bytes
+	paths  map[string]float64 // requests of other VMs
 }
 
 // measureVMs starts n processes without load and prints what control costs for each role, and how long tickets take.
@@ -150,7 +153,7 @@
 }
 
 func parse(metrics string) usage {
-	var u usage
+	u := usage{paths: make(map[string]float64)}
 	sc := bufio.NewScanner(strings.NewReader(metrics))
 	for sc.Scan() {
 		name, value, ok := strings.Cut(sc.Text(), " ")
@@ -164,6 +167,9 @@
 		switch {
 		case strings.HasPrefix(name, "geraniumdeck_control_traffic_bytes_total"):
 			u.bytes += v
+		case strings.HasPrefix(name, "geraniumdeck_control_requests_total"):
+			_, path, _ := strings.Cut(name, `path="`)
+			u.paths[strings.TrimSuffix(path, `"}`)] += v
 		case name == "process_cpu_seconds_total":
 			u.cpu = v
 		case name == "process_resident_memory_bytes":
@@ -186,6 +192,7 @@
 		}
 		rates[role] = append(rates[role], usage{
 			bytes: (after[i].bytes - before[i].bytes) / seconds, cpu: (after[i].cpu - before[i].cpu) / seconds, memory: after[i].memory,
+			paths: perSecond(before[i].paths, after[i].paths, seconds),
 		})
 	}
 	for _, role := range []string{"entry", "control", "control-leader"} {
@@ -198,7 +205,19 @@
 		line += column("core-percent", r, func(u usage) float64 { return 100 * u.cpu })
 		line += column("memory-mb", r, func(u usage) float64 { return u.memory / 1e6 })
 		fmt.Println(line)
+		busiest := slices.MaxFunc(r, func(a, b usage) int { return cmp.Compare(a.bytes, b.bytes) })
+		for _, path := range slices.Sorted(maps.Keys(busiest.paths)) {
+			fmt.Printf("slope requests vms=%d role=%s busiest path=%s per-second=%.3g\n", n, role, path, busiest.paths[path])
+		}
+	}
+}
+
+func perSecond(before, after map[string]float64, seconds float64) map[string]float64 {
+	out := make(map[string]float64)
+	for path, n := range after {
+		out[path] = (n - before[path]) / seconds
 	}
+	return out
 }
 
 func column(name string, rows []usage, value func(usage) float64) string {
