--- a/internal/api/operator/client.go
+++ b/internal/api/operator/client.go
@@ -24,6 +24,18 @@
 	HTTP    *http.Client
 }
 
+// A StatusError is an error that a VM answered with.
+type StatusError struct {
+	Address string // of the VM's operators' listener
+	Code    int    // HTTP status
+	Text    string
+}
+
+// Error implements error.Error.
+func (e *StatusError) Error() string {
+	return e.Address + ": " + e.Text
+}
+
 // ApplyTicket submits a ticket; an error means that its fate is unknown or that it was not sent.
 func (c Client) ApplyTicket(ctx context.Context, t deck.Ticket) (deck.TicketAnswer, error) {
 	var w answerWire
@@ -85,9 +97,19 @@
 	if err != nil {
 		return errors.Wrap(err, c.Address)
 	}
+	return c.decode(resp.StatusCode, data, out)
+}
+
+// decode reads an answer; a refused ticket is a result although its status is that of an error.
+func (c Client) decode(code int, data []byte, out any) error {
+	failed := code >= http.StatusBadRequest
 	var e errorWire
-	if resp.StatusCode >= http.StatusBadRequest && json.Unmarshal(data, &e) == nil && e.Error != "" {
-		return errors.Newf("%s: %s", c.Address, e.Error)
+	if failed && json.Unmarshal(data, &e) == nil && e.Error != "" {
+		return &StatusError{Address: c.Address, Code: code, Text: e.Error}
+	}
+	err := json.Unmarshal(data, out)
+	if failed && err != nil {
+		return &StatusError{Address: c.Address, Code: code, Text: fmt.Sprintf("status %d", code)}
 	}
-	return errors.Wrap(json.Unmarshal(data, out), c.Address)
+	return errors.Wrap(err, c.Address)
 }
--- a/internal/command/cli/apply.go
+++ b/internal/command/cli/apply.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"os"
 	"strings"
 	"time"
@@ -60,19 +61,29 @@
 	return c.awaitInForce(ctx, t.Number)
 }
 
-// submit sends the ticket to one VM after the other until one answers; a repeated ticket is idempotent.
+// submit sends the ticket to one VM after the other until one decides on it; a repeated ticket is idempotent.
 func (c *config) submit(ctx context.Context, t deck.Ticket) (deck.TicketAnswer, error) {
 	var a deck.TicketAnswer
+	var answered error // the last error that a VM answered with
 	for {
 		err := c.ask(func(cl operator.Client) error {
 			var err error
 			a, err = cl.ApplyTicket(ctx, t)
 			return err
 		})
-		if err == nil || ctx.Err() != nil || isUsage(err) {
+		if err == nil || hasCode(err, ExitUsage) || isRejected(err) {
 			return a, err
 		}
-		pause(ctx, pollInterval)
+		if hasCode(err, ExitFailed) {
+			answered = err
+		}
+		if pause(ctx, pollInterval) {
+			continue
+		}
+		if answered != nil {
+			return a, answered
+		}
+		return a, err
 	}
 }
 
@@ -134,9 +145,15 @@
 	return enc.Encode(v)
 }
 
-func isUsage(err error) bool {
+func hasCode(err error, code int) bool {
 	var e *exitError
-	return errors.As(err, &e) && e.code == ExitUsage
+	return errors.As(err, &e) && e.code == code
+}
+
+// isRejected reports whether a VM found the request itself at fault, so that sending it again is pointless.
+func isRejected(err error) bool {
+	var e *operator.StatusError
+	return errors.As(err, &e) && e.Code < http.StatusInternalServerError
 }
 
 func list(vms []deck.VMName) string {
--- a/internal/command/cli/cli.go
+++ b/internal/command/cli/cli.go
@@ -26,6 +26,9 @@
 Exit codes: 0 success, 1 refused or failed, 2 wrong arguments or files,
 3 accepted but not in force in time, 4 no VM reachable.`
 
+// errStopped keeps a subcommand from running after its help was shown: the library goes on once Terminate has returned.
+var errStopped = errors.New("stopped")
+
 // An exitError carries the exit code of a failure.
 type exitError struct {
 	code int
@@ -66,6 +69,12 @@
 	app := kingpin.New("geraniumdeck", help)
 	stopped := -1
 	app.Terminate(func(code int) { stopped = code })
+	app.Action(func(*kingpin.ParseContext) error {
+		if stopped >= 0 {
+			return errStopped
+		}
+		return nil
+	})
 	app.UsageWriter(stdout)
 	app.ErrorWriter(stderr)
 	app.HelpFlag.Short('h')
@@ -125,17 +134,26 @@
 	return out, nil
 }
 
-// ask calls f for one VM after the other until one answers.
+// ask calls f for one VM after the other until one succeeds. An error that a VM answered with is reported rather than
+// one of a VM that could not be reached.
 func (c *config) ask(f func(operator.Client) error) error {
 	clients, err := c.clients()
 	if err != nil {
 		return err
 	}
-	var last error
+	code := ExitUnreachable
+	var reported error
 	for _, cl := range clients {
-		if last = f(cl); last == nil {
+		err := f(cl)
+		if err == nil {
 			return nil
 		}
+		var answer *operator.StatusError
+		if errors.As(err, &answer) {
+			code, reported = ExitFailed, err
+		} else if code == ExitUnreachable {
+			reported = err
+		}
 	}
-	return exit(ExitUnreachable, last)
+	return exit(code, reported)
 }
--- a/internal/command/cli/emulate.go
+++ b/internal/command/cli/emulate.go
@@ -26,6 +26,22 @@
 
 Example: geraniumdeck emulate engine --listen 127.0.0.1:17301 --name engine-1 --memory-gib 32`
 
+const emulateEngineHelp = `Emulate a model engine.
+
+Example: geraniumdeck emulate engine --listen 127.0.0.1:17301 --name engine-1 --memory-gib 32`
+
+const emulateServiceHelp = `Emulate a plain service that counts how often each call ran.
+
+Example: geraniumdeck emulate service --listen 127.0.0.1:17311`
+
+const emulatePlatformHelp = `Emulate the platform's list of VMs.
+
+Example: geraniumdeck emulate platform --listen 127.0.0.1:17401 --lag 5s`
+
+const emulateWeightStoreHelp = `Emulate the weight store.
+
+Example: geraniumdeck emulate weight-store --listen 127.0.0.1:17402 --loads-per-second 3`
+
 // emulateHeaderTimeout bounds how long an emulator waits for a request's header.
 const emulateHeaderTimeout = 5 * time.Second
 
@@ -34,10 +50,10 @@
 	var listen string
 	cmd.Flag("listen", "Address as IP:port.").Required().StringVar(&listen)
 	c.addEmulateEngine(cmd, &listen)
-	svc := cmd.Command("service", "Emulate a plain service that counts how often each call ran.")
+	svc := cmd.Command("service", emulateServiceHelp)
 	svc.Action(func(*kingpin.ParseContext) error { return c.emulate(listen, (&service.Service{}).Handler()) })
 	p := &platform.Platform{}
-	pl := cmd.Command("platform", "Emulate the platform's list of VMs.")
+	pl := cmd.Command("platform", emulatePlatformHelp)
 	pl.Flag("lag", "Age of the list that is given out.").DurationVar(&p.Lag)
 	pl.Action(func(*kingpin.ParseContext) error { return c.emulate(listen, p.Handler()) })
 	c.addEmulateWeightStore(cmd, &listen)
@@ -47,7 +63,7 @@
 	var cfg engine.Config
 	var name string
 	var gib int64
-	cmd := parent.Command("engine", "Emulate a model engine.")
+	cmd := parent.Command("engine", emulateEngineHelp)
 	cmd.Flag("name", "Name of the backend server.").Required().StringVar(&name)
 	cmd.Flag("memory-gib", "Memory over all accelerators in GiB.").Default("32").Int64Var(&gib)
 	cmd.Flag("checks-fencing", "Refuse operations with an old fencing token.").BoolVar(&cfg.ChecksFencing)
@@ -67,7 +83,7 @@
 func (c *config) addEmulateWeightStore(parent *kingpin.CmdClause, listen *string) {
 	var rate, gbps float64
 	var concurrent int
-	cmd := parent.Command("weight-store", "Emulate the weight store.")
+	cmd := parent.Command("weight-store", emulateWeightStoreHelp)
 	cmd.Flag("loads-per-second", "Rate of loads.").Default("3").Float64Var(&rate)
 	cmd.Flag("concurrent-loads", "Loads at full speed.").Default("9").IntVar(&concurrent)
 	cmd.Flag("gib-per-second", "Bandwidth of one load.").Default("20").Float64Var(&gbps)
--- a/internal/command/cli/version.go
+++ b/internal/command/cli/version.go
@@ -11,8 +11,12 @@
 // Version is the release's version.
 const Version = "0.1.0"
 
+const versionHelp = `Show the version.
+
+Example: geraniumdeck version`
+
 func (c *config) addVersion(app *kingpin.Application) {
-	cmd := app.Command("version", "Show the version.")
+	cmd := app.Command("version", versionHelp)
 	cmd.Action(func(*kingpin.ParseContext) error { return c.version() })
 }
 
--- a/internal/wire/ticket/codec.go
+++ b/internal/wire/ticket/codec.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"io"
 	"slices"
 
 	"github.com/cockroachdb/errors"
@@ -16,6 +17,9 @@
 // MaxBytes is the largest encoded ticket that is accepted.
 const MaxBytes = 4 << 20
 
+// errOneTicket refuses content behind the ticket, which would otherwise be ignored.
+var errOneTicket = errors.New("ticket: expected one ticket and nothing behind it")
+
 // DecodeJSON returns the ticket of a JSON document; unknown fields are errors.
 func DecodeJSON(data []byte) (deck.Ticket, error) {
 	var d Document
@@ -24,6 +28,9 @@
 	if err := dec.Decode(&d); err != nil {
 		return deck.Ticket{}, errors.Wrap(err, "ticket")
 	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return deck.Ticket{}, errOneTicket
+	}
 	return d.Ticket()
 }
 
@@ -34,6 +41,9 @@
 	if err := dec.Decode(&d); err != nil {
 		return deck.Ticket{}, errors.New(yaml.FormatError(err, false, true))
 	}
+	if err := dec.Decode(&Document{}); !errors.Is(err, io.EOF) {
+		return deck.Ticket{}, errOneTicket
+	}
 	return d.Ticket()
 }
 
