--- a/internal/api/operator/handler.go
+++ b/internal/api/operator/handler.go
@@ -2,15 +2,21 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	"github.com/geraniumdeck/geraniumdeck/internal/report/burn"
 	"github.com/geraniumdeck/geraniumdeck/internal/wire/ticket"
 )
 
+// maxChangeBytes bounds the body of a membership change.
+const maxChangeBytes = 64 << 10
+
 // A Readiness says whether a VM should receive callers' requests.
 type Readiness struct {
 	Ready bool
@@ -40,9 +46,8 @@
 }
 
 func (h *Handler) applyTicket(w http.ResponseWriter, r *http.Request) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, ticket.MaxBytes))
-	if err != nil {
-		writeError(w, http.StatusRequestEntityTooLarge, err.Error())
+	data, ok := readBody(w, r, ticket.MaxBytes)
+	if !ok {
 		return
 	}
 	t, err := ticket.DecodeJSON(data)
@@ -58,6 +63,19 @@
 	writeJSON(w, statusCode(a.Verdict), newAnswer(a))
 }
 
+// readBody returns the request's body; if it can't be read or is too large, ok is false and the error is written.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) (data []byte, ok bool) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		writeError(w, http.StatusRequestEntityTooLarge, fmt.Sprintf("body: expected at most %d bytes", limit))
+	case err != nil:
+		writeError(w, http.StatusBadRequest, "body: "+err.Error())
+	}
+	return data, err == nil
+}
+
 func statusCode(v deck.TicketVerdict) int {
 	switch v {
 	case deck.TicketAccepted:
@@ -95,24 +113,16 @@
 }
 
 func (h *Handler) changeReplica(w http.ResponseWriter, r *http.Request) {
-	var c replicaChangeWire
-	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, 1<<16))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&c); err != nil {
-		writeError(w, http.StatusBadRequest, err.Error())
-		return
-	}
-	action, err := ParseAction(c.Action)
-	if err != nil {
-		writeError(w, http.StatusBadRequest, err.Error())
+	data, ok := readBody(w, r, maxChangeBytes)
+	if !ok {
 		return
 	}
-	id, err := c.Replica.replica()
+	c, err := decodeChange(data)
 	if err != nil {
 		writeError(w, http.StatusBadRequest, err.Error())
 		return
 	}
-	if err := h.System.ChangeReplica(r.Context(), deck.ReplicaChange{Action: action, Replica: id}); err != nil {
+	if err := h.System.ChangeReplica(r.Context(), c); err != nil {
 		writeError(w, http.StatusConflict, err.Error())
 		return
 	}
--- a/internal/api/operator/wire.go
+++ b/internal/api/operator/wire.go
@@ -1,6 +1,9 @@
 package operator
 
 import (
+	"bytes"
+	"encoding/json"
+	"io"
 	"strconv"
 	"time"
 
@@ -170,6 +173,28 @@
 	return 0, errors.Newf("action %q: expected add, promote or remove", name)
 }
 
+// decodeChange returns the membership change of a JSON document; unknown fields and missing values are errors.
+func decodeChange(data []byte) (deck.ReplicaChange, error) {
+	var w replicaChangeWire
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&w); err != nil {
+		return deck.ReplicaChange{}, errors.Wrap(err, "replica change")
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return deck.ReplicaChange{}, errors.New("replica change: expected one change and nothing behind it")
+	}
+	action, err := ParseAction(w.Action)
+	if err != nil {
+		return deck.ReplicaChange{}, err
+	}
+	if w.Replica.VM == "" || w.Replica.Incarnation == "" {
+		return deck.ReplicaChange{}, errors.New("replica: expected vm and incarnation")
+	}
+	id, err := w.Replica.replica()
+	return deck.ReplicaChange{Action: action, Replica: id}, err
+}
+
 func newLog(s deck.LogStatus) logWire {
 	w := logWire{
 		Self: newReplica(s.Self), Leader: newReplica(s.Leader), Term: s.Term, Commit: s.Commit, Applied: s.Applied,
