Add metrics of the state, the log, the lease and the placement

Cause: an unproven state, a replica with a storage fault, a clock that is off or a model without a place showed in `geraniumdeck state` at best, not in the metrics that alerts are built on.

Change: observable instruments read the parts when they are scraped; no part writes metrics itself. The unit {boolean} is used rather than 1, for which the exporter adds _ratio to the name. Counts that only the placement leader knows, and the fencing token, are reported only while the lease is held; reporting them always was ruled out, since a former leader's last values would add to its successor's. VMs without a replica have no metrics of the log. proof_age is absent until the state is proven.

--- /dev/null
+++ b/internal/command/process/partmetrics_test.go
@@ -0,0 +1,171 @@
+package process
+
+import (
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/kernel"
+	"github.com/geraniumdeck/geraniumdeck/internal/place/execute"
+	"github.com/geraniumdeck/geraniumdeck/internal/place/memory"
+	"github.com/geraniumdeck/geraniumdeck/internal/report/telemetry"
+	settings "github.com/geraniumdeck/geraniumdeck/internal/settings/yaml"
+	"github.com/geraniumdeck/geraniumdeck/internal/state/feed"
+	"github.com/geraniumdeck/geraniumdeck/internal/test/decktest"
+)
+
+// A fixedLease is a lease that is held or not for the whole test.
+type fixedLease struct {
+	held bool
+}
+
+// Held implements deck.LeaseSource.Held.
+func (l fixedLease) Held() (deck.PlacementLease, bool) {
+	return deck.PlacementLease{FencingToken: 12}, l.held
+}
+
+// A fullDisk is a feed.Saver that always fails.
+type fullDisk struct{}
+
+// Save implements feed.Saver.Save.
+func (fullDisk) Save(deck.State) error {
+	return errors.New("no space")
+}
+
+// scrape returns the values of the scraped lines by metric name, without labels.
+func scrape(t *testing.T, m *telemetry.Metrics) map[string]string {
+	t.Helper()
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), "GET", "/metrics", nil))
+	out := make(map[string]string)
+	for line := range strings.Lines(w.Body.String()) {
+		name, rest, ok := strings.Cut(strings.TrimSpace(line), "{")
+		if ok && strings.HasPrefix(name, "geraniumdeck_") {
+			out[name] = rest[strings.LastIndexByte(rest, ' ')+1:]
+		}
+	}
+	return out
+}
+
+func scripted(held bool) (*partMetrics, *decktest.ManualClock) {
+	clock := &decktest.ManualClock{}
+	self := deck.ReplicaID{VM: "control-1", Incarnation: 1}
+	return &partMetrics{
+		store: feed.NewStore("control-1", clock, fullDisk{}, deck.State{}, false),
+		log: func() deck.LogStatus {
+			return deck.LogStatus{Self: self, Leader: self, Term: 3, Commit: 42, Applied: 41}
+		},
+		lease: fixedLease{held},
+		skew:  func() time.Duration { return 250 * time.Millisecond },
+		placement: func() execute.Status {
+			return execute.Status{
+				Leads: true, AtRisk: []deck.ModelName{"a", "b"}, Missing: []deck.ModelName{"c"}, Waiting: 4,
+				Disagreements: map[deck.BackendName]memory.Disagreement{"e": {}},
+			}
+		},
+	}, clock
+}
+
+// Guards against a part whose trouble can't be seen on the scrape endpoint, and against names without unit.
+func TestPartMetricsAreScraped(t *testing.T) {
+	is := is.New(t)
+	pm, clock := scripted(true)
+	m, err := telemetry.NewMetrics()
+	is.NoErr(err)
+	is.NoErr(pm.register(m.Meter()))
+	pm.store.Install(deck.State{}.WithTicket(deck.Ticket{Number: 1}, 41))
+	pm.store.Prove(clock.Now(), 41)
+	clock.Advance(1500 * time.Millisecond)
+	is.Equal(scrape(t, m), map[string]string{
+		"geraniumdeck_state_version":                  "41",
+		"geraniumdeck_state_proven":                   "1",
+		"geraniumdeck_state_proof_age_seconds":        "1.5",
+		"geraniumdeck_state_save_errors_total":        "1",
+		"geraniumdeck_log_leads":                      "1",
+		"geraniumdeck_log_takes_part":                 "1",
+		"geraniumdeck_log_term":                       "3",
+		"geraniumdeck_log_commit_index":               "42",
+		"geraniumdeck_log_applied_index":              "41",
+		"geraniumdeck_placement_lease_held":           "1",
+		"geraniumdeck_placement_fencing_token":        "12",
+		"geraniumdeck_clock_difference_seconds":       "0.25",
+		"geraniumdeck_placement_models_at_risk":       "2",
+		"geraniumdeck_placement_models_missing":       "1",
+		"geraniumdeck_placement_loads_waiting":        "4",
+		"geraniumdeck_placement_ledger_disagreements": "1",
+	})
+}
+
+// Guards against a VM that reports a former lease, an unproven state or a failed replica as good.
+func TestPartMetricsWithoutLeaseAndProof(t *testing.T) {
+	is := is.New(t)
+	pm, _ := scripted(false)
+	self := deck.ReplicaID{VM: "control-1", Incarnation: 1}
+	pm.log = func() deck.LogStatus { return deck.LogStatus{Self: self, Leader: self, Failed: "checksum"} }
+	m, err := telemetry.NewMetrics()
+	is.NoErr(err)
+	is.NoErr(pm.register(m.Meter()))
+	is.Equal(scrape(t, m), map[string]string{
+		"geraniumdeck_state_version":            "0",
+		"geraniumdeck_state_proven":             "0",
+		"geraniumdeck_state_save_errors_total":  "0",
+		"geraniumdeck_log_leads":                "0",
+		"geraniumdeck_log_takes_part":           "0",
+		"geraniumdeck_log_term":                 "0",
+		"geraniumdeck_log_commit_index":         "0",
+		"geraniumdeck_log_applied_index":        "0",
+		"geraniumdeck_placement_lease_held":     "0",
+		"geraniumdeck_clock_difference_seconds": "0.25",
+	})
+}
+
+// Guards against an assembly that leaves the parts out or gives a VM without a replica metrics of the log.
+func TestProcessRegistersPartMetrics(t *testing.T) {
+	for vm, replica := range map[deck.VMName]bool{"control-1": true, "entry-1": false} {
+		t.Run(string(vm), func(t *testing.T) {
+			is := is.New(t)
+			s, err := settings.Read("../../../examples/single-machine.yaml")
+			is.NoErr(err)
+			v, ok := s.VM(vm)
+			is.True(ok)
+			if replica {
+				v.DataFolder = t.TempDir()
+			}
+			p := newParts(s, v, logr.Discard(), &kernel.Kernel{})
+			for _, step := range []func(*parts) error{addMetrics, addState, addLease, addPlacement, addPartMetrics} {
+				is.NoErr(step(p))
+			}
+			m, err := kernel.Find[*telemetry.Metrics](p.kernel, nameMetrics)
+			is.NoErr(err)
+			got := scrape(t, m)
+			is.Equal(got["geraniumdeck_state_version"], "0")
+			is.Equal(got["geraniumdeck_placement_lease_held"], "0")
+			_, ok = got["geraniumdeck_log_takes_part"]
+			is.Equal(ok, replica)
+		})
+	}
+}
+
+// Guards against a metric that the operators' page does not explain.
+func TestPartMetricsAreDocumented(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../../docs/operating/watching.md")
+	is.NoErr(err)
+	pm, clock := scripted(true)
+	m, err := telemetry.NewMetrics()
+	is.NoErr(err)
+	is.NoErr(pm.register(m.Meter()))
+	pm.store.Prove(clock.Now(), 0)
+	for name := range scrape(t, m) {
+		if !strings.Contains(string(page), "| `"+name+"` |") {
+			t.Errorf("%s is not in the table", name)
+		}
+	}
+}
--- a/internal/command/process/process.go
+++ b/internal/command/process/process.go
@@ -40,12 +40,9 @@
 // New assembles the process of a VM; its listeners are bound when New returns.
 func New(s settings.Settings, vm settings.VM, log logr.Logger) (*Process, error) {
 	p := &Process{kernel: kernel.Kernel{Log: log}}
-	b := &parts{
-		settings: s, vm: vm, self: newPeer(vm), peers: newPeers(s), clock: deck.SystemClock{}, log: log,
-		kernel: &p.kernel, peerMux: http.NewServeMux(),
-	}
+	b := newParts(s, vm, log, &p.kernel)
 	for _, step := range []func(*parts) error{
-		addMetrics, addState, addLease, addPlacement, addServing, addSystem, addListeners,
+		addMetrics, addState, addLease, addPlacement, addPartMetrics, addServing, addSystem, addListeners,
 	} {
 		if err := step(b); err != nil {
 			return nil, err
@@ -54,6 +51,13 @@
 	return p, nil
 }
 
+func newParts(s settings.Settings, vm settings.VM, log logr.Logger, k *kernel.Kernel) *parts {
+	return &parts{
+		settings: s, vm: vm, self: newPeer(vm), peers: newPeers(s), clock: deck.SystemClock{}, log: log,
+		kernel: k, peerMux: http.NewServeMux(),
+	}
+}
+
 // Run works until stop ends and then drains; the end of kill stops it at once.
 func (p *Process) Run(stop, kill context.Context) error {
 	return p.kernel.Run(stop, kill)
