Let interactive work leave a full data centre before its deadline forces it

Cause: the two engines of a data centre that share their models take each other's work.

Change: interactive work that finds no room near may go to a far server at once if its report shows less than half of the work of the least loaded near server, or, with a near server of reduced weight, under the rule that applied at the deadline (0.8). A new request tries this before it queues.

--- a/internal/route/choose/candidate.go
+++ b/internal/route/choose/candidate.go
@@ -51,6 +51,13 @@
 	return !ok || near == noLoad || float64(l.known()) < spillShare*float64(near)
 }
 
+// worthEarlySpill reports whether a farther server has so much less work that not even a short wait for a near one pays;
+// one without a report does not count.
+func (l Load) worthEarlySpill(near int) bool {
+	_, ok := l.Others()
+	return near == noLoad || ok && float64(l.known()) < earlySpillShare*float64(near)
+}
+
 // A Candidate is a backend server that could run an attempt.
 type Candidate struct {
 	Backend    deck.BackendName
--- a/internal/route/choose/choose_test.go
+++ b/internal/route/choose/choose_test.go
@@ -73,6 +73,44 @@
 	}
 }
 
+// Guards against work that waits at a full data centre up to its deadline while another one is idle, and against an
+// exchange of work between data centres that are all busy.
+func TestEarlySpill(t *testing.T) {
+	for name, c := range map[string]struct {
+		near, far int // reported work
+		slow      bool
+		want      int
+	}{
+		"far clearly idle":            {20, 9, false, 1000},
+		"far hardly less loaded":      {20, 11, false, 0},
+		"beside a slow server":        {20, 15, true, 1000},
+		"as loaded, near server slow": {20, 17, true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			cs := []Candidate{
+				server(func(x *Candidate) { x.Room, x.Load = 0, Load{Reported: true, Total: c.near} }),
+				server(func(x *Candidate) { x.Distance, x.Load = Elsewhere, Load{Reported: true, Total: c.far} }),
+			}
+			if c.slow {
+				cs = append(cs, server(func(x *Candidate) { x.Room, x.Weight = 0, 0.02 }))
+			}
+			is.Equal(picks(cs, Need{Farthest: Elsewhere, Early: true})[1], c.want)
+		})
+	}
+}
+
+// Guards against an early way to a far server whose load is not known.
+func TestEarlySpillNeedsReport(t *testing.T) {
+	is := is.New(t)
+	cs := []Candidate{
+		server(func(c *Candidate) { c.Room, c.Load.Own = 0, 20 }),
+		server(func(c *Candidate) { c.Distance = Elsewhere }),
+	}
+	is.Equal(picks(cs, Need{Farthest: Elsewhere, Early: true})[1], 0)
+	is.Equal(picks(cs, Need{Farthest: Elsewhere})[1], 1000)
+}
+
 // Guards against VMs that all choose the one server that a stale report shows as idle.
 func TestTwoChoicesSpread(t *testing.T) {
 	is := is.New(t)
--- a/internal/route/choose/pick.go
+++ b/internal/route/choose/pick.go
@@ -1,6 +1,7 @@
 package choose
 
 import (
+	"slices"
 	"time"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
@@ -18,6 +19,9 @@
 	// spillShare is the largest load of a farther server, relative to the least loaded near one, that is worth the way:
 	// between equally loaded data centres an exchange of work wastes traffic and cached prefixes.
 	spillShare = 0.8
+	// earlySpillShare replaces spillShare while a wait for a near server would still meet the deadline. At 0.6 and more
+	// reports that lag made overloaded data centres exchange work, and goodput at 1.5 times capacity fell below that at 1.0.
+	earlySpillShare = 0.5
 	// nearWeight is the least weight and nearGap the longest time between tokens of a near server that keeps work from
 	// going to farther ones. A server that is alone with its model has no peers that could show it as slow, but one that
 	// misses the 47 ms between tokens that users need is not worth a wait.
@@ -32,6 +36,7 @@
 type Need struct {
 	Adapter  bool     // an adapter must be present
 	Farthest Distance // farther servers are used only if there is no nearer one at all
+	Early    bool     // a wait for a near server would still meet the deadline
 	Probe    bool     // the request may be used to try a server of reduced weight
 	Forced   bool     // a server without room is acceptable
 }
@@ -74,6 +79,10 @@
 // costs more than the traffic.
 func tiers(cs []Candidate, need Need, strict bool) (pool []int, exists bool) {
 	near := noLoad
+	worth := Load.worthSpill
+	if need.Early && !nearSlow(cs) {
+		worth = Load.worthEarlySpill
+	}
 	for d := SameDataCentre; d < distances; d++ {
 		if near != noLoad && (d > need.Farthest || anyHealthy(cs, pool)) {
 			break
@@ -87,7 +96,7 @@
 			if keepsNear(c) {
 				near = min(near, c.Load.known())
 			}
-			if (c.Room > 0 || need.Forced) && c.Load.worthSpill(bound) {
+			if (c.Room > 0 || need.Forced) && worth(c.Load, bound) {
 				pool = append(pool, i)
 			}
 		}
@@ -104,6 +113,15 @@
 	return false
 }
 
+// nearSlow reports whether a server in the VM's own data centre has a reduced weight; the work that it leaves to the
+// others keeps them full for as long as it is slow. The time between tokens does not count: under overload it is long
+// everywhere, and an exchange of work between data centres then costs goodput.
+func nearSlow(cs []Candidate) bool {
+	return slices.ContainsFunc(cs, func(c Candidate) bool {
+		return c.Distance == SameDataCentre && c.Weight < nearWeight
+	})
+}
+
 func keepsNear(c Candidate) bool {
 	return c.Weight >= nearWeight && c.Gap <= nearGap
 }
--- a/internal/route/router/core.go
+++ b/internal/route/router/core.go
@@ -85,11 +85,12 @@
 	return nil
 }
 
-// enqueue starts the request at once if nothing waits before it or the wait would miss its deadline, otherwise queues
-// or refuses it.
+// enqueue starts the request at once if nothing waits before it or it may leave the data centre, otherwise queues or
+// refuses it. Requests that wait are tried whenever room appears, so one that finds room at its arrival rarely takes it
+// from them.
 func (c *Core) enqueue(h *Hold, now time.Time) {
 	q := c.queue(h.info.Model)
-	mayPass := q.Len() == 0 || c.farthest(h, now) > choose.SameDataCentre
+	mayPass := q.Len() == 0 || c.need(h, now).Farthest > choose.SameDataCentre
 	if mayPass && c.start(h, now) {
 		q.Push(h.item(now))
 		q.Start(h.id, now)
--- a/internal/route/router/place.go
+++ b/internal/route/router/place.go
@@ -23,8 +23,7 @@
 // start reserves a server for the request; it returns false if none has room.
 func (c *Core) start(h *Hold, now time.Time) bool {
 	cs := c.candidates(h, now)
-	need := choose.Need{Adapter: h.info.Adapter != "", Farthest: c.farthest(h, now), Probe: true}
-	i, ok := choose.Pick(cs, need, c.cfg.Rand)
+	i, ok := choose.Pick(cs, c.need(h, now), c.cfg.Rand)
 	if !ok {
 		c.preempt(h, cs, now)
 		return false
@@ -33,6 +32,16 @@
 	return true
 }
 
+// need returns what the request's next attempt requires. Interactive work may leave a full data centre early, before its
+// deadline makes it.
+func (c *Core) need(h *Hold, now time.Time) choose.Need {
+	need := choose.Need{Adapter: h.info.Adapter != "", Farthest: c.farthest(h, now), Probe: true}
+	if need.Farthest == choose.SameDataCentre && h.info.Class == deck.Interactive {
+		need.Farthest, need.Early = choose.Elsewhere, true
+	}
+	return need
+}
+
 func (c *Core) reserve(h *Hold, s *server, now time.Time) {
 	a := &attempt{hold: h, server: s, chosen: now, last: now, sampled: now}
 	s.add(a)
@@ -47,8 +56,8 @@
 	c.hints.Sent(s.name, h.info.Prefixes)
 }
 
-// farthest returns how far the request may go while nearer servers exist: only if waiting for them would miss the
-// deadline, since traffic to farther ones is billed.
+// farthest returns how far the request may go at any load while nearer servers exist: only if waiting for them would miss
+// the deadline, since traffic to farther ones is billed.
 func (c *Core) farthest(h *Hold, now time.Time) choose.Distance {
 	last := h.waiting.Add(spillAfter)
 	if !h.info.Deadline.IsZero() && !h.admitted {
