--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -2,4 +2,7 @@
 # Prints the figures of docs/CAPACITY.md.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+go run ./scripts/measure planner
+go test -run '^$' -bench 'RouteDecision|ControllerStep' -benchtime 2000x ./internal/route/router ./internal/measure/placement |
+  grep -E '^Benchmark'
 go run ./scripts/slopes "$@"
--- a/scripts/slopes/main.go
+++ b/scripts/slopes/main.go
@@ -1,4 +1,5 @@
-// Command slopes measures how the cost of control grows with the size of a deployment, with real processes on loopback.
+// Command slopes measures how the cost of control grows with the size of a deployment, with the feed in one process and
+// with a process for each VM on loopback.
 package main
 
 import (
@@ -9,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/measure/distribution"
 )
 
 const (
@@ -39,6 +42,13 @@
 		}
 		sizes = append(sizes, n)
 	}
+	figures, err := distribution.All(ctx)
+	if err != nil {
+		return errors.Wrap(err, "distribution")
+	}
+	for _, f := range figures {
+		fmt.Printf("slope %s value=%.4g unit=%s\n", f.Name, f.Value, f.Unit)
+	}
 	for _, n := range sizes {
 		if err := measureVMs(ctx, n); err != nil {
 			return errors.Wrapf(err, "%d VMs", n)
