--- a/internal/command/cli/apply.go
+++ b/internal/command/cli/apply.go
@@ -77,7 +77,7 @@
 		if hasCode(err, ExitFailed) {
 			answered = err
 		}
-		if pause(ctx, pollInterval) {
+		if deck.Sleep(ctx, pollInterval) {
 			continue
 		}
 		if answered != nil {
@@ -107,7 +107,7 @@
 		if err == nil && s.InForce() {
 			return c.printStatus(s)
 		}
-		if !pause(ctx, pollInterval) {
+		if !deck.Sleep(ctx, pollInterval) {
 			return exit(ExitNotInForce, errors.Newf("ticket %d is accepted but not in force on %s after %s",
 				number, list(s.Unconfirmed), c.timeout))
 		}
@@ -166,15 +166,3 @@
 	}
 	return strings.Join(out, ", ")
 }
-
-// pause waits for d; it returns false if ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/emulate/engine/operate.go
+++ b/internal/emulate/engine/operate.go
@@ -47,7 +47,7 @@
 	life, delay := e.life, e.faults.DelayOperations
 	for range times {
 		e.group.Go(func() error {
-			if !sleep(life, delay) {
+			if !deck.Sleep(life, delay) {
 				return nil
 			}
 			e.begin(life, op)
@@ -122,7 +122,7 @@
 // load waits while the weights are loaded; it returns false if the emulated process crashed meanwhile.
 func (e *Engine) load(life context.Context, op deck.Operation) bool {
 	if e.cfg.WeightStore == "" {
-		return sleep(life, e.cfg.LoadTime)
+		return deck.Sleep(life, e.cfg.LoadTime)
 	}
 	body, err := json.Marshal(map[string]int64{"bytes": int64(op.WeightBytes)})
 	if err != nil {
@@ -140,23 +140,8 @@
 				return true
 			}
 		}
-		if !sleep(life, time.Second) {
+		if !deck.Sleep(life, time.Second) {
 			return false
 		}
 	}
 }
-
-// sleep waits for d; it returns false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/measure/distribution/deployment.go
+++ b/internal/measure/distribution/deployment.go
@@ -120,11 +120,11 @@
 func (f feedPath) Poll(ctx context.Context, source deck.Peer, r feed.Request) (feed.Answer, error) {
 	far := source.DataCentre != f.self.DataCentre
 	if far {
-		pause(ctx, f.path)
+		deck.Sleep(ctx, f.path)
 	}
 	a, err := f.FeedClient.Poll(ctx, source, r)
 	if far {
-		pause(ctx, f.path)
+		deck.Sleep(ctx, f.path)
 	}
 	return a, err
 }
--- a/internal/measure/distribution/log.go
+++ b/internal/measure/distribution/log.go
@@ -59,7 +59,7 @@
 		case <-ctx.Done():
 			return
 		case e := <-r.entries:
-			pause(ctx, time.Until(e.at.Add(r.log.path)))
+			deck.Sleep(ctx, time.Until(e.at.Add(r.log.path)))
 			r.machine.Apply(e.index, e.data)
 		}
 	}
@@ -84,7 +84,7 @@
 
 // Barrier implements deck.Log.Barrier; entries reach a follower within a path time.
 func (r *memoryReplica) Barrier(ctx context.Context) error {
-	pause(ctx, 2*r.log.path)
+	deck.Sleep(ctx, 2*r.log.path)
 	return ctx.Err()
 }
 
@@ -92,12 +92,3 @@
 func (r *memoryReplica) Status() deck.LogStatus {
 	return deck.LogStatus{Self: deck.ReplicaID{VM: r.vm}, Leader: deck.ReplicaID{VM: r.log.leader}}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/measure/distribution/measure.go
+++ b/internal/measure/distribution/measure.go
@@ -42,7 +42,7 @@
 			return nil, err
 		}
 		times = append(times, took)
-		pause(ctx, time.Duration(n%10)*20*time.Millisecond) // spreads the tickets over the phases of the polls
+		deck.Sleep(ctx, time.Duration(n%10)*20*time.Millisecond) // spreads the tickets over the phases of the polls
 	}
 	slices.Sort(times)
 	name := fmt.Sprintf("ticket-in-force-%d-vms", vms)
@@ -94,7 +94,7 @@
 		return nil, err
 	}
 	bytes, used := d.total(), processorTime()
-	pause(ctx, idle)
+	deck.Sleep(ctx, idle)
 	idleBytes, idleUsed := d.total()-bytes, processorTime()-used
 	bytes, used = d.total(), processorTime()
 	begin := time.Now()
--- a/internal/route/watch/watcher.go
+++ b/internal/route/watch/watcher.go
@@ -87,11 +87,11 @@
 					return nil
 				})
 			}
-			if !sleep(ctx, pause) {
+			if !deck.Sleep(ctx, pause) {
 				return
 			}
 		}
-		if len(subset) == 0 && !sleep(ctx, PollEvery) {
+		if len(subset) == 0 && !deck.Sleep(ctx, PollEvery) {
 			return
 		}
 	}
@@ -172,15 +172,3 @@
 	defer w.mu.Unlock()
 	delete(w.busy, b)
 }
-
-// sleep returns false if the context ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/state/feed/client.go
+++ b/internal/state/feed/client.go
@@ -76,7 +76,7 @@
 			return
 		case <-c.cfg.Store.raised:
 		}
-		if !sleep(ctx, passOnPause) {
+		if !deck.Sleep(ctx, passOnPause) {
 			return
 		}
 		if p := c.source.Load(); p != nil && !c.leads() {
@@ -89,14 +89,14 @@
 func (c *Client) follow(ctx context.Context) {
 	for ctx.Err() == nil {
 		if c.leads() {
-			sleep(ctx, leaderPause)
+			deck.Sleep(ctx, leaderPause)
 			continue
 		}
 		if c.round(ctx) {
 			continue
 		}
 		c.survey(ctx)
-		sleep(ctx, roundPause)
+		deck.Sleep(ctx, roundPause)
 	}
 }
 
@@ -236,15 +236,3 @@
 	}
 	_ = g.Wait()
 }
-
-// sleep waits and reports whether the context is still running.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/state/feed/cluster_test.go
+++ b/internal/state/feed/cluster_test.go
@@ -173,12 +173,12 @@
 
 func (t clusterTransport) Poll(ctx context.Context, source deck.Peer, r Request) (Answer, error) {
 	t.record(source.Name)
-	if t.c.lost(t.self, source.Name) || !sleep(ctx, 25*time.Millisecond) {
+	if t.c.lost(t.self, source.Name) || !deck.Sleep(ctx, 25*time.Millisecond) {
 		<-ctx.Done()
 		return Answer{}, ctx.Err()
 	}
 	a := t.c.store(source.Name).Serve(ctx, r)
-	if t.c.lost(source.Name, t.self) || !sleep(ctx, 25*time.Millisecond) {
+	if t.c.lost(source.Name, t.self) || !deck.Sleep(ctx, 25*time.Millisecond) {
 		<-ctx.Done()
 		return Answer{}, ctx.Err()
 	}
@@ -206,7 +206,7 @@
 	if s := l.Status(); s.Leader.VM != s.Self.VM {
 		return errors.New("not the leader")
 	}
-	sleep(ctx, 400*time.Millisecond)
+	deck.Sleep(ctx, 400*time.Millisecond)
 	return ctx.Err()
 }
 
--- a/internal/state/feed/control.go
+++ b/internal/state/feed/control.go
@@ -80,7 +80,7 @@
 				p.Once(ctx)
 			}
 		}
-		if !sleep(ctx, interval) {
+		if !deck.Sleep(ctx, interval) {
 			return nil
 		}
 	}
--- a/internal/state/lease/runtime.go
+++ b/internal/state/lease/runtime.go
@@ -108,7 +108,7 @@
 		case r.mayStand():
 			r.stand(ctx, &g)
 		default:
-			sleep(ctx, candidatePoll)
+			deck.Sleep(ctx, candidatePoll)
 		}
 	}
 	if _, held := r.Held(); held {
@@ -244,7 +244,7 @@
 	case <-ctx.Done():
 	case <-t.C:
 	case <-r.raised:
-		sleep(ctx, raisePause)
+		deck.Sleep(ctx, raisePause)
 	}
 }
 
@@ -291,13 +291,3 @@
 	inTime := r.holder.acquired.Sub(r.handedAt) < limit
 	return r.handed, inTime && r.holder.Previous() == r.handed.Token
 }
-
-// sleep waits until the time is over or the context ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/state/lease/runtime_test.go
+++ b/internal/state/lease/runtime_test.go
@@ -99,7 +99,7 @@
 }
 
 func (t lanTransport) Ask(ctx context.Context, voter deck.Peer, r Request) (Response, error) {
-	sleep(ctx, time.Millisecond)
+	deck.Sleep(ctx, time.Millisecond)
 	if t.lost(t.self, voter.Name) {
 		<-ctx.Done()
 		return Response{}, ctx.Err()
@@ -112,7 +112,7 @@
 		return Response{}, ctx.Err()
 	}
 	a := votes.Handle(r)
-	sleep(ctx, time.Millisecond)
+	deck.Sleep(ctx, time.Millisecond)
 	if t.lost(voter.Name, t.self) {
 		<-ctx.Done()
 		return Response{}, ctx.Err()
--- a/internal/state/machine/client.go
+++ b/internal/state/machine/client.go
@@ -174,7 +174,7 @@
 			}
 			continue
 		}
-		if !c.tryRelease(ctx, r) && !sleep(ctx, releasePause) {
+		if !c.tryRelease(ctx, r) && !deck.Sleep(ctx, releasePause) {
 			return nil
 		}
 	}
@@ -217,15 +217,3 @@
 	c.releases = c.releases[1:]
 	return r, true
 }
-
-// sleep waits and reports whether the context is still running.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/state/machine/forward.go
+++ b/internal/state/machine/forward.go
@@ -31,7 +31,7 @@
 				break
 			}
 		}
-		if ctx.Err() != nil || !sleep(ctx, retryPause) {
+		if ctx.Err() != nil || !deck.Sleep(ctx, retryPause) {
 			return command.Result{}, failure(last, maybe)
 		}
 	}
--- a/scripts/faults/serving.go
+++ b/scripts/faults/serving.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	"github.com/geraniumdeck/geraniumdeck/internal/test/deployment"
 )
 
@@ -296,7 +297,7 @@
 	if err := applyText(ctx, d, 5000, "backend-servers:\n"+leaving); err != nil {
 		return "", err
 	}
-	if !pause(ctx, leavingTime) {
+	if !deck.Sleep(ctx, leavingTime) {
 		return "", ctx.Err()
 	}
 	before, err := statusOf(ctx, d, 1)
--- a/scripts/faults/state.go
+++ b/scripts/faults/state.go
@@ -177,7 +177,7 @@
 	begin := time.Now()
 	applyErr := submitAnywhere(ctx, d, file, victim)
 	took := time.Since(begin)
-	pause(ctx, freeze-took)
+	deck.Sleep(ctx, freeze-took)
 	if err := errors.Join(applyErr, d.Signal(victim, syscall.SIGCONT)); err != nil {
 		return "", err
 	}
@@ -294,7 +294,7 @@
 func noMajority(ctx context.Context, d *deployment.Deployment) (string, error) {
 	d.Kill("control-2")
 	d.Kill("control-3")
-	if !pause(ctx, 3*time.Second) {
+	if !deck.Sleep(ctx, 3*time.Second) {
 		return "", ctx.Err()
 	}
 	code, body, err := d.Caller(1).Post(ctx, "/booking/orders", "order-cut", []byte(`{}`))
--- a/scripts/faults/util.go
+++ b/scripts/faults/util.go
@@ -6,7 +6,6 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"time"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/test/deployment"
 )
@@ -30,15 +29,3 @@
 	}
 	return ""
 }
-
-// pause waits for d; it returns false if ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/scripts/slopes/vms.go
+++ b/scripts/slopes/vms.go
@@ -66,7 +66,7 @@
 		return err
 	}
 	begin := time.Now()
-	pause(ctx, window)
+	deck.Sleep(ctx, window)
 	after, err := scrapeAll(ctx, d, n)
 	if err != nil {
 		return err
@@ -228,12 +228,3 @@
 	slices.Sort(vs)
 	return fmt.Sprintf(" %s-p50=%.4g %s-max=%.4g", name, vs[len(vs)/2], name, vs[len(vs)-1])
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
