Let early work wait for a healthy far server rather than use a slow one

Change: while a wait would still meet the deadline, a far server of reduced weight and more than 47 ms between tokens is left out if a healthy one at the same distance serves the request; a due probe still goes to it.

--- a/internal/route/choose/choose_test.go
+++ b/internal/route/choose/choose_test.go
@@ -100,6 +100,33 @@
 	}
 }
 
+// Guards against work that takes the long way to a slow server although a healthy one will have room in time, and
+// against a slow server that is never tried again or stays unused when no wait is left.
+func TestSlowFarServer(t *testing.T) {
+	for name, c := range map[string]struct {
+		need    Need
+		probe   bool
+		adapter bool // on the healthy server
+		want    int
+	}{
+		"wait is in time":     {Need{Farthest: Elsewhere, Early: true}, false, true, 0},
+		"no time left":        {Need{Farthest: Elsewhere}, false, true, 1000},
+		"probe due":           {Need{Farthest: Elsewhere, Early: true, Probe: true}, true, true, 1000},
+		"other lacks adapter": {Need{Farthest: Elsewhere, Early: true, Adapter: true}, false, false, 1000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			cs := []Candidate{
+				server(func(x *Candidate) { x.Distance, x.Room, x.HasAdapter = Elsewhere, 0, c.adapter }),
+				server(func(x *Candidate) {
+					x.Distance, x.Weight, x.Gap, x.ProbeDue = Elsewhere, 0.02, 2*nearGap, c.probe
+				}),
+			}
+			is.Equal(picks(cs, c.need)[1], c.want)
+		})
+	}
+}
+
 // Guards against an early way to a far server whose load is not known.
 func TestEarlySpillNeedsReport(t *testing.T) {
 	is := is.New(t)
--- a/internal/route/choose/pick.go
+++ b/internal/route/choose/pick.go
@@ -96,7 +96,7 @@
 			if keepsNear(c) {
 				near = min(near, c.Load.known())
 			}
-			if (c.Room > 0 || need.Forced) && worth(c.Load, bound) {
+			if (c.Room > 0 || need.Forced) && worth(c.Load, bound) && !worthWait(cs, c, need) {
 				pool = append(pool, i)
 			}
 		}
@@ -104,6 +104,17 @@
 	return pool, exists
 }
 
+// worthWait reports whether a farther server is so slow that a wait for a healthy one at the same distance costs less.
+func worthWait(cs []Candidate, c Candidate, need Need) bool {
+	slow := c.Weight < nearWeight && c.Gap > nearGap
+	if !need.Early || !slow || c.ProbeDue || c.Distance == SameDataCentre {
+		return false
+	}
+	return slices.ContainsFunc(cs, func(o Candidate) bool {
+		return o.Distance == c.Distance && keepsNear(o) && usable(o, need, true)
+	})
+}
+
 func anyHealthy(cs []Candidate, pool []int) bool {
 	for _, i := range pool {
 		if keepsNear(cs[i]) {
