--- a/internal/api/peer/demandclient.go
+++ b/internal/api/peer/demandclient.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
@@ -86,18 +85,6 @@
 	if err != nil {
 		return errors.Wrap(err, "demand")
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+DemandPath, bytes.NewReader(body))
-	if err != nil {
-		return errors.Wrap(err, "demand")
-	}
-	req.Header.Set("Content-Type", "application/json")
-	resp, err := c.HTTP.Do(req)
-	if err != nil {
-		return errors.Wrap(err, "demand")
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusNoContent {
-		return errors.Newf("demand: status %d", resp.StatusCode)
-	}
-	return nil
+	_, err = exchange(ctx, c.HTTP, http.MethodPost, "http://"+address+DemandPath, body, http.StatusNoContent, 0)
+	return err
 }
--- a/internal/api/peer/feed.go
+++ b/internal/api/peer/feed.go
@@ -1,13 +1,10 @@
 package peer
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -92,34 +89,11 @@
 
 // Publish implements feed.Transport.Publish.
 func (c FeedClient) Publish(ctx context.Context, to deck.Peer, p feed.Payload) error {
-	body := bytes.NewReader(mustMarshal(newFeedPayload(p)))
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.Address+payloadPath, body)
-	if err != nil {
-		return err
-	}
-	resp, err := c.HTTP.Do(r)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusNoContent {
-		return errors.New("payload: status " + strconv.Itoa(resp.StatusCode))
-	}
-	return nil
+	body := mustMarshal(newFeedPayload(p))
+	_, err := exchange(ctx, c.HTTP, http.MethodPost, "http://"+to.Address+payloadPath, body, http.StatusNoContent, 0)
+	return err
 }
 
 func (c FeedClient) get(ctx context.Context, url string) ([]byte, error) {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
-	if err != nil {
-		return nil, err
-	}
-	resp, err := c.HTTP.Do(r)
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return nil, errors.New("feed: status " + strconv.Itoa(resp.StatusCode))
-	}
-	return io.ReadAll(io.LimitReader(resp.Body, maxFeedBytes))
+	return exchange(ctx, c.HTTP, http.MethodGet, url, nil, http.StatusOK, maxFeedBytes)
 }
--- a/internal/api/peer/lease.go
+++ b/internal/api/peer/lease.go
@@ -1,10 +1,8 @@
 package peer
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
@@ -145,17 +143,5 @@
 }
 
 func (c LeaseClient) post(ctx context.Context, url string, body any) ([]byte, error) {
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(mustMarshal(body)))
-	if err != nil {
-		return nil, err
-	}
-	resp, err := c.HTTP.Do(r)
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return nil, errors.Newf("lease: status %d", resp.StatusCode)
-	}
-	return io.ReadAll(io.LimitReader(resp.Body, maxLeaseBytes))
+	return exchange(ctx, c.HTTP, http.MethodPost, url, mustMarshal(body), http.StatusOK, maxLeaseBytes)
 }
--- a/internal/api/peer/pool.go
+++ b/internal/api/peer/pool.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -87,20 +86,12 @@
 	if err != nil {
 		return 0, 0, errors.Wrap(err, "pool")
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+poolPath, bytes.NewReader(body))
+	data, err := exchange(ctx, c.HTTP, http.MethodPost, "http://"+address+poolPath, body, http.StatusOK, maxPoolBody)
 	if err != nil {
-		return 0, 0, errors.Wrap(err, "pool")
-	}
-	resp, err := c.HTTP.Do(req)
-	if err != nil {
-		return 0, 0, errors.Wrap(err, "pool")
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return 0, 0, errors.Newf("pool: status %d", resp.StatusCode)
+		return 0, 0, err
 	}
 	var d poolDocument
-	err = json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxPoolBody)).Decode(&d)
+	err = json.Unmarshal(data, &d)
 	return max(d.Loads, 0), max(d.Adapters, 0), errors.Wrap(err, "pool")
 }
 
--- a/internal/core/deck/membership.go
+++ b/internal/core/deck/membership.go
@@ -10,8 +10,11 @@
 	return id == ReplicaID{}
 }
 
-// String returns the identity as "vm/incarnation" with the incarnation in hexadecimal.
+// String returns the identity as "vm/incarnation" with the incarnation in hexadecimal, or "none".
 func (id ReplicaID) String() string {
+	if id.IsZero() {
+		return "none"
+	}
 	return fmt.Sprintf("%s/%016x", id.VM, id.Incarnation)
 }
 
--- a/internal/route/attempt/run.go
+++ b/internal/route/attempt/run.go
@@ -178,7 +178,7 @@
 		return
 	}
 	engine, id := h.engine, h.id
-	x.runner.behind(func() {
+	x.runner.inBackground(func() {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), cancelTimeout)
 		defer cancel()
 		_ = engine.Cancel(ctx, id) // the engine also notices the closed connection
@@ -203,7 +203,7 @@
 	alone := h.place.Alone()
 	reported := make(chan struct{})
 	x.reports = append(x.reports, reported)
-	x.runner.behind(func() {
+	x.runner.inBackground(func() {
 		defer close(reported)
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), crashTimeout)
 		defer cancel()
--- a/internal/route/attempt/runner.go
+++ b/internal/route/attempt/runner.go
@@ -120,8 +120,8 @@
 	return r.Poison.ReportCrash(ctx, digest, a.Backend, alone)
 }
 
-// behind runs f after the request that it belongs to; at the limit it runs at once.
-func (r *Runner) behind(f func()) {
+// inBackground runs f after the request that it belongs to; at the limit it runs at once.
+func (r *Runner) inBackground(f func()) {
 	select {
 	case r.limit <- struct{}{}:
 	default:
