--- a/internal/command/process/engines.go
+++ b/internal/command/process/engines.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"context"
 	"sync"
 
 	client "github.com/geraniumdeck/geraniumdeck/internal/backend/engine"
@@ -30,6 +31,19 @@
 	return c
 }
 
+// run prunes the clients whenever the state in force changes.
+func (e *engines) run(ctx context.Context, states deck.StateSource) error {
+	for {
+		changed := states.Changed()
+		e.Prune(states.State())
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
+}
+
 // Prune closes the clients of engines that the state no longer lists.
 func (e *engines) Prune(s deck.State) {
 	listed := make(map[string]bool)
--- a/internal/command/process/placement.go
+++ b/internal/command/process/placement.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"context"
 	"maps"
 	"slices"
 
@@ -44,6 +45,7 @@
 	r := &residency{store: p.store, dcs: slices.Sorted(maps.Keys(regions(p.settings)))}
 	return errors.Join(
 		p.kernel.Add(nameEngines, e),
+		p.kernel.Add(nameEngines+"-pruning", newRunner(func(ctx context.Context) error { return e.run(ctx, p.store) })),
 		p.kernel.Add(nameResidency, r),
 		p.kernel.Add(namePublisher, pub),
 		p.kernel.Add(namePlacement, x),
