Give crash reports their boot id in the one interface for them

PoisonStore had a second, optional interface for boot ids from the time when the router reported crashes without one. The router no longer reports, so the parameter moves into ReportCrash and the type check at run time goes. Two comparisons written by hand give way to cmp.Compare. No change of behaviour; the tests keep their assertions.

--- a/internal/core/deck/service.go
+++ b/internal/core/deck/service.go
@@ -60,6 +60,7 @@
 	// Refused reports whether requests with the digest are refused.
 	Refused(digest string) bool
 
-	// ReportCrash records that the request was running on a backend server that crashed.
-	ReportCrash(ctx context.Context, digest string, backend BackendName, alone bool) error
+	// ReportCrash records that the request was running on a backend server process that crashed. The boot ID tells crashes
+	// apart, so that several reports of one crash count once; without one, each report counts as a crash of its own.
+	ReportCrash(ctx context.Context, digest string, backend BackendName, bootID string, alone bool) error
 }
--- a/internal/emulate/engine/memory.go
+++ b/internal/emulate/engine/memory.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -53,9 +54,9 @@
 	}
 	slices.SortFunc(out, func(a, b deck.ResidentModel) int {
 		if a.Model != b.Model {
-			return cmpName(a.Model, b.Model)
+			return cmp.Compare(a.Model, b.Model)
 		}
-		return cmpName(a.Version, b.Version)
+		return cmp.Compare(a.Version, b.Version)
 	})
 	return out
 }
@@ -74,14 +75,3 @@
 	}
 	return n
 }
-
-func cmpName[T ~string](a, b T) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
--- a/internal/measure/sim/fleet.go
+++ b/internal/measure/sim/fleet.go
@@ -209,4 +209,6 @@
 func (noPoison) Refused(string) bool { return false }
 
 // ReportCrash implements PoisonStore.ReportCrash.
-func (noPoison) ReportCrash(context.Context, string, deck.BackendName, bool) error { return nil }
+func (noPoison) ReportCrash(context.Context, string, deck.BackendName, string, bool) error {
+	return nil
+}
--- a/internal/route/attempt/run.go
+++ b/internal/route/attempt/run.go
@@ -207,7 +207,7 @@
 		defer close(reported)
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), crashTimeout)
 		defer cancel()
-		_ = x.runner.report(ctx, x.req.Info.Digest, a, alone) // the local count stands
+		_ = x.runner.Poison.ReportCrash(ctx, x.req.Info.Digest, a.Backend, a.BootID, alone) // the local count stands
 	})
 }
 
--- a/internal/route/attempt/runner.go
+++ b/internal/route/attempt/runner.go
@@ -112,14 +112,6 @@
 	return r.Poison.Refused(digest) || r.Suspects.Refused(digest)
 }
 
-// report sends a crash to the poison store, with the boot id where the store takes it.
-func (r *Runner) report(ctx context.Context, digest string, a Action, alone bool) error {
-	if s, ok := r.Poison.(deck.BootPoisonStore); ok {
-		return s.ReportCrashOf(ctx, digest, a.Backend, a.BootID, alone)
-	}
-	return r.Poison.ReportCrash(ctx, digest, a.Backend, alone)
-}
-
 // inBackground runs f after the request that it belongs to; at the limit it runs at once.
 func (r *Runner) inBackground(f func()) {
 	select {
--- a/internal/route/router/fake_test.go
+++ b/internal/route/router/fake_test.go
@@ -34,7 +34,7 @@
 func (f *fakeSource) HasAdapter(b deck.BackendName, a deck.AdapterName) bool {
 	return slices.Contains(f.adapters[b], a)
 }
-func (f *fakeSource) ReportCrash(context.Context, string, deck.BackendName, bool) error {
+func (f *fakeSource) ReportCrash(context.Context, string, deck.BackendName, string, bool) error {
 	return nil
 }
 
--- a/internal/state/machine/client.go
+++ b/internal/state/machine/client.go
@@ -141,13 +141,8 @@
 	return c.cfg.Refused != nil && c.cfg.Refused(digest)
 }
 
-// ReportCrash implements deck.PoisonStore.ReportCrash. Without a boot ID each call counts as a crash of its own.
-func (c *Client) ReportCrash(ctx context.Context, digest string, backend deck.BackendName, alone bool) error {
-	return c.ReportCrashOf(ctx, digest, backend, "", alone)
-}
-
-// ReportCrashOf records that the request was running on the backend server process with the given boot ID.
-func (c *Client) ReportCrashOf(
+// ReportCrash implements deck.PoisonStore.ReportCrash.
+func (c *Client) ReportCrash(
 	ctx context.Context, digest string, backend deck.BackendName, bootID string, alone bool,
 ) error {
 	_, err := c.propose(ctx, command.ReportCrash{
--- a/internal/state/machine/client_test.go
+++ b/internal/state/machine/client_test.go
@@ -215,10 +215,10 @@
 		is.NoErr(c.Finish(t.Context(), "k", large))
 		is.Equal(c.Begin(t.Context(), "k", "d").Status, deck.ClaimUnknown)
 		for range 2 {
-			is.NoErr(c.ReportCrashOf(t.Context(), "p", "e", "boot", true))
+			is.NoErr(c.ReportCrash(t.Context(), "p", "e", "boot", true))
 		}
 		is.Equal(len(n.machines["b"].Poisoned()), 0)
-		is.NoErr(c.ReportCrash(t.Context(), "p", "e", false))
+		is.NoErr(c.ReportCrash(t.Context(), "p", "e", "", false))
 		is.Equal(n.machines["b"].Poisoned()[0].Digest, "p")
 		is.Equal(n.forwards, 0)
 	})
--- a/internal/test/decktest/stores.go
+++ b/internal/test/decktest/stores.go
@@ -36,7 +36,7 @@
 	reports []CrashReport
 }
 
-var _ deck.BootPoisonStore = (*PoisonStore)(nil)
+var _ deck.PoisonStore = (*PoisonStore)(nil)
 
 // A CrashReport is a call to PoisonStore.ReportCrash.
 type CrashReport struct {
@@ -64,12 +64,7 @@
 }
 
 // ReportCrash implements deck.PoisonStore.ReportCrash.
-func (s *PoisonStore) ReportCrash(ctx context.Context, digest string, backend deck.BackendName, alone bool) error {
-	return s.ReportCrashOf(ctx, digest, backend, "", alone)
-}
-
-// ReportCrashOf implements deck.BootPoisonStore.ReportCrashOf.
-func (s *PoisonStore) ReportCrashOf(
+func (s *PoisonStore) ReportCrash(
 	_ context.Context, digest string, backend deck.BackendName, bootID string, alone bool,
 ) error {
 	s.mu.Lock()
--- a/internal/wire/ticket/codec.go
+++ b/internal/wire/ticket/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -63,10 +64,10 @@
 // Digest returns the digest of the ticket's canonical content, which does not depend on the order of its objects.
 func Digest(t deck.Ticket) deck.TicketDigest {
 	d := NewDocument(t)
-	slices.SortFunc(d.Models, func(a, b Model) int { return cmpString(a.Name, b.Name) })
-	slices.SortFunc(d.Adapters, func(a, b Adapter) int { return cmpString(a.Name, b.Name) })
-	slices.SortFunc(d.BackendServers, func(a, b BackendServer) int { return cmpString(a.Name, b.Name) })
-	slices.SortFunc(d.Services, func(a, b Service) int { return cmpString(a.Name, b.Name) })
+	slices.SortFunc(d.Models, func(a, b Model) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(d.Adapters, func(a, b Adapter) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(d.BackendServers, func(a, b BackendServer) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(d.Services, func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
 	sum := sha256.Sum256(mustMarshal(d))
 	return deck.TicketDigest(hex.EncodeToString(sum[:]))
 }
@@ -95,14 +96,3 @@
 	}
 	return data
 }
-
-func cmpString(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
