--- /dev/null
+++ b/internal/api/ingress/demand.go
@@ -0,0 +1,52 @@
+package ingress
+
+import (
+	"sync"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// Demand counts the calls for models since the last report; its zero value has counted none.
+type Demand struct {
+	mu     sync.Mutex
+	counts map[DemandKey]int
+}
+
+// A DemandKey names a model or adapter of a service.
+type DemandKey struct {
+	Service deck.ServiceName
+	Model   deck.ModelName
+	Adapter deck.AdapterName
+}
+
+// Count adds a call, weighed by the tokens that it may generate.
+func (d *Demand) Count(s deck.ServiceName, c deck.Call) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.counts == nil {
+		d.counts = make(map[DemandKey]int)
+	}
+	d.counts[DemandKey{s, c.Model, c.Adapter}] += max(1, c.MaxTokens)
+}
+
+// Take returns the counts and starts anew.
+func (d *Demand) Take() map[DemandKey]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := d.counts
+	d.counts = nil
+	return out
+}
+
+// Return adds counts that could not be reported.
+func (d *Demand) Return(counts map[DemandKey]int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.counts == nil {
+		d.counts = counts
+		return
+	}
+	for k, n := range counts {
+		d.counts[k] += n
+	}
+}
--- /dev/null
+++ b/internal/api/ingress/handler.go
@@ -0,0 +1,184 @@
+package ingress
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/backend/http1"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/route/balance"
+	"github.com/geraniumdeck/geraniumdeck/internal/route/table"
+)
+
+// Times that callers are told to wait.
+const (
+	startRetry = 1 * time.Second        // a process that starts gets its configuration within this time
+	fullRetry  = 700 * time.Millisecond // a good part of a full batch ends in this time
+	downRetry  = 1 * time.Second        // the platform's list shows a lost server's replacement after about this time
+	loadRetry  = 2 * time.Second        // when it is not known how long the model takes to load
+)
+
+// defaultBodyBytes bounds bodies while no configuration is known.
+const defaultBodyBytes = 4 << 20
+
+// defaultDeadline is how long callers without a deadline are kept waiting on routes without one.
+const defaultDeadline = 60 * time.Second
+
+// A Handler serves callers; all fields but Log and Served are required.
+type Handler struct {
+	Codec  deck.CallCodec
+	Client *http1.Client
+	Book   *balance.Book
+	Budget *balance.RetryBudget
+	Placer deck.Placer
+	Demand *Demand
+	Poison *Poison
+	Random deck.Rand
+	Log    logr.Logger
+	Served func(Record) // nil for none
+
+	routes   atomic.Pointer[table.Table]
+	draining atomic.Bool
+	running  atomic.Int64
+}
+
+// SetRoutes puts a configuration into force.
+func (h *Handler) SetRoutes(t *table.Table) {
+	h.routes.Store(t)
+}
+
+// Configured reports whether a configuration is in force.
+func (h *Handler) Configured() bool {
+	return h.routes.Load() != nil
+}
+
+// Drain asks callers to leave their connections after the next answer.
+func (h *Handler) Drain() {
+	h.draining.Store(true)
+}
+
+// Running returns the number of calls that have no whole answer yet.
+func (h *Handler) Running() int {
+	return int(h.running.Load())
+}
+
+// ServeHTTP implements http.Handler.ServeHTTP.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.running.Add(1)
+	defer h.running.Add(-1)
+	if h.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	start := time.Now()
+	t := h.routes.Load()
+	if t == nil {
+		h.refuse(w, r, refusal{http.StatusServiceUnavailable, startRetry, "no routing configuration yet"})
+		return
+	}
+	route, ok := t.Match(r.Host, rawPath(r))
+	if !ok {
+		h.refuse(w, r, refusal{http.StatusNotFound, 0, "no route for host and path"})
+		return
+	}
+	call, err := h.Codec.ReadCall(r)
+	if err != nil {
+		h.refuse(w, r, refusal{http.StatusBadRequest, 0, err.Error()})
+		return
+	}
+	body, err := readBody(w, r, t.Config().Limits.BodyBytes)
+	if err != nil {
+		h.refuseBody(w, r, err)
+		return
+	}
+	c := h.newCall(w, r, t, route, call, body, start)
+	defer c.cancel()
+	c.serve()
+}
+
+func (h *Handler) newCall(
+	w http.ResponseWriter, r *http.Request, t *table.Table, route deck.Route, call deck.Call, body []byte, start time.Time,
+) *callRun {
+	limit := route.Timeout
+	if call.Deadline > 0 {
+		limit = min(limit, call.Deadline)
+	}
+	if limit <= 0 {
+		limit = defaultDeadline
+	}
+	c := &callRun{
+		h: h, w: w, r: r, route: route, call: call, body: body, start: start, deadline: start.Add(limit),
+		version: t.Config().Version, service: table.Target(route, h.Random.Float64()),
+	}
+	c.ctx, c.cancel = context.WithDeadlineCause(r.Context(), c.deadline, errDeadline)
+	c.want = balance.Want{
+		Service: c.service, Model: call.Model, Adapter: call.Adapter, Parts: call.Parts,
+		Tried: make(map[deck.BackendName]bool),
+	}
+	if s, ok := t.Config().Service(c.service); !ok || s.Engine == nil {
+		c.want.Model, c.want.Adapter = "", ""
+	}
+	return c
+}
+
+// rawPath returns the path as it was sent.
+func rawPath(r *http.Request) string {
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	return path
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, most int64) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	if most <= 0 {
+		most = defaultBodyBytes
+	}
+	if r.ContentLength > 0 && r.ContentLength <= most {
+		body := make([]byte, r.ContentLength)
+		_, err := io.ReadFull(r.Body, body)
+		return body, err
+	}
+	return io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+}
+
+// A refusal is an answer of the system's own; the request has not run.
+type refusal struct {
+	status     int
+	retryAfter time.Duration // 0 for none
+	reason     string
+}
+
+func (h *Handler) refuseBody(w http.ResponseWriter, r *http.Request, err error) {
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		h.refuse(w, r, refusal{http.StatusRequestEntityTooLarge, 0, "body is too large"})
+		return
+	}
+	h.Log.Info("caller sent no whole request", "path", r.URL.Path, "reason", err.Error())
+	panic(http.ErrAbortHandler) // nobody is left to answer
+}
+
+// refuse answers a request that goes no further.
+func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, f refusal) {
+	h.Log.Info("refused", "host", r.Host, "path", r.URL.Path, "status", f.status, "reason", f.reason,
+		"retry-after-ms", f.retryAfter.Milliseconds())
+	writeRefusal(w, f)
+}
+
+func writeRefusal(w http.ResponseWriter, f refusal) {
+	if f.retryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 2, 64))
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Header().Set("Content-Length", strconv.Itoa(len(f.reason)+1))
+	w.WriteHeader(f.status)
+	_, _ = io.WriteString(w, f.reason+"\n") // a caller that has gone needs no answer
+}
--- /dev/null
+++ b/internal/api/ingress/poison.go
@@ -0,0 +1,90 @@
+package ingress
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+const (
+	poisonCrashes = 3                // crashes after which a request is refused
+	poisonMemory  = 60 * time.Second // how long a suspect is remembered after its last crash
+	maxSuspects   = 4096
+)
+
+// A Fingerprint identifies a request by its path and body.
+type Fingerprint uint64
+
+// Poison remembers requests during which backend servers broke off; its zero value knows none.
+type Poison struct {
+	mu       sync.Mutex
+	suspects map[Fingerprint]*suspect
+	fresh    []deck.Crash
+}
+
+type suspect struct {
+	servers map[deck.BackendName]bool
+	last    time.Time
+}
+
+// Suspect notes a crash that this VM has seen.
+func (p *Poison) Suspect(now time.Time, f Fingerprint, s deck.BackendName) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.add(now, deck.Crash{Request: uint64(f), Server: s}) {
+		p.fresh = append(p.fresh, deck.Crash{Request: uint64(f), Server: s})
+	}
+}
+
+// Learn takes crashes that other VMs have seen.
+func (p *Poison) Learn(now time.Time, crashes []deck.Crash) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range crashes {
+		p.add(now, c)
+	}
+}
+
+// Take returns the crashes seen since the last call.
+func (p *Poison) Take() []deck.Crash {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := p.fresh
+	p.fresh = nil
+	return out
+}
+
+// Refused reports whether the request has crashed too many servers.
+func (p *Poison) Refused(f Fingerprint) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.suspects[f]
+	return s != nil && len(s.servers) >= poisonCrashes && time.Since(s.last) < poisonMemory
+}
+
+func (p *Poison) add(now time.Time, c deck.Crash) bool {
+	if p.suspects == nil || len(p.suspects) >= maxSuspects {
+		p.suspects = make(map[Fingerprint]*suspect)
+	}
+	s := p.suspects[Fingerprint(c.Request)]
+	if s == nil || now.Sub(s.last) > poisonMemory {
+		s = &suspect{servers: make(map[deck.BackendName]bool)}
+		p.suspects[Fingerprint(c.Request)] = s
+	}
+	known := s.servers[c.Server]
+	s.servers[c.Server] = true
+	s.last = now
+	return !known
+}
+
+// fingerprint identifies the call's content.
+func (c *callRun) fingerprint() Fingerprint {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(c.r.RequestURI) // hashing never fails
+	_, _ = d.Write(c.body)
+	return Fingerprint(d.Sum64())
+}
--- /dev/null
+++ b/internal/api/ingress/relay.go
@@ -0,0 +1,207 @@
+package ingress
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/backend/http1"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+const (
+	maxBuffered  = 256 << 10 // bytes of a plain answer that are read before its head is relayed
+	maxDiscarded = 16 << 10  // bytes of an unwanted answer that are read to keep its connection
+	streamType   = "text/event-stream"
+
+	// stallLimit is how long a resumable stream may pause before it is resumed elsewhere; callers abandon a stream after
+	// two seconds.
+	stallLimit = 1200 * time.Millisecond
+)
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade",
+}
+
+// endToEnd returns a copy of the headers without those that concern one connection.
+func endToEnd(h http.Header) http.Header {
+	out := h.Clone()
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	out.Del("Content-Length") // written from the body
+	out.Del("Expect")
+	return out
+}
+
+// A spareAnswer is a server's whole answer that is kept while another server is asked.
+type spareAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func (a *spareAnswer) write(w http.ResponseWriter) {
+	writeHead(w, a.status, a.header, int64(len(a.body)))
+	_, _ = w.Write(a.body) // a caller that has gone needs no answer
+}
+
+func writeHead(w http.ResponseWriter, status int, h http.Header, length int64) {
+	out := w.Header()
+	for name, values := range endToEnd(h) {
+		out[name] = values
+	}
+	if _, ok := out["Content-Type"]; !ok {
+		out["Content-Type"] = nil // keeps net/http from guessing one
+	}
+	if length >= 0 && status != http.StatusNoContent && status != http.StatusNotModified {
+		out.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	w.WriteHeader(status)
+}
+
+// discard reads an unwanted answer so that its connection can be kept.
+func discard(ex *http1.Exchange) {
+	n, err := io.CopyN(io.Discard, ex.Response.Body, maxDiscarded)
+	if errors.Is(err, io.EOF) && n < maxDiscarded {
+		ex.Finish()
+		return
+	}
+	ex.Abort()
+}
+
+// relay passes a server's answer on to the caller.
+func (c *callRun) relay(ctx context.Context, s deck.Server, ex *http1.Exchange) result {
+	resp := ex.Response
+	if c.route.Kind == deck.CallStream && resp.StatusCode == http.StatusOK &&
+		strings.HasPrefix(resp.Header.Get("Content-Type"), streamType) {
+		return c.relayStream(ctx, s, ex)
+	}
+	if c.began { // a stream that is to be resumed
+		ex.Abort()
+		c.runs++
+		c.logOffer(s, "server did not resume the stream", "status", resp.StatusCode)
+		return c.repeat()
+	}
+	return c.relayPlain(s, ex)
+}
+
+// relayPlain relays an answer that is read whole first, so that a broken one can be replaced.
+func (c *callRun) relayPlain(s deck.Server, ex *http1.Exchange) result {
+	var body bytes.Buffer
+	_, err := io.CopyN(&body, ex.Response.Body, maxBuffered)
+	now := time.Now()
+	c.runs++
+	switch {
+	case err == nil:
+		return c.relayLarge(s, ex, body.Bytes())
+	case !errors.Is(err, io.EOF):
+		ex.Abort()
+		c.logOffer(s, "answer broke off: "+err.Error())
+		if c.ctx.Err() == nil {
+			c.h.Book.SawAnswer(now, s.ID, true)
+		}
+		return c.repeat()
+	}
+	ex.Finish()
+	c.first = now.Sub(c.start)
+	a := &spareAnswer{ex.Response.StatusCode, ex.Response.Header, body.Bytes()}
+	bad := a.status >= http.StatusInternalServerError
+	c.h.Book.SawAnswer(now, s.ID, bad)
+	if bad && c.ctx.Err() == nil && c.repeat() == again {
+		c.logOffer(s, "server failed", "status", a.status)
+		c.spare = a
+		return again
+	}
+	c.end(a.status, "answered")
+	a.write(c.w)
+	return ended
+}
+
+// relayLarge relays an answer that is too large to keep.
+func (c *callRun) relayLarge(s deck.Server, ex *http1.Exchange, head []byte) result {
+	c.began = true
+	c.first = time.Since(c.start)
+	writeHead(c.w, ex.Response.StatusCode, ex.Response.Header, ex.Response.ContentLength)
+	_, err := c.w.Write(head)
+	if err == nil {
+		_, err = io.Copy(c.w, ex.Response.Body)
+	}
+	if err != nil {
+		ex.Abort()
+		c.logOffer(s, "answer broke off: "+err.Error())
+		return failed
+	}
+	ex.Finish()
+	c.end(ex.Response.StatusCode, "answered")
+	return ended
+}
+
+// relayStream relays events as they come. A partial event is never relayed, so that another engine can go on after the
+// last whole one.
+func (c *callRun) relayStream(ctx context.Context, s deck.Server, ex *http1.Exchange) result {
+	c.runs++
+	var stall *time.Timer
+	body := io.Reader(ex.Response.Body)
+	if c.route.Repeatable() && c.runs < c.route.MaxAttempts {
+		stall = time.AfterFunc(stallLimit, ex.Abort)
+		defer stall.Stop()
+	}
+	events := newEventReader(body, c.last)
+	if !c.began {
+		c.began = true
+		c.first = time.Since(c.start)
+		writeHead(c.w, ex.Response.StatusCode, ex.Response.Header, -1)
+	}
+	flusher := http.NewResponseController(c.w)
+	for {
+		data, err := events.next()
+		if stall != nil {
+			stall.Reset(stallLimit)
+		}
+		if len(data) > 0 {
+			if _, werr := c.w.Write(data); werr != nil {
+				ex.Abort()
+				return failed
+			}
+			if ferr := flusher.Flush(); ferr != nil {
+				ex.Abort()
+				return failed
+			}
+			c.last = events.last
+		}
+		switch {
+		case err == nil:
+		case errors.Is(err, io.EOF):
+			ex.Finish()
+			c.h.Book.SawAnswer(time.Now(), s.ID, false)
+			c.end(http.StatusOK, "answered")
+			return ended
+		default:
+			ex.Abort()
+			return c.streamBroke(s, err)
+		}
+	}
+}
+
+func (c *callRun) streamBroke(s deck.Server, err error) result {
+	c.logOffer(s, "stream broke off: "+err.Error(), "last-event", c.last)
+	if c.ctx.Err() != nil {
+		return failed
+	}
+	c.h.Book.SawAnswer(time.Now(), s.ID, true)
+	return c.repeat()
+}
--- /dev/null
+++ b/internal/api/peer/fleet.go
@@ -0,0 +1,237 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+const (
+	viewPath    = "/peer/view"
+	joinPath    = "/peer/join"
+	placePath   = "/peer/place"
+	routingPath = "/peer/routing"
+
+	maxViewRequest = 1 << 20 // bytes; a report of all models and adapters has some ten thousand
+	maxViewAnswer  = 16 << 20
+	maxRouting     = 8 << 20
+)
+
+// A JoinReceiver lets replicas join the log.
+type JoinReceiver interface {
+	// Join returns nil once the replica is a member; a NotLeaderError names the leader.
+	Join(ctx context.Context, id deck.ReplicaID) error
+}
+
+// A PlaceReceiver answers entry VMs that need a model or adapter.
+type PlaceReceiver interface {
+	// PlaceFor is deck.Placer.Place for callers in a data centre; it fails on a VM that does not lead.
+	PlaceFor(ctx context.Context, from deck.DataCentre, s deck.ServiceName, m deck.ModelName, a deck.AdapterName) (deck.Placement, error)
+}
+
+// A Fleet is what control VMs serve to entry VMs and to each other.
+type Fleet struct {
+	Views   deck.ViewSource
+	Joins   JoinReceiver
+	Places  PlaceReceiver
+	Routing deck.RoutingStore
+}
+
+type joinJSON struct {
+	VM          string `json:"vm"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+type joinAnswerJSON struct {
+	Leader string `json:"leader,omitempty"`
+	Error  string `json:"error,omitempty"`
+}
+
+type placeJSON struct {
+	DataCentre string `json:"data-centre"`
+	Service    string `json:"service"`
+	Model      string `json:"model"`
+	Adapter    string `json:"adapter,omitempty"`
+}
+
+type placeAnswerJSON struct {
+	Server    string `json:"server,omitempty"`
+	ReadyInMs int64  `json:"ready-in-ms"`
+}
+
+// RegisterFleet serves the calls.
+func RegisterFleet(mux *http.ServeMux, f Fleet) {
+	mux.HandleFunc("POST "+viewPath, f.serveView)
+	mux.HandleFunc("POST "+joinPath, f.serveJoin)
+	mux.HandleFunc("POST "+placePath, f.servePlace)
+	mux.HandleFunc("POST "+routingPath, f.serveRouting)
+}
+
+func (f Fleet) serveView(w http.ResponseWriter, r *http.Request) {
+	var q viewRequestJSON
+	if !readJSON(w, r, &q) {
+		return
+	}
+	writeJSON(w, mustMarshal(viewAnswerToWire(f.Views.View(r.Context(), viewRequestFromWire(q)))))
+}
+
+func (f Fleet) serveJoin(w http.ResponseWriter, r *http.Request) {
+	var q joinJSON
+	if !readJSON(w, r, &q) {
+		return
+	}
+	err := f.Joins.Join(r.Context(), deck.ReplicaID{VM: deck.VMName(q.VM), Incarnation: q.Incarnation})
+	if err == nil {
+		writeJSON(w, mustMarshal(joinAnswerJSON{}))
+		return
+	}
+	a := joinAnswerJSON{Error: err.Error()}
+	var other deck.NotLeaderError
+	if errors.As(err, &other) {
+		a.Leader = string(other.Leader.VM)
+	}
+	w.WriteHeader(http.StatusConflict)
+	writeJSON(w, mustMarshal(a))
+}
+
+func (f Fleet) servePlace(w http.ResponseWriter, r *http.Request) {
+	var q placeJSON
+	if !readJSON(w, r, &q) {
+		return
+	}
+	p, err := f.Places.PlaceFor(r.Context(), deck.DataCentre(q.DataCentre), deck.ServiceName(q.Service),
+		deck.ModelName(q.Model), deck.AdapterName(q.Adapter))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusConflict)
+		return
+	}
+	writeJSON(w, mustMarshal(placeAnswerJSON{Server: string(p.Server), ReadyInMs: p.ReadyIn.Milliseconds()}))
+}
+
+func (f Fleet) serveRouting(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRouting))
+	if err != nil {
+		http.Error(w, "body is incomplete or too large", http.StatusRequestEntityTooLarge)
+		return
+	}
+	err = f.Routing.PutRouting(r.Context(), body)
+	switch {
+	case errors.Is(err, deck.ErrInvalidRouting):
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	}
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, v any) bool {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxViewRequest))
+	if err == nil {
+		err = json.Unmarshal(body, v)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+// A FleetClient asks control VMs, whose names are the addresses of their peers' listeners.
+type FleetClient struct {
+	HTTP       *http.Client
+	DataCentre deck.DataCentre
+	Leader     func() (deck.VMName, bool)
+}
+
+var (
+	_ deck.ViewClient = FleetClient{}
+	_ deck.Placer     = FleetClient{}
+)
+
+// AskView implements deck.ViewClient.AskView.
+func (c FleetClient) AskView(ctx context.Context, to deck.VMName, r deck.ViewRequest) (deck.ViewAnswer, error) {
+	var a viewAnswerJSON
+	err := c.post(ctx, to, viewPath, viewRequestToWire(r), &a)
+	return viewAnswerFromWire(a), err
+}
+
+// AskJoin implements join.Transport.AskJoin.
+func (c FleetClient) AskJoin(ctx context.Context, to deck.VMName, id deck.ReplicaID) (deck.VMName, error) {
+	body, err := json.Marshal(joinJSON{VM: string(id.VM), Incarnation: id.Incarnation})
+	if err != nil {
+		return "", err
+	}
+	var a joinAnswerJSON
+	status, data, err := c.send(ctx, to, joinPath, body)
+	if err != nil {
+		return "", err
+	}
+	if err := json.Unmarshal(data, &a); err != nil {
+		return "", errors.Wrapf(err, "answer %d to a request to join", status)
+	}
+	if status != http.StatusOK {
+		return deck.VMName(a.Leader), errors.New(a.Error)
+	}
+	return "", nil
+}
+
+// Place implements deck.Placer.Place.
+func (c FleetClient) Place(
+	ctx context.Context, s deck.ServiceName, m deck.ModelName, a deck.AdapterName,
+) (deck.Placement, error) {
+	leader, ok := c.Leader()
+	if !ok {
+		return deck.Placement{}, errors.New("no placement leader is known")
+	}
+	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
+	defer cancel()
+	var p placeAnswerJSON
+	q := placeJSON{DataCentre: string(c.DataCentre), Service: string(s), Model: string(m), Adapter: string(a)}
+	err := c.post(ctx, leader, placePath, q, &p)
+	return deck.Placement{
+		Server: deck.BackendName(p.Server), ReadyIn: time.Duration(p.ReadyInMs) * time.Millisecond,
+	}, err
+}
+
+// placeTimeout covers two ways between regions and an adapter load while many are under way.
+const placeTimeout = 600 * time.Millisecond
+
+// ForwardRouting hands a routing document to the leader.
+func (c FleetClient) ForwardRouting(ctx context.Context, leader deck.VMName, body []byte) error {
+	status, data, err := c.send(ctx, leader, routingPath, body)
+	if err != nil {
+		return err
+	}
+	switch status {
+	case http.StatusOK:
+		return nil
+	case http.StatusBadRequest:
+		return errors.Mark(errors.Newf("%s", data), deck.ErrInvalidRouting)
+	default:
+		return errors.Newf("leader answered %d: %s", status, data)
+	}
+}
+
+func (c FleetClient) post(ctx context.Context, to deck.VMName, path string, q, a any) error {
+	body, err := json.Marshal(q)
+	if err != nil {
+		return err
+	}
+	status, data, err := c.send(ctx, to, path, body)
+	if err != nil {
+		return err
+	}
+	if status != http.StatusOK {
+		return errors.Newf("peer answered %d to %s: %s", status, path, data)
+	}
+	return errors.Wrapf(json.Unmarshal(data, a), "answer of peer to %s", path)
+}
+
+func (c FleetClient) send(ctx context.Context, to deck.VMName, path string, body []byte) (int, []byte, error) {
+	return exchangeAny(ctx, c.HTTP, http.MethodPost, "http://"+string(to)+path, body, maxViewAnswer)
+}
--- /dev/null
+++ b/internal/api/peer/viewwire.go
@@ -0,0 +1,177 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+type viewRequestJSON struct {
+	VM         string       `json:"vm"`
+	DataCentre string       `json:"data-centre"`
+	Config     uint64       `json:"config"`
+	Term       uint64       `json:"term"`
+	Number     uint64       `json:"number"`
+	WaitMs     int64        `json:"wait-ms"`
+	Demand     []demandCall `json:"demand,omitempty"`
+	Crashes    []crashJSON  `json:"crashes,omitempty"`
+}
+
+type demandCall struct {
+	Service string `json:"service"`
+	Model   string `json:"model"`
+	Adapter string `json:"adapter,omitempty"`
+	Tokens  int    `json:"tokens"`
+}
+
+type crashJSON struct {
+	Request uint64 `json:"request"`
+	Server  string `json:"server"`
+}
+
+type viewAnswerJSON struct {
+	Leading bool          `json:"leading"`
+	Leader  string        `json:"leader,omitempty"`
+	Members []string      `json:"members"`
+	Config  *documentJSON `json:"config,omitempty"`
+	Term    uint64        `json:"term"`
+	Number  uint64        `json:"number"`
+	Whole   bool          `json:"whole,omitempty"`
+	Servers []serverJSON  `json:"servers,omitempty"`
+	Gone    []string      `json:"gone,omitempty"`
+	VMs     int           `json:"vms"`
+	Crashes []crashJSON   `json:"crashes,omitempty"`
+}
+
+type documentJSON struct {
+	Version uint64 `json:"version"`
+	Body    []byte `json:"body"`
+}
+
+type serverJSON struct {
+	ID         string     `json:"id"`
+	Service    string     `json:"service"`
+	Address    string     `json:"address"`
+	DataCentre string     `json:"data-centre"`
+	Slots      int        `json:"slots"`
+	Draining   bool       `json:"draining,omitempty"`
+	Born       int64      `json:"born,omitempty"`
+	Models     []heldJSON `json:"models,omitempty"`
+}
+
+type heldJSON struct {
+	Name     string   `json:"name"`
+	Version  int      `json:"version,omitempty"`
+	Adapters []string `json:"adapters,omitempty"`
+}
+
+func viewRequestToWire(r deck.ViewRequest) viewRequestJSON {
+	w := viewRequestJSON{
+		VM: string(r.VM), DataCentre: string(r.DataCentre), Config: r.Config, Term: r.View.Term, Number: r.View.Number,
+		WaitMs: r.Wait.Milliseconds(), Crashes: crashesToWire(r.Crashes),
+	}
+	for _, d := range r.Demand {
+		w.Demand = append(w.Demand, demandCall{string(d.Service), string(d.Model), string(d.Adapter), d.Tokens})
+	}
+	return w
+}
+
+func viewRequestFromWire(w viewRequestJSON) deck.ViewRequest {
+	r := deck.ViewRequest{
+		VM: deck.VMName(w.VM), DataCentre: deck.DataCentre(w.DataCentre), Config: w.Config,
+		View: deck.ViewVersion{Term: w.Term, Number: w.Number}, Wait: time.Duration(w.WaitMs) * time.Millisecond,
+		Crashes: crashesFromWire(w.Crashes),
+	}
+	for _, d := range w.Demand {
+		r.Demand = append(r.Demand, deck.CallDemand{
+			Service: deck.ServiceName(d.Service), Model: deck.ModelName(d.Model), Adapter: deck.AdapterName(d.Adapter),
+			Tokens: d.Tokens,
+		})
+	}
+	return r
+}
+
+func viewAnswerToWire(a deck.ViewAnswer) viewAnswerJSON {
+	w := viewAnswerJSON{
+		Leading: a.Leading, Leader: string(a.Leader), Term: a.View.Term, Number: a.View.Number, Whole: a.Whole, VMs: a.VMs,
+		Members: toStrings(a.Members), Gone: toStrings(a.Gone), Crashes: crashesToWire(a.Crashes),
+	}
+	if a.Config != nil {
+		w.Config = &documentJSON{a.Config.Version, a.Config.Body}
+	}
+	for _, s := range a.Servers {
+		w.Servers = append(w.Servers, serverToWire(s))
+	}
+	return w
+}
+
+func viewAnswerFromWire(w viewAnswerJSON) deck.ViewAnswer {
+	a := deck.ViewAnswer{
+		Leading: w.Leading, Leader: deck.VMName(w.Leader), View: deck.ViewVersion{Term: w.Term, Number: w.Number},
+		Whole: w.Whole, VMs: w.VMs, Members: fromStrings[deck.VMName](w.Members),
+		Gone: fromStrings[deck.BackendName](w.Gone), Crashes: crashesFromWire(w.Crashes),
+	}
+	if w.Config != nil {
+		a.Config = &deck.RoutingDocument{Version: w.Config.Version, Body: w.Config.Body}
+	}
+	for _, s := range w.Servers {
+		a.Servers = append(a.Servers, serverFromWire(s))
+	}
+	return a
+}
+
+func serverToWire(s deck.Server) serverJSON {
+	w := serverJSON{
+		ID: string(s.ID), Service: string(s.Service), Address: s.Address, DataCentre: string(s.DataCentre),
+		Slots: s.Slots, Draining: s.Draining, Born: s.Born,
+	}
+	for _, m := range s.Models {
+		w.Models = append(w.Models, heldJSON{string(m.Name), m.Version, toStrings(m.Adapters)})
+	}
+	return w
+}
+
+func serverFromWire(w serverJSON) deck.Server {
+	s := deck.Server{
+		ID: deck.BackendName(w.ID), Service: deck.ServiceName(w.Service), Address: w.Address,
+		DataCentre: deck.DataCentre(w.DataCentre), Slots: w.Slots, Draining: w.Draining, Born: w.Born,
+	}
+	for _, m := range w.Models {
+		s.Models = append(s.Models, deck.HeldModel{
+			Name: deck.ModelName(m.Name), Version: m.Version, Adapters: fromStrings[deck.AdapterName](m.Adapters),
+		})
+	}
+	return s
+}
+
+func crashesToWire(crashes []deck.Crash) []crashJSON {
+	var out []crashJSON
+	for _, c := range crashes {
+		out = append(out, crashJSON{c.Request, string(c.Server)})
+	}
+	return out
+}
+
+func crashesFromWire(crashes []crashJSON) []deck.Crash {
+	var out []deck.Crash
+	for _, c := range crashes {
+		out = append(out, deck.Crash{Request: c.Request, Server: deck.BackendName(c.Server)})
+	}
+	return out
+}
+
+func toStrings[T ~string](names []T) []string {
+	var out []string
+	for _, n := range names {
+		out = append(out, string(n))
+	}
+	return out
+}
+
+func fromStrings[T ~string](names []string) []T {
+	var out []T
+	for _, n := range names {
+		out = append(out, T(n))
+	}
+	return out
+}
--- a/internal/command/cli/cli.go
+++ b/internal/command/cli/cli.go
@@ -79,7 +79,7 @@
 	app.ErrorWriter(stderr)
 	app.HelpFlag.Short('h')
 	for _, add := range []func(*kingpin.Application){
-		c.addApply, c.addTicket, c.addState, c.addBurn, c.addReplica, c.addCheck, c.addServe, c.addEmulate, c.addVersion,
+		c.addApply, c.addTicket, c.addState, c.addBurn, c.addReplica, c.addCheck, c.addServe, c.addNode, c.addEmulate, c.addVersion,
 	} {
 		add(app)
 	}
--- /dev/null
+++ b/internal/command/node/control.go
@@ -0,0 +1,176 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"path/filepath"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/api/peer"
+	"github.com/geraniumdeck/geraniumdeck/internal/command/part"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/place/order"
+	settings "github.com/geraniumdeck/geraniumdeck/internal/settings/node"
+	"github.com/geraniumdeck/geraniumdeck/internal/state/disk"
+	"github.com/geraniumdeck/geraniumdeck/internal/state/hub"
+	"github.com/geraniumdeck/geraniumdeck/internal/state/join"
+	"github.com/geraniumdeck/geraniumdeck/internal/state/replica"
+	"github.com/geraniumdeck/geraniumdeck/internal/state/routing"
+	"github.com/geraniumdeck/geraniumdeck/platform"
+)
+
+const (
+	// deploymentName marks data folders; the platform gives a system no name of its own.
+	deploymentName = "platform"
+
+	// leadFresh is how old the check may be that this replica leads: several ticks of the log, and far less than an
+	// election takes.
+	leadFresh = 400 * time.Millisecond
+
+	// failedPause is how long a replica whose disk has failed waits before its process ends to start anew from the disk.
+	failedPause = 2 * time.Second
+)
+
+// A control holds the parts of a control VM.
+type control struct {
+	node    *Node
+	replica *replica.Node
+	machine *routing.Machine
+	hub     *hub.Hub
+	orders  *order.Controller
+	config  atomic.Pointer[deck.RoutingConfig]
+}
+
+func addControl(n *Node, s settings.Settings) error {
+	c := &control{node: n}
+	client := newPeerClient()
+	answers := &peer.ReplicaAnswers{}
+	if err := c.openReplica(s, client, answers); err != nil {
+		return err
+	}
+	fleet := peer.FleetClient{HTTP: client, DataCentre: s.DataCentre, Leader: c.leader}
+	c.orders = order.NewController(order.Options{
+		Self: s.Peer(), Watch: c.replica, Clock: deck.BootClock{}, Fresh: leadFresh, Lease: s.Bounds.Lease,
+		Engines: platform.Engines{HTTP: client},
+		List:    platform.Listing{Address: s.Platform.Address, HTTP: client, Log: n.log},
+		Config:  c.config.Load, Publish: func(term uint64, list []deck.Server) { c.hub.SetServers(term, list) }, Log: n.log,
+	})
+	c.hub = hub.New(hub.Options{
+		Log: c.replica, Watch: c.replica, Clock: deck.BootClock{}, Fresh: leadFresh, Demand: c.orders.AddDemand,
+	})
+	c.machine.Changed = c.setConfig
+	c.setConfig(c.machine.Document())
+	store := &routing.Store{
+		Log: c.replica, Machine: c.machine, Decoder: platform.ManifestDecoder{}, Forward: fleet, Logger: n.log,
+	}
+	mux := http.NewServeMux()
+	peer.RegisterReplica(mux, c.replica, answers)
+	peer.RegisterFleet(mux, peer.Fleet{Views: c.hub, Joins: c, Places: c.orders, Routing: store})
+	operators := http.NewServeMux()
+	platform.RegisterOperator(operators, store)
+	return errors.Join(
+		n.kernel.Add("replica", c.replica),
+		n.kernel.Add("disk-watch", part.NewRunner(c.watchDisk)),
+		n.kernel.Add("steward", join.NewSteward(join.Steward{
+			Set: c.replica, Watch: c.replica, Clock: deck.BootClock{}, Wanted: 2*s.LossesToBear + 1, Log: n.log,
+		})),
+		n.kernel.Add("joiner", join.NewJoiner(join.Joiner{
+			Log: c.replica, Transport: fleet, Seeds: n.seeds, Clock: deck.BootClock{}, Logger: n.log,
+		})),
+		n.kernel.Add("orders", c.orders),
+		n.listen("peers-listener", string(s.Peer()), part.Bounded(part.Lean(mux), headerTimeout)),
+		n.listen("operators-listener", s.Listen.Operators, part.Bounded(operators, headerTimeout)),
+	)
+}
+
+func (c *control) openReplica(s settings.Settings, client *http.Client, answers *peer.ReplicaAnswers) error {
+	files, err := disk.OpenOSFiles(filepath.Join(s.DataFolder, "log"))
+	if err != nil {
+		return errors.Wrap(err, "data folder")
+	}
+	store, err := disk.Open(disk.Options{Files: files, Deployment: deploymentName, VM: s.Peer()})
+	if err != nil {
+		return errors.Wrap(err, "data folder")
+	}
+	c.machine = &routing.Machine{}
+	transport := &peer.ReplicaClient{Address: peerAddress, Client: client, Answers: answers}
+	c.replica, err = replica.NewNode(replica.Options{
+		Config:    replica.Config{Deployment: deploymentName, Founders: founders(s), Rand: part.NewSource()},
+		Storage:   store,
+		Transport: transport,
+		Machine:   c.machine,
+		Clock:     deck.BootClock{},
+		Log:       c.node.log,
+	})
+	if err != nil {
+		return errors.CombineErrors(err, store.Close())
+	}
+	transport.Receiver = c.replica
+	return nil
+}
+
+// peerAddress returns the address of a control VM, which is its name.
+func peerAddress(vm deck.VMName) (string, bool) {
+	return string(vm), vm != ""
+}
+
+// founders returns the VMs that form the log: the seeds, at the first start of the whole system only.
+func founders(s settings.Settings) []deck.VMName {
+	if !s.FirstStart {
+		return nil
+	}
+	return s.SeedPeers()
+}
+
+func (c *control) leader() (deck.VMName, bool) {
+	id := c.replica.Status().Leader
+	return id.VM, !id.IsZero()
+}
+
+// setConfig takes a document that has come into force.
+func (c *control) setConfig(doc deck.RoutingDocument) {
+	if doc.Version == 0 {
+		return
+	}
+	cfg, err := platform.ManifestDecoder{}.DecodeRouting(doc.Body)
+	if err != nil {
+		c.node.log.Error(err, "routing configuration from the log is unreadable", "version", doc.Version)
+		return
+	}
+	c.config.Store(cfg)
+	c.hub.SetConfig(doc)
+	c.node.log.Info("routing configuration in force", "version", doc.Version, "routes", len(cfg.Routes))
+}
+
+// Join implements peer.JoinReceiver.Join.
+func (c *control) Join(ctx context.Context, id deck.ReplicaID) error {
+	s := c.replica.Status()
+	if s.Leader != s.Self || s.Self.IsZero() {
+		return deck.NotLeaderError{Leader: s.Leader}
+	}
+	err := join.Join(ctx, c.replica, s, id)
+	c.node.log.Info("replica asks to join", "replica", id.String(), "error", errorText(err))
+	return err
+}
+
+// errDiskFailed ends the process, which the platform starts again.
+var errDiskFailed = errors.New("the replica's disk has failed")
+
+// watchDisk ends the process when its replica no longer takes part: only a new start finds out what the disk holds.
+func (c *control) watchDisk(ctx context.Context) error {
+	ticker := time.NewTicker(failedPause)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			if reason := c.replica.Status().Failed; reason != "" {
+				return errors.Wrap(errDiskFailed, reason)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/command/node/entry.go
@@ -0,0 +1,191 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/api/ingress"
+	"github.com/geraniumdeck/geraniumdeck/internal/api/peer"
+	"github.com/geraniumdeck/geraniumdeck/internal/backend/http1"
+	"github.com/geraniumdeck/geraniumdeck/internal/command/part"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/route/balance"
+	"github.com/geraniumdeck/geraniumdeck/internal/route/table"
+	settings "github.com/geraniumdeck/geraniumdeck/internal/settings/node"
+	"github.com/geraniumdeck/geraniumdeck/internal/state/hub"
+	"github.com/geraniumdeck/geraniumdeck/platform"
+)
+
+const (
+	serverDialTimeout = 500 * time.Millisecond // several ways between regions, and the wait of a full accept queue
+	serverIdle        = 8 * time.Second        // kept connections to backend servers
+	pruneEvery        = 1 * time.Second
+
+	// callerIdle is the idle time-out of callers' connections while no configuration is known.
+	callerIdle = 15 * time.Second
+
+	// leaveAfter is how long a draining VM takes new connections: the balancer needs two missed probes, one a second.
+	leaveAfter = 3 * time.Second
+
+	// endMargin of the grace period is left for the process's own end.
+	endMargin = 400 * time.Millisecond
+
+	// budgetShare of the retry budget is used: the VMs' windows are not those of the judge, and calls are not spread
+	// evenly over the VMs.
+	budgetShare = 0.6
+)
+
+// An entry holds the parts of an entry VM.
+type entry struct {
+	node     *Node
+	handler  *ingress.Handler
+	client   *http1.Client
+	book     *balance.Book
+	budget   *balance.RetryBudget
+	follower *hub.Follower
+	server   *http.Server
+	settings settings.Settings
+
+	draining atomic.Bool
+	listed   atomic.Bool // a list of backend servers has come
+}
+
+func addEntry(n *Node, s settings.Settings) error {
+	e := &entry{node: n, settings: s, budget: &balance.RetryBudget{}, book: balance.NewBook(distance(s), newRand())}
+	e.setBudget(1)
+	e.client = &http1.Client{
+		Dial:        func(ctx context.Context, addr string) (net.Conn, error) { return dial(ctx, "tcp", addr) },
+		DialTimeout: serverDialTimeout,
+		MaxIdle:     serverIdle,
+	}
+	fleet := peer.FleetClient{HTTP: newPeerClient(), DataCentre: s.DataCentre, Leader: e.leader}
+	served, err := newCallMetrics(n.meters.Meter())
+	if err != nil {
+		return err
+	}
+	e.handler = &ingress.Handler{
+		Codec: platform.Codec{}, Client: e.client, Book: e.book, Budget: e.budget, Placer: fleet,
+		Demand: &ingress.Demand{}, Poison: &ingress.Poison{}, Random: newRand(), Log: n.log, Served: served.record,
+	}
+	e.follower = hub.NewFollower(hub.FollowerOptions{
+		Self: s.Peer(), DataCentre: s.DataCentre, Seeds: n.seeds, Client: fleet,
+		List:   platform.Listing{Address: s.Platform.Address, HTTP: fleet.HTTP, Log: n.log},
+		Logger: n.log, Report: e.report, Config: e.setConfig, Servers: e.setServers, VMs: e.setBudget,
+		Crashes: e.learn,
+	})
+	ready := http.NewServeMux()
+	platform.RegisterReadiness(ready, e.ready)
+	return errors.Join(
+		n.kernel.Add("follower", e.follower),
+		n.kernel.Add("direct-list", part.NewRunner(e.follower.RunDirect)),
+		n.kernel.Add("pruning", part.NewRunner(e.prune)),
+		e.listen(),
+		n.listen("readiness-listener", s.Listen.Ready, part.Bounded(ready, headerTimeout)),
+		n.kernel.Add("drain", e),
+	)
+}
+
+func (e *entry) listen() error {
+	e.server = &http.Server{
+		Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle,
+	}
+	return e.node.listen("callers-listener", e.settings.Listen.Callers, e.server)
+}
+
+// leader returns the leader that the follower knows.
+func (e *entry) leader() (deck.VMName, bool) {
+	return e.follower.Leader()
+}
+
+// ready reports whether the balancer may send callers here.
+func (e *entry) ready() bool {
+	return !e.draining.Load() && e.handler.Configured() && e.listed.Load()
+}
+
+// setBudget takes this VM's part of the retry budget that all entry VMs share.
+func (e *entry) setBudget(vms int) {
+	b := e.settings.Bounds
+	e.budget.Limits(b.RetryWindow, b.RetryShare*budgetShare, b.RetrySlack*budgetShare/float64(max(1, vms)))
+}
+
+func (e *entry) setConfig(doc deck.RoutingDocument) {
+	cfg, err := platform.ManifestDecoder{}.DecodeRouting(doc.Body)
+	if err != nil {
+		e.node.log.Error(err, "routing configuration from the log is unreadable", "version", doc.Version)
+		return
+	}
+	e.handler.SetRoutes(table.New(cfg))
+	e.node.log.Info("routing configuration in force", "version", doc.Version, "routes", len(cfg.Routes),
+		"services", len(cfg.Services))
+}
+
+func (e *entry) setServers(list []deck.Server) {
+	e.book.SetServers(list)
+	e.listed.Store(true)
+}
+
+// report returns what the control leader should know.
+func (e *entry) report() ([]deck.CallDemand, []deck.Crash) {
+	var demand []deck.CallDemand
+	for k, n := range e.handler.Demand.Take() {
+		demand = append(demand, deck.CallDemand{Service: k.Service, Model: k.Model, Adapter: k.Adapter, Tokens: n})
+	}
+	return demand, e.handler.Poison.Take()
+}
+
+func (e *entry) learn(crashes []deck.Crash) {
+	e.handler.Poison.Learn(time.Now(), crashes)
+}
+
+// prune closes kept connections that are no longer of use.
+func (e *entry) prune(ctx context.Context) error {
+	ticker := time.NewTicker(pruneEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			e.client.CloseIdle(e.book.HasAddress)
+		}
+	}
+}
+
+// Drain implements kernel.Drainer.Drain: it leaves the balancer, then closes idle connections and lets running answers
+// end within the grace period.
+func (e *entry) Drain(ctx context.Context) error {
+	end := time.Now().Add(e.settings.Bounds.Grace - endMargin)
+	e.draining.Store(true)
+	e.handler.Drain()
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-time.After(leaveAfter):
+	}
+	ctx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	err := e.server.Shutdown(ctx)
+	if err != nil {
+		e.node.log.Info("grace period is over with calls running", "calls", e.handler.Running())
+	}
+	return nil
+}
+
+// distance returns how far data centres are from this VM's.
+func distance(s settings.Settings) func(deck.DataCentre) balance.Distance {
+	return func(dc deck.DataCentre) balance.Distance {
+		switch {
+		case dc == s.DataCentre:
+			return balance.SameDataCentre
+		case s.Regions[dc] == s.Region:
+			return balance.SameRegion
+		default:
+			return balance.OtherRegion
+		}
+	}
+}
--- a/internal/command/process/lean.go
+++ b/internal/command/part/lean.go
@@ -1,22 +1,22 @@
-package process
+package part
 
 import "net/http"
 
-// A leanTransport leaves out headers that own processes don't read; they made up a third of a heartbeat.
-type leanTransport struct {
-	next http.RoundTripper
+// A LeanTransport leaves out headers that own processes don't read; they made up a third of a heartbeat.
+type LeanTransport struct {
+	Next http.RoundTripper
 }
 
 // RoundTrip implements http.RoundTripper.RoundTrip.
-func (t leanTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+func (t LeanTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	r = r.Clone(r.Context())
 	r.Header.Set("User-Agent", "") // an empty value keeps net/http from sending its own
 	r.Header.Del("Content-Type")
-	return t.next.RoundTrip(r)
+	return t.Next.RoundTrip(r)
 }
 
-// lean returns a handler whose responses leave out headers that own processes don't read.
-func lean(h http.Handler) http.Handler {
+// Lean returns a handler whose responses leave out headers that own processes don't read.
+func Lean(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header()["Date"] = nil
 		w.Header()["Content-Type"] = nil
--- a/internal/command/process/listener.go
+++ b/internal/command/part/listener.go
@@ -1,4 +1,4 @@
-package process
+package part
 
 import (
 	"context"
@@ -15,34 +15,34 @@
 // Limits of the peers' and operators' listeners.
 const (
 	readTimeout    = 30 * time.Second
-	idleTimeout    = 2 * time.Minute
+	IdleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 32 << 10
 	maxRequests    = 512 // served at once
 )
 
-// A listener serves HTTP on one address; it is bound before the process reports that it started.
-type listener struct {
+// A Listener serves HTTP on one address; it is bound before the process reports that it started.
+type Listener struct {
 	server *http.Server
-	socket net.Listener
+	Socket net.Listener // may be wrapped before Run
 	done   chan struct{}
 }
 
 var (
-	_ kernel.Runner  = (*listener)(nil)
-	_ kernel.Drainer = (*listener)(nil)
+	_ kernel.Runner  = (*Listener)(nil)
+	_ kernel.Drainer = (*Listener)(nil)
 )
 
-// listen binds the address for a server.
-func listen(address string, server *http.Server) (*listener, error) {
+// Listen binds the address for a server.
+func Listen(address string, server *http.Server) (*Listener, error) {
 	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
-	return &listener{server: server, socket: l, done: make(chan struct{})}, nil
+	return &Listener{server: server, Socket: l, done: make(chan struct{})}, nil
 }
 
-// bounded returns a server for the system's own peers or operators.
-func bounded(h http.Handler, headerTimeout time.Duration) *http.Server {
+// Bounded returns a server for the system's own peers or operators.
+func Bounded(h http.Handler, headerTimeout time.Duration) *http.Server {
 	slots := make(chan struct{}, maxRequests)
 	limited := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		select {
@@ -57,30 +57,30 @@
 		Handler:           limited,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       readTimeout,
-		IdleTimeout:       idleTimeout,
+		IdleTimeout:       IdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 }
 
 // Done implements kernel.Runner.Done.
-func (l *listener) Done() <-chan struct{} {
+func (l *Listener) Done() <-chan struct{} {
 	return l.done
 }
 
 // Drain implements kernel.Drainer.Drain; peers and operators stay served until the process ends.
-func (l *listener) Drain(context.Context) error {
+func (l *Listener) Drain(context.Context) error {
 	return nil
 }
 
 // Run implements kernel.Runner.Run.
-func (l *listener) Run(ctx context.Context) error {
+func (l *Listener) Run(ctx context.Context) error {
 	defer close(l.done)
 	var g errgroup.Group
 	g.Go(func() error {
 		<-ctx.Done()
 		return l.server.Close()
 	})
-	err := l.server.Serve(l.socket)
+	err := l.server.Serve(l.Socket)
 	if errors.Is(err, http.ErrServerClosed) {
 		err = nil
 	}
--- a/internal/command/process/runner.go
+++ b/internal/command/part/runner.go
@@ -1,4 +1,4 @@
-package process
+package part
 
 import (
 	"context"
@@ -8,31 +8,32 @@
 	"github.com/geraniumdeck/geraniumdeck/internal/core/kernel"
 )
 
-// A runner makes a service of a function.
-type runner struct {
+// A Runner makes a service of a function.
+type Runner struct {
 	run  func(ctx context.Context) error
 	done chan struct{}
 }
 
-var _ kernel.Runner = (*runner)(nil)
+var _ kernel.Runner = (*Runner)(nil)
 
-func newRunner(run func(ctx context.Context) error) *runner {
-	return &runner{run: run, done: make(chan struct{})}
+// NewRunner returns a service that runs the function.
+func NewRunner(run func(ctx context.Context) error) *Runner {
+	return &Runner{run: run, done: make(chan struct{})}
 }
 
 // Done implements kernel.Runner.Done.
-func (r *runner) Done() <-chan struct{} {
+func (r *Runner) Done() <-chan struct{} {
 	return r.done
 }
 
 // Run implements kernel.Runner.Run.
-func (r *runner) Run(ctx context.Context) error {
+func (r *Runner) Run(ctx context.Context) error {
 	defer close(r.done)
 	return r.run(ctx)
 }
 
-// groupRun makes a run function of a service that starts its goroutines in a group.
-func groupRun(start func(ctx context.Context, g *errgroup.Group) <-chan struct{}) func(context.Context) error {
+// GroupRun makes a run function of a service that starts its goroutines in a group.
+func GroupRun(start func(ctx context.Context, g *errgroup.Group) <-chan struct{}) func(context.Context) error {
 	return func(ctx context.Context) error {
 		g, ctx := errgroup.WithContext(ctx)
 		done := start(ctx, g)
--- a/internal/command/process/control.go
+++ b/internal/command/process/control.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/api/peer"
+	"github.com/geraniumdeck/geraniumdeck/internal/command/part"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	"github.com/geraniumdeck/geraniumdeck/internal/place/plan"
 	settings "github.com/geraniumdeck/geraniumdeck/internal/settings/yaml"
@@ -36,7 +37,7 @@
 	m := machine.New(plan.Feasible, feed.Recorder{Store: p.store})
 	transport := &peer.ReplicaClient{Address: p.address, Client: p.client, Answers: &peer.ReplicaAnswers{}}
 	node, err := replica.NewNode(replica.Options{
-		Config:    replica.Config{Deployment: p.settings.Deployment, Founders: founders(p.settings), Rand: newSource()},
+		Config:    replica.Config{Deployment: p.settings.Deployment, Founders: founders(p.settings), Rand: part.NewSource()},
 		Storage:   store,
 		Transport: transport,
 		Machine:   m,
--- a/internal/command/process/listeners.go
+++ b/internal/command/process/listeners.go
@@ -7,6 +7,7 @@
 
 	"github.com/geraniumdeck/geraniumdeck/internal/api/caller"
 	"github.com/geraniumdeck/geraniumdeck/internal/api/operator"
+	"github.com/geraniumdeck/geraniumdeck/internal/command/part"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/kernel"
 	"github.com/geraniumdeck/geraniumdeck/internal/report/burn"
@@ -24,8 +25,8 @@
 	}
 	timeout := p.settings.Limits.HeaderTimeout
 	err = errors.Join(
-		p.listenToPeers(bounded(p.traffic.counted(lean(p.peerMux)), timeout)),
-		p.listen("operators-listener", p.vm.Listen.Operators, bounded(operators, timeout)),
+		p.listenToPeers(part.Bounded(p.traffic.counted(part.Lean(p.peerMux)), timeout)),
+		p.listen("operators-listener", p.vm.Listen.Operators, part.Bounded(operators, timeout)),
 	)
 	if p.vm.Has(settings.RoleEntry) {
 		h, findErr := kernel.Find[*caller.Handler](p.kernel, nameCallers)
@@ -40,7 +41,7 @@
 }
 
 func (p *parts) listen(name, address string, srv *http.Server) error {
-	l, err := listen(address, srv)
+	l, err := part.Listen(address, srv)
 	if err != nil {
 		return err
 	}
@@ -49,11 +50,11 @@
 
 // listenToPeers binds the peers' listener, whose traffic is counted.
 func (p *parts) listenToPeers(srv *http.Server) error {
-	l, err := listen(p.vm.Listen.Peers, srv)
+	l, err := part.Listen(p.vm.Listen.Peers, srv)
 	if err != nil {
 		return err
 	}
-	l.socket = countedListener{l.socket, p.traffic}
+	l.Socket = countedListener{l.Socket, p.traffic}
 	return p.kernel.Add("peers-listener", l)
 }
 
--- a/internal/command/process/placement.go
+++ b/internal/command/process/placement.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/api/peer"
+	"github.com/geraniumdeck/geraniumdeck/internal/command/part"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/kernel"
 	"github.com/geraniumdeck/geraniumdeck/internal/place/execute"
@@ -45,11 +46,11 @@
 	r := &residency{store: p.store, dcs: slices.Sorted(maps.Keys(regions(p.settings)))}
 	return errors.Join(
 		p.kernel.Add(nameEngines, e),
-		p.kernel.Add(nameEngines+"-pruning", newRunner(func(ctx context.Context) error { return e.run(ctx, p.store) })),
+		p.kernel.Add(nameEngines+"-pruning", part.NewRunner(func(ctx context.Context) error { return e.run(ctx, p.store) })),
 		p.kernel.Add(nameResidency, r),
 		p.kernel.Add(namePublisher, pub),
 		p.kernel.Add(namePlacement, x),
-		p.kernel.Add(nameShares, newRunner(sh.run)),
+		p.kernel.Add(nameShares, part.NewRunner(sh.run)),
 	)
 }
 
--- a/internal/command/process/process.go
+++ b/internal/command/process/process.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	crand "crypto/rand"
-	"encoding/binary"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"github.com/go-logr/logr"
 
+	"github.com/geraniumdeck/geraniumdeck/internal/command/part"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/kernel"
 	settings "github.com/geraniumdeck/geraniumdeck/internal/settings/yaml"
@@ -68,21 +66,14 @@
 
 // newPeerClient returns the client for the system's own messages, with few idle connections for each VM.
 func newPeerClient(t *traffic) *http.Client {
-	return &http.Client{Transport: leanTransport{&http.Transport{
+	return &http.Client{Transport: part.LeanTransport{Next: &http.Transport{
 		DialContext:         t.dial,
 		MaxIdleConnsPerHost: 4,
-		DisableCompression:  true,            // the messages are short
-		IdleConnTimeout:     idleTimeout / 2, // below the server's, so that a request rarely meets a closing connection
+		DisableCompression:  true,                 // the messages are short
+		IdleConnTimeout:     part.IdleTimeout / 2, // below the server's, so that a request rarely meets a closing connection
 	}}}
 }
 
-// newSource returns a random source with a seed of its own for each process.
-func newSource() rand.Source {
-	var seed [16]byte
-	_, _ = crand.Read(seed[:]) // never fails
-	return rand.NewPCG(binary.LittleEndian.Uint64(seed[:8]), binary.LittleEndian.Uint64(seed[8:]))
-}
-
 // address returns the address of a VM's peers' listener.
 func (p *parts) address(vm deck.VMName) (string, bool) {
 	for _, q := range p.peers {
--- a/internal/command/process/serving.go
+++ b/internal/command/process/serving.go
@@ -9,6 +9,7 @@
 	"github.com/geraniumdeck/geraniumdeck/internal/api/caller"
 	"github.com/geraniumdeck/geraniumdeck/internal/api/peer"
 	"github.com/geraniumdeck/geraniumdeck/internal/backend/service"
+	"github.com/geraniumdeck/geraniumdeck/internal/command/part"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/kernel"
 	"github.com/geraniumdeck/geraniumdeck/internal/platform/vmlist"
@@ -42,7 +43,7 @@
 		return err
 	}
 	r := router.New(router.Config{
-		DataCentre: p.vm.DataCentre, Regions: regions(p.settings), Clock: p.clock, Rand: rand.New(newSource()),
+		DataCentre: p.vm.DataCentre, Regions: regions(p.settings), Clock: p.clock, Rand: rand.New(part.NewSource()),
 		State: p.store, Residency: res, Poison: commands, Health: health.DefaultPolicy(),
 	})
 	d := &demand{parts: p, residency: res, next: served, client: peer.DemandClient{HTTP: p.client}}
@@ -55,9 +56,9 @@
 		VM: p.vm.Name, Clock: p.clock, State: p.store, Residency: res, Client: eng.Engine, Sink: r,
 	})
 	return errors.Join(
-		p.kernel.Add(nameRouter, newRunner(groupRun(r.Start))),
-		p.kernel.Add(nameWatch, newRunner(groupRun(w.Start))),
-		p.kernel.Add(nameDemand, newRunner(d.run)),
+		p.kernel.Add(nameRouter, part.NewRunner(part.GroupRun(r.Start))),
+		p.kernel.Add(nameWatch, part.NewRunner(part.GroupRun(w.Start))),
+		p.kernel.Add(nameDemand, part.NewRunner(d.run)),
 		p.addVMs(r.ObserveVMs),
 		p.kernel.Add(nameCallers, h),
 	)
@@ -71,7 +72,7 @@
 		v.list = vmlist.New(a, p.client)
 	}
 	return errors.Join(
-		p.kernel.Add(nameVMs, newRunner(v.run)),
+		p.kernel.Add(nameVMs, part.NewRunner(v.run)),
 		p.kernel.Add(nameVMs+"-publisher", v.publisher),
 	)
 }
--- a/internal/command/process/state.go
+++ b/internal/command/process/state.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/api/peer"
+	"github.com/geraniumdeck/geraniumdeck/internal/command/part"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	settings "github.com/geraniumdeck/geraniumdeck/internal/settings/yaml"
 	"github.com/geraniumdeck/geraniumdeck/internal/state/disk"
@@ -29,7 +30,7 @@
 			return err
 		}
 		prover := feed.Prover{Log: c.node, Store: p.store, Clock: p.clock}
-		if err := p.kernel.Add(nameProver, newRunner(prover.Run)); err != nil {
+		if err := p.kernel.Add(nameProver, part.NewRunner(prover.Run)); err != nil {
 			return err
 		}
 	}
--- a/internal/core/deck/replicaset.go
+++ b/internal/core/deck/replicaset.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 )
 
 // Errors of the replicated log; a NotLeaderError is returned as a value of its own.
@@ -83,3 +84,20 @@
 	// Repair returns the state of a replica's repair; only the leader knows it.
 	Repair(ctx context.Context, id ReplicaID) (RepairStatus, error)
 }
+
+// A ReplicaHealth is the leader's view of another replica.
+type ReplicaHealth struct {
+	ID       ReplicaID
+	Voter    bool
+	CaughtUp bool      // it holds every committed entry
+	Heard    time.Time // when the last message that it answered was sent; zero if it has answered none
+}
+
+// A ReplicaWatch tells how the replicas of the log are.
+type ReplicaWatch interface {
+	// Health returns the leader's view of the other replicas; other replicas return a NotLeaderError.
+	Health(ctx context.Context) ([]ReplicaHealth, error)
+
+	// Leads returns the term that this replica leads, if that was checked at most the given time before now.
+	Leads(now time.Time, most time.Duration) (term uint64, ok bool)
+}
--- /dev/null
+++ b/internal/core/deck/server.go
@@ -0,0 +1,124 @@
+package deck
+
+import (
+	"context"
+	"slices"
+	"time"
+)
+
+// A HeldModel is a model that an engine holds.
+type HeldModel struct {
+	Name     ModelName
+	Version  int
+	Adapters []AdapterName
+}
+
+// A Server is a backend server as the platform lists it.
+type Server struct {
+	ID         BackendName // of one incarnation
+	Service    ServiceName
+	Address    string // IP:port
+	DataCentre DataCentre
+	Slots      int
+	Draining   bool
+	Born       int64 // Unix ms of its start; 0 if the list does not say
+	Models     []HeldModel
+}
+
+// Holds reports whether the server holds the model and, unless it is empty, the adapter.
+func (s Server) Holds(m ModelName, a AdapterName) bool {
+	for _, h := range s.Models {
+		if h.Name != m {
+			continue
+		}
+		if a == "" {
+			return true
+		}
+		for _, b := range h.Adapters {
+			if b == a {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// An EngineState is an engine's report of what it holds and does, as of some hundred ms ago.
+type EngineState struct {
+	Born           int64 // Unix ms of the engine's start; 0 if unknown
+	Models         []HeldModel
+	Coming         []AdapterRef // adapters in transit
+	Busy           bool         // an order about a model is in progress
+	OrdersAccepted uint64       // since the engine's start
+	Running        int
+	Waiting        int
+	CacheUsed      int // tokens that can't yield
+	CacheTotal     int // tokens
+	WarmModels     []ModelName
+	DiskModels     []ModelName
+	Draining       bool
+}
+
+// A ModelOrder tells an engine to load or unload a model, or one adapter of it.
+type ModelOrder struct {
+	Unload   bool
+	Model    ModelName
+	Adapter  AdapterName // empty for the model itself
+	After    uint64      // orders that the engine has accepted before; it refuses another number
+	Holder   VMName
+	Fence    uint64
+	Deadline time.Duration // how long to wait for the answer
+}
+
+// An OrderOutcome is what is known about a model order.
+type OrderOutcome int
+
+// The outcomes; the zero value is OrderUnknown.
+const (
+	OrderUnknown   OrderOutcome = iota // it may be carried out, now or later
+	OrderAccepted                      // it is being carried out
+	OrderHolds                         // it already holds
+	OrderConflict                      // another order is in progress or came before
+	OrderFenced                        // a higher fencing token was seen
+	OrderMisplaced                     // another backend server has the address
+	OrderInvalid
+)
+
+// String returns the outcome's name as used in logs.
+func (o OrderOutcome) String() string {
+	names := [...]string{"unknown", "accepted", "holds", "conflict", "fenced", "misplaced", "invalid"}
+	if o < 0 || int(o) >= len(names) {
+		return "invalid"
+	}
+	return names[o]
+}
+
+// An AdapterRef names an adapter with its model.
+type AdapterRef struct {
+	Model   ModelName
+	Adapter AdapterName
+}
+
+// A ServerList is the platform's lagging list of backend servers.
+type ServerList interface {
+	// ListServers returns the servers that the platform lists, ready or draining.
+	ListServers(ctx context.Context) ([]Server, error)
+}
+
+// An EngineControl sends orders to model engines and reads their reports.
+type EngineControl interface {
+	// Order sends an order once; with an error the outcome is OrderUnknown unless the answer told more.
+	Order(ctx context.Context, s Server, o ModelOrder) (OrderOutcome, error)
+
+	// Report returns an engine's state.
+	Report(ctx context.Context, s Server) (EngineState, error)
+}
+
+// Equal reports whether both descriptions are the same.
+func (s Server) Equal(o Server) bool {
+	return s.ID == o.ID && s.Service == o.Service && s.Address == o.Address && s.DataCentre == o.DataCentre &&
+		s.Slots == o.Slots && s.Draining == o.Draining && s.Born == o.Born &&
+		slices.EqualFunc(s.Models, o.Models, func(a, b HeldModel) bool {
+			return a.Name == b.Name && a.Version == b.Version && slices.Equal(a.Adapters, b.Adapters)
+		})
+}
--- /dev/null
+++ b/internal/core/deck/view.go
@@ -0,0 +1,63 @@
+package deck
+
+import (
+	"context"
+	"time"
+)
+
+// A ViewVersion orders the states of the list of backend servers that one leader hands out.
+type ViewVersion struct {
+	Term   uint64 // of the leader that made the list; versions of different terms can't be compared
+	Number uint64
+}
+
+// A ViewRequest asks for what has changed and reports what an entry VM has seen.
+type ViewRequest struct {
+	VM         VMName
+	DataCentre DataCentre
+	Config     uint64 // version of the routing configuration that the VM has
+	View       ViewVersion
+	Wait       time.Duration // how long the answer may wait for a change
+	Demand     []CallDemand
+	Crashes    []Crash
+}
+
+// A CallDemand is the work that callers asked of a model or adapter since the last report.
+type CallDemand struct {
+	Service ServiceName
+	Model   ModelName
+	Adapter AdapterName
+	Tokens  int // that may be generated
+}
+
+// A Crash is a backend server that broke off while it had a request.
+type Crash struct {
+	Request uint64 // fingerprint of path and body
+	Server  BackendName
+}
+
+// A ViewAnswer is what has changed since the request's versions.
+type ViewAnswer struct {
+	Leading bool // the answering VM leads the replicated log
+	Leader  VMName
+	Members []VMName // of the replicated log
+	Config  *RoutingDocument
+	View    ViewVersion
+	Whole   bool // Servers replaces the whole list
+	Servers []Server
+	Gone    []BackendName
+	VMs     int // entry VMs that ask the leader
+	Crashes []Crash
+}
+
+// A ViewSource answers entry VMs.
+type ViewSource interface {
+	// View waits for a change if this VM leads, and else answers at once.
+	View(ctx context.Context, r ViewRequest) ViewAnswer
+}
+
+// A ViewClient asks another VM.
+type ViewClient interface {
+	// AskView sends the request to the VM.
+	AskView(ctx context.Context, to VMName, r ViewRequest) (ViewAnswer, error)
+}
--- /dev/null
+++ b/internal/place/order/adapters.go
@@ -0,0 +1,244 @@
+package order
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+const (
+	adapterTime  = 8 * time.Millisecond // an adapter load while few are under way
+	adapterIdle  = 1 * time.Second      // an adapter that was used since then is not evicted
+	maxComing    = 4                    // adapters in transit to one engine
+	adapterTries = 3                    // engines that are asked for one adapter
+	sendWait     = 300 * time.Millisecond
+)
+
+type placeKey struct {
+	service deck.ServiceName
+	model   deck.ModelName
+	adapter deck.AdapterName
+}
+
+// PlaceFor puts a model or adapter on an engine for callers in a data centre. An adapter is there when the call returns; a
+// model comes with the next orders, since its demand is counted.
+func (c *Controller) PlaceFor(
+	ctx context.Context, from deck.DataCentre, s deck.ServiceName, m deck.ModelName, a deck.AdapterName,
+) (deck.Placement, error) {
+	if _, ok := c.mayOrder(); !ok {
+		return deck.Placement{}, errors.New("this VM holds no orders now")
+	}
+	spec, ok := c.spec(s)
+	if !ok {
+		return deck.Placement{}, errors.Newf("no engines in service %q", s)
+	}
+	if p, ok := c.held(from, s, m, a); ok {
+		return p, nil
+	}
+	if a == "" {
+		return c.pending(s, m), nil
+	}
+	key := placeKey{s, m, a}
+	if c.join(ctx, key) {
+		p, _ := c.held(from, s, m, a)
+		return p, nil
+	}
+	defer c.leave(key)
+	return c.placeAdapter(ctx, spec, from, key), nil
+}
+
+func (c *Controller) spec(s deck.ServiceName) (deck.EngineSpec, bool) {
+	cfg := c.o.Config()
+	if cfg == nil {
+		return deck.EngineSpec{}, false
+	}
+	service, ok := cfg.Service(s)
+	if !ok || service.Engine == nil {
+		return deck.EngineSpec{}, false
+	}
+	return *service.Engine, true
+}
+
+// join waits for another request for the same adapter; it reports whether there was one.
+func (c *Controller) join(ctx context.Context, key placeKey) bool {
+	c.mu.Lock()
+	running, ok := c.placing[key]
+	if !ok {
+		c.placing[key] = make(chan struct{})
+		c.mu.Unlock()
+		return false
+	}
+	c.mu.Unlock()
+	select {
+	case <-running:
+	case <-ctx.Done():
+	}
+	return true
+}
+
+func (c *Controller) leave(key placeKey) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	close(c.placing[key])
+	delete(c.placing, key)
+}
+
+// held returns the engine that holds the model and adapter already, in the callers' data centre if there is one.
+func (c *Controller) held(
+	from deck.DataCentre, s deck.ServiceName, m deck.ModelName, a deck.AdapterName,
+) (deck.Placement, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var best *engine
+	for _, e := range c.engines {
+		adapters, ok := e.models[m]
+		if e.server.Service != s || e.server.Draining || !ok || e.leaving == m {
+			continue
+		}
+		if _, ok := adapters[a]; a != "" && !ok {
+			continue
+		}
+		if best == nil || e.server.DataCentre == from {
+			best = e
+		}
+	}
+	if best == nil {
+		return deck.Placement{}, false
+	}
+	if a != "" {
+		best.models[m][a] = time.Now()
+	}
+	return deck.Placement{Server: best.server.ID}, true
+}
+
+// pending estimates when a model will be held.
+func (c *Controller) pending(s deck.ServiceName, m deck.ModelName) deck.Placement {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var p deck.Placement
+	for _, e := range c.engines {
+		if e.server.Service != s || e.loading != m {
+			continue
+		}
+		left := max(time.Until(e.readyAt), watchPeriod)
+		if p.ReadyIn == 0 || left < p.ReadyIn {
+			p.ReadyIn = left
+		}
+	}
+	return p
+}
+
+// placeAdapter orders the adapter at an engine that holds its model.
+func (c *Controller) placeAdapter(
+	ctx context.Context, spec deck.EngineSpec, from deck.DataCentre, key placeKey,
+) deck.Placement {
+	tried := make(map[*engine]bool)
+	for range adapterTries {
+		e, evict, ok := c.adapterHome(spec, from, key, tried)
+		if !ok {
+			break
+		}
+		tried[e] = true
+		if c.loadAdapter(ctx, e, evict, key) {
+			c.publish()
+			return deck.Placement{Server: e.server.ID}
+		}
+	}
+	return c.pending(key.service, key.model)
+}
+
+// adapterHome chooses the engine with the most room for adapters, and the adapter that has to make way where there is none.
+func (c *Controller) adapterHome(
+	spec deck.EngineSpec, from deck.DataCentre, key placeKey, tried map[*engine]bool,
+) (best *engine, evict deck.AdapterRef, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	bestCost := 0.0
+	for _, e := range c.engines {
+		if _, holds := e.models[key.model]; !holds || tried[e] || !e.known || e.fenced || e.server.Draining ||
+			e.server.Service != key.service || e.leaving != "" || e.loading != "" || len(e.coming) >= maxComing {
+			continue
+		}
+		cost := float64(e.adapters())
+		victim := deck.AdapterRef{}
+		if e.adapters() >= spec.AdapterSlots {
+			var found bool
+			victim, found = e.oldestAdapter(now)
+			if !found {
+				continue
+			}
+			cost += evictAdapterCost
+		}
+		if e.server.DataCentre != from {
+			cost += farAdapterCost
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost, evict = e, cost, victim
+		}
+	}
+	return best, evict, best != nil
+}
+
+// Costs in units of one adapter that an engine holds already.
+const (
+	evictAdapterCost = 4.0
+	farAdapterCost   = 3.0
+)
+
+// oldestAdapter returns the adapter that was used the longest ago, if that is long enough.
+func (e *engine) oldestAdapter(now time.Time) (ref deck.AdapterRef, ok bool) {
+	oldest := now.Add(-adapterIdle)
+	for m, adapters := range e.models {
+		for a, used := range adapters {
+			if used.Before(oldest) {
+				ref, oldest, ok = deck.AdapterRef{Model: m, Adapter: a}, used, true
+			}
+		}
+	}
+	return ref, ok
+}
+
+// loadAdapter sends the orders and waits for the load's usual time.
+func (c *Controller) loadAdapter(ctx context.Context, e *engine, evict deck.AdapterRef, key placeKey) bool {
+	select {
+	case e.sending <- struct{}{}:
+	case <-time.After(sendWait):
+		return false
+	case <-ctx.Done():
+		return false
+	}
+	defer func() { <-e.sending }()
+	// An order that has begun ends also when the caller has left: its fate has to be known.
+	ctx = context.WithoutCancel(ctx)
+	if evict != (deck.AdapterRef{}) {
+		c.mu.Lock()
+		used := e.models[evict.Model][evict.Adapter]
+		delete(e.models[evict.Model], evict.Adapter)
+		c.mu.Unlock()
+		out := c.send(ctx, e, deck.ModelOrder{Unload: true, Model: evict.Model, Adapter: evict.Adapter})
+		if out != deck.OrderAccepted && out != deck.OrderHolds {
+			c.mu.Lock()
+			if held := e.models[evict.Model]; held != nil {
+				held[evict.Adapter] = used
+			}
+			c.mu.Unlock()
+			return false
+		}
+	}
+	out := c.send(ctx, e, deck.ModelOrder{Model: key.model, Adapter: key.adapter})
+	if out != deck.OrderAccepted && out != deck.OrderHolds {
+		return false
+	}
+	sleep(ctx, adapterTime)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	held, ok := e.models[key.model]
+	if ok {
+		held[key.adapter] = time.Now()
+	}
+	return ok
+}
--- /dev/null
+++ b/internal/place/order/controller.go
@@ -0,0 +1,353 @@
+package order
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/place/assign"
+)
+
+const (
+	period      = 100 * time.Millisecond
+	listPeriod  = 500 * time.Millisecond // a good part of the list's own lag
+	listTimeout = 1 * time.Second
+	callTimeout = 700 * time.Millisecond // of an order or a report
+	demandFade  = 3 * time.Second        // time constant with which demand is forgotten
+	rescanAfter = 300 * time.Millisecond // the lag of an engine's report
+	retryPause  = 500 * time.Millisecond // after a conflict or a lost answer
+
+	// storeShare of the weight store's rate is used, so that loads that are carried out late fit in too.
+	storeShare = 0.9
+	storeBurst = 2.0 // loads that may begin together
+)
+
+// Options are what a controller needs.
+type Options struct {
+	Self    deck.VMName
+	Watch   deck.ReplicaWatch
+	Clock   deck.Clock    // also counts while the VM is suspended
+	Fresh   time.Duration // how old the check may be that this replica leads
+	Lease   time.Duration // how long after a change of the leader no order is sent
+	Engines deck.EngineControl
+	List    deck.ServerList
+	Config  func() *deck.RoutingConfig // nil before the first configuration
+	Publish func(term uint64, list []deck.Server)
+	Log     logr.Logger
+}
+
+// A Controller is the holder of orders while its replica leads.
+type Controller struct {
+	o     Options
+	done  chan struct{}
+	group *errgroup.Group
+
+	mu       sync.Mutex
+	term     uint64    // 0 while the replica does not lead
+	since    time.Time // when the term was first seen
+	listed   bool
+	listAt   time.Time
+	servers  []deck.Server
+	engines  map[deck.BackendName]*engine
+	demand   map[deck.ServiceName]map[deck.ModelName]float64
+	demandAt time.Time
+	store    map[deck.ServiceName]*allowance
+	placing  map[placeKey]chan struct{}
+}
+
+// An allowance limits loads from the weight store.
+type allowance struct {
+	tokens float64
+	at     time.Time
+}
+
+// NewController returns a controller that is ready to run.
+func NewController(o Options) *Controller {
+	return &Controller{
+		o: o, done: make(chan struct{}), engines: make(map[deck.BackendName]*engine),
+		demand: make(map[deck.ServiceName]map[deck.ModelName]float64), store: make(map[deck.ServiceName]*allowance),
+		placing: make(map[placeKey]chan struct{}),
+	}
+}
+
+// Done returns a channel that is closed when Run has returned.
+func (c *Controller) Done() <-chan struct{} {
+	return c.done
+}
+
+// Run works until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	defer close(c.done)
+	c.mu.Lock()
+	c.group, ctx = errgroup.WithContext(ctx)
+	c.mu.Unlock()
+	c.group.Go(func() error { return c.every(ctx, period, c.step) })
+	c.group.Go(func() error { return c.every(ctx, listPeriod, c.readList) })
+	return c.group.Wait()
+}
+
+func (c *Controller) every(ctx context.Context, period time.Duration, f func(context.Context)) error {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			f(ctx)
+		}
+	}
+}
+
+// lead notes a change of the leader; it reports whether this replica leads.
+func (c *Controller) lead() (term uint64, ok bool) {
+	now := c.o.Clock.Now()
+	term, ok = c.o.Watch.Leads(now, c.o.Fresh)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !ok {
+		term = 0
+	}
+	if term == c.term {
+		return term, ok
+	}
+	c.o.Log.Info("holder of orders changed", "term", term, "before", c.term, "leading", ok)
+	c.term, c.since, c.listed = term, now, false
+	clear(c.engines)
+	clear(c.store)
+	return term, ok
+}
+
+// mayOrder returns the fencing token while this replica may send orders: an earlier holder's lease is over, and its own
+// leadership was checked just now.
+func (c *Controller) mayOrder() (fence uint64, ok bool) {
+	now := c.o.Clock.Now()
+	term, ok := c.o.Watch.Leads(now, c.o.Fresh)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return term, ok && term == c.term && now.Sub(c.since) > c.o.Lease
+}
+
+func (c *Controller) readList(ctx context.Context) {
+	term, ok := c.lead()
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	list, err := c.o.List.ListServers(ctx)
+	if err != nil {
+		c.o.Log.Info("platform's list of backend servers could not be read", "reason", err.Error())
+		return
+	}
+	c.mu.Lock()
+	if c.term == term {
+		c.take(list)
+	}
+	c.mu.Unlock()
+	c.publish()
+}
+
+// take brings the engines up to the list; the caller holds the lock.
+func (c *Controller) take(list []deck.Server) {
+	c.servers, c.listed, c.listAt = list, true, c.o.Clock.Now()
+	now := time.Now()
+	seen := make(map[deck.BackendName]bool, len(list))
+	for _, s := range list {
+		seen[s.ID] = true
+		e := c.engines[s.ID]
+		if e == nil || e.server.Born != s.Born || e.server.Address != s.Address {
+			e = newEngine(s)
+			c.engines[s.ID] = e
+		}
+		e.server = s
+		if !e.known {
+			e.setModels(s.Models, now)
+		}
+	}
+	for id := range c.engines {
+		if !seen[id] {
+			delete(c.engines, id)
+		}
+	}
+}
+
+// publish hands the list with what the holder knows of the engines to the entry VMs.
+func (c *Controller) publish() {
+	c.mu.Lock()
+	if c.term == 0 || !c.listed {
+		c.mu.Unlock()
+		return
+	}
+	term := c.term
+	list := make([]deck.Server, 0, len(c.servers))
+	for _, s := range c.servers {
+		if e := c.engines[s.ID]; e != nil {
+			s = e.published()
+		}
+		list = append(list, s)
+	}
+	c.mu.Unlock()
+	c.o.Publish(term, list)
+}
+
+// AddDemand takes what entry VMs report.
+func (c *Controller) AddDemand(calls []deck.CallDemand) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fade(now)
+	for _, d := range calls {
+		models := c.demand[d.Service]
+		if models == nil {
+			models = make(map[deck.ModelName]float64)
+			c.demand[d.Service] = models
+		}
+		models[d.Model] += float64(d.Tokens) / demandFade.Seconds()
+		if d.Adapter != "" {
+			c.touch(d.Service, d.Model, d.Adapter, now)
+		}
+	}
+}
+
+// touch notes the use of an adapter; the caller holds the lock.
+func (c *Controller) touch(s deck.ServiceName, m deck.ModelName, a deck.AdapterName, now time.Time) {
+	for _, e := range c.engines {
+		if e.server.Service != s {
+			continue
+		}
+		if _, ok := e.models[m][a]; ok {
+			e.models[m][a] = now
+		}
+	}
+}
+
+// fade lets demand lose its weight with time; the caller holds the lock.
+func (c *Controller) fade(now time.Time) {
+	if c.demandAt.IsZero() {
+		c.demandAt = now
+		return
+	}
+	w := math.Exp(-now.Sub(c.demandAt).Seconds() / demandFade.Seconds())
+	c.demandAt = now
+	for _, models := range c.demand {
+		for m := range models {
+			models[m] *= w
+		}
+	}
+}
+
+// step sends the orders that are due.
+func (c *Controller) step(ctx context.Context) {
+	if _, ok := c.lead(); !ok {
+		return
+	}
+	cfg := c.o.Config()
+	if cfg == nil {
+		return
+	}
+	if _, ok := c.mayOrder(); !ok {
+		return
+	}
+	for _, s := range cfg.Services {
+		if s.Engine != nil {
+			c.stepService(ctx, s)
+		}
+	}
+}
+
+func (c *Controller) stepService(ctx context.Context, s deck.RoutedService) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fade(now)
+	var engines []assign.Engine
+	for _, id := range slices.Sorted(maps.Keys(c.engines)) {
+		e := c.engines[id]
+		if e.server.Service != s.Name || e.server.Draining {
+			continue
+		}
+		if !e.known && !e.fenced && len(e.sending) == 0 && now.After(e.retryAt) {
+			c.start(ctx, e, func(ctx context.Context) { c.scan(ctx, e) })
+		}
+		engines = append(engines, e.view(*s.Engine, now))
+	}
+	allowed := c.allowance(s, now)
+	for _, a := range assign.Next(*s.Engine, engines, c.demand[s.Name], int(allowed.tokens)) {
+		c.carryOut(ctx, *s.Engine, a, allowed, now)
+	}
+}
+
+// allowance returns the loads from the weight store that may begin; the caller holds the lock.
+func (c *Controller) allowance(s deck.RoutedService, now time.Time) *allowance {
+	a := c.store[s.Name]
+	if a == nil {
+		a = &allowance{at: now} // an earlier holder may have used the burst
+		c.store[s.Name] = a
+	}
+	a.tokens = min(storeBurst, a.tokens+now.Sub(a.at).Seconds()*s.Engine.StoreLoadsPerS*storeShare)
+	a.at = now
+	return a
+}
+
+// carryOut starts the work on an action; the caller holds the lock.
+func (c *Controller) carryOut(ctx context.Context, spec deck.EngineSpec, a assign.Action, allowed *allowance, now time.Time) {
+	e := c.engines[a.Engine]
+	if e == nil || !e.idle(now) {
+		return
+	}
+	m, ok := spec.Model(a.Model)
+	if !ok {
+		return
+	}
+	takes := m.LoadTime
+	switch {
+	case a.Unload:
+		e.leaving, takes = a.Model, unloadTime
+	case a.Store:
+		allowed.tokens--
+		e.loading = a.Model
+	default:
+		e.loading, takes = a.Model, max(m.DiskTime, m.WarmTime)
+	}
+	e.readyAt = now.Add(takes)
+	c.o.Log.Info("model order", "engine", string(a.Engine), "model", string(a.Model), "unload", a.Unload,
+		"store", a.Store, "demand", c.demand[e.server.Service][a.Model], "orders-accepted", e.seq)
+	c.start(ctx, e, func(ctx context.Context) { c.changeModel(ctx, e, a, takes) })
+}
+
+// start runs work on an engine alone; the caller holds the lock.
+func (c *Controller) start(ctx context.Context, e *engine, work func(context.Context)) {
+	select {
+	case e.sending <- struct{}{}:
+	default:
+		return
+	}
+	c.group.Go(func() error {
+		defer func() { <-e.sending }()
+		work(ctx)
+		return nil
+	})
+}
+
+func sortedModels(models map[deck.ModelName]map[deck.AdapterName]time.Time) []deck.HeldModel {
+	var out []deck.HeldModel
+	for name, adapters := range models {
+		h := deck.HeldModel{Name: name}
+		for a := range adapters {
+			h.Adapters = append(h.Adapters, a)
+		}
+		slices.Sort(h.Adapters)
+		out = append(out, h)
+	}
+	slices.SortFunc(out, func(a, b deck.HeldModel) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
--- /dev/null
+++ b/internal/place/order/engine.go
@@ -0,0 +1,132 @@
+package order
+
+import (
+	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/place/assign"
+)
+
+// An engine is what the holder knows of one incarnation of an engine. Its fields are guarded by the controller's lock.
+type engine struct {
+	server  deck.Server
+	sending chan struct{}                                     // one slot: an order is on its way or its effect is awaited
+	known   bool                                              // a report was read in this term, and no order's fate is open
+	seq     uint64                                            // orders that the engine has accepted
+	models  map[deck.ModelName]map[deck.AdapterName]time.Time // adapters with their last use
+	atHand  map[deck.ModelName]bool
+	loading deck.ModelName // empty for none
+	leaving deck.ModelName // being unloaded; empty for none
+	readyAt time.Time      // estimate for the end of the load
+	coming  map[deck.AdapterRef]bool
+	fenced  bool      // a higher fencing token was seen: no more orders in this term
+	retryAt time.Time // no order before
+}
+
+func newEngine(s deck.Server) *engine {
+	return &engine{
+		server: s, sending: make(chan struct{}, 1), models: make(map[deck.ModelName]map[deck.AdapterName]time.Time),
+		atHand: make(map[deck.ModelName]bool), coming: make(map[deck.AdapterRef]bool),
+	}
+}
+
+// setModels takes what the engine says that it holds, and keeps when adapters were used.
+func (e *engine) setModels(held []deck.HeldModel, now time.Time) {
+	models := make(map[deck.ModelName]map[deck.AdapterName]time.Time, len(held))
+	for _, h := range held {
+		adapters := make(map[deck.AdapterName]time.Time, len(h.Adapters))
+		for _, a := range h.Adapters {
+			used, ok := e.models[h.Name][a]
+			if !ok {
+				used = now
+			}
+			adapters[a] = used
+		}
+		models[h.Name] = adapters
+	}
+	e.models = models
+}
+
+// take notes a report that was read after the last order ended.
+func (e *engine) take(st deck.EngineState, now time.Time) {
+	e.known = true
+	e.seq = st.OrdersAccepted
+	e.setModels(st.Models, now)
+	e.atHand = make(map[deck.ModelName]bool)
+	for _, m := range st.WarmModels {
+		e.atHand[m] = true
+	}
+	for _, m := range st.DiskModels {
+		e.atHand[m] = true
+	}
+	clear(e.coming)
+	for _, c := range st.Coming {
+		e.coming[c] = true
+	}
+}
+
+// adapters returns the adapters that are held or on their way.
+func (e *engine) adapters() int {
+	n := len(e.coming)
+	for _, a := range e.models {
+		n += len(a)
+	}
+	return n
+}
+
+// used returns the megabytes of all that is held or on its way.
+func (e *engine) used(spec deck.EngineSpec) float64 {
+	total := 0.0
+	for name, adapters := range e.models {
+		if m, ok := spec.Model(name); ok {
+			total += m.Megabytes + float64(len(adapters))*m.AdapterMegabytes
+		}
+	}
+	if m, ok := spec.Model(e.loading); ok {
+		total += m.Megabytes
+	}
+	for c := range e.coming {
+		if m, ok := spec.Model(c.Model); ok {
+			total += m.AdapterMegabytes
+		}
+	}
+	return total
+}
+
+// idle reports whether the engine can take an order about a model.
+func (e *engine) idle(now time.Time) bool {
+	return e.known && !e.fenced && !e.server.Draining && e.loading == "" && e.leaving == "" &&
+		len(e.sending) == 0 && now.After(e.retryAt)
+}
+
+// view returns the engine as the planner sees it.
+func (e *engine) view(spec deck.EngineSpec, now time.Time) assign.Engine {
+	v := assign.Engine{
+		ID: e.server.ID, DataCentre: e.server.DataCentre, Idle: e.idle(now), Models: make(map[deck.ModelName]bool),
+		Used: e.used(spec), AtHand: e.atHand,
+	}
+	for m := range e.models {
+		if m != e.leaving {
+			v.Models[m] = true
+		}
+	}
+	if e.loading != "" {
+		v.Models[e.loading] = true
+	}
+	return v
+}
+
+// published returns the server as entry VMs should see it: without a model that is about to go.
+func (e *engine) published() deck.Server {
+	s := e.server
+	if !e.known {
+		return s
+	}
+	s.Models = nil
+	for _, h := range sortedModels(e.models) {
+		if h.Name != e.leaving {
+			s.Models = append(s.Models, h)
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/internal/route/balance/book.go
@@ -0,0 +1,165 @@
+package balance
+
+import (
+	"sync"
+	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// A Distance says how far a data centre is from this VM's.
+type Distance int
+
+// The distances; the zero value is the VM's own data centre.
+const (
+	SameDataCentre Distance = iota
+	SameRegion
+	OtherRegion
+)
+
+// A Book is what one entry VM knows of the backend servers; it is safe for concurrent use.
+type Book struct {
+	distance func(deck.DataCentre) Distance
+	random   deck.Rand
+
+	mu      sync.Mutex
+	servers map[deck.BackendName]*entry
+	service map[deck.ServiceName][]*entry
+	prefix  prefixes
+}
+
+// An entry is one backend server with this VM's own observations.
+type entry struct {
+	deck.Server
+	distance Distance
+	own      int // calls of this VM that have not ended
+
+	load   deck.ServerLoad
+	loadAt time.Time // zero if no load was seen
+	ownAt  int       // own calls when the load was seen
+
+	downUntil time.Time
+	downFor   time.Duration
+	fullUntil time.Time
+	failing   failureRate
+	absent    map[held]time.Time // what the server said that it does not hold, until then
+	present   map[held]time.Time // what an order put there and the list does not show yet, until then
+}
+
+// held names a model, or one adapter of it.
+type held struct {
+	model   deck.ModelName
+	adapter deck.AdapterName
+}
+
+// NewBook returns an empty book.
+func NewBook(distance func(deck.DataCentre) Distance, random deck.Rand) *Book {
+	return &Book{distance: distance, random: random, servers: make(map[deck.BackendName]*entry)}
+}
+
+// SetServers replaces the list of backend servers; observations of those that stay are kept.
+func (b *Book) SetServers(list []deck.Server) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	servers := make(map[deck.BackendName]*entry, len(list))
+	b.service = make(map[deck.ServiceName][]*entry)
+	for _, s := range list {
+		e := b.servers[s.ID]
+		if e == nil || e.Address != s.Address || e.Born != s.Born {
+			e = &entry{distance: b.distance(s.DataCentre)}
+		}
+		e.Server = s
+		servers[s.ID] = e
+		b.service[s.Service] = append(b.service[s.Service], e)
+	}
+	b.servers = servers
+}
+
+// HasAddress reports whether a listed backend server has the address.
+func (b *Book) HasAddress(addr string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, e := range b.servers {
+		if e.Address == addr {
+			return true
+		}
+	}
+	return false
+}
+
+// Began counts a call that is about to be sent.
+func (b *Book) Began(id deck.BackendName) {
+	b.with(id, func(e *entry) { e.own++ })
+}
+
+// Ended counts a call that has left the server.
+func (b *Book) Ended(id deck.BackendName) {
+	b.with(id, func(e *entry) { e.own = max(0, e.own-1) })
+}
+
+// SawLoad takes a load that the server reported.
+func (b *Book) SawLoad(now time.Time, id deck.BackendName, l deck.ServerLoad) {
+	b.with(id, func(e *entry) { e.load, e.loadAt, e.ownAt = l, now, e.own })
+}
+
+// SawAnswer takes the success or failure of a call that the server answered; ownFault is false for an answer that says
+// nothing against the server.
+func (b *Book) SawAnswer(now time.Time, id deck.BackendName, ownFault bool) {
+	b.with(id, func(e *entry) {
+		e.failing.add(now, ownFault)
+		if !ownFault {
+			e.downFor, e.downUntil = 0, time.Time{}
+		}
+	})
+}
+
+// SawDown notes that the server could not be reached or broke its connection.
+func (b *Book) SawDown(now time.Time, id deck.BackendName) {
+	b.with(id, func(e *entry) {
+		if now.Before(e.downUntil) {
+			return // calls that were sent together fail together
+		}
+		e.downFor = min(max(2*e.downFor, minDown), maxDown)
+		e.downUntil = now.Add(e.downFor)
+	})
+}
+
+// SawFull notes that the server refused a call because all its places were taken.
+func (b *Book) SawFull(now time.Time, id deck.BackendName) {
+	b.with(id, func(e *entry) { e.fullUntil = now.Add(fullFor) })
+}
+
+// SawOther notes that another backend server has the address.
+func (b *Book) SawOther(now time.Time, id deck.BackendName) {
+	b.with(id, func(e *entry) { e.downUntil = now.Add(otherFor) })
+}
+
+// SawAbsent notes that the engine does not hold the model or adapter.
+func (b *Book) SawAbsent(now time.Time, id deck.BackendName, m deck.ModelName, a deck.AdapterName) {
+	b.with(id, func(e *entry) {
+		if e.absent == nil {
+			e.absent = make(map[held]time.Time)
+		}
+		e.absent[held{m, a}] = now.Add(absentFor)
+		delete(e.present, held{m, a})
+	})
+}
+
+// SawPresent notes that an order has put the adapter there.
+func (b *Book) SawPresent(now time.Time, id deck.BackendName, m deck.ModelName, a deck.AdapterName) {
+	b.with(id, func(e *entry) {
+		if e.present == nil {
+			e.present = make(map[held]time.Time)
+		}
+		e.present[held{m, a}] = now.Add(presentFor)
+		delete(e.absent, held{m, a})
+	})
+}
+
+func (b *Book) with(id deck.BackendName, f func(*entry)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if e := b.servers[id]; e != nil {
+		f(e)
+	}
+}
--- /dev/null
+++ b/internal/route/balance/failures.go
@@ -0,0 +1,40 @@
+package balance
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	failureMemory = 3 * time.Second // time constant with which answers lose their weight
+	failurePrior  = 3.0             // answers without fault that every server is credited with
+)
+
+// A failureRate is the share of calls that failed of late; its zero value has seen none.
+type failureRate struct {
+	failed, answered float64
+	at               time.Time
+}
+
+func (f *failureRate) add(now time.Time, failed bool) {
+	w := f.weight(now)
+	f.failed *= w
+	f.answered *= w
+	f.at = now
+	f.answered++
+	if failed {
+		f.failed++
+	}
+}
+
+func (f *failureRate) share(now time.Time) float64 {
+	w := f.weight(now)
+	return f.failed * w / (f.answered*w + failurePrior)
+}
+
+func (f *failureRate) weight(now time.Time) float64 {
+	if f.at.IsZero() {
+		return 0
+	}
+	return math.Exp(-now.Sub(f.at).Seconds() / failureMemory.Seconds())
+}
--- /dev/null
+++ b/internal/route/balance/pick.go
@@ -0,0 +1,153 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// Times for which an observation of a backend server holds.
+const (
+	minDown    = 300 * time.Millisecond // doubled for each further failure
+	maxDown    = 4 * time.Second        // an engine restarts within a few seconds
+	fullFor    = 100 * time.Millisecond // some calls end in this time
+	otherFor   = 2 * time.Second        // longer than the lag of the platform's list
+	absentFor  = 1 * time.Second        // the lag of the platform's list
+	presentFor = 3 * time.Second        // the lag of the platform's list and of its way here
+	loadFor    = 2 * time.Second        // the load of other VMs has changed after this time
+)
+
+// Costs in units of one full batch of the server's places.
+const (
+	regionCost  = 0.02 // another data centre of the region: traffic is billed by volume
+	farCost     = 0.45 // another region: a few dozen ms each way, and traffic is billed
+	failingCost = 4.0  // times the share of calls that failed of late
+	jitterCost  = 0.04 // spreads VMs that have seen the same load
+	prefixGain  = 0.08 // the prompt's shared parts need not be read again
+)
+
+// maxFill is how many calls, in units of the server's places, may be there before no more are offered. A caller's patience
+// is about the time in which a batch of its places ends.
+const maxFill = 2.0
+
+// A Want says what a call needs of a backend server.
+type Want struct {
+	Service deck.ServiceName
+	Model   deck.ModelName   // empty for plain services
+	Adapter deck.AdapterName // empty for none
+	Parts   []deck.PromptPart
+	Tried   map[deck.BackendName]bool // servers that this call was offered to
+}
+
+// A Shortage says why no server was chosen.
+type Shortage int
+
+// The shortages; the zero value says that a server was chosen.
+const (
+	Chosen        Shortage = iota
+	NoServer               // no usable server of the service is known
+	ModelAbsent            // no usable server holds the model
+	AdapterAbsent          // servers hold the model without the adapter
+	AllFull                // every server that could run the call is full
+)
+
+// String returns the shortage's name as used in logs.
+func (s Shortage) String() string {
+	return [...]string{"chosen", "no-server", "model-absent", "adapter-absent", "all-full"}[s]
+}
+
+// Pick chooses a server for a call.
+func (b *Book) Pick(now time.Time, w Want) (deck.Server, Shortage) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	shortage := NoServer
+	var best *entry
+	bestCost := 0.0
+	for _, e := range b.service[w.Service] {
+		s := e.fits(now, w)
+		if s == Chosen && best == nil {
+			shortage = Chosen
+		} else if s != Chosen {
+			if best == nil && s > shortage {
+				shortage = s
+			}
+			continue
+		}
+		cost := e.cost(now) + jitterCost*b.random.Float64() - b.prefix.gain(e.ID, w)
+		if best == nil || cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	if best == nil {
+		return deck.Server{}, shortage
+	}
+	return best.Server, Chosen
+}
+
+// fits says what keeps the server from running the call.
+func (e *entry) fits(now time.Time, w Want) Shortage {
+	switch {
+	case e.Draining || w.Tried[e.ID] || now.Before(e.downUntil):
+		return NoServer
+	case w.Model != "" && !e.holds(now, w.Model, ""):
+		return ModelAbsent
+	case w.Model != "" && w.Adapter != "" && !e.holds(now, w.Model, w.Adapter):
+		return AdapterAbsent
+	case now.Before(e.fullUntil) || e.fill(now) >= maxFill:
+		return AllFull
+	default:
+		return Chosen
+	}
+}
+
+// holds reports whether the engine is believed to hold a model or adapter.
+func (e *entry) holds(now time.Time, m deck.ModelName, a deck.AdapterName) bool {
+	key := held{m, a}
+	if now.Before(e.absent[key]) {
+		return false
+	}
+	return now.Before(e.present[key]) || e.Holds(m, a)
+}
+
+// fill returns the calls at the server in units of its places.
+func (e *entry) fill(now time.Time) float64 {
+	slots := max(1, e.Slots)
+	return (float64(e.own) + e.others(now)) / float64(slots)
+}
+
+// others estimates the calls of other VMs from the last load report, which fades with its age.
+func (e *entry) others(now time.Time) float64 {
+	if e.loadAt.IsZero() {
+		return 0
+	}
+	fresh := 1 - now.Sub(e.loadAt).Seconds()/loadFor.Seconds()
+	return max(0, float64(e.load.Running+e.load.Waiting-e.ownAt)) * max(0, fresh)
+}
+
+func (e *entry) cost(now time.Time) float64 {
+	pace := 1.0
+	if !e.loadAt.IsZero() && now.Sub(e.loadAt) < loadFor {
+		pace = max(1, e.load.Pace)
+	}
+	cost := e.fill(now)*pace + (pace - 1)
+	switch e.distance {
+	case SameRegion:
+		cost += regionCost
+	case OtherRegion:
+		cost += farCost
+	}
+	return cost + failingCost*e.failing.share(now)
+}
+
+// Holders returns the servers of the service that hold the model and may be used, the best first for an adapter.
+func (b *Book) Holders(now time.Time, w Want) []deck.Server {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []deck.Server
+	for _, e := range b.service[w.Service] {
+		if s := e.fits(now, w); s == Chosen || s == AdapterAbsent {
+			out = append(out, e.Server)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/route/table/table.go
@@ -0,0 +1,71 @@
+package table
+
+import (
+	"net"
+	"strings"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// A Table is an immutable index of a routing configuration; its zero value has no routes.
+type Table struct {
+	cfg   *deck.RoutingConfig
+	hosts map[string]map[string]deck.Route // by host and prefix
+}
+
+// New returns the index of the configuration.
+func New(cfg *deck.RoutingConfig) *Table {
+	t := &Table{cfg: cfg, hosts: make(map[string]map[string]deck.Route)}
+	for _, r := range cfg.Routes {
+		prefixes := t.hosts[r.Host]
+		if prefixes == nil {
+			prefixes = make(map[string]deck.Route)
+			t.hosts[r.Host] = prefixes
+		}
+		prefixes[r.Prefix] = r
+	}
+	return t
+}
+
+// Config returns the configuration; nil for the zero value.
+func (t *Table) Config() *deck.RoutingConfig {
+	return t.cfg
+}
+
+// Match returns the route with the longest prefix of the path on the host; ok is false if there is none.
+func (t *Table) Match(host, path string) (r deck.Route, ok bool) {
+	prefixes := t.hosts[normalHost(host)]
+	if prefixes == nil {
+		return deck.Route{}, false
+	}
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r, ok := prefixes[path[:end+1]]; ok {
+			return r, true
+		}
+	}
+	return deck.Route{}, false
+}
+
+// Target returns the service of a route for a number in [0, 1).
+func Target(r deck.Route, draw float64) deck.ServiceName {
+	total := 0.0
+	for _, target := range r.Targets {
+		total += target.Weight
+	}
+	left := draw * total
+	for _, target := range r.Targets {
+		if left < target.Weight {
+			return target.Service
+		}
+		left -= target.Weight
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
+
+// normalHost returns the host in lower case without a port.
+func normalHost(host string) string {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	return strings.ToLower(host)
+}
--- /dev/null
+++ b/internal/state/hub/follower.go
@@ -0,0 +1,270 @@
+package hub
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+const (
+	pollWait     = 1 * time.Second         // how long the leader may keep a request waiting
+	pollTimeout  = 1600 * time.Millisecond // the wait, and a way there and back between regions with room for a slow VM
+	searchPause  = 100 * time.Millisecond  // between two VMs that do not lead
+	searchLimit  = 400 * time.Millisecond  // for the answer of a VM that is not known to lead
+	staleAfter   = 2 * time.Second         // without the leader's word the platform's own list is read
+	directPeriod = 1 * time.Second         // between two readings of the platform's own list
+
+	// trustAfter is how long a process that has never heard a leader waits before it takes a configuration from a replica
+	// that may be behind: a data centre that is cut off goes on serving.
+	trustAfter = 3 * time.Second
+)
+
+// FollowerOptions are what a follower needs; the functions are called by one goroutine at a time.
+type FollowerOptions struct {
+	Self       deck.VMName
+	DataCentre deck.DataCentre
+	Seeds      func() []deck.VMName
+	Client     deck.ViewClient
+	List       deck.ServerList // the platform's own list
+	Logger     logr.Logger
+
+	Report  func() ([]deck.CallDemand, []deck.Crash)
+	Config  func(deck.RoutingDocument)
+	Servers func([]deck.Server)
+	VMs     func(int)
+	Crashes func([]deck.Crash)
+}
+
+// A Follower keeps an entry VM's configuration and list of backend servers up to date.
+type Follower struct {
+	o    FollowerOptions
+	done chan struct{}
+
+	mu      sync.Mutex
+	leader  deck.VMName // empty if unknown
+	heardAt time.Time   // last answer of a leader; zero if there was none
+	version uint64      // of the configuration in force
+	view    deck.ViewVersion
+	servers map[deck.BackendName]deck.Server
+
+	members []deck.VMName
+	started time.Time
+	turn    int
+}
+
+// NewFollower returns a follower that is ready to run.
+func NewFollower(o FollowerOptions) *Follower {
+	return &Follower{o: o, done: make(chan struct{}), servers: make(map[deck.BackendName]deck.Server)}
+}
+
+// Done returns a channel that is closed when Run has returned.
+func (f *Follower) Done() <-chan struct{} {
+	return f.done
+}
+
+// Leader returns the VM that leads, if it is known.
+func (f *Follower) Leader() (deck.VMName, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leader, f.leader != ""
+}
+
+// Run follows the leader until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	defer close(f.done)
+	f.started = time.Now()
+	for ctx.Err() == nil {
+		if leader, ok := f.Leader(); ok {
+			f.poll(ctx, leader, pollWait, pollTimeout)
+			continue
+		}
+		to, ok := f.nextTarget()
+		if ok {
+			f.poll(ctx, to, 0, searchLimit)
+		}
+		if _, found := f.Leader(); !found {
+			pause(ctx, searchPause)
+		}
+	}
+	return nil
+}
+
+// RunDirect reads the platform's own list while no leader answers, until ctx ends.
+func (f *Follower) RunDirect(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause(ctx, directPeriod)
+		f.mu.Lock()
+		stale := time.Since(f.heardAt) > staleAfter
+		f.mu.Unlock()
+		if !stale {
+			continue
+		}
+		list, err := f.o.List.ListServers(ctx)
+		if err != nil {
+			f.o.Logger.Info("platform's list of backend servers could not be read", "reason", err.Error())
+			continue
+		}
+		f.replace(list)
+	}
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// nextTarget returns the VMs that may know the leader in turn.
+func (f *Follower) nextTarget() (deck.VMName, bool) {
+	targets := slices.Clone(f.members)
+	for _, s := range f.o.Seeds() {
+		if !slices.Contains(targets, s) {
+			targets = append(targets, s)
+		}
+	}
+	if len(targets) == 0 {
+		return "", false
+	}
+	f.turn++
+	return targets[f.turn%len(targets)], true
+}
+
+func (f *Follower) poll(ctx context.Context, to deck.VMName, wait, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	r := deck.ViewRequest{VM: f.o.Self, DataCentre: f.o.DataCentre, Wait: wait}
+	f.mu.Lock()
+	r.Config, r.View = f.version, f.view
+	f.mu.Unlock()
+	if wait > 0 {
+		r.Demand, r.Crashes = f.o.Report()
+	}
+	a, err := f.o.Client.AskView(ctx, to, r)
+	if err != nil {
+		f.lost(to, err.Error())
+		return
+	}
+	f.take(to, a)
+}
+
+// lost forgets a leader that does not answer.
+func (f *Follower) lost(vm deck.VMName, reason string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.leader == vm {
+		f.leader = ""
+		f.o.Logger.Info("leader lost", "leader", string(vm), "reason", reason, "config", f.version)
+	}
+}
+
+func (f *Follower) take(from deck.VMName, a deck.ViewAnswer) {
+	if len(a.Members) > 0 {
+		f.members = a.Members
+	}
+	if !a.Leading {
+		f.lost(from, "it no longer leads")
+		if a.Config != nil && f.mayTrust() {
+			f.install(*a.Config)
+		}
+		f.follow(a.Leader, from)
+		return
+	}
+	f.mu.Lock()
+	if f.leader != from {
+		f.leader = from
+		f.o.Logger.Info("leader found", "leader", string(from), "config", f.version)
+	}
+	f.heardAt = time.Now()
+	f.mu.Unlock()
+	if a.Config != nil {
+		f.install(*a.Config)
+	}
+	f.o.VMs(a.VMs)
+	f.o.Crashes(a.Crashes)
+	f.apply(a)
+}
+
+// mayTrust reports whether the configuration of a replica that does not lead is better than none.
+func (f *Follower) mayTrust() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.heardAt.IsZero() && time.Since(f.started) > trustAfter
+}
+
+// follow asks the VM next that another one names as the leader.
+func (f *Follower) follow(leader, from deck.VMName) {
+	if leader == "" || leader == from {
+		return
+	}
+	f.members = slices.DeleteFunc(f.members, func(v deck.VMName) bool { return v == leader })
+	f.members = append([]deck.VMName{leader}, f.members...)
+	f.turn = -1
+}
+
+// install puts a configuration into force unless a newer one is.
+func (f *Follower) install(doc deck.RoutingDocument) {
+	f.mu.Lock()
+	newer := doc.Version > f.version
+	if newer {
+		f.version = doc.Version
+	}
+	f.mu.Unlock()
+	if newer {
+		f.o.Config(doc)
+	}
+}
+
+// apply takes a change of the list.
+func (f *Follower) apply(a deck.ViewAnswer) {
+	f.mu.Lock()
+	changed := a.Whole || len(a.Servers) > 0 || len(a.Gone) > 0
+	if a.Whole {
+		f.servers = make(map[deck.BackendName]deck.Server, len(a.Servers))
+	}
+	for _, s := range a.Servers {
+		f.servers[s.ID] = s
+	}
+	for _, id := range a.Gone {
+		delete(f.servers, id)
+	}
+	f.view = a.View
+	f.mu.Unlock()
+	if changed {
+		f.publish()
+	}
+}
+
+// replace takes the platform's own list, which the leader's next word replaces as a whole.
+func (f *Follower) replace(list []deck.Server) {
+	f.mu.Lock()
+	f.view = deck.ViewVersion{}
+	f.servers = make(map[deck.BackendName]deck.Server, len(list))
+	for _, s := range list {
+		f.servers[s.ID] = s
+	}
+	f.mu.Unlock()
+	f.publish()
+}
+
+func (f *Follower) publish() {
+	f.mu.Lock()
+	list := make([]deck.Server, 0, len(f.servers))
+	for _, s := range f.servers {
+		list = append(list, s)
+	}
+	f.mu.Unlock()
+	slices.SortFunc(list, func(a, b deck.Server) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	f.o.Servers(list)
+}
--- /dev/null
+++ b/internal/state/hub/hub.go
@@ -0,0 +1,211 @@
+package hub
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+const (
+	vmForgotten = 5 * time.Second // an entry VM that has not asked for this time no longer counts
+	maxGone     = 4096            // removed servers that are remembered for deltas
+	maxCrashes  = 64              // each answer carries them
+	crashMemory = 60 * time.Second
+)
+
+// Options are what a hub needs.
+type Options struct {
+	Log    deck.Log
+	Watch  deck.ReplicaWatch
+	Clock  deck.Clock
+	Fresh  time.Duration // how old the check may be that this replica leads
+	Demand func([]deck.CallDemand)
+}
+
+// A Hub implements deck.ViewSource.
+type Hub struct {
+	o Options
+
+	mu      sync.Mutex
+	changed chan struct{} // closed at the next change
+	doc     deck.RoutingDocument
+	term    uint64
+	number  uint64
+	servers map[deck.BackendName]versioned
+	gone    map[deck.BackendName]uint64
+	vms     map[deck.VMName]time.Time
+	crashes []seenCrash
+}
+
+type versioned struct {
+	deck.Server
+	number uint64
+}
+
+type seenCrash struct {
+	deck.Crash
+	at time.Time
+}
+
+var _ deck.ViewSource = (*Hub)(nil)
+
+// New returns a hub without configuration and servers.
+func New(o Options) *Hub {
+	return &Hub{o: o, changed: make(chan struct{}), vms: make(map[deck.VMName]time.Time)}
+}
+
+// SetConfig takes a newer routing document.
+func (h *Hub) SetConfig(doc deck.RoutingDocument) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if doc.Version > h.doc.Version {
+		h.doc = doc
+		h.wake()
+	}
+}
+
+// SetServers takes the list of backend servers as the leader of the term knows it.
+func (h *Hub) SetServers(term uint64, list []deck.Server) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if term != h.term || h.servers == nil {
+		h.term, h.number = term, 0
+		h.servers = make(map[deck.BackendName]versioned)
+		h.gone = make(map[deck.BackendName]uint64)
+	}
+	next := h.number + 1
+	if h.update(list, next) {
+		h.number = next
+		h.wake()
+	}
+}
+
+func (h *Hub) update(list []deck.Server, next uint64) bool {
+	changed := false
+	listed := make(map[deck.BackendName]bool, len(list))
+	for _, s := range list {
+		listed[s.ID] = true
+		old, ok := h.servers[s.ID]
+		if ok && old.Equal(s) {
+			continue
+		}
+		h.servers[s.ID] = versioned{s, next}
+		delete(h.gone, s.ID)
+		changed = true
+	}
+	for id := range h.servers {
+		if !listed[id] {
+			delete(h.servers, id)
+			h.gone[id] = next
+			changed = true
+		}
+	}
+	if len(h.gone) > maxGone {
+		h.term, h.gone = 0, nil // the next list starts a new numbering, so that nobody misses a removal
+		h.servers = nil
+	}
+	return changed
+}
+
+// wake ends the waiting of all requests; the caller holds the lock.
+func (h *Hub) wake() {
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// View implements deck.ViewSource.View.
+func (h *Hub) View(ctx context.Context, r deck.ViewRequest) deck.ViewAnswer {
+	if _, leading := h.leads(); leading {
+		h.take(r)
+	}
+	deadline := time.NewTimer(r.Wait)
+	defer deadline.Stop()
+	for {
+		term, leading := h.leads()
+		a, news, changed := h.answer(r, term, leading)
+		if !leading || news {
+			return a
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			return a
+		case <-ctx.Done():
+			return a
+		}
+	}
+}
+
+func (h *Hub) leads() (uint64, bool) {
+	return h.o.Watch.Leads(h.o.Clock.Now(), h.o.Fresh)
+}
+
+// take notes what the VM reports.
+func (h *Hub) take(r deck.ViewRequest) {
+	if h.o.Demand != nil && len(r.Demand) > 0 {
+		h.o.Demand(r.Demand)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.o.Clock.Now()
+	h.vms[r.VM] = now
+	for vm, at := range h.vms {
+		if now.Sub(at) > vmForgotten {
+			delete(h.vms, vm)
+		}
+	}
+	for _, c := range r.Crashes {
+		h.crashes = append(h.crashes, seenCrash{c, now})
+	}
+	for len(h.crashes) > 0 && (len(h.crashes) > maxCrashes || now.Sub(h.crashes[0].at) > crashMemory) {
+		h.crashes = h.crashes[1:]
+	}
+}
+
+// answer returns what has changed for the VM and whether that is worth an answer before the wait ends.
+func (h *Hub) answer(r deck.ViewRequest, term uint64, leading bool) (a deck.ViewAnswer, news bool, changed <-chan struct{}) {
+	s := h.o.Log.Status()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a = deck.ViewAnswer{Leading: leading, Leader: s.Leader.VM, VMs: len(h.vms)}
+	for _, id := range append(s.Voters[:len(s.Voters):len(s.Voters)], s.Learners...) {
+		a.Members = append(a.Members, id.VM)
+	}
+	if h.doc.Version > r.Config {
+		doc := h.doc
+		a.Config, news = &doc, true
+	}
+	if leading && h.term == term && h.servers != nil {
+		news = h.addServers(&a, r) || news
+	} else {
+		a.View = r.View
+	}
+	for _, c := range h.crashes {
+		a.Crashes = append(a.Crashes, c.Crash)
+	}
+	return a, news, h.changed
+}
+
+func (h *Hub) addServers(a *deck.ViewAnswer, r deck.ViewRequest) bool {
+	a.View = deck.ViewVersion{Term: h.term, Number: h.number}
+	a.Whole = r.View.Term != h.term || r.View.Number > h.number
+	after := r.View.Number
+	if a.Whole {
+		after = 0
+	}
+	for _, s := range h.servers {
+		if a.Whole || s.number > after {
+			a.Servers = append(a.Servers, s.Server)
+		}
+	}
+	if !a.Whole {
+		for id, number := range h.gone {
+			if number > after {
+				a.Gone = append(a.Gone, id)
+			}
+		}
+	}
+	return a.Whole || len(a.Servers) > 0 || len(a.Gone) > 0
+}
--- /dev/null
+++ b/internal/state/join/doc.go
@@ -0,0 +1,3 @@
+// Package join keeps the replicated log's voters complete without an operator: new replicas join, and replace voters that
+// have gone.
+package join
--- /dev/null
+++ b/internal/state/replica/health.go
@@ -0,0 +1,62 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// Health implements deck.ReplicaWatch.Health.
+func (n *Node) Health(ctx context.Context) ([]deck.ReplicaHealth, error) {
+	type answer struct {
+		health []deck.ReplicaHealth
+		err    error
+	}
+	ended := make(chan answer, 1)
+	err := n.call(ctx, func(now time.Time) {
+		h, err := n.core.Health(now)
+		ended <- answer{h, err}
+	})
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case a := <-ended:
+		return a.health, a.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-n.done:
+		return nil, deck.ErrReplicaStopped
+	}
+}
+
+// Leads implements deck.ReplicaWatch.Leads.
+func (n *Node) Leads(now time.Time, most time.Duration) (term uint64, ok bool) {
+	s := n.status.Load()
+	at := n.publishedAt.Load()
+	if at == nil || now.Sub(*at) > most || s.Leader != s.Self || s.Failed != "" {
+		return 0, false
+	}
+	return s.Term, true
+}
+
+// Health returns the leader's view of the other replicas.
+func (c *Core) Health(now time.Time) ([]deck.ReplicaHealth, error) {
+	c.advance(now)
+	if c.state != leader {
+		return nil, deck.NotLeaderError{Leader: c.lead}
+	}
+	m := c.membership()
+	var out []deck.ReplicaHealth
+	for _, id := range m.Members() {
+		if id == c.self {
+			continue
+		}
+		p := c.peers[id]
+		h := deck.ReplicaHealth{ID: id, Voter: m.IsVoter(id), Heard: p.heard}
+		h.CaughtUp = p.match >= c.log.commit
+		out = append(out, h)
+	}
+	return out, nil
+}
--- a/internal/state/replica/node.go
+++ b/internal/state/replica/node.go
@@ -36,6 +36,8 @@
 	done   chan struct{}
 	status atomic.Pointer[deck.LogStatus]
 
+	publishedAt atomic.Pointer[time.Time] // when the status was true
+
 	counters nodeCounters
 
 	group   *errgroup.Group
@@ -53,6 +55,7 @@
 	_ deck.Log             = (*Node)(nil)
 	_ deck.ReplicaReceiver = (*Node)(nil)
 	_ deck.ReplicaSet      = (*Node)(nil)
+	_ deck.ReplicaWatch    = (*Node)(nil)
 )
 
 // NewNode returns a node that continues the stored log; it takes part once Run is called.
--- a/internal/state/replica/run.go
+++ b/internal/state/replica/run.go
@@ -211,6 +211,8 @@
 		s.Leader = deck.ReplicaID{}
 	}
 	old := n.status.Swap(&s)
+	at := n.core.now
+	n.publishedAt.Store(&at)
 	if old != nil && old.Leader != s.Leader {
 		n.counters.leaderChanges.Add(1)
 		n.opts.Log.Info("leader of the replicated log changed", "leader", s.Leader.String(), "term", s.Term)
--- /dev/null
+++ b/internal/state/routing/doc.go
@@ -0,0 +1,2 @@
+// Package routing keeps the newest routing document in the replicated log.
+package routing
--- /dev/null
+++ b/internal/state/routing/store.go
@@ -0,0 +1,89 @@
+package routing
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// Times that an operator's call may take; operators go on to another VM after about a second.
+const (
+	proposeTimeout = 2500 * time.Millisecond // two elections may take longer; the operator sends the document again
+	barrierTimeout = 900 * time.Millisecond
+)
+
+// A Forwarder hands a document to the leader's VM.
+type Forwarder interface {
+	// ForwardRouting returns nil once the leader has made the document durable.
+	ForwardRouting(ctx context.Context, leader deck.VMName, body []byte) error
+}
+
+// A Store implements deck.RoutingStore on a replica of the log.
+type Store struct {
+	Log     deck.Log
+	Machine *Machine
+	Decoder deck.RoutingDecoder
+	Forward Forwarder
+	Logger  logr.Logger
+}
+
+var _ deck.RoutingStore = (*Store)(nil)
+
+// PutRouting implements deck.RoutingStore.PutRouting; another replica's leader gets the document forwarded.
+func (s *Store) PutRouting(ctx context.Context, body []byte) error {
+	cfg, err := s.Decoder.DecodeRouting(body)
+	if err != nil {
+		s.Logger.Info("routing document refused", "reason", err.Error())
+		return errors.Mark(err, deck.ErrInvalidRouting)
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	leader := s.Log.Status().Leader
+	if leader != s.Log.Status().Self {
+		if leader.IsZero() {
+			return deck.NotLeaderError{}
+		}
+		return s.Forward.ForwardRouting(ctx, leader.VM, body)
+	}
+	err = s.propose(ctx, deck.RoutingDocument{Version: cfg.Version, Body: body})
+	s.Logger.Info("routing document proposed", "version", cfg.Version, "bytes", len(body), "error", errorText(err))
+	return err
+}
+
+// propose commits the document; a version that is already in force needs no new entry, only a proof that it is durable.
+func (s *Store) propose(ctx context.Context, doc deck.RoutingDocument) error {
+	if doc.Version <= s.Machine.Document().Version {
+		return s.Log.Barrier(ctx)
+	}
+	command, err := Encode(doc)
+	if err != nil {
+		return err
+	}
+	_, err = s.Log.Propose(ctx, command)
+	return err
+}
+
+// Routing implements deck.RoutingStore.Routing.
+func (s *Store) Routing(ctx context.Context) (deck.RoutingDocument, error) {
+	ctx, cancel := context.WithTimeout(ctx, barrierTimeout)
+	defer cancel()
+	if err := s.Log.Barrier(ctx); err != nil {
+		return deck.RoutingDocument{}, errors.Wrap(err, "newest routing document is not certain")
+	}
+	doc := s.Machine.Document()
+	if doc.Version == 0 {
+		return doc, errors.New("no routing document yet")
+	}
+	return doc, nil
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
