Judge the room for an adapter when it is the order's turn at the engine

Change: room is judged under the engine's turn; 200 to an unload counts as an order, 202 keeps the place until a report shows it free.

--- a/internal/place/order/adapters.go
+++ b/internal/place/order/adapters.go
@@ -137,12 +137,12 @@
 ) deck.Placement {
 	tried := make(map[*engine]bool)
 	for range adapterTries {
-		e, evict, ok := c.adapterHome(spec, from, key, tried)
+		e, ok := c.adapterHome(spec, from, key, tried)
 		if !ok {
 			break
 		}
 		tried[e] = true
-		if c.loadAdapter(ctx, e, evict, key) {
+		if c.loadAdapter(ctx, spec, e, key) {
 			c.publish()
 			return deck.Placement{Server: e.server.ID}
 		}
@@ -150,25 +150,21 @@
 	return c.pending(key.service, key.model)
 }
 
-// adapterHome chooses the engine with the most room for adapters, and the adapter that has to make way where there is none.
+// adapterHome chooses the engine with the most room for adapters.
 func (c *Controller) adapterHome(
 	spec deck.EngineSpec, from deck.DataCentre, key placeKey, tried map[*engine]bool,
-) (best *engine, evict deck.AdapterRef, ok bool) {
+) (best *engine, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
 	bestCost := 0.0
 	for _, e := range c.engines {
-		if _, holds := e.models[key.model]; !holds || tried[e] || !e.known || e.fenced || e.server.Draining ||
-			e.server.Service != key.service || e.leaving != "" || e.loading != "" || len(e.coming) >= maxComing {
+		if tried[e] || e.server.Service != key.service || !e.takesAdapters(key.model) {
 			continue
 		}
-		cost := float64(e.adapters())
-		victim := deck.AdapterRef{}
+		cost := float64(e.adapters() + len(e.sending))
 		if e.adapters() >= spec.AdapterSlots {
-			var found bool
-			victim, found = e.oldestAdapter(now)
-			if !found {
+			if _, found := e.oldestAdapter(now); !found {
 				continue
 			}
 			cost += evictAdapterCost
@@ -177,10 +173,17 @@
 			cost += farAdapterCost
 		}
 		if best == nil || cost < bestCost {
-			best, bestCost, evict = e, cost, victim
+			best, bestCost = e, cost
 		}
 	}
-	return best, evict, best != nil
+	return best, best != nil
+}
+
+// takesAdapters reports whether an order for an adapter of the model may be sent.
+func (e *engine) takesAdapters(m deck.ModelName) bool {
+	_, holds := e.models[m]
+	return holds && e.known && !e.fenced && !e.server.Draining && e.leaving == "" && e.loading == "" &&
+		len(e.coming) < maxComing
 }
 
 // Costs in units of one adapter that an engine holds already.
@@ -202,8 +205,9 @@
 	return ref, ok
 }
 
-// loadAdapter sends the orders and waits for the load's usual time.
-func (c *Controller) loadAdapter(ctx context.Context, e *engine, evict deck.AdapterRef, key placeKey) bool {
+// loadAdapter sends the orders and waits for the load's usual time. Orders to an engine follow each other, so the room is
+// judged only once it is this order's turn.
+func (c *Controller) loadAdapter(ctx context.Context, spec deck.EngineSpec, e *engine, key placeKey) bool {
 	select {
 	case e.sending <- struct{}{}:
 	case <-time.After(sendWait):
@@ -214,20 +218,8 @@
 	defer func() { <-e.sending }()
 	// An order that has begun ends also when the caller has left: its fate has to be known.
 	ctx = context.WithoutCancel(ctx)
-	if evict != (deck.AdapterRef{}) {
-		c.mu.Lock()
-		used := e.models[evict.Model][evict.Adapter]
-		delete(e.models[evict.Model], evict.Adapter)
-		c.mu.Unlock()
-		out := c.send(ctx, e, deck.ModelOrder{Unload: true, Model: evict.Model, Adapter: evict.Adapter})
-		if out != deck.OrderAccepted && out != deck.OrderHolds {
-			c.mu.Lock()
-			if held := e.models[evict.Model]; held != nil {
-				held[evict.Adapter] = used
-			}
-			c.mu.Unlock()
-			return false
-		}
+	if !c.makeRoom(ctx, spec, e, key.model) {
+		return false
 	}
 	out := c.send(ctx, e, deck.ModelOrder{Model: key.model, Adapter: key.adapter})
 	if out != deck.OrderAccepted && out != deck.OrderHolds {
@@ -242,3 +234,33 @@
 	}
 	return ok
 }
+
+// makeRoom evicts an adapter if the engine has no free place; it reports whether there is one.
+func (c *Controller) makeRoom(ctx context.Context, spec deck.EngineSpec, e *engine, m deck.ModelName) bool {
+	c.mu.Lock()
+	ok := e.takesAdapters(m)
+	free := e.adapters() < spec.AdapterSlots
+	victim, found := e.oldestAdapter(time.Now())
+	c.mu.Unlock()
+	if !ok || free {
+		return ok
+	}
+	return found && c.evictAdapter(ctx, e, victim)
+}
+
+// evictAdapter unloads an adapter; it reports whether the place is free already.
+func (c *Controller) evictAdapter(ctx context.Context, e *engine, a deck.AdapterRef) bool {
+	c.mu.Lock()
+	delete(e.models[a.Model], a.Adapter)
+	e.going[a] = true
+	c.mu.Unlock()
+	out := c.send(ctx, e, deck.ModelOrder{Unload: true, Model: a.Model, Adapter: a.Adapter})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if out == deck.OrderHolds {
+		delete(e.going, a)
+		return true
+	}
+	e.known = false // a report tells when its runs have ended
+	return false
+}
--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -22,7 +22,7 @@
 	listTimeout = 1 * time.Second
 	callTimeout = 700 * time.Millisecond // of an order or a report
 	demandFade  = 3 * time.Second        // time constant with which demand is forgotten
-	rescanAfter = 300 * time.Millisecond // the lag of an engine's report
+	rescanAfter = 500 * time.Millisecond // the lag of an engine's report, with room
 	retryPause  = 500 * time.Millisecond // after a conflict or a lost answer
 
 	// storeShare of the weight store's rate is used, so that loads that are carried out late fit in too.
@@ -275,7 +275,7 @@
 		if e.server.Service != s.Name || e.server.Draining {
 			continue
 		}
-		if !e.known && !e.fenced && len(e.sending) == 0 && now.After(e.retryAt) {
+		if !e.known && !e.fenced && len(e.sending) == 0 && now.After(e.retryAt) && now.Sub(e.ordered) > rescanAfter {
 			c.start(ctx, e, func(ctx context.Context) { c.scan(ctx, e) })
 		}
 		engines = append(engines, e.view(*s.Engine, now))
--- a/internal/place/order/engine.go
+++ b/internal/place/order/engine.go
@@ -15,18 +15,20 @@
 	seq     uint64                                            // orders that the engine has accepted
 	models  map[deck.ModelName]map[deck.AdapterName]time.Time // adapters with their last use
 	atHand  map[deck.ModelName]bool
-	loading deck.ModelName // empty for none
-	leaving deck.ModelName // being unloaded; empty for none
-	readyAt time.Time      // estimate for the end of the load
-	coming  map[deck.AdapterRef]bool
-	fenced  bool      // a higher fencing token was seen: no more orders in this term
-	retryAt time.Time // no order before
+	loading deck.ModelName           // empty for none
+	leaving deck.ModelName           // being unloaded; empty for none
+	readyAt time.Time                // estimate for the end of the load
+	coming  map[deck.AdapterRef]bool // adapters in transit
+	going   map[deck.AdapterRef]bool // adapters that are unloaded once their runs have ended
+	ordered time.Time                // when the last order was accepted; a report may be older than it says
+	fenced  bool                     // a higher fencing token was seen: no more orders in this term
+	retryAt time.Time                // no order before
 }
 
 func newEngine(s deck.Server) *engine {
 	return &engine{
 		server: s, sending: make(chan struct{}, 1), models: make(map[deck.ModelName]map[deck.AdapterName]time.Time),
-		atHand: make(map[deck.ModelName]bool), coming: make(map[deck.AdapterRef]bool),
+		atHand: make(map[deck.ModelName]bool), coming: make(map[deck.AdapterRef]bool), going: make(map[deck.AdapterRef]bool),
 	}
 }
 
@@ -59,15 +61,16 @@
 	for _, m := range st.DiskModels {
 		e.atHand[m] = true
 	}
+	clear(e.going)
 	clear(e.coming)
 	for _, c := range st.Coming {
 		e.coming[c] = true
 	}
 }
 
-// adapters returns the adapters that are held or on their way.
+// adapters returns how many adapters take a place: held, on their way, or about to go.
 func (e *engine) adapters() int {
-	n := len(e.coming)
+	n := len(e.coming) + len(e.going)
 	for _, a := range e.models {
 		n += len(a)
 	}
--- a/internal/place/order/work.go
+++ b/internal/place/order/work.go
@@ -50,19 +50,22 @@
 	octx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	outcome, err := c.o.Engines.Order(octx, server, o)
-	if outcome != deck.OrderAccepted || err != nil {
-		c.o.Log.Info("order had no effect yet", "engine", string(server.ID), "model", string(o.Model),
-			"adapter", string(o.Adapter), "unload", o.Unload, "outcome", outcome.String(), "fence", fence,
-			"orders-accepted", o.After, "error", errorText(err))
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.o.Log.Info("order sent", "engine", string(server.ID), "model", string(o.Model), "adapter", string(o.Adapter),
+		"unload", o.Unload, "outcome", outcome.String(), "fence", fence, "orders-accepted", o.After,
+		"models", len(e.models), "adapters", e.adapters(), "error", errorText(err))
 	switch outcome {
 	case deck.OrderAccepted:
 		e.seq++
+		e.ordered = time.Now()
 	case deck.OrderFenced:
 		e.fenced = true
 	case deck.OrderHolds:
+		if o.Unload && o.Adapter != "" {
+			e.seq++ // an adapter without runs goes at once, and that counts as an order
+			e.ordered = time.Now()
+		}
 	default:
 		e.known = false
 		e.retryAt = time.Now().Add(retryPause)
