--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -62,6 +62,7 @@
 	last    string        // id of the last event that the caller has received
 	server  deck.Server   // of the last offer
 	first   time.Duration // from the start to the first byte of the answer; 0 if there was none
+	gap     time.Duration // the longest pause between two events
 	spare   *spareAnswer  // a server's failure that is relayed if no other server does better
 }
 
--- a/internal/api/ingress/record.go
+++ b/internal/api/ingress/record.go
@@ -22,7 +22,7 @@
 	fields := append([]any{
 		"request", string(c.call.ID), "route", c.route.Name, "config", c.version, "service", string(c.service),
 		"server", string(c.server.ID), "offers", c.offers, "may-have-run", c.runs, "status", status, "outcome", outcome,
-		"first-ms", c.first.Milliseconds(), "total-ms", total.Milliseconds(),
+		"first-ms", c.first.Milliseconds(), "gap-ms", c.gap.Milliseconds(), "total-ms", total.Milliseconds(),
 	}, more...)
 	if c.call.Model != "" {
 		fields = append(fields, "model", string(c.call.Model), "adapter", string(c.call.Adapter))
--- a/internal/api/ingress/relay.go
+++ b/internal/api/ingress/relay.go
@@ -167,8 +167,12 @@
 		writeHead(c.w, ex.Response.StatusCode, ex.Response.Header, -1)
 	}
 	flusher := http.NewResponseController(c.w)
+	at := time.Now()
 	for {
 		data, err := events.next()
+		now := time.Now()
+		c.gap = max(c.gap, now.Sub(at))
+		at = now
 		if stall != nil {
 			stall.Reset(stallLimit)
 		}
--- a/internal/command/node/node.go
+++ b/internal/command/node/node.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -59,6 +60,7 @@
 	meters *telemetry.Metrics
 
 	current atomic.Pointer[settings.Settings]
+	hangup  chan os.Signal // SIGHUP says that the settings file has changed
 }
 
 // New assembles a process; its listeners are bound when New returns.
@@ -67,6 +69,8 @@
 	logs := telemetry.NewDropWriter(os.Stdout)
 	log := telemetry.NewLogger(logs, deck.VMName(s.VM)).WithValues("role", string(role))
 	n := &Node{kernel: kernel.Kernel{Log: log}, file: file, log: log, logs: logs, mux: http.NewServeMux()}
+	n.hangup = make(chan os.Signal, 1)
+	signal.Notify(n.hangup, syscall.SIGHUP) // without this the signal would end the process
 	n.current.Store(&s)
 	m, err := telemetry.NewMetrics()
 	if err != nil {
@@ -125,6 +129,9 @@
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-n.hangup:
+			n.reload()
+			continue
 		case <-ticker.C:
 		}
 		info, err := os.Stat(n.file)
