Move a silent stream only where it can go on, and spread by observed pauses

Change: the stream stays unless another engine can take it, a broken stream looks for one for 1.5 s and may return to its engine; pauses between events count in the choice.

--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -16,6 +16,10 @@
 	// patienceShare of the latency target may pass before a call that finds no place is refused.
 	patienceShare = 0.125
 
+	// resumePatience is how long a broken stream looks for an engine to go on; callers abandon a silent stream after two
+	// seconds.
+	resumePatience = 1500 * time.Millisecond
+
 	pickInterval = 20 * time.Millisecond // between two looks for a place
 
 	// maxSheds is how many servers may refuse a call for lack of room before the caller is told to come back.
@@ -59,6 +63,7 @@
 	placed  bool          // the placement leader was asked for the model or adapter
 	readyIn time.Duration // the placement leader's estimate
 	began   bool          // the caller has received the head of an answer
+	brokeAt time.Time     // when the stream to the caller last broke off; zero if it did not
 	last    string        // id of the last event that the caller has received
 	server  deck.Server   // of the last offer
 	first   time.Duration // from the start to the first byte of the answer; 0 if there was none
@@ -124,6 +129,9 @@
 
 // mayWait reports whether a place may come in time, and asks for a model or adapter that no engine holds.
 func (c *callRun) mayWait(now time.Time, shortage balance.Shortage) bool {
+	if c.began {
+		return now.Sub(c.brokeAt) < resumePatience
+	}
 	waited := now.Sub(c.start)
 	switch shortage {
 	case balance.AdapterAbsent, balance.ModelAbsent:
@@ -159,7 +167,7 @@
 
 // giveUp refuses a call for which there is no server.
 func (c *callRun) giveUp(shortage balance.Shortage) {
-	if c.runs > 0 || c.began {
+	if c.runs > 0 {
 		c.fail()
 		return
 	}
--- a/internal/api/ingress/demand.go
+++ b/internal/api/ingress/demand.go
@@ -19,14 +19,17 @@
 	Adapter deck.AdapterName
 }
 
-// Count adds a call, weighed by the tokens that it may generate.
+// generatedShare of the tokens that a call may generate are generated on average.
+const generatedShare = 0.5
+
+// Count adds a call, weighed by the tokens that an engine has to read and generate for it.
 func (d *Demand) Count(s deck.ServiceName, c deck.Call) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.counts == nil {
 		d.counts = make(map[DemandKey]int)
 	}
-	d.counts[DemandKey{s, c.Model, c.Adapter}] += max(1, c.MaxTokens)
+	d.counts[DemandKey{s, c.Model, c.Adapter}] += max(1, c.PromptTokens+int(generatedShare*float64(c.MaxTokens)))
 }
 
 // Take returns the counts and starts anew.
--- a/internal/api/ingress/relay.go
+++ b/internal/api/ingress/relay.go
@@ -13,6 +13,7 @@
 
 	"github.com/geraniumdeck/geraniumdeck/internal/backend/http1"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/route/balance"
 )
 
 const (
@@ -20,9 +21,9 @@
 	maxDiscarded = 16 << 10  // bytes of an unwanted answer that are read to keep its connection
 	streamType   = "text/event-stream"
 
-	// stallLimit is how long a resumable stream may pause before it is resumed elsewhere; callers abandon a stream after
-	// two seconds.
-	stallLimit = 1200 * time.Millisecond
+	// minStall is the least pause after which a resumable stream is resumed elsewhere; a request that makes way for more
+	// urgent ones at its engine pauses for about a second.
+	minStall = 2 * time.Second
 )
 
 // hopHeaders concern one connection only.
@@ -154,13 +155,14 @@
 // last whole one.
 func (c *callRun) relayStream(ctx context.Context, s deck.Server, ex *http1.Exchange) result {
 	c.runs++
-	var stall *time.Timer
-	body := io.Reader(ex.Response.Body)
-	if c.route.Repeatable() && c.runs < c.route.MaxAttempts {
-		stall = time.AfterFunc(stallLimit, ex.Abort)
-		defer stall.Stop()
-	}
-	events := newEventReader(body, c.last)
+	stallLimit := max(minStall, c.route.LatencyTarget)
+	stall := time.AfterFunc(stallLimit, func() {
+		if c.mayMove() {
+			ex.Abort()
+		}
+	})
+	defer stall.Stop()
+	events := newEventReader(ex.Response.Body, c.last)
 	if !c.began {
 		c.began = true
 		c.first = time.Since(c.start)
@@ -172,10 +174,9 @@
 		data, err := events.next()
 		now := time.Now()
 		c.gap = max(c.gap, now.Sub(at))
+		c.h.Book.SawPause(now, s.ID, now.Sub(at), c.route.GapTarget)
 		at = now
-		if stall != nil {
-			stall.Reset(stallLimit)
-		}
+		stall.Reset(stallLimit)
 		if len(data) > 0 {
 			if _, werr := c.w.Write(data); werr != nil {
 				ex.Abort()
@@ -207,5 +208,16 @@
 		return failed
 	}
 	c.h.Book.SawAnswer(time.Now(), s.ID, true)
+	delete(c.want.Tried, s.ID) // an engine that broke one connection may go on with the stream on another
+	c.brokeAt = time.Now()
 	return c.repeat()
 }
+
+// mayMove reports whether a silent stream can go on elsewhere. Silence alone is no reason to end an answer.
+func (c *callRun) mayMove() bool {
+	if c.repeat() != again {
+		return false
+	}
+	_, shortage := c.h.Book.Pick(time.Now(), c.want)
+	return shortage == balance.Chosen
+}
--- a/internal/route/balance/book.go
+++ b/internal/route/balance/book.go
@@ -42,6 +42,7 @@
 	downFor   time.Duration
 	fullUntil time.Time
 	failing   failureRate
+	pause     pauseRate
 	absent    map[held]time.Time // what the server said that it does not hold, until then
 	present   map[held]time.Time // what an order put there and the list does not show yet, until then
 }
@@ -113,6 +114,14 @@
 	})
 }
 
+// SawPause takes the pause between two events of a stream, and the longest pause that the stream's route allows.
+func (b *Book) SawPause(now time.Time, id deck.BackendName, pause, target time.Duration) {
+	if target <= 0 {
+		return
+	}
+	b.with(id, func(e *entry) { e.pause.add(now, pause.Seconds()/target.Seconds()) })
+}
+
 // SawDown notes that the server could not be reached or broke its connection.
 func (b *Book) SawDown(now time.Time, id deck.BackendName) {
 	b.with(id, func(e *entry) {
--- a/internal/route/balance/pick.go
+++ b/internal/route/balance/pick.go
@@ -19,11 +19,12 @@
 
 // Costs in units of one full batch of the server's places.
 const (
-	regionCost  = 0.02 // another data centre of the region: traffic is billed by volume
-	farCost     = 0.45 // another region: a few dozen ms each way, and traffic is billed
+	regionCost  = 0.01 // another data centre of the region: traffic is billed by volume
+	farCost     = 0.08 // another region: a few dozen ms each way, and traffic is billed
 	failingCost = 4.0  // times the share of calls that failed of late
-	jitterCost  = 0.04 // spreads VMs that have seen the same load
-	prefixGain  = 0.08 // the prompt's shared parts need not be read again
+	pauseCost   = 0.6  // times the share of the allowed pause that events take of late
+	jitterCost  = 0.02 // spreads VMs that have seen the same load
+	prefixGain  = 0.03 // the prompt's shared parts need not be read again
 )
 
 // maxFill is how many calls, in units of the server's places, may be there before no more are offered. A caller's patience
@@ -129,14 +130,14 @@
 	if !e.loadAt.IsZero() && now.Sub(e.loadAt) < loadFor {
 		pace = max(1, e.load.Pace)
 	}
-	cost := e.fill(now)*pace + (pace - 1)
+	cost := e.fill(now) * pace
 	switch e.distance {
 	case SameRegion:
 		cost += regionCost
 	case OtherRegion:
 		cost += farCost
 	}
-	return cost + failingCost*e.failing.share(now)
+	return cost + failingCost*e.failing.share(now) + pauseCost*e.pause.share(now)
 }
 
 // Holders returns the servers of the service that hold the model and may be used, the best first for an adapter.
