--- a/internal/command/node/control.go
+++ b/internal/command/node/control.go
@@ -53,7 +53,7 @@
 	}
 	fleet := peer.FleetClient{HTTP: client, DataCentre: s.DataCentre, Leader: c.leader}
 	c.orders = order.NewController(order.Options{
-		Self: s.Peer(), Watch: c.replica, Clock: deck.BootClock{}, Fresh: leadFresh, Lease: s.Bounds.Lease,
+		Self: s.Peer(), Watch: c.replica, Clock: deck.BootClock{}, Fresh: leadFresh, Lease: s.Bounds.Lease, Fenced: s.Bounds.Fenced,
 		Engines: platform.Engines{HTTP: client},
 		List:    platform.Listing{Address: s.Platform.Address, HTTP: client, Log: n.log},
 		Config:  c.config.Load, Publish: func(term uint64, list []deck.Server) { c.hub.SetServers(term, list) }, Log: n.log,
--- /dev/null
+++ b/internal/place/assign/next.go
@@ -0,0 +1,207 @@
+package assign
+
+import (
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// An Engine is what is known of one engine.
+type Engine struct {
+	ID         deck.BackendName
+	DataCentre deck.DataCentre
+	Idle       bool                    // it can take an order
+	Models     map[deck.ModelName]bool // held or being loaded
+	Used       float64                 // megabytes of weights and adapters, those on their way included
+	AtHand     map[deck.ModelName]bool // copies in its memory or on its disk
+}
+
+// An Action is an order to an engine.
+type Action struct {
+	Engine deck.BackendName
+	Model  deck.ModelName
+	Unload bool
+	Store  bool // the weights come from the weight store
+}
+
+// Next returns the orders to send now, at most one for each engine. Loads from the weight store stop at the given number.
+func Next(spec deck.EngineSpec, engines []Engine, demand Demand, storeLoads int) []Action {
+	p := newPlanner(spec, engines, demand)
+	p.storeLoads = storeLoads
+	for {
+		m, ok := p.mostLacking()
+		if !ok {
+			break
+		}
+		if !p.supply(m) {
+			p.skipped[m.Name] = true
+		}
+	}
+	p.restoreReserve()
+	return p.actions
+}
+
+type planner struct {
+	spec       deck.EngineSpec
+	engines    []Engine
+	demand     Demand
+	storeLoads int
+
+	want    map[deck.ModelName]int
+	have    map[deck.ModelName]int
+	near    map[place]int // copies in a data centre
+	skipped map[deck.ModelName]bool
+	busy    map[deck.BackendName]bool
+	lost    int // models that no engine holds
+	free    int // free places
+	actions []Action
+}
+
+type place struct {
+	model deck.ModelName
+	dc    deck.DataCentre
+}
+
+func newPlanner(spec deck.EngineSpec, engines []Engine, demand Demand) *planner {
+	p := &planner{
+		spec: spec, engines: engines, demand: demand, want: Copies(spec, len(engines), demand),
+		have: make(map[deck.ModelName]int), near: make(map[place]int), skipped: make(map[deck.ModelName]bool),
+		busy: make(map[deck.BackendName]bool),
+	}
+	for _, e := range engines {
+		p.free += places(spec, spec.WeightMegabytes-e.Used)
+		for m := range e.Models {
+			p.have[m]++
+			p.near[place{m, e.DataCentre}]++
+		}
+	}
+	for _, m := range spec.Models {
+		if p.have[m.Name] == 0 {
+			p.lost++
+		}
+	}
+	return p
+}
+
+// mostLacking returns the model with too few copies whose copies have the most work.
+func (p *planner) mostLacking() (best deck.EngineModel, ok bool) {
+	for _, m := range p.spec.Models {
+		if p.skipped[m.Name] || p.have[m.Name] >= p.want[m.Name] {
+			continue
+		}
+		if !ok || p.pressure(m.Name) > p.pressure(best.Name) {
+			best, ok = m, true
+		}
+	}
+	return best, ok
+}
+
+// unreachable weighs the demand for a model that no engine holds.
+const unreachable = 100.0
+
+// pressure returns the work for each copy.
+func (p *planner) pressure(m deck.ModelName) float64 {
+	if p.have[m] == 0 {
+		return p.demand[m] * unreachable
+	}
+	return p.demand[m] / float64(p.have[m])
+}
+
+// supply adds the order that brings a further copy of the model closer.
+func (p *planner) supply(m deck.EngineModel) bool {
+	var best Action
+	bestCost, found := 0.0, false
+	for _, e := range p.engines {
+		if !e.Idle || p.busy[e.ID] || e.Models[m.Name] || !e.AtHand[m.Name] && p.storeLoads <= 0 {
+			continue
+		}
+		a, cost, ok := p.onEngine(e, m)
+		if ok && (!found || cost < bestCost) {
+			best, bestCost, found = a, cost, true
+		}
+	}
+	if found {
+		p.add(best, m)
+	}
+	return found
+}
+
+// add takes an action into account. An unload that makes room counts as the copy that is to follow, so that no second one
+// is planned for it.
+func (p *planner) add(a Action, m deck.EngineModel) {
+	p.actions = append(p.actions, a)
+	p.busy[a.Engine] = true
+	if p.have[m.Name] == 0 {
+		p.lost--
+	}
+	p.have[m.Name]++
+	if a.Unload {
+		p.have[a.Model]--
+		return
+	}
+	p.free--
+	if a.Store {
+		p.storeLoads--
+	}
+}
+
+// Costs that order the engines for a further copy.
+const (
+	evictCost = 1.0 // an unload before the load
+	storeCost = 0.8 // the load takes seconds instead of half a second
+	nearCost  = 0.5 // for each copy in the same data centre
+	fillCost  = 0.2 // for each model that the engine holds already
+)
+
+func (p *planner) onEngine(e Engine, m deck.EngineModel) (a Action, cost float64, ok bool) {
+	cost = nearCost*float64(p.near[place{m.Name, e.DataCentre}]) + fillCost*float64(len(e.Models))
+	if !e.AtHand[m.Name] {
+		cost += storeCost
+	}
+	lostFirst := p.have[m.Name] > 0 && p.free <= p.lost // the last free places are for models that nobody can reach
+	if !lostFirst && e.Used+m.Megabytes <= p.spec.WeightMegabytes {
+		return Action{Engine: e.ID, Model: m.Name, Store: !e.AtHand[m.Name]}, cost, true
+	}
+	if e.Used+m.Megabytes <= p.spec.WeightMegabytes {
+		return a, 0, false
+	}
+	victim, ok := p.victim(e)
+	if !ok {
+		return a, 0, false
+	}
+	return Action{Engine: e.ID, Model: victim, Unload: true}, cost + evictCost, true
+}
+
+// victim returns the model on the engine that has copies to spare and the least work for each.
+func (p *planner) victim(e Engine) (best deck.ModelName, ok bool) {
+	least := 0.0
+	for v := range e.Models {
+		if p.have[v] <= p.want[v] || p.have[v] < 2 {
+			continue
+		}
+		each := p.demand[v] / float64(p.have[v]-1)
+		if !ok || each < least || each == least && v < best {
+			best, least, ok = v, each, true
+		}
+	}
+	return best, ok
+}
+
+// restoreReserve unloads copies that are no longer wanted until enough places are free.
+func (p *planner) restoreReserve() {
+	missing := Reserve(p.spec, len(p.engines)) + p.lost - p.free
+	for _, e := range p.engines {
+		if missing <= 0 {
+			return
+		}
+		if !e.Idle || p.busy[e.ID] || places(p.spec, p.spec.WeightMegabytes-e.Used) > 0 {
+			continue
+		}
+		victim, ok := p.victim(e)
+		if !ok {
+			continue
+		}
+		p.actions = append(p.actions, Action{Engine: e.ID, Model: victim, Unload: true})
+		p.busy[e.ID] = true
+		p.have[victim]--
+		missing--
+	}
+}
--- a/internal/place/order/adapters.go
+++ b/internal/place/order/adapters.go
@@ -182,7 +182,7 @@
 // takesAdapters reports whether an order for an adapter of the model may be sent.
 func (e *engine) takesAdapters(m deck.ModelName) bool {
 	_, holds := e.models[m]
-	return holds && e.known && !e.fenced && !e.server.Draining && e.leaving == "" && e.loading == "" &&
+	return holds && e.known && !e.fenced && !e.server.Draining && e.leaving == "" &&
 		len(e.coming) < maxComing
 }
 
--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -20,10 +20,11 @@
 	period      = 100 * time.Millisecond
 	listPeriod  = 500 * time.Millisecond // a good part of the list's own lag
 	listTimeout = 1 * time.Second
-	callTimeout = 700 * time.Millisecond // of an order or a report
-	demandFade  = 3 * time.Second        // time constant with which demand is forgotten
-	rescanAfter = 500 * time.Millisecond // the lag of an engine's report, with room
-	retryPause  = 500 * time.Millisecond // after a conflict or a lost answer
+	callTimeout = 700 * time.Millisecond  // of an order or a report
+	demandFade  = 1500 * time.Millisecond // time constant with which demand is forgotten; it moves within seconds
+	rescanAfter = 500 * time.Millisecond  // the lag of an engine's report, with room
+	aloneAfter  = 500 * time.Millisecond  // a live voter answers its new leader within this time
+	retryPause  = 500 * time.Millisecond  // after a conflict or a lost answer
 
 	// storeShare of the weight store's rate is used, so that loads that are carried out late fit in too.
 	storeShare = 0.9
@@ -36,7 +37,8 @@
 	Watch   deck.ReplicaWatch
 	Clock   deck.Clock    // also counts while the VM is suspended
 	Fresh   time.Duration // how old the check may be that this replica leads
-	Lease   time.Duration // how long after a change of the leader no order is sent
+	Lease   time.Duration // between the orders of two holders that may both be alive
+	Fenced  bool          // engines refuse orders with an old fencing token
 	Engines deck.EngineControl
 	List    deck.ServerList
 	Config  func() *deck.RoutingConfig // nil before the first configuration
@@ -53,6 +55,7 @@
 	mu       sync.Mutex
 	term     uint64    // 0 while the replica does not lead
 	since    time.Time // when the term was first seen
+	alone    bool      // a voter has not answered in this term: the earlier holder is cut off or dead
 	listed   bool
 	listAt   time.Time
 	servers  []deck.Server
@@ -120,7 +123,7 @@
 		return term, ok
 	}
 	c.o.Log.Info("holder of orders changed", "term", term, "before", c.term, "leading", ok)
-	c.term, c.since, c.listed = term, now, false
+	c.term, c.since, c.listed, c.alone = term, now, false, false
 	clear(c.engines)
 	clear(c.store)
 	return term, ok
@@ -133,7 +136,35 @@
 	term, ok := c.o.Watch.Leads(now, c.o.Fresh)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return term, ok && term == c.term && now.Sub(c.since) > c.o.Lease
+	return term, ok && term == c.term && (c.alone || now.Sub(c.since) > c.o.Lease)
+}
+
+// checkAlone ends the wait for an earlier holder's lease once that holder is known to be cut off or dead, if engines refuse
+// its orders from then on anyway.
+func (c *Controller) checkAlone(ctx context.Context, term uint64) {
+	c.mu.Lock()
+	waiting := c.o.Fenced && !c.alone && c.o.Clock.Now().Sub(c.since) <= c.o.Lease
+	since := c.since
+	c.mu.Unlock()
+	if !waiting {
+		return
+	}
+	health, err := c.o.Watch.Health(ctx)
+	if err != nil {
+		return // no longer the leader
+	}
+	alone := false
+	for _, h := range health {
+		if h.Voter && h.Heard.Before(since) && c.o.Clock.Now().Sub(since) > aloneAfter {
+			alone = true
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if alone && c.term == term {
+		c.alone = true
+		c.o.Log.Info("earlier holder of orders does not answer; its lease is not waited for", "term", term)
+	}
 }
 
 func (c *Controller) readList(ctx context.Context) {
@@ -247,9 +278,11 @@
 
 // step sends the orders that are due.
 func (c *Controller) step(ctx context.Context) {
-	if _, ok := c.lead(); !ok {
+	term, ok := c.lead()
+	if !ok {
 		return
 	}
+	c.checkAlone(ctx, term)
 	cfg := c.o.Config()
 	if cfg == nil {
 		return
--- a/internal/settings/node/settings.go
+++ b/internal/settings/node/settings.go
@@ -49,6 +49,7 @@
 type Bounds struct {
 	Grace       time.Duration // from SIGTERM to SIGKILL
 	Lease       time.Duration // between orders of two holders
+	Fenced      bool          // engines refuse orders with an old fencing token
 	RetryShare  float64       // of the calls in a window that may be sent again
 	RetrySlack  float64       // calls in a window that may be sent again besides
 	RetryWindow time.Duration
@@ -78,6 +79,7 @@
 	Bounds       struct {
 		GraceS      float64 `yaml:"grace-seconds"`
 		LeaseMs     float64 `yaml:"lease-milliseconds"`
+		Fenced      bool    `yaml:"engines-check-fencing"`
 		RetryShare  float64 `yaml:"retry-share"`
 		RetrySlack  float64 `yaml:"retry-slack"`
 		RetryWindow float64 `yaml:"retry-window-seconds"`
@@ -106,7 +108,7 @@
 		FirstStart: w.FirstStart, DataFolder: w.DataFolder, Listen: Listen(w.Listen), Megabytes: w.Megabytes,
 		Platform: Platform(w.Platform), LossesToBear: w.LossesToBear,
 		Bounds: Bounds{
-			Grace: seconds(w.Bounds.GraceS), Lease: seconds(w.Bounds.LeaseMs / 1000),
+			Grace: seconds(w.Bounds.GraceS), Lease: seconds(w.Bounds.LeaseMs / 1000), Fenced: w.Bounds.Fenced,
 			RetryShare: w.Bounds.RetryShare, RetrySlack: w.Bounds.RetrySlack, RetryWindow: seconds(w.Bounds.RetryWindow),
 		},
 	}
--- a/internal/settings/node/settings_test.go
+++ b/internal/settings/node/settings_test.go
@@ -33,6 +33,7 @@
 bounds:
   grace-seconds: 8
   lease-milliseconds: 3000
+  engines-check-fencing: true
   retry-share: 0.2
   retry-slack: 56
   retry-window-seconds: 10
--- a/internal/state/hub/follower.go
+++ b/internal/state/hub/follower.go
@@ -13,7 +13,7 @@
 
 const (
 	pollWait     = 1 * time.Second         // how long the leader may keep a request waiting
-	pollTimeout  = 1600 * time.Millisecond // the wait, and a way there and back between regions with room for a slow VM
+	pollTimeout  = 1100 * time.Millisecond // the wait, and a way there and back between regions with room for a slow VM
 	searchPause  = 100 * time.Millisecond  // between two VMs that do not lead
 	searchLimit  = 400 * time.Millisecond  // for the answer of a VM that is not known to lead
 	staleAfter   = 2 * time.Second         // without the leader's word the platform's own list is read
