--- a/internal/place/order/adapters.go
+++ b/internal/place/order/adapters.go
@@ -10,11 +10,10 @@
 )
 
 const (
-	adapterTime  = 8 * time.Millisecond // an adapter load while few are under way
-	adapterIdle  = 1 * time.Second      // an adapter that was used since then is not evicted
-	maxComing    = 4                    // adapters in transit to one engine
-	adapterTries = 3                    // engines that are asked for one adapter
-	sendWait     = 300 * time.Millisecond
+	adapterTime  = 8 * time.Millisecond   // an adapter load while few are under way
+	adapterIdle  = 300 * time.Millisecond // an adapter that was used since then is not evicted
+	maxComing    = 4                      // adapters in transit to one engine
+	adapterTries = 3                      // engines that are asked for one adapter
 )
 
 type placeKey struct {
@@ -208,14 +207,10 @@
 // loadAdapter sends the orders and waits for the load's usual time. Orders to an engine follow each other, so the room is
 // judged only once it is this order's turn.
 func (c *Controller) loadAdapter(ctx context.Context, spec deck.EngineSpec, e *engine, key placeKey) bool {
-	select {
-	case e.sending <- struct{}{}:
-	case <-time.After(sendWait):
-		return false
-	case <-ctx.Done():
+	if !e.turn(ctx) {
 		return false
 	}
-	defer func() { <-e.sending }()
+	defer e.endTurn()
 	// An order that has begun ends also when the caller has left: its fate has to be known.
 	ctx = context.WithoutCancel(ctx)
 	if !c.makeRoom(ctx, spec, e, key.model) {
@@ -261,6 +256,5 @@
 		delete(e.going, a)
 		return true
 	}
-	e.known = false // a report tells when its runs have ended
-	return false
+	return false // a report tells when its runs have ended
 }
--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -22,7 +22,8 @@
 	listTimeout = 1 * time.Second
 	callTimeout = 700 * time.Millisecond  // of an order or a report
 	demandFade  = 1500 * time.Millisecond // time constant with which demand is forgotten; it moves within seconds
-	rescanAfter = 500 * time.Millisecond  // the lag of an engine's report, with room
+	reportLag   = 500 * time.Millisecond  // how old an engine's report may be, with room
+	turnWait    = 300 * time.Millisecond  // for orders before this one; each takes two ways between regions
 	aloneAfter  = 500 * time.Millisecond  // a live voter answers its new leader within this time
 	retryPause  = 500 * time.Millisecond  // after a conflict or a lost answer
 
@@ -308,8 +309,9 @@
 		if e.server.Service != s.Name || e.server.Draining {
 			continue
 		}
-		if !e.known && !e.fenced && len(e.sending) == 0 && now.After(e.retryAt) && now.Sub(e.ordered) > rescanAfter {
-			c.start(ctx, e, func(ctx context.Context) { c.scan(ctx, e) })
+		if e.needsScan(now) {
+			e.scanning = true
+			c.start(ctx, func(ctx context.Context) { c.scan(ctx, e) })
 		}
 		engines = append(engines, e.view(*s.Engine, now))
 	}
@@ -354,18 +356,12 @@
 	e.readyAt = now.Add(takes)
 	c.o.Log.Info("model order", "engine", string(a.Engine), "model", string(a.Model), "unload", a.Unload,
 		"store", a.Store, "demand", c.demand[e.server.Service][a.Model], "orders-accepted", e.seq)
-	c.start(ctx, e, func(ctx context.Context) { c.changeModel(ctx, e, a, takes) })
+	c.start(ctx, func(ctx context.Context) { c.changeModel(ctx, e, a, takes) })
 }
 
-// start runs work on an engine alone; the caller holds the lock.
-func (c *Controller) start(ctx context.Context, e *engine, work func(context.Context)) {
-	select {
-	case e.sending <- struct{}{}:
-	default:
-		return
-	}
+// start runs work in the controller's group.
+func (c *Controller) start(ctx context.Context, work func(context.Context)) {
 	c.group.Go(func() error {
-		defer func() { <-e.sending }()
 		work(ctx)
 		return nil
 	})
--- a/internal/place/order/engine.go
+++ b/internal/place/order/engine.go
@@ -1,6 +1,7 @@
 package order
 
 import (
+	"context"
 	"time"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
@@ -9,20 +10,21 @@
 
 // An engine is what the holder knows of one incarnation of an engine. Its fields are guarded by the controller's lock.
 type engine struct {
-	server  deck.Server
-	sending chan struct{}                                     // one slot: an order is on its way or its effect is awaited
-	known   bool                                              // a report was read in this term, and no order's fate is open
-	seq     uint64                                            // orders that the engine has accepted
-	models  map[deck.ModelName]map[deck.AdapterName]time.Time // adapters with their last use
-	atHand  map[deck.ModelName]bool
-	loading deck.ModelName           // empty for none
-	leaving deck.ModelName           // being unloaded; empty for none
-	readyAt time.Time                // estimate for the end of the load
-	coming  map[deck.AdapterRef]bool // adapters in transit
-	going   map[deck.AdapterRef]bool // adapters that are unloaded once their runs have ended
-	ordered time.Time                // when the last order was accepted; a report may be older than it says
-	fenced  bool                     // a higher fencing token was seen: no more orders in this term
-	retryAt time.Time                // no order before
+	server   deck.Server
+	sending  chan struct{}                                     // one slot: orders and reports follow each other
+	scanning bool                                              // a report is being read
+	known    bool                                              // a report was read in this term, and no order's fate is open
+	seq      uint64                                            // orders that the engine has accepted
+	models   map[deck.ModelName]map[deck.AdapterName]time.Time // adapters with their last use
+	atHand   map[deck.ModelName]bool
+	loading  deck.ModelName           // empty for none
+	leaving  deck.ModelName           // being unloaded; empty for none
+	readyAt  time.Time                // estimate for the end of the load
+	coming   map[deck.AdapterRef]bool // adapters in transit
+	going    map[deck.AdapterRef]bool // adapters that are unloaded once their runs have ended
+	ordered  time.Time                // when the last order was accepted; a report may be older than it says
+	fenced   bool                     // a higher fencing token was seen: no more orders in this term
+	retryAt  time.Time                // no order before
 }
 
 func newEngine(s deck.Server) *engine {
@@ -32,6 +34,23 @@
 	}
 }
 
+// turn waits until no other order or report is on its way to the engine; it reports whether that came in time.
+func (e *engine) turn(ctx context.Context) bool {
+	t := time.NewTimer(turnWait)
+	defer t.Stop()
+	select {
+	case e.sending <- struct{}{}:
+		return true
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+func (e *engine) endTurn() {
+	<-e.sending
+}
+
 // setModels takes what the engine says that it holds, and keeps when adapters were used.
 func (e *engine) setModels(held []deck.HeldModel, now time.Time) {
 	models := make(map[deck.ModelName]map[deck.AdapterName]time.Time, len(held))
@@ -99,7 +118,13 @@
 // idle reports whether the engine can take an order about a model.
 func (e *engine) idle(now time.Time) bool {
 	return e.known && !e.fenced && !e.server.Draining && e.loading == "" && e.leaving == "" &&
-		len(e.sending) == 0 && now.After(e.retryAt)
+		now.After(e.retryAt)
+}
+
+// needsScan reports whether a report is due: nothing is known, or adapters are about to go.
+func (e *engine) needsScan(now time.Time) bool {
+	return (!e.known || len(e.going) > 0) && !e.fenced && !e.scanning && now.After(e.retryAt) &&
+		now.Sub(e.ordered) > reportLag
 }
 
 // view returns the engine as the planner sees it.
--- a/internal/place/order/work.go
+++ b/internal/place/order/work.go
@@ -16,6 +16,15 @@
 
 // scan reads an engine's report, so that orders can follow on what it holds.
 func (c *Controller) scan(ctx context.Context, e *engine) {
+	defer func() {
+		c.mu.Lock()
+		e.scanning = false
+		c.mu.Unlock()
+	}()
+	if !e.turn(ctx) {
+		return
+	}
+	defer e.endTurn()
 	st, err := c.report(ctx, e)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -73,20 +82,25 @@
 	return outcome
 }
 
-// changeModel loads or unloads a model and waits until the engine has finished.
+// changeModel loads or unloads a model and waits until the engine has finished. Only the order itself takes the engine's
+// turn, so that adapters can be ordered meanwhile.
 func (c *Controller) changeModel(ctx context.Context, e *engine, a assign.Action, takes time.Duration) {
-	defer c.publish()
 	c.publish() // entry VMs stop using a model that is about to go
-	outcome := c.send(ctx, e, deck.ModelOrder{Unload: a.Unload, Model: a.Model})
+	outcome := deck.OrderConflict
+	if e.turn(ctx) {
+		outcome = c.send(ctx, e, deck.ModelOrder{Unload: a.Unload, Model: a.Model})
+		e.endTurn()
+	}
 	if outcome == deck.OrderAccepted {
 		c.await(ctx, e, takes)
 	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	e.loading, e.leaving = "", ""
 	if outcome == deck.OrderHolds {
 		e.known = false
 	}
+	c.mu.Unlock()
+	c.publish()
 }
 
 // await polls the engine's report until it is no longer busy with the order.
@@ -98,16 +112,19 @@
 			return
 		}
 		wait = watchPeriod
+		if !e.turn(ctx) {
+			continue
+		}
 		st, err := c.report(ctx, e)
 		c.mu.Lock()
 		gone := c.engines[e.server.ID] != e
-		if err == nil && !st.Busy && st.OrdersAccepted >= e.seq {
+		finished := err == nil && !st.Busy && st.OrdersAccepted >= e.seq && time.Since(e.ordered) > reportLag
+		if finished {
 			e.take(st, time.Now())
-			c.mu.Unlock()
-			return
 		}
 		c.mu.Unlock()
-		if gone {
+		e.endTurn()
+		if finished || gone {
 			return
 		}
 	}
