Change models less often, and unload only adapters that nothing uses

Change: hysteresis on evictions, demand that falls is forgotten slowly, entry VMs report the adapters in use.

--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -235,6 +235,11 @@
 	c.h.Book.Began(s.ID)
 	c.h.Book.SentPrompt(s.ID, c.want)
 	defer c.h.Book.Ended(s.ID)
+	if c.want.Adapter != "" {
+		run := deck.AdapterRun{Server: s.ID, AdapterRef: deck.AdapterRef{Model: c.want.Model, Adapter: c.want.Adapter}}
+		c.h.Demand.Began(run)
+		defer c.h.Demand.Ended(run)
+	}
 
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	defer cancel(nil)
--- a/internal/api/ingress/demand.go
+++ b/internal/api/ingress/demand.go
@@ -10,6 +10,7 @@
 type Demand struct {
 	mu     sync.Mutex
 	counts map[DemandKey]int
+	runs   map[deck.AdapterRun]int
 }
 
 // A DemandKey names a model or adapter of a service.
@@ -41,15 +42,33 @@
 	return out
 }
 
-// Return adds counts that could not be reported.
-func (d *Demand) Return(counts map[DemandKey]int) {
+// Began notes that a call uses an adapter at a server.
+func (d *Demand) Began(r deck.AdapterRun) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.counts == nil {
-		d.counts = counts
-		return
+	if d.runs == nil {
+		d.runs = make(map[deck.AdapterRun]int)
 	}
-	for k, n := range counts {
-		d.counts[k] += n
+	d.runs[r]++
+}
+
+// Ended notes the end of a call that Began was called for.
+func (d *Demand) Ended(r deck.AdapterRun) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.runs[r]--
+	if d.runs[r] <= 0 {
+		delete(d.runs, r)
 	}
 }
+
+// Running returns the adapters that calls use now.
+func (d *Demand) Running() []deck.AdapterRun {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []deck.AdapterRun
+	for r := range d.runs {
+		out = append(out, r)
+	}
+	return out
+}
--- a/internal/api/peer/viewwire.go
+++ b/internal/api/peer/viewwire.go
@@ -14,6 +14,7 @@
 	Number     uint64       `json:"number"`
 	WaitMs     int64        `json:"wait-ms"`
 	Demand     []demandCall `json:"demand,omitempty"`
+	Running    []runJSON    `json:"running,omitempty"`
 	Crashes    []crashJSON  `json:"crashes,omitempty"`
 }
 
@@ -24,6 +25,12 @@
 	Tokens  int    `json:"tokens"`
 }
 
+type runJSON struct {
+	Server  string `json:"server"`
+	Model   string `json:"model"`
+	Adapter string `json:"adapter"`
+}
+
 type crashJSON struct {
 	Request uint64 `json:"request"`
 	Server  string `json:"server"`
@@ -73,6 +80,9 @@
 	for _, d := range r.Demand {
 		w.Demand = append(w.Demand, demandCall{string(d.Service), string(d.Model), string(d.Adapter), d.Tokens})
 	}
+	for _, a := range r.Running {
+		w.Running = append(w.Running, runJSON{string(a.Server), string(a.Model), string(a.Adapter)})
+	}
 	return w
 }
 
@@ -88,6 +98,12 @@
 			Tokens: d.Tokens,
 		})
 	}
+	for _, a := range w.Running {
+		r.Running = append(r.Running, deck.AdapterRun{
+			Server:     deck.BackendName(a.Server),
+			AdapterRef: deck.AdapterRef{Model: deck.ModelName(a.Model), Adapter: deck.AdapterName(a.Adapter)},
+		})
+	}
 	return r
 }
 
--- a/internal/command/node/control.go
+++ b/internal/command/node/control.go
@@ -59,7 +59,7 @@
 		Config:  c.config.Load, Publish: func(term uint64, list []deck.Server) { c.hub.SetServers(term, list) }, Log: n.log,
 	})
 	c.hub = hub.New(hub.Options{
-		Log: c.replica, Watch: c.replica, Clock: deck.BootClock{}, Fresh: leadFresh, Demand: c.orders.AddDemand,
+		Log: c.replica, Watch: c.replica, Clock: deck.BootClock{}, Fresh: leadFresh, Report: c.orders.TakeReport,
 	})
 	c.machine.Changed = c.setConfig
 	c.setConfig(c.machine.Document())
--- a/internal/command/node/entry.go
+++ b/internal/command/node/entry.go
@@ -129,13 +129,13 @@
 	e.listed.Store(true)
 }
 
-// report returns what the control leader should know.
-func (e *entry) report() ([]deck.CallDemand, []deck.Crash) {
-	var demand []deck.CallDemand
+// report adds what the control leader should know.
+func (e *entry) report(r *deck.ViewRequest) {
 	for k, n := range e.handler.Demand.Take() {
-		demand = append(demand, deck.CallDemand{Service: k.Service, Model: k.Model, Adapter: k.Adapter, Tokens: n})
+		r.Demand = append(r.Demand, deck.CallDemand{Service: k.Service, Model: k.Model, Adapter: k.Adapter, Tokens: n})
 	}
-	return demand, e.handler.Poison.Take()
+	r.Running = e.handler.Demand.Running()
+	r.Crashes = e.handler.Poison.Take()
 }
 
 func (e *entry) learn(crashes []deck.Crash) {
--- a/internal/core/deck/view.go
+++ b/internal/core/deck/view.go
@@ -19,9 +19,16 @@
 	View       ViewVersion
 	Wait       time.Duration // how long the answer may wait for a change
 	Demand     []CallDemand
+	Running    []AdapterRun
 	Crashes    []Crash
 }
 
+// An AdapterRun is an adapter that runs of the reporting VM use now.
+type AdapterRun struct {
+	Server BackendName
+	AdapterRef
+}
+
 // A CallDemand is the work that callers asked of a model or adapter since the last report.
 type CallDemand struct {
 	Service ServiceName
--- a/internal/place/assign/next.go
+++ b/internal/place/assign/next.go
@@ -164,12 +164,21 @@
 		return a, 0, false
 	}
 	victim, ok := p.victim(e)
-	if !ok {
+	if !ok || p.pressure(m.Name) < evictGain*p.left(victim) {
 		return a, 0, false
 	}
 	return Action{Engine: e.ID, Model: victim, Unload: true}, cost + evictCost, true
 }
 
+// evictGain is how many times the work for each copy must be that of the model that makes way: an engine that changes its
+// models takes no other order for seconds.
+const evictGain = 1.5
+
+// left returns the work for each copy of a model with one copy less.
+func (p *planner) left(m deck.ModelName) float64 {
+	return p.demand[m] / float64(max(1, p.have[m]-1))
+}
+
 // victim returns the model on the engine that has copies to spare and the least work for each.
 func (p *planner) victim(e Engine) (best deck.ModelName, ok bool) {
 	least := 0.0
@@ -177,7 +186,7 @@
 		if p.have[v] <= p.want[v] || p.have[v] < 2 {
 			continue
 		}
-		each := p.demand[v] / float64(p.have[v]-1)
+		each := p.left(v)
 		if !ok || each < least || each == least && v < best {
 			best, least, ok = v, each, true
 		}
@@ -188,6 +197,10 @@
 // restoreReserve unloads copies that are no longer wanted until enough places are free.
 func (p *planner) restoreReserve() {
 	missing := Reserve(p.spec, len(p.engines)) + p.lost - p.free
+	average := 0.0
+	for _, d := range p.demand {
+		average += d / float64(len(p.engines))
+	}
 	for _, e := range p.engines {
 		if missing <= 0 {
 			return
@@ -196,7 +209,7 @@
 			continue
 		}
 		victim, ok := p.victim(e)
-		if !ok {
+		if !ok || p.left(victim)*evictGain > average {
 			continue
 		}
 		p.actions = append(p.actions, Action{Engine: e.ID, Model: victim, Unload: true})
--- a/internal/place/order/adapters.go
+++ b/internal/place/order/adapters.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	adapterTime  = 8 * time.Millisecond   // an adapter load while few are under way
-	adapterIdle  = 300 * time.Millisecond // an adapter that was used since then is not evicted
-	maxComing    = 4                      // adapters in transit to one engine
-	adapterTries = 3                      // engines that are asked for one adapter
+	adapterTime  = 8 * time.Millisecond    // an adapter load while few are under way
+	adapterIdle  = 1200 * time.Millisecond // longer than the entry VMs' reports of what runs are apart; an unload waits for runs
+	maxComing    = 4                       // adapters in transit to one engine
+	adapterTries = 3                       // engines that are asked for one adapter
 )
 
 type placeKey struct {
@@ -178,10 +178,11 @@
 	return best, best != nil
 }
 
-// takesAdapters reports whether an order for an adapter of the model may be sent.
+// takesAdapters reports whether an order for an adapter of the model may be sent; an engine that is busy with a model
+// refuses it.
 func (e *engine) takesAdapters(m deck.ModelName) bool {
 	_, holds := e.models[m]
-	return holds && e.known && !e.fenced && !e.server.Draining && e.leaving == "" &&
+	return holds && e.known && !e.fenced && !e.server.Draining && e.leaving == "" && e.loading == "" &&
 		len(e.coming) < maxComing
 }
 
--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"maps"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -21,7 +20,8 @@
 	listPeriod  = 500 * time.Millisecond // a good part of the list's own lag
 	listTimeout = 1 * time.Second
 	callTimeout = 700 * time.Millisecond  // of an order or a report
-	demandFade  = 1500 * time.Millisecond // time constant with which demand is forgotten; it moves within seconds
+	risingFade  = 1500 * time.Millisecond // time constant of demand that rises; it moves within seconds
+	fallingFade = 6 * time.Second         // time constant of demand that falls, so that a pause costs no copies
 	reportLag   = 500 * time.Millisecond  // how old an engine's report may be, with room
 	turnWait    = 300 * time.Millisecond  // for orders before this one; each takes two ways between regions
 	aloneAfter  = 500 * time.Millisecond  // a live voter answers its new leader within this time
@@ -53,18 +53,17 @@
 	done  chan struct{}
 	group *errgroup.Group
 
-	mu       sync.Mutex
-	term     uint64    // 0 while the replica does not lead
-	since    time.Time // when the term was first seen
-	alone    bool      // a voter has not answered in this term: the earlier holder is cut off or dead
-	listed   bool
-	listAt   time.Time
-	servers  []deck.Server
-	engines  map[deck.BackendName]*engine
-	demand   map[deck.ServiceName]map[deck.ModelName]float64
-	demandAt time.Time
-	store    map[deck.ServiceName]*allowance
-	placing  map[placeKey]chan struct{}
+	mu      sync.Mutex
+	term    uint64    // 0 while the replica does not lead
+	since   time.Time // when the term was first seen
+	alone   bool      // a voter has not answered in this term: the earlier holder is cut off or dead
+	listed  bool
+	listAt  time.Time
+	servers []deck.Server
+	engines map[deck.BackendName]*engine
+	demand  map[deck.ServiceName]*demand
+	store   map[deck.ServiceName]*allowance
+	placing map[placeKey]chan struct{}
 }
 
 // An allowance limits loads from the weight store.
@@ -77,7 +76,7 @@
 func NewController(o Options) *Controller {
 	return &Controller{
 		o: o, done: make(chan struct{}), engines: make(map[deck.BackendName]*engine),
-		demand: make(map[deck.ServiceName]map[deck.ModelName]float64), store: make(map[deck.ServiceName]*allowance),
+		demand: make(map[deck.ServiceName]*demand), store: make(map[deck.ServiceName]*allowance),
 		placing: make(map[placeKey]chan struct{}),
 	}
 }
@@ -231,50 +230,33 @@
 	c.o.Publish(term, list)
 }
 
-// AddDemand takes what entry VMs report.
-func (c *Controller) AddDemand(calls []deck.CallDemand) {
+// TakeReport takes what an entry VM reports.
+func (c *Controller) TakeReport(r deck.ViewRequest) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.fade(now)
-	for _, d := range calls {
-		models := c.demand[d.Service]
-		if models == nil {
-			models = make(map[deck.ModelName]float64)
-			c.demand[d.Service] = models
-		}
-		models[d.Model] += float64(d.Tokens) / demandFade.Seconds()
-		if d.Adapter != "" {
-			c.touch(d.Service, d.Model, d.Adapter, now)
-		}
+	for _, d := range r.Demand {
+		c.demandOf(d.Service).add(now, d.Model, float64(d.Tokens))
 	}
-}
-
-// touch notes the use of an adapter; the caller holds the lock.
-func (c *Controller) touch(s deck.ServiceName, m deck.ModelName, a deck.AdapterName, now time.Time) {
-	for _, e := range c.engines {
-		if e.server.Service != s {
+	for _, run := range r.Running {
+		e := c.engines[run.Server]
+		if e == nil {
 			continue
 		}
-		if _, ok := e.models[m][a]; ok {
-			e.models[m][a] = now
+		if _, ok := e.models[run.Model][run.Adapter]; ok {
+			e.models[run.Model][run.Adapter] = now
 		}
 	}
 }
 
-// fade lets demand lose its weight with time; the caller holds the lock.
-func (c *Controller) fade(now time.Time) {
-	if c.demandAt.IsZero() {
-		c.demandAt = now
-		return
-	}
-	w := math.Exp(-now.Sub(c.demandAt).Seconds() / demandFade.Seconds())
-	c.demandAt = now
-	for _, models := range c.demand {
-		for m := range models {
-			models[m] *= w
-		}
+// demandOf returns the demand for a service's models; the caller holds the lock.
+func (c *Controller) demandOf(s deck.ServiceName) *demand {
+	d := c.demand[s]
+	if d == nil {
+		d = &demand{}
+		c.demand[s] = d
 	}
+	return d
 }
 
 // step sends the orders that are due.
@@ -302,7 +284,7 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.fade(now)
+	demand := c.demandOf(s.Name).at(now)
 	var engines []assign.Engine
 	for _, id := range slices.Sorted(maps.Keys(c.engines)) {
 		e := c.engines[id]
@@ -316,8 +298,8 @@
 		engines = append(engines, e.view(*s.Engine, now))
 	}
 	allowed := c.allowance(s, now)
-	for _, a := range assign.Next(*s.Engine, engines, c.demand[s.Name], int(allowed.tokens)) {
-		c.carryOut(ctx, *s.Engine, a, allowed, now)
+	for _, a := range assign.Next(*s.Engine, engines, demand, int(allowed.tokens)) {
+		c.carryOut(ctx, *s.Engine, a, allowed, demand[a.Model], now)
 	}
 }
 
@@ -334,7 +316,9 @@
 }
 
 // carryOut starts the work on an action; the caller holds the lock.
-func (c *Controller) carryOut(ctx context.Context, spec deck.EngineSpec, a assign.Action, allowed *allowance, now time.Time) {
+func (c *Controller) carryOut(
+	ctx context.Context, spec deck.EngineSpec, a assign.Action, allowed *allowance, demand float64, now time.Time,
+) {
 	e := c.engines[a.Engine]
 	if e == nil || !e.idle(now) {
 		return
@@ -355,7 +339,7 @@
 	}
 	e.readyAt = now.Add(takes)
 	c.o.Log.Info("model order", "engine", string(a.Engine), "model", string(a.Model), "unload", a.Unload,
-		"store", a.Store, "demand", c.demand[e.server.Service][a.Model], "orders-accepted", e.seq)
+		"store", a.Store, "demand", int(demand), "orders-accepted", e.seq)
 	c.start(ctx, func(ctx context.Context) { c.changeModel(ctx, e, a, takes) })
 }
 
--- /dev/null
+++ b/internal/place/order/demand.go
@@ -0,0 +1,51 @@
+package order
+
+import (
+	"math"
+	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/place/assign"
+)
+
+// A demand estimates the work asked of each model of a service; its zero value has seen none.
+type demand struct {
+	models map[deck.ModelName]*modelDemand
+}
+
+// A modelDemand holds two estimates in tokens a second: one that follows quickly and one that forgets slowly.
+type modelDemand struct {
+	rising, falling float64
+	seen            time.Time
+}
+
+func (d *demand) add(now time.Time, m deck.ModelName, tokens float64) {
+	if d.models == nil {
+		d.models = make(map[deck.ModelName]*modelDemand)
+	}
+	e := d.models[m]
+	if e == nil {
+		e = &modelDemand{seen: now}
+		d.models[m] = e
+	}
+	e.fade(now)
+	e.rising += tokens / risingFade.Seconds()
+	e.falling += tokens / fallingFade.Seconds()
+}
+
+// at returns the larger of both estimates for each model.
+func (d *demand) at(now time.Time) assign.Demand {
+	out := make(assign.Demand, len(d.models))
+	for m, e := range d.models {
+		e.fade(now)
+		out[m] = max(e.rising, e.falling)
+	}
+	return out
+}
+
+func (e *modelDemand) fade(now time.Time) {
+	passed := now.Sub(e.seen).Seconds()
+	e.seen = now
+	e.rising *= math.Exp(-passed / risingFade.Seconds())
+	e.falling *= math.Exp(-passed / fallingFade.Seconds())
+}
--- a/internal/state/hub/follower.go
+++ b/internal/state/hub/follower.go
@@ -33,7 +33,7 @@
 	List       deck.ServerList // the platform's own list
 	Logger     logr.Logger
 
-	Report  func() ([]deck.CallDemand, []deck.Crash)
+	Report  func(*deck.ViewRequest) // adds what this VM has seen
 	Config  func(deck.RoutingDocument)
 	Servers func([]deck.Server)
 	VMs     func(int)
@@ -144,7 +144,7 @@
 	r.Config, r.View = f.version, f.view
 	f.mu.Unlock()
 	if wait > 0 {
-		r.Demand, r.Crashes = f.o.Report()
+		f.o.Report(&r)
 	}
 	a, err := f.o.Client.AskView(ctx, to, r)
 	if err != nil {
--- a/internal/state/hub/hub.go
+++ b/internal/state/hub/hub.go
@@ -20,8 +20,8 @@
 	Log    deck.Log
 	Watch  deck.ReplicaWatch
 	Clock  deck.Clock
-	Fresh  time.Duration // how old the check may be that this replica leads
-	Demand func([]deck.CallDemand)
+	Fresh  time.Duration          // how old the check may be that this replica leads
+	Report func(deck.ViewRequest) // takes what an entry VM reports; nil for none
 }
 
 // A Hub implements deck.ViewSource.
@@ -144,8 +144,8 @@
 
 // take notes what the VM reports.
 func (h *Hub) take(r deck.ViewRequest) {
-	if h.o.Demand != nil && len(r.Demand) > 0 {
-		h.o.Demand(r.Demand)
+	if h.o.Report != nil {
+		h.o.Report(r)
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
