Serve with the saved configuration until the log has a leader after a restart of everything

Change: a control VM keeps the committed configuration in a file beside the log and hands it out while no leader is known; copies go to engines with little work. Ruled out: serving uncommitted entries, which may be lost.

--- a/internal/command/node/control.go
+++ b/internal/command/node/control.go
@@ -30,6 +30,8 @@
 	// election takes.
 	leadFresh = 400 * time.Millisecond
 
+	configName = "routing-configuration" // file in the data folder
+
 	// failedPause is how long a replica whose disk has failed waits before its process ends to start anew from the disk.
 	failedPause = 2 * time.Second
 )
@@ -42,10 +44,15 @@
 	hub     *hub.Hub
 	orders  *order.Controller
 	config  atomic.Pointer[deck.RoutingConfig]
+	saved   disk.BlobFile // the configuration in force, for the time until a leader is known after a restart
+	unsaved chan deck.RoutingDocument
 }
 
 func addControl(n *Node, s settings.Settings) error {
-	c := &control{node: n}
+	c := &control{
+		node: n, saved: disk.BlobFile{Folder: s.DataFolder, Name: configName},
+		unsaved: make(chan deck.RoutingDocument, 1),
+	}
 	client := newPeerClient()
 	answers := &peer.ReplicaAnswers{}
 	if err := c.openReplica(s, client, answers); err != nil {
@@ -61,7 +68,8 @@
 	c.hub = hub.New(hub.Options{
 		Log: c.replica, Watch: c.replica, Clock: deck.BootClock{}, Fresh: leadFresh, Report: c.orders.TakeReport,
 	})
-	c.machine.Changed = c.setConfig
+	c.loadConfig()
+	c.machine.Changed = c.changeConfig
 	c.setConfig(c.machine.Document())
 	store := &routing.Store{
 		Log: c.replica, Machine: c.machine, Decoder: platform.ManifestDecoder{}, Forward: fleet, Logger: n.log,
@@ -73,6 +81,7 @@
 	platform.RegisterOperator(operators, store)
 	return errors.Join(
 		n.kernel.Add("replica", c.replica),
+		n.kernel.Add("configuration-file", part.NewRunner(c.saveConfigs)),
 		n.kernel.Add("disk-watch", part.NewRunner(c.watchDisk)),
 		n.kernel.Add("steward", join.NewSteward(join.Steward{
 			Set: c.replica, Watch: c.replica, Clock: deck.BootClock{}, Wanted: 2*s.LossesToBear + 1, Log: n.log,
@@ -130,6 +139,53 @@
 	return id.VM, !id.IsZero()
 }
 
+// loadConfig takes the configuration that was in force before a restart. Entry VMs that start at the same time serve with
+// it until the log has a leader.
+func (c *control) loadConfig() {
+	data, ok, err := c.saved.Load()
+	if err != nil {
+		c.node.log.Error(err, "saved routing configuration is unreadable; waiting for the log")
+		return
+	}
+	if !ok {
+		return
+	}
+	doc, err := routing.Decode(data)
+	if err != nil {
+		c.node.log.Error(err, "saved routing configuration is unreadable; waiting for the log")
+		return
+	}
+	c.setConfig(doc)
+}
+
+// changeConfig takes a document that the log has committed, and has it saved.
+func (c *control) changeConfig(doc deck.RoutingDocument) {
+	c.setConfig(doc)
+	select {
+	case <-c.unsaved: // an older one
+	default:
+	}
+	c.unsaved <- doc // the log's loop alone sends
+}
+
+// saveConfigs writes the newest configuration to the disk until ctx ends.
+func (c *control) saveConfigs(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case doc := <-c.unsaved:
+			data, err := routing.Encode(doc)
+			if err == nil {
+				err = c.saved.Save(data)
+			}
+			if err != nil {
+				c.node.log.Error(err, "routing configuration not saved beside the log", "version", doc.Version)
+			}
+		}
+	}
+}
+
 // setConfig takes a document that has come into force.
 func (c *control) setConfig(doc deck.RoutingDocument) {
 	if doc.Version == 0 {
--- a/internal/place/assign/assign_test.go
+++ b/internal/place/assign/assign_test.go
@@ -112,3 +112,13 @@
 	e.Idle = false
 	is.Equal(len(assign.Next(spec(2), []assign.Engine{e}, assign.Demand{name(0): 1}, 5)), 0)
 }
+
+// Load pattern: the engines that hold the busiest models have all the work while others idle.
+func TestFurtherCopiesGoToEnginesWithLittleWork(t *testing.T) {
+	is := is.New(t)
+	s := spec(4)
+	engines := []assign.Engine{engine("a", 0, 1), engine("b", 0, 1), engine("c", 0, 2), engine("idle", 2, 3)}
+	actions := assign.Next(s, engines, assign.Demand{name(0): 900, name(1): 300}, 1)
+	is.True(len(actions) > 0)
+	is.Equal(actions[0].Engine, deck.BackendName("idle"))
+}
--- a/internal/place/assign/next.go
+++ b/internal/place/assign/next.go
@@ -149,10 +149,26 @@
 	storeCost = 0.8 // the load takes seconds instead of half a second
 	nearCost  = 0.5 // for each copy in the same data centre
 	fillCost  = 0.2 // for each model that the engine holds already
+	loadCost  = 1.0 // for work as much as an engine has on average
 )
 
+// work returns the work of the models that an engine holds, in units of the average engine's.
+func (p *planner) work(e Engine) float64 {
+	own, all := 0.0, 0.0
+	for m := range e.Models {
+		own += p.demand[m] / float64(max(1, p.have[m]))
+	}
+	for _, d := range p.demand {
+		all += d
+	}
+	if all <= 0 {
+		return 0
+	}
+	return own * float64(len(p.engines)) / all
+}
+
 func (p *planner) onEngine(e Engine, m deck.EngineModel) (a Action, cost float64, ok bool) {
-	cost = nearCost*float64(p.near[place{m.Name, e.DataCentre}]) + fillCost*float64(len(e.Models))
+	cost = nearCost*float64(p.near[place{m.Name, e.DataCentre}]) + fillCost*float64(len(e.Models)) + loadCost*p.work(e)
 	if !e.AtHand[m.Name] {
 		cost += storeCost
 	}
--- a/internal/state/disk/statefile.go
+++ b/internal/state/disk/statefile.go
@@ -13,7 +13,7 @@
 
 const (
 	stateName     = "state"
-	stateTempName = "state.new"
+	tempSuffix    = ".new"
 	checksumBytes = 4
 )
 
@@ -25,41 +25,67 @@
 
 // Load returns the saved state; ok is false if there is none.
 func (f StateFile) Load() (s deck.State, ok bool, err error) {
-	name := filepath.Join(f.Folder, stateName)
-	data, err := os.ReadFile(name)
+	body, ok, err := f.blob().Load()
+	if err != nil || !ok {
+		return deck.State{}, false, err
+	}
+	s, err = ticket.DecodeState(body)
+	return s, err == nil, errors.Wrap(err, f.blob().path())
+}
+
+// Save replaces the saved state durably.
+func (f StateFile) Save(s deck.State) error {
+	return f.blob().Save(ticket.EncodeState(s))
+}
+
+func (f StateFile) blob() BlobFile {
+	return BlobFile{Folder: f.Folder, Name: stateName}
+}
+
+// A BlobFile keeps bytes in one file with a checksum.
+type BlobFile struct {
+	Folder string
+	Name   string
+}
+
+// Load returns the saved bytes; ok is false if there are none.
+func (f BlobFile) Load() (body []byte, ok bool, err error) {
+	data, err := os.ReadFile(f.path())
 	if errors.Is(err, os.ErrNotExist) {
-		return deck.State{}, false, nil
+		return nil, false, nil
 	}
 	if err != nil {
-		return deck.State{}, false, errors.Wrap(err, "state file")
+		return nil, false, errors.Wrap(err, "state file")
 	}
 	if len(data) < checksumBytes {
-		return deck.State{}, false, CorruptionError{File: name, Reason: "file is shorter than its checksum"}
+		return nil, false, CorruptionError{File: f.path(), Reason: "file is shorter than its checksum"}
 	}
 	sum, body := data[:checksumBytes], data[checksumBytes:]
 	if string(sum) != string(checksum(body)) {
-		return deck.State{}, false, CorruptionError{File: name, Reason: "checksum does not match"}
+		return nil, false, CorruptionError{File: f.path(), Reason: "checksum does not match"}
 	}
-	s, err = ticket.DecodeState(body)
-	return s, err == nil, errors.Wrap(err, name)
+	return body, true, nil
 }
 
-// Save replaces the saved state durably: the new file is synced before it takes the old one's name.
-func (f StateFile) Save(s deck.State) error {
+// Save replaces the saved bytes durably: the new file is synced before it takes the old one's name.
+func (f BlobFile) Save(body []byte) error {
 	if err := os.MkdirAll(f.Folder, 0o700); err != nil {
 		return errors.Wrap(err, "state file")
 	}
-	body := ticket.EncodeState(s)
-	temp := filepath.Join(f.Folder, stateTempName)
+	temp := f.path() + tempSuffix
 	if err := writeSynced(temp, append(checksum(body), body...)); err != nil {
 		return err
 	}
-	if err := os.Rename(temp, filepath.Join(f.Folder, stateName)); err != nil {
+	if err := os.Rename(temp, f.path()); err != nil {
 		return errors.Wrap(err, "state file")
 	}
 	return syncFolder(f.Folder)
 }
 
+func (f BlobFile) path() string {
+	return filepath.Join(f.Folder, f.Name)
+}
+
 func checksum(body []byte) []byte {
 	sum := crc32.Checksum(body, crc32.MakeTable(crc32.Castagnoli))
 	return []byte{byte(sum >> 24), byte(sum >> 16), byte(sum >> 8), byte(sum)}
--- a/internal/state/hub/follower.go
+++ b/internal/state/hub/follower.go
@@ -17,11 +17,12 @@
 	searchPause  = 100 * time.Millisecond  // between two VMs that do not lead
 	searchLimit  = 400 * time.Millisecond  // for the answer of a VM that is not known to lead
 	staleAfter   = 2 * time.Second         // without the leader's word the platform's own list is read
-	directPeriod = 1 * time.Second         // between two readings of the platform's own list
+	staleCheck   = 200 * time.Millisecond
+	directPeriod = 1 * time.Second // between two readings of the platform's own list
 
 	// trustAfter is how long a process that has never heard a leader waits before it takes a configuration from a replica
-	// that may be behind: a data centre that is cut off goes on serving.
-	trustAfter = 3 * time.Second
+	// that may be behind, although that replica knows a leader.
+	trustAfter = 1 * time.Second
 )
 
 // FollowerOptions are what a follower needs; the functions are called by one goroutine at a time.
@@ -96,14 +97,16 @@
 
 // RunDirect reads the platform's own list while no leader answers, until ctx ends.
 func (f *Follower) RunDirect(ctx context.Context) error {
+	var last time.Time
 	for ctx.Err() == nil {
-		pause(ctx, directPeriod)
+		pause(ctx, staleCheck)
 		f.mu.Lock()
 		stale := time.Since(f.heardAt) > staleAfter
 		f.mu.Unlock()
-		if !stale {
+		if !stale || time.Since(last) < directPeriod {
 			continue
 		}
+		last = time.Now()
 		list, err := f.o.List.ListServers(ctx)
 		if err != nil {
 			f.o.Logger.Info("platform's list of backend servers could not be read", "reason", err.Error())
@@ -170,7 +173,7 @@
 	}
 	if !a.Leading {
 		f.lost(from, "it no longer leads")
-		if a.Config != nil && f.mayTrust() {
+		if a.Config != nil && f.mayTrust(a.Leader) {
 			f.install(*a.Config)
 		}
 		f.follow(a.Leader, from)
@@ -191,11 +194,12 @@
 	f.apply(a)
 }
 
-// mayTrust reports whether the configuration of a replica that does not lead is better than none.
-func (f *Follower) mayTrust() bool {
+// mayTrust reports whether the configuration of a replica that does not lead is better than none: this process has heard
+// no leader yet, and the replica knows none either or the leader can't be reached.
+func (f *Follower) mayTrust(leader deck.VMName) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.heardAt.IsZero() && time.Since(f.started) > trustAfter
+	return f.heardAt.IsZero() && (leader == "" || time.Since(f.started) > trustAfter)
 }
 
 // follow asks the VM next that another one names as the leader.
