--- /dev/null
+++ b/internal/backend/http1/client_test.go
@@ -0,0 +1,265 @@
+package http1_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/backend/http1"
+)
+
+// A scripted server hands each of its connections to a function.
+type server struct {
+	addr     string
+	accepted atomic.Int32
+}
+
+func serve(t *testing.T, handle func(c net.Conn, r *bufio.Reader)) *server {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &server{addr: l.Addr().String()}
+	var g errgroup.Group
+	g.Go(func() error {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return nil
+			}
+			s.accepted.Add(1)
+			g.Go(func() error {
+				defer c.Close()
+				handle(c, bufio.NewReader(c))
+				return nil
+			})
+		}
+	})
+	t.Cleanup(func() {
+		_ = l.Close()
+	})
+	return s
+}
+
+func newClient() *http1.Client {
+	return &http1.Client{
+		Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+		},
+		DialTimeout: time.Second, MaxIdle: time.Minute,
+	}
+}
+
+func get(target string) *http1.Request {
+	return &http1.Request{Method: http.MethodGet, Target: target, Host: "a.example", Header: http.Header{}}
+}
+
+func readAll(t *testing.T, e *http1.Exchange) string {
+	t.Helper()
+	b, err := io.ReadAll(e.Response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.Finish()
+	return string(b)
+}
+
+const answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func TestConnectionIsKept(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, answer)
+		}
+	})
+	c := newClient()
+	for i := range 3 {
+		e, err := c.Do(context.Background(), s.addr, get("/"))
+		is.NoErr(err)
+		is.Equal(e.Reused, i > 0)
+		is.Equal(readAll(t, e), "ok")
+	}
+	is.Equal(s.accepted.Load(), int32(1))
+}
+
+// Guards against a request that is silently sent twice: the server drops the kept connection when the second one arrives.
+func TestLostConnectionIsNotRetried(t *testing.T) {
+	is := is.New(t)
+	var arrived atomic.Int32
+	s := serve(t, func(c net.Conn, r *bufio.Reader) {
+		for n := 0; ; n++ {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			arrived.Add(1)
+			if n == 1 {
+				return
+			}
+			_, _ = io.WriteString(c, answer)
+		}
+	})
+	c := newClient()
+	e, err := c.Do(context.Background(), s.addr, get("/"))
+	is.NoErr(err)
+	readAll(t, e)
+	_, err = c.Do(context.Background(), s.addr, get("/"))
+	var send *http1.SendError
+	is.True(errors.As(err, &send))
+	is.True(send.Sent) // it may have run
+	is.Equal(arrived.Load(), int32(2))
+}
+
+func TestRefusedDialProvesThatNothingWasSent(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	addr := l.Addr().String()
+	is.NoErr(l.Close())
+	_, err = newClient().Do(context.Background(), addr, get("/"))
+	var send *http1.SendError
+	is.True(errors.As(err, &send))
+	is.True(!send.Sent)
+}
+
+// Guards against an answer that reaches the wrong caller: a second answer to the first request comes when the second one
+// is expected.
+func TestLateAnswerIsSkipped(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, answer)
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		late := "HTTP/1.1 200 OK\r\nX-Id: first\r\nContent-Length: 4\r\n\r\nlate"
+		_, _ = io.WriteString(c, late+strings.Replace(answer, "Content-Length: 2", "X-Id: second\r\nContent-Length: 2", 1))
+		_, _ = http.ReadRequest(r)
+	})
+	c := newClient()
+	e, err := c.Do(context.Background(), s.addr, get("/"))
+	is.NoErr(err)
+	readAll(t, e)
+	e, err = c.Do(context.Background(), s.addr, get("/"))
+	is.NoErr(err)
+	is.Equal(e.Response.Header.Get("X-Id"), "first")
+	is.NoErr(e.Skip(context.Background(), &http.Request{Method: http.MethodGet}))
+	is.Equal(e.Response.Header.Get("X-Id"), "second")
+	is.Equal(readAll(t, e), "ok")
+}
+
+// Guards against bytes without a request that are taken for the next answer.
+func TestUnsolicitedBytesEndTheConnection(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, answer+answer)
+		}
+	})
+	c := newClient()
+	e, err := c.Do(context.Background(), s.addr, get("/"))
+	is.NoErr(err)
+	readAll(t, e)
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline) && s.accepted.Load() == 1; {
+		e, err = c.Do(context.Background(), s.addr, get("/"))
+		if err == nil {
+			e.Abort()
+		}
+	}
+	is.True(s.accepted.Load() > 1) // the spoiled connection was given up
+}
+
+// Guards against body bytes that are read as the next request: the server answers before it has read the body.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, func(c net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, strings.Replace(answer, "200 OK", "413 Too Large", 1))
+		_, _ = io.Copy(io.Discard, req.Body)
+		_, _ = http.ReadRequest(r)
+	})
+	c := newClient()
+	body := bytes.Repeat([]byte("x"), 32<<20) // more than socket buffers hold
+	r := &http1.Request{
+		Method: http.MethodPost, Target: "/", Host: "a.example", Header: http.Header{}, Body: body, Length: int64(len(body)),
+	}
+	e, err := c.Do(context.Background(), s.addr, r)
+	is.NoErr(err)
+	is.Equal(e.Response.StatusCode, http.StatusRequestEntityTooLarge)
+	readAll(t, e)
+	e, err = c.Do(context.Background(), s.addr, get("/"))
+	is.NoErr(err)
+	is.True(!e.Reused)
+	e.Abort()
+}
+
+func TestEndOfContextEndsTheConnection(t *testing.T) {
+	is := is.New(t)
+	arrived, ended := make(chan struct{}), make(chan struct{})
+	s := serve(t, func(_ net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		close(arrived)
+		_, _ = r.ReadByte() // until the client closes
+		close(ended)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var g errgroup.Group
+	g.Go(func() error {
+		_, err := newClient().Do(ctx, s.addr, get("/"))
+		return err
+	})
+	<-arrived
+	cancel()
+	is.True(errors.Is(g.Wait(), context.Canceled))
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the backend server was not told")
+	}
+}
+
+// Guards against a connection that the server has announced to close soon.
+func TestKeepAliveTimeoutBoundsReuse(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, strings.Replace(answer, "\r\n\r\n", "\r\nKeep-Alive: timeout=0\r\n\r\n", 1))
+		}
+	})
+	c := newClient()
+	c.MaxIdle = time.Nanosecond
+	for range 2 {
+		e, err := c.Do(context.Background(), s.addr, get("/"))
+		is.NoErr(err)
+		readAll(t, e)
+	}
+	is.Equal(s.accepted.Load(), int32(2))
+}
