--- a/internal/api/ingress/handler.go
+++ b/internal/api/ingress/handler.go
@@ -45,6 +45,9 @@
 	Log    logr.Logger
 	Served func(Record) // nil for none
 
+	// MinStall is the least pause after which a resumable stream moves to another engine; 0 for two seconds.
+	MinStall time.Duration
+
 	routes   atomic.Pointer[table.Table]
 	draining atomic.Bool
 	running  atomic.Int64
--- /dev/null
+++ b/internal/api/ingress/handler_test.go
@@ -0,0 +1,304 @@
+package ingress_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/api/ingress"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+func itoa(n int) string { return strconv.Itoa(n) }
+
+func once() []deck.Route { return []deck.Route{{Prefix: "/p/", Kind: deck.CallOnce}} }
+func idempotent() []deck.Route {
+	return []deck.Route{{Prefix: "/p/", Kind: deck.CallIdempotent, MaxAttempts: 2}}
+}
+func stream(resumable bool) []deck.Route {
+	return []deck.Route{{Prefix: "/p/", Kind: deck.CallStream, MaxAttempts: 2, Resumable: resumable}}
+}
+
+func reset(c net.Conn, _ *http.Request) bool {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	return false
+}
+
+// shed refuses a request with a proof that it did not run.
+func shed(c net.Conn, _ *http.Request) bool {
+	_, err := io.WriteString(c, "HTTP/1.1 503 Busy\r\nGeraniumdeck-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+	return err == nil
+}
+
+func TestRequestIsPassedOnUnchanged(t *testing.T) {
+	is := is.New(t)
+	b := newBackend(t, "b1", plain("hello"))
+	rg := newRig(t, once(), b)
+	res := rg.call(t, http.MethodPost, "/p/x%2Fy?q=%20a&b", "the body")
+	is.NoErr(res.err)
+	is.Equal(res.status, http.StatusOK)
+	is.Equal(res.body, "hello")
+	is.Equal(res.header.Get("Geraniumdeck-Response-Signature"), "s1")
+	r := b.requests()[0]
+	is.Equal(r.RequestURI, "/p/x%2Fy?q=%20a&b")
+	is.Equal(r.Host, "a.example")
+	is.Equal(r.Header.Get("Geraniumdeck-Expect-Instance"), "b1")
+	ms, err := strconv.Atoi(r.Header.Get("Geraniumdeck-Deadline-Ms"))
+	is.NoErr(err)
+	is.True(ms > 3000 && ms <= 4000) // what is left
+	body, err := io.ReadAll(r.Body)
+	is.NoErr(err)
+	is.Equal(string(body), "the body")
+}
+
+func TestNoRouteAndNoConfiguration(t *testing.T) {
+	is := is.New(t)
+	rg := newRig(t, once())
+	is.Equal(rg.call(t, http.MethodGet, "/elsewhere/", "").status, http.StatusNotFound)
+	rg.server.Config.Handler = &ingress.Handler{}
+	res := rg.call(t, http.MethodGet, "/p/x", "")
+	is.Equal(res.status, http.StatusServiceUnavailable) // never 404 before a configuration is known
+	is.True(res.header.Get("Retry-After") != "")
+}
+
+// What a call may do after each way in which its first server fails. The second server would answer 200.
+func TestAfterAFailure(t *testing.T) {
+	brokenBody := func(c net.Conn, r *http.Request) bool {
+		reply(c, r, "200 OK", "Content-Length: 100\r\n", "part")
+		return false
+	}
+	noSignature := func(c net.Conn, r *http.Request) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfake")
+		return false
+	}
+	unproven503 := func(c net.Conn, r *http.Request) bool {
+		return reply(c, r, "503 Busy", "Content-Length: 0\r\n", "")
+	}
+	other := func(c net.Conn, _ *http.Request) bool {
+		_, err := io.WriteString(c, "HTTP/1.1 421 Other\r\nGeraniumdeck-Instance-Id: b9\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	}
+	error500 := func(c net.Conn, r *http.Request) bool {
+		return reply(c, r, "500 Error", "Content-Length: 4\r\n", "oops")
+	}
+	for _, c := range []struct {
+		name   string
+		first  func(net.Conn, *http.Request) bool
+		once   int // status for a call that may run once only
+		repeat int // status for an idempotent call
+	}{
+		{"reset", reset, http.StatusBadGateway, http.StatusOK},
+		{"broken body", brokenBody, http.StatusBadGateway, http.StatusOK},
+		{"no signature", noSignature, http.StatusBadGateway, http.StatusOK},
+		{"503 without a proof", unproven503, http.StatusBadGateway, http.StatusOK},
+		{"server's own error", error500, http.StatusInternalServerError, http.StatusOK},
+		{"refused with a proof", shed, http.StatusOK, http.StatusOK},
+		{"another server has the address", other, http.StatusOK, http.StatusOK},
+	} {
+		for kind, routes := range map[string][]deck.Route{"once": once(), "idempotent": idempotent()} {
+			t.Run(c.name+" "+kind, func(t *testing.T) {
+				is := is.New(t)
+				first := newBackend(t, "b1", c.first)
+				rg := newRig(t, routes, first, newBackend(t, "b2", plain("second")))
+				res := rg.call(t, http.MethodPost, "/p/x", "body")
+				is.NoErr(res.err)
+				want := c.once
+				if kind == "idempotent" {
+					want = c.repeat
+				}
+				is.Equal(res.status, want)
+				is.Equal(len(first.requests()), 1)
+			})
+		}
+	}
+}
+
+// Guards against a refusal that isn't true: 503 promises that the call has not run.
+func TestRefusalOnlyWhereNothingRan(t *testing.T) {
+	is := is.New(t)
+	rg := newRig(t, once(), newBackend(t, "b1", shed))
+	res := rg.call(t, http.MethodPost, "/p/x", "body")
+	is.Equal(res.status, http.StatusServiceUnavailable)
+	is.True(res.header.Get("Retry-After") != "")
+	rg = newRig(t, once(), newBackend(t, "b1", reset), newBackend(t, "b2", shed))
+	is.Equal(rg.call(t, http.MethodPost, "/p/x", "body").status, http.StatusBadGateway)
+}
+
+func events(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		b.WriteString("id: " + itoa(i) + "\ndata: event " + itoa(i) + "\n\n")
+	}
+	return b.String()
+}
+
+func chunk(s string) string {
+	return strconv.FormatInt(int64(len(s)), 16) + "\r\n" + s + "\r\n"
+}
+
+const streamHead = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+
+func TestStreamIsRelayedWhole(t *testing.T) {
+	is := is.New(t)
+	rg := newRig(t, stream(false), newBackend(t, "b1", func(c net.Conn, r *http.Request) bool {
+		return reply(c, r, "200 OK", streamHead, chunk(events(1, 3))+"0\r\n\r\n")
+	}))
+	res := rg.call(t, http.MethodPost, "/p/x", "")
+	is.NoErr(res.err)
+	is.Equal(res.body, events(1, 3))
+}
+
+// Guards against a part that looks like the whole: the caller's connection breaks, and no partial event is relayed.
+func TestBrokenStreamIsNotEndedCleanly(t *testing.T) {
+	is := is.New(t)
+	rg := newRig(t, stream(false), newBackend(t, "b1", func(c net.Conn, r *http.Request) bool {
+		reply(c, r, "200 OK", streamHead, chunk(events(1, 2)+"id: 3\ndata: ev"))
+		return false
+	}))
+	res := rg.call(t, http.MethodPost, "/p/x", "")
+	is.True(res.err != nil)
+	is.Equal(res.body, events(1, 2))
+}
+
+func TestResumableStreamGoesOnElsewhere(t *testing.T) {
+	is := is.New(t)
+	second := newBackend(t, "b2", func(c net.Conn, r *http.Request) bool {
+		after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		return reply(c, r, "200 OK", streamHead, chunk(events(after+1, 5))+"0\r\n\r\n")
+	})
+	first := newBackend(t, "b1", func(c net.Conn, r *http.Request) bool {
+		reply(c, r, "200 OK", streamHead, chunk(events(1, 2)+"id: 3\nda"))
+		return false
+	})
+	rg := newRig(t, stream(true), first, second)
+	res := rg.call(t, http.MethodPost, "/p/x", "")
+	is.NoErr(res.err)
+	is.Equal(res.body, events(1, 5))
+	is.Equal(second.requests()[0].Header.Get("Last-Event-Id"), "2")
+}
+
+// Guards against events that come twice when an engine starts the stream anew instead of resuming it.
+func TestRepeatedEventsAreLeftOut(t *testing.T) {
+	is := is.New(t)
+	first := newBackend(t, "b1", func(c net.Conn, r *http.Request) bool {
+		reply(c, r, "200 OK", streamHead, chunk(events(1, 2)))
+		return false
+	})
+	second := newBackend(t, "b2", func(c net.Conn, r *http.Request) bool {
+		return reply(c, r, "200 OK", streamHead, chunk(events(1, 4))+"0\r\n\r\n")
+	})
+	rg := newRig(t, stream(true), first, second)
+	res := rg.call(t, http.MethodPost, "/p/x", "")
+	is.NoErr(res.err)
+	is.Equal(res.body, events(1, 4))
+}
+
+// Guards against a silent stream that is cut although no other engine could go on with it: silence alone is no reason to
+// end an answer.
+func TestSilentStreamWithoutAnotherEngineIsKept(t *testing.T) {
+	is := is.New(t)
+	rg := newRig(t, stream(true), newBackend(t, "b1", func(c net.Conn, r *http.Request) bool {
+		reply(c, r, "200 OK", streamHead, chunk(events(1, 1)))
+		<-time.After(500 * time.Millisecond) // longer than the latency target, after which a stream may move
+		_, err := io.WriteString(c, chunk(events(2, 2))+"0\r\n\r\n")
+		return err == nil
+	}))
+	rg.handler.MinStall = time.Millisecond
+	res := rg.call(t, http.MethodPost, "/p/x", "")
+	is.NoErr(res.err)
+	is.Equal(res.body, events(1, 2))
+}
+
+func TestAnswerWithoutLengthIsRelayed(t *testing.T) {
+	is := is.New(t)
+	rg := newRig(t, once(), newBackend(t, "b1", func(c net.Conn, r *http.Request) bool {
+		reply(c, r, "200 OK", "Connection: close\r\n", "to the end")
+		return false
+	}))
+	res := rg.call(t, http.MethodPost, "/p/x", "")
+	is.NoErr(res.err)
+	is.Equal(res.body, "to the end")
+}
+
+func TestDeadlineIsAnswered(t *testing.T) {
+	is := is.New(t)
+	routes := once()
+	routes[0].Timeout = 150 * time.Millisecond
+	stop := make(chan struct{})
+	rg := newRig(t, routes, newBackend(t, "b1", func(net.Conn, *http.Request) bool {
+		<-stop
+		return false
+	}))
+	defer close(stop)
+	start := time.Now()
+	res := rg.call(t, http.MethodPost, "/p/x", "")
+	is.Equal(res.status, http.StatusGatewayTimeout) // it may have run
+	is.True(time.Since(start) < 2*time.Second)
+}
+
+// Guards against work that goes on for a caller who has left.
+func TestCallerWhoLeavesEndsTheWork(t *testing.T) {
+	is := is.New(t)
+	arrived, ended := make(chan struct{}), make(chan struct{})
+	rg := newRig(t, once(), newBackend(t, "b1", func(c net.Conn, _ *http.Request) bool {
+		close(arrived)
+		_, _ = c.Read(make([]byte, 1)) // until the connection is closed
+		close(ended)
+		return false
+	}))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var g errgroup.Group
+	g.Go(func() error {
+		rg.callContext(ctx, t, http.MethodPost, "/p/x", "")
+		return nil
+	})
+	<-arrived
+	cancel()
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the backend server was not told")
+	}
+	is.NoErr(g.Wait())
+}
+
+// Guards against blame that grows with resets of harmless requests: only three different servers make a request suspect.
+func TestRequestThatCrashesServersIsRefused(t *testing.T) {
+	is := is.New(t)
+	routes := idempotent()
+	routes[0].MaxAttempts = 1
+	rg := newRig(t, routes)
+	for i := range 3 {
+		rg.list(newBackend(t, "crash-"+itoa(i), reset))
+		is.Equal(rg.call(t, http.MethodPost, "/p/x", "poison").status, http.StatusBadGateway)
+	}
+	healthy := newBackend(t, "healthy", plain("ok"))
+	rg.list(healthy)
+	is.Equal(rg.call(t, http.MethodPost, "/p/x", "poison").status, http.StatusUnprocessableEntity)
+	is.Equal(rg.call(t, http.MethodPost, "/p/x", "harmless").status, http.StatusOK)
+	is.Equal(len(healthy.requests()), 1)
+}
+
+func TestDrainAsksCallersToLeave(t *testing.T) {
+	is := is.New(t)
+	rg := newRig(t, once(), newBackend(t, "b1", plain("ok")))
+	rg.handler.Drain()
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, rg.server.URL+"/p/x", nil)
+	is.NoErr(err)
+	r.Host = "a.example"
+	r.Header.Set("Geraniumdeck-Attempt-Id", "id-1")
+	resp, err := rg.server.Client().Do(r)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.True(resp.Close)
+}
--- a/internal/api/ingress/relay.go
+++ b/internal/api/ingress/relay.go
@@ -155,7 +155,7 @@
 // last whole one.
 func (c *callRun) relayStream(ctx context.Context, s deck.Server, ex *http1.Exchange) result {
 	c.runs++
-	stallLimit := max(minStall, c.route.LatencyTarget)
+	stallLimit := max(c.h.minStall(), c.route.LatencyTarget)
 	stall := time.AfterFunc(stallLimit, func() {
 		if c.mayMove() {
 			ex.Abort()
@@ -213,6 +213,13 @@
 	return c.repeat()
 }
 
+func (h *Handler) minStall() time.Duration {
+	if h.MinStall > 0 {
+		return h.MinStall
+	}
+	return minStall
+}
+
 // mayMove reports whether a silent stream can go on elsewhere. Silence alone is no reason to end an answer.
 func (c *callRun) mayMove() bool {
 	if c.repeat() != again {
--- /dev/null
+++ b/internal/api/ingress/rig_test.go
@@ -0,0 +1,206 @@
+package ingress_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/api/ingress"
+	"github.com/geraniumdeck/geraniumdeck/internal/backend/http1"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/route/balance"
+	"github.com/geraniumdeck/geraniumdeck/internal/route/table"
+	"github.com/geraniumdeck/geraniumdeck/platform"
+)
+
+// A backend is a stand-in server whose connections are scripted.
+type backend struct {
+	id   deck.BackendName
+	addr string
+
+	mu   sync.Mutex
+	seen []*http.Request
+}
+
+func (b *backend) requests() []*http.Request {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]*http.Request(nil), b.seen...)
+}
+
+// newBackend answers each request by the function; it gets the connection, and keeps it if it returns true.
+func newBackend(t *testing.T, id string, answer func(c net.Conn, r *http.Request) bool) *backend {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &backend{id: deck.BackendName(id), addr: l.Addr().String()}
+	var g errgroup.Group
+	g.Go(func() error {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return nil
+			}
+			g.Go(func() error {
+				defer c.Close()
+				b.serve(c, answer)
+				return nil
+			})
+		}
+	})
+	t.Cleanup(func() { _ = l.Close() })
+	return b
+}
+
+func (b *backend) serve(c net.Conn, answer func(net.Conn, *http.Request) bool) {
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		req.Body = io.NopCloser(strings.NewReader(string(body)))
+		b.mu.Lock()
+		b.seen = append(b.seen, req)
+		b.mu.Unlock()
+		if !answer(c, req) {
+			return
+		}
+	}
+}
+
+// reply writes a response with the headers of a backend server's own answer.
+func reply(c net.Conn, r *http.Request, status, more, body string) bool {
+	_, err := io.WriteString(c, "HTTP/1.1 "+status+"\r\nGeraniumdeck-Attempt-Id: "+r.Header.Get("Geraniumdeck-Attempt-Id")+
+		"\r\nGeraniumdeck-Response-Signature: s1\r\n"+more+"\r\n"+body)
+	return err == nil
+}
+
+func plain(body string) func(net.Conn, *http.Request) bool {
+	return func(c net.Conn, r *http.Request) bool {
+		return reply(c, r, "200 OK", "Content-Length: "+itoa(len(body))+"\r\n", body)
+	}
+}
+
+// A rig is an entry VM's handler with stand-in servers.
+type rig struct {
+	handler *ingress.Handler
+	book    *balance.Book
+	server  *httptest.Server
+	placer  *fakePlacer
+}
+
+type fakePlacer struct {
+	mu    sync.Mutex
+	asked int
+	place func() deck.Placement
+}
+
+func (f *fakePlacer) Place(context.Context, deck.ServiceName, deck.ModelName, deck.AdapterName) (deck.Placement, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asked++
+	if f.place == nil {
+		return deck.Placement{}, nil
+	}
+	return f.place(), nil
+}
+
+// firstRand draws the same number each time, so that choices are known.
+type firstRand struct{}
+
+func (firstRand) Float64() float64 { return 0 }
+func (firstRand) IntN(int) int     { return 0 }
+
+func newRig(t *testing.T, routes []deck.Route, backends ...*backend) *rig {
+	t.Helper()
+	book := balance.NewBook(func(deck.DataCentre) balance.Distance { return balance.SameDataCentre }, firstRand{})
+	budget := &balance.RetryBudget{}
+	budget.Limits(10*time.Second, 0.2, 20)
+	rg := &rig{book: book, placer: &fakePlacer{}}
+	rg.handler = &ingress.Handler{
+		Codec: platform.Codec{}, Book: book, Budget: budget, Placer: rg.placer, Demand: &ingress.Demand{},
+		Poison: &ingress.Poison{}, Random: firstRand{}, Log: logr.Discard(),
+		Client: &http1.Client{
+			Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+				return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+			},
+			DialTimeout: time.Second, MaxIdle: time.Minute,
+		},
+	}
+	for i := range routes {
+		routes[i].Host, routes[i].Targets = "a.example", []deck.RouteTarget{{Service: "svc", Weight: 1}}
+		if routes[i].Timeout == 0 {
+			routes[i].Timeout = 5 * time.Second
+		}
+		if routes[i].LatencyTarget == 0 {
+			routes[i].LatencyTarget = 200 * time.Millisecond
+		}
+		routes[i].MaxAttempts = max(1, routes[i].MaxAttempts)
+	}
+	rg.handler.SetRoutes(table.New(&deck.RoutingConfig{
+		Version: 1, Routes: routes, Services: []deck.RoutedService{{Name: "svc"}},
+		Limits: deck.CallerLimits{BodyBytes: 1 << 20},
+	}))
+	rg.list(backends...)
+	rg.server = httptest.NewServer(rg.handler)
+	t.Cleanup(rg.server.Close)
+	return rg
+}
+
+func (rg *rig) list(backends ...*backend) {
+	var servers []deck.Server
+	for _, b := range backends {
+		servers = append(servers, deck.Server{ID: b.id, Service: "svc", Address: b.addr, Slots: 8})
+	}
+	rg.book.SetServers(servers)
+}
+
+// A result is what the caller sees.
+type result struct {
+	status int
+	header http.Header
+	body   string
+	err    error // the answer broke off
+}
+
+func (rg *rig) call(t *testing.T, method, path, body string) result {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	return rg.callContext(ctx, t, method, path, body)
+}
+
+func (rg *rig) callContext(ctx context.Context, t *testing.T, method, path, body string) result {
+	t.Helper()
+	is := is.New(t)
+	r, err := http.NewRequestWithContext(ctx, method, rg.server.URL+path, strings.NewReader(body))
+	is.NoErr(err)
+	r.Host = "a.example"
+	r.Header.Set("Geraniumdeck-Attempt-Id", "id-1")
+	r.Header.Set("Geraniumdeck-Deadline-Ms", "4000")
+	resp, err := rg.server.Client().Do(r)
+	if err != nil {
+		return result{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return result{resp.StatusCode, resp.Header, string(data), err}
+}
--- a/internal/place/order/adapters.go
+++ b/internal/place/order/adapters.go
@@ -110,7 +110,7 @@
 	if a != "" {
 		best.models[m][a] = time.Now()
 	}
-	return deck.Placement{Server: best.server.ID}, true
+	return deck.Placement{Server: best.id}, true
 }
 
 // pending estimates when a model will be held.
@@ -143,7 +143,7 @@
 		tried[e] = true
 		if c.loadAdapter(ctx, spec, e, key) {
 			c.publish()
-			return deck.Placement{Server: e.server.ID}
+			return deck.Placement{Server: e.id}
 		}
 	}
 	return c.pending(key.service, key.model)
--- /dev/null
+++ b/internal/place/order/controller_test.go
@@ -0,0 +1,169 @@
+package order
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+func testSpec(models int) deck.EngineSpec {
+	s := deck.EngineSpec{WeightMegabytes: 230, AdapterSlots: 3, StoreLoadsPerS: 3}
+	for i := range models {
+		s.Models = append(s.Models, deck.EngineModel{
+			Name: model(i), Megabytes: 70, AdapterMegabytes: 0.1, Adapters: 8, LoadTime: 3 * time.Second,
+		})
+	}
+	return s
+}
+
+func model(i int) deck.ModelName {
+	return deck.ModelName(fmt.Sprintf("m%d", i))
+}
+
+// run plays a controller in virtual time; f ends the play.
+func run(t *testing.T, w *world, f func(c *Controller)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		c := NewController(Options{
+			Self: "self", Watch: w, Clock: deck.SystemClock{}, Fresh: time.Second, Lease: 3 * time.Second, Fenced: true,
+			Engines: w, List: w, Config: w.config, Publish: func(uint64, []deck.Server) {}, Log: logr.Discard(),
+		})
+		var g errgroup.Group
+		g.Go(func() error { return c.Run(ctx) })
+		f(c)
+		cancel()
+		if err := g.Wait(); err != nil {
+			t.Error(err)
+		}
+		<-time.After(15 * time.Second) // orders that are carried out late
+		w.set(func() {
+			for _, b := range w.broken {
+				t.Error(b)
+			}
+		})
+	})
+}
+
+func ask(c *Controller, m int, tokens int) {
+	c.TakeReport(deck.ViewRequest{Demand: []deck.CallDemand{{Service: "llm", Model: model(m), Tokens: tokens}}})
+}
+
+func TestEveryModelGetsAPlace(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, testSpec(6), 3, 1)
+	run(t, w, func(*Controller) {
+		<-time.After(20 * time.Second)
+		for i := range 6 {
+			is.True(w.copies(model(i)) >= 1)
+		}
+	})
+}
+
+// Guards against two holders within a lease: a new leader waits while the earlier one may be alive.
+func TestNewLeaderWaitsForTheLease(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, testSpec(2), 2, 1)
+	run(t, w, func(*Controller) {
+		<-time.After(2900 * time.Millisecond)
+		is.Equal(w.ordered(), 0)
+		<-time.After(time.Second)
+		is.True(w.ordered() > 0)
+	})
+}
+
+func TestNewLeaderDoesNotWaitForADeadHolder(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, testSpec(2), 2, 1)
+	w.alive = false
+	run(t, w, func(*Controller) {
+		<-time.After(2 * time.Second)
+		is.True(w.ordered() > 0)
+	})
+}
+
+func TestNoOrderAfterTheLeadershipIsLost(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, testSpec(6), 3, 1)
+	run(t, w, func(c *Controller) {
+		<-time.After(4 * time.Second)
+		w.set(func() { w.leads = false })
+		n := w.ordered()
+		ask(c, 1, 10000)
+		<-time.After(5 * time.Second)
+		is.Equal(w.ordered(), n)
+	})
+}
+
+// Guards against loads that exceed the store's rate in any span of five seconds.
+func TestStoreLoadsKeepTheRate(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, testSpec(24), 9, 1)
+	var n [25]int
+	run(t, w, func(*Controller) {
+		for s := range n {
+			n[s] = w.ordered()
+			<-time.After(time.Second)
+		}
+	})
+	for s := 5; s < len(n); s++ {
+		is.True(float64(n[s]-n[s-5]) <= 3*5*1.1+3)
+	}
+	is.True(n[24] >= 24)
+}
+
+// Guards against an engine that is ordered to hold more than it can while orders are lost or carried out late, demand moves,
+// and adapters are asked for all the time.
+func TestLimitsHoldWhileOrdersAreLostAndLate(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			w := newWorld(t, testSpec(7), 4, seed)
+			w.lossy = 0.4
+			random := rand.New(rand.NewPCG(seed, 2))
+			run(t, w, func(c *Controller) {
+				var g errgroup.Group
+				for step := range 120 {
+					ask(c, (step/30)%7, 5000)
+					a := deck.AdapterName(fmt.Sprint("a", random.IntN(8)))
+					m := model(random.IntN(7))
+					g.Go(func() error {
+						_, _ = c.PlaceFor(context.Background(), "dc", "llm", m, a) // what matters is what the engines see
+						return nil
+					})
+					<-time.After(250 * time.Millisecond)
+				}
+				_ = g.Wait() // always nil
+			})
+		})
+	}
+}
+
+func TestAdapterIsPlacedOnceForSeveralCallers(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, testSpec(1), 1, 1)
+	run(t, w, func(c *Controller) {
+		<-time.After(10 * time.Second) // the model is loaded
+		before := w.ordered()
+		var g errgroup.Group
+		for range 5 {
+			g.Go(func() error {
+				p, err := c.PlaceFor(context.Background(), "dc", "llm", model(0), "a1")
+				if err == nil && p.Server != "a" {
+					return fmt.Errorf("adapter is at %q", p.Server)
+				}
+				return err
+			})
+		}
+		is.NoErr(g.Wait())
+		is.Equal(w.ordered(), before+1)
+	})
+}
--- a/internal/place/order/engine.go
+++ b/internal/place/order/engine.go
@@ -10,6 +10,7 @@
 
 // An engine is what the holder knows of one incarnation of an engine. Its fields are guarded by the controller's lock.
 type engine struct {
+	id       deck.BackendName // never changes, and may be read without the lock
 	server   deck.Server
 	sending  chan struct{}                                     // one slot: orders and reports follow each other
 	scanning bool                                              // a report is being read
@@ -29,7 +30,7 @@
 
 func newEngine(s deck.Server) *engine {
 	return &engine{
-		server: s, sending: make(chan struct{}, 1), models: make(map[deck.ModelName]map[deck.AdapterName]time.Time),
+		id: s.ID, server: s, sending: make(chan struct{}, 1), models: make(map[deck.ModelName]map[deck.AdapterName]time.Time),
 		atHand: make(map[deck.ModelName]bool), coming: make(map[deck.AdapterRef]bool), going: make(map[deck.AdapterRef]bool),
 	}
 }
@@ -130,7 +131,7 @@
 // view returns the engine as the planner sees it.
 func (e *engine) view(spec deck.EngineSpec, now time.Time) assign.Engine {
 	v := assign.Engine{
-		ID: e.server.ID, DataCentre: e.server.DataCentre, Idle: e.idle(now), Models: make(map[deck.ModelName]bool),
+		ID: e.id, DataCentre: e.server.DataCentre, Idle: e.idle(now), Models: make(map[deck.ModelName]bool),
 		Used: e.used(spec), AtHand: e.atHand,
 	}
 	for m := range e.models {
--- a/internal/place/order/work.go
+++ b/internal/place/order/work.go
@@ -30,7 +30,7 @@
 	defer c.mu.Unlock()
 	if err != nil {
 		e.retryAt = time.Now().Add(retryPause)
-		c.o.Log.Info("engine's report could not be read", "engine", string(e.server.ID), "reason", err.Error())
+		c.o.Log.Info("engine's report could not be read", "engine", string(e.id), "reason", err.Error())
 		return
 	}
 	e.take(st, time.Now())
@@ -41,9 +41,12 @@
 }
 
 func (c *Controller) report(ctx context.Context, e *engine) (deck.EngineState, error) {
+	c.mu.Lock()
+	server := e.server
+	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return c.o.Engines.Report(ctx, e.server)
+	return c.o.Engines.Report(ctx, server)
 }
 
 // send sends one order, if this VM is still the holder, and notes what the answer tells.
@@ -117,7 +120,7 @@
 		}
 		st, err := c.report(ctx, e)
 		c.mu.Lock()
-		gone := c.engines[e.server.ID] != e
+		gone := c.engines[e.id] != e
 		finished := err == nil && !st.Busy && st.OrdersAccepted >= e.seq && time.Since(e.ordered) > reportLag
 		if finished {
 			e.take(st, time.Now())
