--- a/internal/state/join/joiner.go
+++ b/internal/state/join/joiner.go
@@ -105,7 +105,7 @@
 		j.leader = ""
 		return to, true
 	}
-	targets := j.Seeds()
+	targets := slices.Clone(j.Seeds())
 	for _, id := range slices.Concat(s.Voters, s.Learners) {
 		if !slices.Contains(targets, id.VM) {
 			targets = append(targets, id.VM)
--- /dev/null
+++ b/internal/state/join/steward_test.go
@@ -0,0 +1,64 @@
+package join_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/state/join"
+)
+
+var now = time.Unix(1000, 0)
+
+func health(vm string, voter, caughtUp bool, quiet time.Duration) deck.ReplicaHealth {
+	return deck.ReplicaHealth{
+		ID: deck.ReplicaID{VM: deck.VMName(vm), Incarnation: 1}, Voter: voter, CaughtUp: caughtUp, Heard: now.Add(-quiet),
+	}
+}
+
+func TestNext(t *testing.T) {
+	const live, dead = 100 * time.Millisecond, 3 * time.Second
+	for _, c := range []struct {
+		name     string
+		wanted   int
+		replicas []deck.ReplicaHealth
+		step     join.Step
+		vm       deck.VMName
+	}{
+		{"complete", 3, []deck.ReplicaHealth{health("b", true, true, live), health("c", true, true, live)}, join.Keep, ""},
+		{"a silent voter without a replacement may return", 3,
+			[]deck.ReplicaHealth{health("b", true, true, live), health("c", true, true, dead)}, join.Keep, ""},
+		{"too few voters", 3,
+			[]deck.ReplicaHealth{health("b", true, true, live), health("d", false, true, live)}, join.Promote, "d"},
+		{"a silent voter is replaced, the new one first", 3,
+			[]deck.ReplicaHealth{health("b", true, true, live), health("c", true, true, dead), health("d", false, true, live)},
+			join.Promote, "d"},
+		{"then the silent one goes", 3,
+			[]deck.ReplicaHealth{health("b", true, true, live), health("c", true, true, dead), health("d", true, true, live)},
+			join.Remove, "c"},
+		{"a learner that is behind is no replacement", 3,
+			[]deck.ReplicaHealth{health("b", true, true, live), health("c", true, true, dead), health("d", false, false, live)},
+			join.Keep, ""},
+		{"a silent learner is no replacement", 3,
+			[]deck.ReplicaHealth{health("b", true, true, live), health("c", true, true, dead), health("d", false, true, dead)},
+			join.Keep, ""},
+		{"a spare learner waits", 3,
+			[]deck.ReplicaHealth{health("b", true, true, live), health("c", true, true, live), health("d", false, true, live)},
+			join.Keep, ""},
+		{"a learner that has gone is forgotten", 3,
+			[]deck.ReplicaHealth{health("b", true, true, live), health("c", true, true, live), health("d", false, false, time.Minute)},
+			join.Remove, "d"},
+		{"two losses to bear need five voters", 5,
+			[]deck.ReplicaHealth{health("b", true, true, live), health("c", true, true, live), health("d", false, true, live)},
+			join.Promote, "d"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			step, id := join.Next(now, c.wanted, c.replicas)
+			is.Equal(step, c.step)
+			is.Equal(id.VM, c.vm)
+		})
+	}
+}
