Keep a learner that has not answered yet, and let a forgotten replica join again

Besides, a new leader took voters for silent that it had not heard yet. Change: silence counts from the leader's own term, a learner without an answer is kept, a replica asks to join again when it has not heard a leader for 3 s.

--- a/internal/core/deck/log.go
+++ b/internal/core/deck/log.go
@@ -1,6 +1,9 @@
 package deck
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // A Log is the replicated log as its users see it.
 type Log interface {
@@ -45,6 +48,7 @@
 	Term     uint64
 	Commit   uint64
 	Applied  uint64
+	Heard    time.Time // last message of a current leader, or now at the leader; by the replica's clock
 	Voters   []ReplicaID
 	Learners []ReplicaID
 	Failed   string // why the replica no longer takes part, empty if it does
--- a/internal/state/join/cluster_test.go
+++ b/internal/state/join/cluster_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
@@ -66,7 +68,10 @@
 	is.NoErr(err)
 	m := &member{machine: &routing.Machine{}}
 	m.node, err = replica.NewNode(replica.Options{
-		Config: replica.Config{Deployment: "test", Founders: founders}, Storage: store, Transport: c.network,
+		Config: replica.Config{
+			Deployment: "test", Founders: founders, Rand: rand.NewPCG(xxhash.Sum64String(string(vm)), incarnation),
+		},
+		Storage: store, Transport: c.network,
 		Machine: m.machine, Log: logr.Discard(),
 	})
 	is.NoErr(err)
--- a/internal/state/join/joiner.go
+++ b/internal/state/join/joiner.go
@@ -74,7 +74,7 @@
 	m := deck.Membership{Voters: s.Voters, Learners: s.Learners}
 	member := m.IsVoter(s.Self) || m.IsLearner(s.Self)
 	now := j.Clock.Now()
-	if member && !s.Leader.IsZero() {
+	if member && now.Sub(s.Heard) <= unheardAfter {
 		j.heard = now
 		return false
 	}
--- a/internal/state/join/steward.go
+++ b/internal/state/join/steward.go
@@ -35,12 +35,16 @@
 )
 
 // Next returns the next change that brings the voters to the wanted number of live replicas. The leader itself is not
-// among the replicas and counts as one live voter.
-func Next(now time.Time, wanted int, replicas []deck.ReplicaHealth) (Step, deck.ReplicaID) {
+// among the replicas and counts as one live voter; nobody counts as silent for the time before it led.
+func Next(now, since time.Time, wanted int, replicas []deck.ReplicaHealth) (Step, deck.ReplicaID) {
 	voters := 1
 	var silent, ready, forgotten []deck.ReplicaHealth
 	for _, r := range replicas {
-		quiet := now.Sub(r.Heard)
+		heard := r.Heard
+		if heard.Before(since) {
+			heard = since
+		}
+		quiet := now.Sub(heard)
 		switch {
 		case r.Voter:
 			voters++
@@ -49,7 +53,7 @@
 			}
 		case r.CaughtUp && quiet < silentAfter:
 			ready = append(ready, r)
-		case quiet > goneAfter:
+		case quiet > goneAfter && !r.Heard.IsZero(): // a learner that was just added has not answered yet
 			forgotten = append(forgotten, r)
 		}
 	}
@@ -87,7 +91,9 @@
 	Wanted int // voters: twice the losses to bear, and one
 	Log    logr.Logger
 
-	done chan struct{}
+	done  chan struct{}
+	term  uint64    // the last term that the replica led
+	since time.Time // when that was first seen
 }
 
 // NewSteward returns a steward that is ready to run.
@@ -123,7 +129,11 @@
 	if err != nil {
 		return // not the leader
 	}
-	step, id := Next(s.Clock.Now(), s.Wanted, health)
+	now := s.Clock.Now()
+	if term, ok := s.Watch.Leads(now, changeTimeout); ok && term != s.term {
+		s.term, s.since = term, now
+	}
+	step, id := Next(now, s.since, s.Wanted, health)
 	switch step {
 	case Keep:
 		return
--- a/internal/state/join/steward_test.go
+++ b/internal/state/join/steward_test.go
@@ -56,9 +56,31 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			step, id := join.Next(now, c.wanted, c.replicas)
+			step, id := join.Next(now, now.Add(-time.Hour), c.wanted, c.replicas)
 			is.Equal(step, c.step)
 			is.Equal(id.VM, c.vm)
 		})
 	}
 }
+
+// Guards against a learner that is removed before its first answer, and never knew.
+func TestNewLearnerIsKept(t *testing.T) {
+	is := is.New(t)
+	learner := deck.ReplicaHealth{ID: deck.ReplicaID{VM: "d", Incarnation: 1}}
+	step, _ := join.Next(now, now.Add(-time.Hour), 3, []deck.ReplicaHealth{
+		health("b", true, true, 0), health("c", true, true, 0), learner,
+	})
+	is.Equal(step, join.Keep)
+}
+
+// Guards against a live voter that is replaced because a new leader has not heard it yet.
+func TestNewLeaderGivesVotersTime(t *testing.T) {
+	is := is.New(t)
+	unheard := deck.ReplicaHealth{ID: deck.ReplicaID{VM: "b", Incarnation: 1}, Voter: true}
+	replicas := []deck.ReplicaHealth{unheard, health("c", true, true, 0), health("d", false, true, 0)}
+	step, _ := join.Next(now, now.Add(-time.Second), 3, replicas)
+	is.Equal(step, join.Keep)
+	step, id := join.Next(now, now.Add(-2*time.Second), 3, replicas)
+	is.Equal(step, join.Promote)
+	is.Equal(id.VM, deck.VMName("d"))
+}
--- a/internal/state/replica/core.go
+++ b/internal/state/replica/core.go
@@ -222,7 +222,12 @@
 // Status returns the replica's view of the log.
 func (c *Core) Status() deck.LogStatus {
 	m := c.membership()
+	heard := c.heardLeader
+	if c.state == leader {
+		heard = c.now
+	}
 	return deck.LogStatus{
+		Heard:    heard,
 		Self:     c.self,
 		Leader:   c.lead,
 		Term:     c.ballot.Term,
