Weigh a choice by the caller's wait, and hand on adapter changes every 4 s

Cause: costs in units of a batch made one call weigh five times more on engines of 12 places than of 64; each adapter change went to every entry VM at once. Also the linter's findings.

--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -327,7 +327,7 @@
 	}
 	switch answer.Verdict {
 	case deck.AnswerComplete:
-		return c.relay(ctx, s, ex)
+		return c.relay(s, ex)
 	case deck.AnswerNotRun:
 		discard(ex)
 		c.h.Book.SawFull(now, s.ID)
--- a/internal/api/ingress/relay.go
+++ b/internal/api/ingress/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -85,11 +84,11 @@
 }
 
 // relay passes a server's answer on to the caller.
-func (c *callRun) relay(ctx context.Context, s deck.Server, ex *http1.Exchange) result {
+func (c *callRun) relay(s deck.Server, ex *http1.Exchange) result {
 	resp := ex.Response
 	if c.route.Kind == deck.CallStream && resp.StatusCode == http.StatusOK &&
 		strings.HasPrefix(resp.Header.Get("Content-Type"), streamType) {
-		return c.relayStream(ctx, s, ex)
+		return c.relayStream(s, ex)
 	}
 	if c.began { // a stream that is to be resumed
 		ex.Abort()
@@ -153,7 +152,7 @@
 
 // relayStream relays events as they come. A partial event is never relayed, so that another engine can go on after the
 // last whole one.
-func (c *callRun) relayStream(ctx context.Context, s deck.Server, ex *http1.Exchange) result {
+func (c *callRun) relayStream(s deck.Server, ex *http1.Exchange) result {
 	c.runs++
 	stallLimit := max(c.h.minStall(), c.route.LatencyTarget)
 	stall := time.AfterFunc(stallLimit, func() {
--- a/internal/api/ingress/rig_test.go
+++ b/internal/api/ingress/rig_test.go
@@ -55,7 +55,7 @@
 				return nil
 			}
 			g.Go(func() error {
-				defer c.Close()
+				defer func() { _ = c.Close() }()
 				b.serve(c, answer)
 				return nil
 			})
--- a/internal/backend/http1/client.go
+++ b/internal/backend/http1/client.go
@@ -95,7 +95,7 @@
 			return nil
 		})
 	}
-	resp, err := e.conn.wait(ctx)
+	resp, err := e.conn.wait(ctx) //nolint:bodyclose // the exchange ends with its connection
 	select {
 	case werr := <-written:
 		e.whole = werr == nil
--- a/internal/backend/http1/client_test.go
+++ b/internal/backend/http1/client_test.go
@@ -41,7 +41,7 @@
 			}
 			s.accepted.Add(1)
 			g.Go(func() error {
-				defer c.Close()
+				defer func() { _ = c.Close() }()
 				handle(c, bufio.NewReader(c))
 				return nil
 			})
--- a/internal/backend/http1/conn.go
+++ b/internal/backend/http1/conn.go
@@ -79,7 +79,7 @@
 		default:
 			return
 		}
-		resp, err := readResponse(c.reader, req)
+		resp, err := readResponse(c.reader, req) //nolint:bodyclose // handed over with the answer
 		if !c.deliver(answer{resp, err}) || err != nil {
 			return
 		}
@@ -163,7 +163,7 @@
 	}
 	e.conn.wanted <- req
 	e.conn.next <- struct{}{}
-	resp, err := e.conn.wait(ctx)
+	resp, err := e.conn.wait(ctx) //nolint:bodyclose // the exchange ends with its connection
 	if err != nil {
 		return err
 	}
--- a/internal/core/deck/server.go
+++ b/internal/core/deck/server.go
@@ -116,9 +116,16 @@
 
 // Equal reports whether both descriptions are the same.
 func (s Server) Equal(o Server) bool {
+	return s.SameModels(o) && slices.EqualFunc(s.Models, o.Models, func(a, b HeldModel) bool {
+		return slices.Equal(a.Adapters, b.Adapters)
+	})
+}
+
+// SameModels reports whether both descriptions are the same but for the adapters.
+func (s Server) SameModels(o Server) bool {
 	return s.ID == o.ID && s.Service == o.Service && s.Address == o.Address && s.DataCentre == o.DataCentre &&
 		s.Slots == o.Slots && s.Draining == o.Draining && s.Born == o.Born &&
 		slices.EqualFunc(s.Models, o.Models, func(a, b HeldModel) bool {
-			return a.Name == b.Name && a.Version == b.Version && slices.Equal(a.Adapters, b.Adapters)
+			return a.Name == b.Name && a.Version == b.Version
 		})
 }
--- a/internal/route/balance/pick.go
+++ b/internal/route/balance/pick.go
@@ -17,10 +17,13 @@
 	loadFor    = 2 * time.Second        // the load of other VMs has changed after this time
 )
 
-// Costs in units of one full batch of the server's places.
+// Costs in units of a caller's longest allowed wait or pause.
 const (
-	regionCost  = 0.01 // another data centre of the region: traffic is billed by volume
-	farCost     = 0.08 // another region: a few dozen ms each way, and traffic is billed
+	callCost    = 0.02 // each call at the server: its prompt is read between the events of the others
+	queueCost   = 2.0  // times the calls beyond most of the server's places, in units of its places: they wait for one
+	queueFrom   = 0.8  // share of the places from which on calls are expected to wait
+	regionCost  = 0.04 // another data centre of the region: traffic is billed by volume
+	farCost     = 0.12 // another region: a few dozen ms each way, and traffic is billed
 	failingCost = 4.0  // times the share of calls that failed of late
 	pauseCost   = 0.6  // times the share of the allowed pause that events take of late
 	jitterCost  = 0.02 // spreads VMs that have seen the same load
@@ -130,7 +133,8 @@
 	if !e.loadAt.IsZero() && now.Sub(e.loadAt) < loadFor {
 		pace = max(1, e.load.Pace)
 	}
-	cost := e.fill(now) * pace
+	fill := e.fill(now)
+	cost := (callCost*fill*float64(max(1, e.Slots)) + queueCost*max(0, fill-queueFrom)) * pace
 	switch e.distance {
 	case SameRegion:
 		cost += regionCost
--- a/internal/settings/node/settings_test.go
+++ b/internal/settings/node/settings_test.go
@@ -59,7 +59,7 @@
 		{`["10.1.0.33:8144","10.2.0.37:8144"]`, `["10.1.0.33"]`, "seeds"},
 		{`losses-to-bear: 1`, `losses-to-bear: -1`, "losses-to-bear"},
 		{`lease-milliseconds: 3000`, `lease-milliseconds: 0`, "lease-milliseconds"},
-		{`first-start: true`, `first-strat: true`, "first-strat"},
+		{`first-start: true`, `first-begin: true`, "first-begin"},
 	} {
 		t.Run(c.want, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/state/hub/follower.go
+++ b/internal/state/hub/follower.go
@@ -12,11 +12,12 @@
 )
 
 const (
-	pollWait     = 1 * time.Second         // how long the leader may keep a request waiting
-	pollTimeout  = 1100 * time.Millisecond // the wait, and a way there and back between regions with room for a slow VM
-	searchPause  = 100 * time.Millisecond  // between two VMs that do not lead
-	searchLimit  = 400 * time.Millisecond  // for the answer of a VM that is not known to lead
-	staleAfter   = 2 * time.Second         // without the leader's word the platform's own list is read
+	minWait      = 500 * time.Millisecond // how long the leader keeps a request waiting at least if nothing changes
+	leaderRate   = 60.0                   // requests a second of all entry VMs that the leader's VM is asked to answer
+	answerTime   = 600 * time.Millisecond // beyond the wait: a way there and back between regions with room for a slow VM
+	searchPause  = 100 * time.Millisecond // between two VMs that do not lead
+	searchLimit  = 400 * time.Millisecond // for the answer of a VM that is not known to lead
+	staleAfter   = 2 * time.Second        // without the leader's word the platform's own list is read
 	staleCheck   = 200 * time.Millisecond
 	directPeriod = 1 * time.Second // between two readings of the platform's own list
 
@@ -56,6 +57,7 @@
 	members []deck.VMName
 	started time.Time
 	turn    int
+	vms     int // entry VMs that ask the leader
 }
 
 // NewFollower returns a follower that is ready to run.
@@ -81,7 +83,8 @@
 	f.started = time.Now()
 	for ctx.Err() == nil {
 		if leader, ok := f.Leader(); ok {
-			f.poll(ctx, leader, pollWait, pollTimeout)
+			wait := f.wait()
+			f.poll(ctx, leader, wait, wait+answerTime)
 			continue
 		}
 		to, ok := f.nextTarget()
@@ -117,6 +120,11 @@
 	return nil
 }
 
+// wait returns how long the leader may keep a request waiting, so that all entry VMs together don't ask too often.
+func (f *Follower) wait() time.Duration {
+	return max(minWait, time.Duration(float64(f.vms)/leaderRate*float64(time.Second)))
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -189,6 +197,7 @@
 	if a.Config != nil {
 		f.install(*a.Config)
 	}
+	f.vms = a.VMs
 	f.o.VMs(a.VMs)
 	f.o.Crashes(a.Crashes)
 	f.apply(a)
--- a/internal/state/hub/hub.go
+++ b/internal/state/hub/hub.go
@@ -10,8 +10,12 @@
 
 const (
 	vmForgotten = 5 * time.Second // an entry VM that has not asked for this time no longer counts
-	maxGone     = 4096            // removed servers that are remembered for deltas
-	maxCrashes  = 64              // each answer carries them
+	// adapterPeriod is the least time between two rows of a server that differ in adapters only. Adapters change many times
+	// a second over all engines, and an entry VM asks the placement leader for one that it does not know of.
+	adapterPeriod = 4 * time.Second
+
+	maxGone     = 4096 // removed servers that are remembered for deltas
+	maxCrashes  = 64   // each answer carries them
 	crashMemory = 60 * time.Second
 )
 
@@ -42,6 +46,7 @@
 type versioned struct {
 	deck.Server
 	number uint64
+	at     time.Time // when the row was last handed on
 }
 
 type seenCrash struct {
@@ -84,14 +89,15 @@
 
 func (h *Hub) update(list []deck.Server, next uint64) bool {
 	changed := false
+	now := h.o.Clock.Now()
 	listed := make(map[deck.BackendName]bool, len(list))
 	for _, s := range list {
 		listed[s.ID] = true
 		old, ok := h.servers[s.ID]
-		if ok && old.Equal(s) {
+		if ok && (old.Equal(s) || old.SameModels(s) && now.Sub(old.at) < adapterPeriod) {
 			continue
 		}
-		h.servers[s.ID] = versioned{s, next}
+		h.servers[s.ID] = versioned{s, next, now}
 		delete(h.gone, s.ID)
 		changed = true
 	}
