Let a new holder of orders wait shortly where engines check fences

Where engines refuse older fencing tokens the lease protects nothing: the earlier leader has stopped by its own clock before an election. Without fences the wait stays.

--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -24,8 +24,12 @@
 	fallingFade = 6 * time.Second         // time constant of demand that falls, so that a pause costs no copies
 	reportLag   = 500 * time.Millisecond  // how old an engine's report may be, with room
 	turnWait    = 300 * time.Millisecond  // for orders before this one; each takes two ways between regions
-	aloneAfter  = 500 * time.Millisecond  // a live voter answers its new leader within this time
-	retryPause  = 500 * time.Millisecond  // after a conflict or a lost answer
+
+	// fencedWait is how long a new holder waits where engines refuse an earlier holder's fencing token. An earlier leader
+	// has stopped by its own clock before another one is elected; this is room for orders that it had sent.
+	fencedWait = 500 * time.Millisecond
+
+	retryPause = 500 * time.Millisecond // after a conflict or a lost answer
 
 	// storeShare of the weight store's rate is used, so that loads that are carried out late fit in too.
 	storeShare = 0.9
@@ -38,8 +42,8 @@
 	Watch   deck.ReplicaWatch
 	Clock   deck.Clock    // also counts while the VM is suspended
 	Fresh   time.Duration // how old the check may be that this replica leads
-	Lease   time.Duration // between the orders of two holders that may both be alive
-	Fenced  bool          // engines refuse orders with an old fencing token
+	Lease   time.Duration // how long a new holder waits after an earlier one
+	Fenced  bool          // engines refuse orders with an old fencing token, so that the wait can be short
 	Engines deck.EngineControl
 	List    deck.ServerList
 	Config  func() *deck.RoutingConfig // nil before the first configuration
@@ -56,7 +60,6 @@
 	mu      sync.Mutex
 	term    uint64    // 0 while the replica does not lead
 	since   time.Time // when the term was first seen
-	alone   bool      // a voter has not answered in this term: the earlier holder is cut off or dead
 	listed  bool
 	listAt  time.Time
 	servers []deck.Server
@@ -123,7 +126,7 @@
 		return term, ok
 	}
 	c.o.Log.Info("holder of orders changed", "term", term, "before", c.term, "leading", ok)
-	c.term, c.since, c.listed, c.alone = term, now, false, false
+	c.term, c.since, c.listed = term, now, false
 	clear(c.engines)
 	clear(c.store)
 	return term, ok
@@ -136,35 +139,11 @@
 	term, ok := c.o.Watch.Leads(now, c.o.Fresh)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return term, ok && term == c.term && (c.alone || now.Sub(c.since) > c.o.Lease)
-}
-
-// checkAlone ends the wait for an earlier holder's lease once that holder is known to be cut off or dead, if engines refuse
-// its orders from then on anyway.
-func (c *Controller) checkAlone(ctx context.Context, term uint64) {
-	c.mu.Lock()
-	waiting := c.o.Fenced && !c.alone && c.o.Clock.Now().Sub(c.since) <= c.o.Lease
-	since := c.since
-	c.mu.Unlock()
-	if !waiting {
-		return
-	}
-	health, err := c.o.Watch.Health(ctx)
-	if err != nil {
-		return // no longer the leader
-	}
-	alone := false
-	for _, h := range health {
-		if h.Voter && h.Heard.Before(since) && c.o.Clock.Now().Sub(since) > aloneAfter {
-			alone = true
-		}
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if alone && c.term == term {
-		c.alone = true
-		c.o.Log.Info("earlier holder of orders does not answer; its lease is not waited for", "term", term)
+	wait := c.o.Lease
+	if c.o.Fenced {
+		wait = min(wait, fencedWait)
 	}
+	return term, ok && term == c.term && now.Sub(c.since) > wait
 }
 
 func (c *Controller) readList(ctx context.Context) {
@@ -261,11 +240,9 @@
 
 // step sends the orders that are due.
 func (c *Controller) step(ctx context.Context) {
-	term, ok := c.lead()
-	if !ok {
+	if _, ok := c.lead(); !ok {
 		return
 	}
-	c.checkAlone(ctx, term)
 	cfg := c.o.Config()
 	if cfg == nil {
 		return
