Unload and load a model in one action, and use the store's idle time for second copies

Change: additions follow the demand of now, the load follows the unload at once where nothing runs, free places and the idle store give models a second copy. Its tests found that a model's only complete copy could be unloaded while another was loading.

--- a/internal/place/assign/assign_test.go
+++ b/internal/place/assign/assign_test.go
@@ -35,6 +35,10 @@
 	return e
 }
 
+func outlook(d assign.Demand) assign.Outlook {
+	return assign.Outlook{Now: d, Keep: d}
+}
+
 func TestCopiesFollowTheWorkAndKeepAReserve(t *testing.T) {
 	is := is.New(t)
 	s := spec(6)
@@ -57,9 +61,9 @@
 		engine("a", 0, 1), engine("b", 0, 2), engine("c", 0, 3), engine("d", 0), engine("e", 0), engine("f", 0),
 	}
 	var loads int
-	for _, a := range assign.Next(s, engines, assign.Demand{name(1): 1000, name(0): 50}, 10) {
-		is.True(!a.Unload)
-		if a.Model == name(1) {
+	for _, a := range assign.Next(s, engines, outlook(assign.Demand{name(1): 1000, name(0): 50}), 10) {
+		is.True(a.Unload == "")
+		if a.Load == name(1) {
 			loads++
 		}
 	}
@@ -71,11 +75,11 @@
 	is := is.New(t)
 	s := spec(5) // m03 and m04 are held by nobody
 	engines := []assign.Engine{engine("a", 0, 1), engine("b", 0, 1, 2), engine("c", 0, 1)}
-	actions := assign.Next(s, engines, assign.Demand{name(2): 1000}, 10)
+	actions := assign.Next(s, engines, outlook(assign.Demand{name(2): 1000}), 10)
 	loaded := map[deck.ModelName]int{}
 	for _, a := range actions {
-		if !a.Unload {
-			loaded[a.Model]++
+		if a.Load != "" {
+			loaded[a.Load]++
 		}
 	}
 	is.Equal(loaded[name(3)]+loaded[name(4)], 2) // both free places
@@ -86,7 +90,7 @@
 	is := is.New(t)
 	s := spec(6)
 	engines := []assign.Engine{engine("a", 0, 1, 2), engine("b", 3, 4, 5)}
-	is.Equal(len(assign.Next(s, engines, assign.Demand{name(0): 1000}, 10)), 0)
+	is.Equal(len(assign.Next(s, engines, outlook(assign.Demand{name(0): 1000}), 10)), 0)
 }
 
 func TestStoreLoadsStopAtTheLimit(t *testing.T) {
@@ -95,7 +99,7 @@
 	warm := engine("c")
 	warm.AtHand[name(0)] = true
 	engines := []assign.Engine{engine("a", 0, 1, 2), engine("b"), warm}
-	actions := assign.Next(s, engines, assign.Demand{name(0): 1000, name(3): 10}, 1)
+	actions := assign.Next(s, engines, outlook(assign.Demand{name(0): 1000, name(3): 10}), 1)
 	store := 0
 	for _, a := range actions {
 		if a.Store {
@@ -110,7 +114,7 @@
 	is := is.New(t)
 	e := engine("a")
 	e.Idle = false
-	is.Equal(len(assign.Next(spec(2), []assign.Engine{e}, assign.Demand{name(0): 1}, 5)), 0)
+	is.Equal(len(assign.Next(spec(2), []assign.Engine{e}, outlook(assign.Demand{name(0): 1}), 5)), 0)
 }
 
 // Load pattern: the engines that hold the busiest models have all the work while others idle.
@@ -118,7 +122,7 @@
 	is := is.New(t)
 	s := spec(4)
 	engines := []assign.Engine{engine("a", 0, 1), engine("b", 0, 1), engine("c", 0, 2), engine("idle", 2, 3)}
-	actions := assign.Next(s, engines, assign.Demand{name(0): 900, name(1): 300}, 1)
+	actions := assign.Next(s, engines, outlook(assign.Demand{name(0): 900, name(1): 300}), 1)
 	is.True(len(actions) > 0)
 	is.Equal(actions[0].Engine, deck.BackendName("idle"))
 }
--- a/internal/place/assign/copies.go
+++ b/internal/place/assign/copies.go
@@ -7,6 +7,13 @@
 // Demand is the work asked of each model, in tokens a second.
 type Demand map[deck.ModelName]float64
 
+// An Outlook is the demand that decides which copies to add, and the demand that decides which ones to keep. The latter
+// forgets more slowly, so that a pause costs no copies and a model that falls gets no further ones.
+type Outlook struct {
+	Now  Demand
+	Keep Demand
+}
+
 const (
 	// minShare is the share of one engine's average work below which a further copy of a model is not worth its place.
 	minShare = 0.35
--- a/internal/place/assign/next.go
+++ b/internal/place/assign/next.go
@@ -9,22 +9,23 @@
 	ID         deck.BackendName
 	DataCentre deck.DataCentre
 	Idle       bool                    // it can take an order
-	Models     map[deck.ModelName]bool // held or being loaded
+	Models     map[deck.ModelName]bool // held
+	Loading    deck.ModelName          // empty for none
 	Used       float64                 // megabytes of weights and adapters, those on their way included
 	AtHand     map[deck.ModelName]bool // copies in its memory or on its disk
 }
 
-// An Action is an order to an engine.
+// An Action changes the models of an engine.
 type Action struct {
 	Engine deck.BackendName
-	Model  deck.ModelName
-	Unload bool
-	Store  bool // the weights come from the weight store
+	Unload deck.ModelName // makes way; empty for none
+	Load   deck.ModelName // empty for none
+	Store  bool           // the weights come from the weight store
 }
 
 // Next returns the orders to send now, at most one for each engine. Loads from the weight store stop at the given number.
-func Next(spec deck.EngineSpec, engines []Engine, demand Demand, storeLoads int) []Action {
-	p := newPlanner(spec, engines, demand)
+func Next(spec deck.EngineSpec, engines []Engine, outlook Outlook, storeLoads int) []Action {
+	p := newPlanner(spec, engines, outlook)
 	p.storeLoads = storeLoads
 	for {
 		m, ok := p.mostLacking()
@@ -36,6 +37,7 @@
 		}
 	}
 	p.restoreReserve()
+	p.spread()
 	return p.actions
 }
 
@@ -43,11 +45,14 @@
 	spec       deck.EngineSpec
 	engines    []Engine
 	demand     Demand
+	kept       Demand
 	storeLoads int
 
-	want    map[deck.ModelName]int
+	want    map[deck.ModelName]int // copies to have for the demand of now
+	keep    map[deck.ModelName]int // copies not to unload
 	have    map[deck.ModelName]int
-	near    map[place]int // copies in a data centre
+	ready   map[deck.ModelName]int // copies that are not being loaded any more
+	near    map[place]int          // copies in a data centre
 	skipped map[deck.ModelName]bool
 	busy    map[deck.BackendName]bool
 	lost    int // models that no engine holds
@@ -60,18 +65,24 @@
 	dc    deck.DataCentre
 }
 
-func newPlanner(spec deck.EngineSpec, engines []Engine, demand Demand) *planner {
+func newPlanner(spec deck.EngineSpec, engines []Engine, o Outlook) *planner {
 	p := &planner{
-		spec: spec, engines: engines, demand: demand, want: Copies(spec, len(engines), demand),
-		have: make(map[deck.ModelName]int), near: make(map[place]int), skipped: make(map[deck.ModelName]bool),
+		spec: spec, engines: engines, demand: o.Now, kept: o.Keep,
+		want: Copies(spec, len(engines), o.Now), keep: Copies(spec, len(engines), o.Keep),
+		have: make(map[deck.ModelName]int), ready: make(map[deck.ModelName]int), near: make(map[place]int), skipped: make(map[deck.ModelName]bool),
 		busy: make(map[deck.BackendName]bool),
 	}
 	for _, e := range engines {
 		p.free += places(spec, spec.WeightMegabytes-e.Used)
 		for m := range e.Models {
 			p.have[m]++
+			p.ready[m]++
 			p.near[place{m, e.DataCentre}]++
 		}
+		if e.Loading != "" {
+			p.have[e.Loading]++
+			p.near[place{e.Loading, e.DataCentre}]++
+		}
 	}
 	for _, m := range spec.Models {
 		if p.have[m.Name] == 0 {
@@ -124,8 +135,7 @@
 	return found
 }
 
-// add takes an action into account. An unload that makes room counts as the copy that is to follow, so that no second one
-// is planned for it.
+// add takes an action into account.
 func (p *planner) add(a Action, m deck.EngineModel) {
 	p.actions = append(p.actions, a)
 	p.busy[a.Engine] = true
@@ -133,11 +143,12 @@
 		p.lost--
 	}
 	p.have[m.Name]++
-	if a.Unload {
-		p.have[a.Model]--
-		return
+	if a.Unload != "" {
+		p.have[a.Unload]--
+		p.ready[a.Unload]--
+	} else {
+		p.free--
 	}
-	p.free--
 	if a.Store {
 		p.storeLoads--
 	}
@@ -145,7 +156,7 @@
 
 // Costs that order the engines for a further copy.
 const (
-	evictCost = 1.0 // an unload before the load
+	evictCost = 1.0 // the load waits until the runs of another model have ended
 	storeCost = 0.8 // the load takes seconds instead of half a second
 	nearCost  = 0.5 // for each copy in the same data centre
 	fillCost  = 0.2 // for each model that the engine holds already
@@ -174,7 +185,7 @@
 	}
 	lostFirst := p.have[m.Name] > 0 && p.free <= p.lost // the last free places are for models that nobody can reach
 	if !lostFirst && e.Used+m.Megabytes <= p.spec.WeightMegabytes {
-		return Action{Engine: e.ID, Model: m.Name, Store: !e.AtHand[m.Name]}, cost, true
+		return Action{Engine: e.ID, Load: m.Name, Store: !e.AtHand[m.Name]}, cost, true
 	}
 	if e.Used+m.Megabytes <= p.spec.WeightMegabytes {
 		return a, 0, false
@@ -183,7 +194,10 @@
 	if !ok || p.pressure(m.Name) < evictGain*p.left(victim) {
 		return a, 0, false
 	}
-	return Action{Engine: e.ID, Model: victim, Unload: true}, cost + evictCost, true
+	if p.kept[victim] > 0 {
+		cost += evictCost
+	}
+	return Action{Engine: e.ID, Unload: victim, Load: m.Name, Store: !e.AtHand[m.Name]}, cost, true
 }
 
 // evictGain is how many times the work for each copy must be that of the model that makes way: an engine that changes its
@@ -192,14 +206,14 @@
 
 // left returns the work for each copy of a model with one copy less.
 func (p *planner) left(m deck.ModelName) float64 {
-	return p.demand[m] / float64(max(1, p.have[m]-1))
+	return p.kept[m] / float64(max(1, p.have[m]-1))
 }
 
 // victim returns the model on the engine that has copies to spare and the least work for each.
 func (p *planner) victim(e Engine) (best deck.ModelName, ok bool) {
 	least := 0.0
 	for v := range e.Models {
-		if p.have[v] <= p.want[v] || p.have[v] < 2 {
+		if !p.surplus(v) {
 			continue
 		}
 		each := p.left(v)
@@ -210,11 +224,16 @@
 	return best, ok
 }
 
-// restoreReserve unloads copies that are no longer wanted until enough places are free.
+// surplus reports whether the model has a copy to spare. A copy that is being loaded can't replace one that is held.
+func (p *planner) surplus(m deck.ModelName) bool {
+	return p.ready[m] > 1 && p.have[m] > max(p.want[m], p.keep[m])
+}
+
+// restoreReserve unloads copies that are no longer wanted until enough places are free, or hold copies that nobody uses.
 func (p *planner) restoreReserve() {
 	missing := Reserve(p.spec, len(p.engines)) + p.lost - p.free
 	average := 0.0
-	for _, d := range p.demand {
+	for _, d := range p.kept {
 		average += d / float64(len(p.engines))
 	}
 	for _, e := range p.engines {
@@ -228,9 +247,73 @@
 		if !ok || p.left(victim)*evictGain > average {
 			continue
 		}
-		p.actions = append(p.actions, Action{Engine: e.ID, Model: victim, Unload: true})
+		missing--
+		if p.kept[victim] < idleDemand {
+			continue // it makes way at once when the place is needed
+		}
+		p.actions = append(p.actions, Action{Engine: e.ID, Unload: victim})
 		p.busy[e.ID] = true
 		p.have[victim]--
-		missing--
+		p.ready[victim]--
+	}
+}
+
+const (
+	// idleDemand in tokens a second is about one small request in ten seconds.
+	idleDemand = 50.0
+
+	// spreadCopies is how many engines should have a model in place or at hand, so that it is loaded within half a second
+	// when its demand rises, and the loss of an engine makes nothing unreachable.
+	spreadCopies = 2
+
+	// spreadTokens of the weight store's burst are left for models that are asked for.
+	spreadTokens = 1
+)
+
+// spread uses free places and the weight store's idle time for a second copy of each model.
+func (p *planner) spread() {
+	if len(p.actions) > 0 || p.storeLoads <= spreadTokens || p.free <= p.lost {
+		return
+	}
+	reach := make(map[deck.ModelName]int)
+	for _, e := range p.engines {
+		for _, m := range p.spec.Models {
+			if e.Models[m.Name] || e.AtHand[m.Name] {
+				reach[m.Name]++
+			}
+		}
+	}
+	var best deck.EngineModel
+	found := false
+	for _, m := range p.spec.Models {
+		if reach[m.Name] >= spreadCopies || p.skipped[m.Name] {
+			continue
+		}
+		if !found || reach[m.Name] < reach[best.Name] || reach[m.Name] == reach[best.Name] && p.kept[m.Name] > p.kept[best.Name] {
+			best, found = m, true
+		}
+	}
+	if found {
+		p.spreadTo(best)
+	}
+}
+
+// spreadTo loads a copy into a free place beside the models with the least work.
+func (p *planner) spreadTo(m deck.EngineModel) {
+	var target Action
+	least, found := 0.0, false
+	for _, e := range p.engines {
+		if !e.Idle || p.busy[e.ID] || e.Models[m.Name] || e.AtHand[m.Name] {
+			continue
+		}
+		if e.Used+m.Megabytes > p.spec.WeightMegabytes {
+			continue
+		}
+		if w := p.work(e); !found || w < least {
+			target, least, found = Action{Engine: e.ID, Load: m.Name, Store: true}, w, true
+		}
+	}
+	if found {
+		p.add(target, m)
 	}
 }
--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -261,7 +261,7 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	demand := c.demandOf(s.Name).at(now)
+	outlook := c.demandOf(s.Name).at(now)
 	var engines []assign.Engine
 	for _, id := range slices.Sorted(maps.Keys(c.engines)) {
 		e := c.engines[id]
@@ -275,8 +275,8 @@
 		engines = append(engines, e.view(*s.Engine, now))
 	}
 	allowed := c.allowance(s, now)
-	for _, a := range assign.Next(*s.Engine, engines, demand, int(allowed.tokens)) {
-		c.carryOut(ctx, *s.Engine, a, allowed, demand[a.Model], now)
+	for _, a := range assign.Next(*s.Engine, engines, outlook, int(allowed.tokens)) {
+		c.carryOut(ctx, *s.Engine, a, allowed, outlook, now)
 	}
 }
 
@@ -294,30 +294,27 @@
 
 // carryOut starts the work on an action; the caller holds the lock.
 func (c *Controller) carryOut(
-	ctx context.Context, spec deck.EngineSpec, a assign.Action, allowed *allowance, demand float64, now time.Time,
+	ctx context.Context, spec deck.EngineSpec, a assign.Action, allowed *allowance, o assign.Outlook, now time.Time,
 ) {
 	e := c.engines[a.Engine]
 	if e == nil || !e.idle(now) {
 		return
 	}
-	m, ok := spec.Model(a.Model)
-	if !ok {
-		return
-	}
-	takes := m.LoadTime
-	switch {
-	case a.Unload:
-		e.leaving, takes = a.Model, unloadTime
-	case a.Store:
-		allowed.tokens--
-		e.loading = a.Model
-	default:
-		e.loading, takes = a.Model, max(m.DiskTime, m.WarmTime)
+	takes := unloadTime
+	if m, ok := spec.Model(a.Load); ok {
+		takes = m.LoadTime
+		if a.Store {
+			allowed.tokens--
+		} else {
+			takes = max(m.DiskTime, m.WarmTime)
+		}
 	}
+	e.leaving, e.loading = a.Unload, a.Load
 	e.readyAt = now.Add(takes)
-	c.o.Log.Info("model order", "engine", string(a.Engine), "model", string(a.Model), "unload", a.Unload,
-		"store", a.Store, "demand", int(demand), "orders-accepted", e.seq)
-	c.start(ctx, func(ctx context.Context) { c.changeModel(ctx, e, a, takes) })
+	c.o.Log.Info("models of an engine change", "engine", string(a.Engine), "unload", string(a.Unload),
+		"load", string(a.Load), "store", a.Store, "demand-now", int(o.Now[a.Load]), "demand-unloaded", int(o.Keep[a.Unload]),
+		"orders-accepted", e.seq)
+	c.start(ctx, func(ctx context.Context) { c.changeModels(ctx, e, a, takes) })
 }
 
 // start runs work in the controller's group.
--- a/internal/place/order/demand.go
+++ b/internal/place/order/demand.go
@@ -33,14 +33,15 @@
 	e.falling += tokens / fallingFade.Seconds()
 }
 
-// at returns the larger of both estimates for each model.
-func (d *demand) at(now time.Time) assign.Demand {
-	out := make(assign.Demand, len(d.models))
+// at returns both estimates.
+func (d *demand) at(now time.Time) assign.Outlook {
+	o := assign.Outlook{Now: make(assign.Demand, len(d.models)), Keep: make(assign.Demand, len(d.models))}
 	for m, e := range d.models {
 		e.fade(now)
-		out[m] = max(e.rising, e.falling)
+		o.Now[m] = e.rising
+		o.Keep[m] = max(e.rising, e.falling)
 	}
-	return out
+	return o
 }
 
 func (e *modelDemand) fade(now time.Time) {
--- a/internal/place/order/engine.go
+++ b/internal/place/order/engine.go
@@ -132,16 +132,13 @@
 func (e *engine) view(spec deck.EngineSpec, now time.Time) assign.Engine {
 	v := assign.Engine{
 		ID: e.id, DataCentre: e.server.DataCentre, Idle: e.idle(now), Models: make(map[deck.ModelName]bool),
-		Used: e.used(spec), AtHand: e.atHand,
+		Used: e.used(spec), AtHand: e.atHand, Loading: e.loading,
 	}
 	for m := range e.models {
 		if m != e.leaving {
 			v.Models[m] = true
 		}
 	}
-	if e.loading != "" {
-		v.Models[e.loading] = true
-	}
 	return v
 }
 
--- a/internal/place/order/work.go
+++ b/internal/place/order/work.go
@@ -85,27 +85,63 @@
 	return outcome
 }
 
-// changeModel loads or unloads a model and waits until the engine has finished. Only the order itself takes the engine's
-// turn, so that adapters can be ordered meanwhile.
-func (c *Controller) changeModel(ctx context.Context, e *engine, a assign.Action, takes time.Duration) {
+// changeModels carries out an action and waits until the engine has finished. Only the orders themselves take the engine's
+// turn, so that reports can be read meanwhile.
+func (c *Controller) changeModels(ctx context.Context, e *engine, a assign.Action, takes time.Duration) {
 	c.publish() // entry VMs stop using a model that is about to go
-	outcome := deck.OrderConflict
-	if e.turn(ctx) {
-		outcome = c.send(ctx, e, deck.ModelOrder{Unload: a.Unload, Model: a.Model})
-		e.endTurn()
-	}
-	if outcome == deck.OrderAccepted {
-		c.await(ctx, e, takes)
+	if a.Unload != "" && !c.unload(ctx, e, a) || a.Load != "" && !c.load(ctx, e, a, takes) {
+		c.o.Log.Info("models of an engine did not change as planned", "engine", string(e.id), "unload", string(a.Unload),
+			"load", string(a.Load))
 	}
 	c.mu.Lock()
 	e.loading, e.leaving = "", ""
-	if outcome == deck.OrderHolds {
-		e.known = false
-	}
 	c.mu.Unlock()
 	c.publish()
 }
 
+// unload makes room; it reports whether a load may follow. An engine whose unloaded model has no runs takes the load at
+// once, and another one refuses it until they have ended.
+func (c *Controller) unload(ctx context.Context, e *engine, a assign.Action) bool {
+	outcome := c.orderModel(ctx, e, deck.ModelOrder{Unload: true, Model: a.Unload})
+	if outcome != deck.OrderAccepted && outcome != deck.OrderHolds {
+		return false
+	}
+	if a.Load == "" {
+		c.await(ctx, e, unloadTime)
+		return true
+	}
+	c.mu.Lock()
+	delete(e.models, a.Unload)
+	e.leaving = ""
+	c.mu.Unlock()
+	return true
+}
+
+func (c *Controller) load(ctx context.Context, e *engine, a assign.Action, takes time.Duration) bool {
+	outcome := c.orderModel(ctx, e, deck.ModelOrder{Model: a.Load})
+	if outcome == deck.OrderConflict && a.Unload != "" {
+		c.await(ctx, e, unloadTime)
+		outcome = c.orderModel(ctx, e, deck.ModelOrder{Model: a.Load})
+	}
+	if outcome != deck.OrderAccepted {
+		c.mu.Lock()
+		e.known = false
+		c.mu.Unlock()
+		return outcome == deck.OrderHolds
+	}
+	c.await(ctx, e, takes)
+	return true
+}
+
+// orderModel sends an order about a model when it is its turn.
+func (c *Controller) orderModel(ctx context.Context, e *engine, o deck.ModelOrder) deck.OrderOutcome {
+	if !e.turn(ctx) {
+		return deck.OrderUnknown
+	}
+	defer e.endTurn()
+	return c.send(ctx, e, o)
+}
+
 // await polls the engine's report until it is no longer busy with the order.
 func (c *Controller) await(ctx context.Context, e *engine, takes time.Duration) {
 	until := time.Now().Add(watchLimit)
