--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -296,12 +296,19 @@
 	if !sent {
 		return again
 	}
-	if !errors.Is(err, errSilent) && len(c.body) > 0 { // requests without a body have the same content too often
-		c.h.Poison.Suspect(now, c.fingerprint(), s.ID)
+	if !errors.Is(err, errSilent) {
+		c.suspect(now, s)
 	}
 	return c.repeat()
 }
 
+// suspect notes that the server broke off while it had the call. Calls without a body have the same content too often.
+func (c *callRun) suspect(now time.Time, s deck.Server) {
+	if len(c.body) > 0 {
+		c.h.Poison.Suspect(now, c.fingerprint(), s.ID)
+	}
+}
+
 // repeat says whether a call that may have run may be offered to another server.
 func (c *callRun) repeat() result {
 	if c.route.Repeatable() && c.runs < c.route.MaxAttempts {
--- a/internal/api/ingress/handler_test.go
+++ b/internal/api/ingress/handler_test.go
@@ -288,6 +288,24 @@
 	is.Equal(len(healthy.requests()), 1)
 }
 
+// Guards against a request that crashes each engine after the head of its answer and is passed on for ever.
+func TestStreamThatCrashesServersIsRefused(t *testing.T) {
+	is := is.New(t)
+	crash := func(c net.Conn, r *http.Request) bool {
+		reply(c, r, "200 OK", streamHead, "")
+		return false
+	}
+	rg := newRig(t, stream(false))
+	for i := range 3 {
+		rg.list(newBackend(t, "crash-"+itoa(i), crash))
+		is.True(rg.call(t, http.MethodPost, "/p/x", "poison").err != nil)
+	}
+	healthy := newBackend(t, "healthy", plain("ok"))
+	rg.list(healthy)
+	is.Equal(rg.call(t, http.MethodPost, "/p/x", "poison").status, http.StatusUnprocessableEntity)
+	is.Equal(len(healthy.requests()), 0)
+}
+
 func TestDrainAsksCallersToLeave(t *testing.T) {
 	is := is.New(t)
 	rg := newRig(t, once(), newBackend(t, "b1", plain("ok")))
--- a/internal/api/ingress/relay.go
+++ b/internal/api/ingress/relay.go
@@ -206,9 +206,11 @@
 	if c.ctx.Err() != nil {
 		return failed
 	}
-	c.h.Book.SawAnswer(time.Now(), s.ID, true)
+	now := time.Now()
+	c.h.Book.SawAnswer(now, s.ID, true)
+	c.suspect(now, s)
 	delete(c.want.Tried, s.ID) // an engine that broke one connection may go on with the stream on another
-	c.brokeAt = time.Now()
+	c.brokeAt = now
 	return c.repeat()
 }
 
