--- a/internal/api/ingress/handler.go
+++ b/internal/api/ingress/handler.go
@@ -45,6 +45,9 @@
 	Log    logr.Logger
 	Served func(Record) // nil for none
 
+	// ViewAge returns how long ago the list of backend servers was confirmed; nil if that is not known.
+	ViewAge func() time.Duration
+
 	// MinStall is the least pause after which a resumable stream moves to another engine; 0 for two seconds.
 	MinStall time.Duration
 
--- a/internal/api/ingress/record.go
+++ b/internal/api/ingress/record.go
@@ -27,6 +27,9 @@
 	if c.call.Model != "" {
 		fields = append(fields, "model", string(c.call.Model), "adapter", string(c.call.Adapter))
 	}
+	if c.h.ViewAge != nil {
+		fields = append(fields, "view-age-ms", c.h.ViewAge().Milliseconds())
+	}
 	c.h.Log.Info("call ended", fields...)
 	if c.h.Served != nil {
 		c.h.Served(Record{
--- a/internal/command/node/entry.go
+++ b/internal/command/node/entry.go
@@ -78,6 +78,7 @@
 		Logger: n.log, Report: e.report, Config: e.setConfig, Servers: e.setServers, VMs: e.setBudget,
 		Crashes: e.learn,
 	})
+	e.handler.ViewAge = e.follower.Age
 	ready := http.NewServeMux()
 	platform.RegisterReadiness(ready, e.ready)
 	return errors.Join(
--- a/internal/state/hub/follower.go
+++ b/internal/state/hub/follower.go
@@ -77,6 +77,16 @@
 	return f.leader, f.leader != ""
 }
 
+// Age returns how long ago a leader last confirmed the list of backend servers; since the start if none has yet.
+func (f *Follower) Age() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.heardAt.IsZero() {
+		return time.Since(f.started)
+	}
+	return time.Since(f.heardAt)
+}
+
 // Run follows the leader until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	defer close(f.done)
