--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -378,18 +378,18 @@
 	return again
 }
 
-// enginePriority orders the calls at an engine: interactive work before batch work, and by the route's urgency.
+// enginePriority orders the calls at an engine: interactive work before batch work. Within interactive work no kind is put
+// before another, since an engine interrupts running calls for more urgent ones, and both then miss their targets.
 func enginePriority(r deck.Route) int {
 	if r.LatencyTarget > interactiveTarget {
-		return min(batchPriority+r.Urgency, lowestPriority)
+		return batchPriority
 	}
-	return min(interactivePriority+r.Urgency, batchPriority-1)
+	return interactivePriority
 }
 
 // Priorities at engines, which take 0 as the first and 9 as the last.
 const (
 	interactivePriority = 2
 	batchPriority       = 6
-	lowestPriority      = 9
 	interactiveTarget   = 1 * time.Second // a caller who waits at the desk expects the first words within this time
 )
--- a/internal/state/hub/follower.go
+++ b/internal/state/hub/follower.go
@@ -62,7 +62,9 @@
 
 // NewFollower returns a follower that is ready to run.
 func NewFollower(o FollowerOptions) *Follower {
-	return &Follower{o: o, done: make(chan struct{}), servers: make(map[deck.BackendName]deck.Server)}
+	return &Follower{
+		o: o, done: make(chan struct{}), servers: make(map[deck.BackendName]deck.Server), started: time.Now(),
+	}
 }
 
 // Done returns a channel that is closed when Run has returned.
@@ -90,7 +92,6 @@
 // Run follows the leader until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	defer close(f.done)
-	f.started = time.Now()
 	for ctx.Err() == nil {
 		if leader, ok := f.Leader(); ok {
 			wait := f.wait()
