Keep more places in reserve and load second copies only while nothing is asked for

Change: second copies only while there is no demand, 0.3 of the spare places in reserve, the weight store's whole rate with a burst of 3 (the rule allows 3 beyond 1.1 times the rate).

--- a/internal/place/assign/copies.go
+++ b/internal/place/assign/copies.go
@@ -20,7 +20,7 @@
 
 	// reserveShare of the places beyond one for each model is kept free, so that a model whose demand rises is loaded
 	// without waiting for another one's runs to end.
-	reserveShare = 0.2
+	reserveShare = 0.3
 )
 
 // Copies returns how many engines should hold each model: one for each model, and the places that are left but for a
--- a/internal/place/assign/next.go
+++ b/internal/place/assign/next.go
@@ -165,17 +165,14 @@
 
 // work returns the work of the models that an engine holds, in units of the average engine's.
 func (p *planner) work(e Engine) float64 {
-	own, all := 0.0, 0.0
+	own := 0.0
 	for m := range e.Models {
-		own += p.demand[m] / float64(max(1, p.have[m]))
+		own += p.kept[m] / float64(max(1, p.have[m]))
 	}
-	for _, d := range p.demand {
-		all += d
-	}
-	if all <= 0 {
+	if own <= 0 {
 		return 0
 	}
-	return own * float64(len(p.engines)) / all
+	return own / p.average()
 }
 
 func (p *planner) onEngine(e Engine, m deck.EngineModel) (a Action, cost float64, ok bool) {
@@ -232,10 +229,7 @@
 // restoreReserve unloads copies that are no longer wanted until enough places are free, or hold copies that nobody uses.
 func (p *planner) restoreReserve() {
 	missing := Reserve(p.spec, len(p.engines)) + p.lost - p.free
-	average := 0.0
-	for _, d := range p.kept {
-		average += d / float64(len(p.engines))
-	}
+	average := p.average()
 	for _, e := range p.engines {
 		if missing <= 0 {
 			return
@@ -270,9 +264,19 @@
 	spreadTokens = 1
 )
 
-// spread uses free places and the weight store's idle time for a second copy of each model.
+// average returns the work of the average engine.
+func (p *planner) average() float64 {
+	all := 0.0
+	for _, d := range p.kept {
+		all += d
+	}
+	return all / float64(max(1, len(p.engines)))
+}
+
+// spread uses free places for second copies of models while nothing is asked for at all: a load takes its engine from the
+// models in use for seconds.
 func (p *planner) spread() {
-	if len(p.actions) > 0 || p.storeLoads <= spreadTokens || p.free <= p.lost {
+	if len(p.actions) > 0 || p.storeLoads <= spreadTokens || p.free <= p.lost || len(p.engines) == 0 || p.average() > 0 {
 		return
 	}
 	reach := make(map[deck.ModelName]int)
--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -31,9 +31,9 @@
 
 	retryPause = 500 * time.Millisecond // after a conflict or a lost answer
 
-	// storeShare of the weight store's rate is used, so that loads that are carried out late fit in too.
-	storeShare = 0.9
-	storeBurst = 2.0 // loads that may begin together
+	// storeBurst is how many loads from the weight store may begin together beyond its rate. The users allow three beyond a
+	// rate a tenth higher.
+	storeBurst = 3.0
 )
 
 // Options are what a controller needs.
@@ -287,7 +287,7 @@
 		a = &allowance{at: now} // an earlier holder may have used the burst
 		c.store[s.Name] = a
 	}
-	a.tokens = min(storeBurst, a.tokens+now.Sub(a.at).Seconds()*s.Engine.StoreLoadsPerS*storeShare)
+	a.tokens = min(storeBurst, a.tokens+now.Sub(a.at).Seconds()*s.Engine.StoreLoadsPerS)
 	a.at = now
 	return a
 }
