--- a/internal/command/node/control.go
+++ b/internal/command/node/control.go
@@ -90,7 +90,7 @@
 			Log: c.replica, Transport: fleet, Seeds: n.seeds, Clock: deck.BootClock{}, Logger: n.log,
 		})),
 		n.kernel.Add("orders", c.orders),
-		n.listen("peers-listener", string(s.Peer()), part.Bounded(part.Lean(mux), headerTimeout)),
+		n.listen("peers-listener", s.PeersListener(), part.Bounded(part.Lean(mux), headerTimeout)),
 		n.listen("operators-listener", s.Listen.Operators, part.Bounded(operators, headerTimeout)),
 	)
 }
--- a/internal/settings/node/settings.go
+++ b/internal/settings/node/settings.go
@@ -37,6 +37,7 @@
 	Callers   string
 	Ready     string
 	Operators string
+	Peers     string // empty for the VM's own name; differs from it behind address translation
 }
 
 // Platform says how the platform is reached.
@@ -69,6 +70,7 @@
 		Callers   string `yaml:"callers"`
 		Ready     string `yaml:"ready"`
 		Operators string `yaml:"operators"`
+		Peers     string `yaml:"peers"`
 	} `yaml:"listen"`
 	Megabytes int `yaml:"memory-megabytes"`
 	Platform  struct {
@@ -155,6 +157,14 @@
 	return s.peer(s.Address)
 }
 
+// PeersListener returns the address that the peers' listener is bound to.
+func (s Settings) PeersListener() string {
+	if s.Listen.Peers != "" {
+		return s.Listen.Peers
+	}
+	return string(s.Peer())
+}
+
 // SeedPeers returns the seeds' names in the system; the ports are the same on all VMs.
 func (s Settings) SeedPeers() []deck.VMName {
 	var out []deck.VMName
--- /dev/null
+++ b/scripts/soak/process.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+)
+
+// A process is one VM's process, which is started again after each end.
+type process struct {
+	system *system
+	role   string
+	index  int
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	ended  chan struct{}
+	starts int
+}
+
+func (s *system) newProcess(role string, i int) *process {
+	return &process{system: s, role: role, index: i}
+}
+
+// start starts the process; first says that the whole system starts for the first time.
+func (p *process) start(first bool) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	name := fmt.Sprintf("%s-%d", p.role, p.index)
+	file, err := p.system.writeSettings(name, p.system.settings(p.role, p.index, first))
+	if err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(p.system.folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd := exec.Command(p.system.binary, "node", p.role, "--settings", file)
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return errors.Wrap(err, name)
+	}
+	p.cmd, p.ended = cmd, make(chan struct{})
+	p.starts++
+	ended := p.ended
+	p.system.group.Go(func() error {
+		_ = cmd.Wait() // its end is part of the faults
+		close(ended)
+		return nil
+	})
+	return nil
+}
+
+// life returns a number that changes with each start.
+func (p *process) life() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.starts
+}
+
+// signal sends a signal to this process alone, by its id.
+func (p *process) signal(sig syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return
+	}
+	select {
+	case <-p.ended:
+	default:
+		_ = p.cmd.Process.Signal(sig) // it may have ended meanwhile
+	}
+}
+
+// kill ends the process and waits for its end.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	p.wait()
+}
+
+func (p *process) wait() {
+	p.mu.Lock()
+	ended := p.ended
+	p.mu.Unlock()
+	if ended != nil {
+		<-ended
+	}
+}
+
+// running reports whether the process has not ended.
+func (p *process) running() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ended == nil {
+		return false
+	}
+	select {
+	case <-p.ended:
+		return false
+	default:
+		return true
+	}
+}
--- /dev/null
+++ b/scripts/soak/proxy.go
@@ -0,0 +1,142 @@
+package main
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// A mode says what a proxy does with the bytes of its connections.
+type mode int
+
+const (
+	passing  mode = iota
+	silent        // nothing passes, and nobody is told
+	oneWay        // requests pass, answers don't
+	delaying      // each read is held up
+	refusing      // connections are reset
+)
+
+const proxyDelay = 300 * time.Millisecond
+
+// A proxy forwards connections to one listener.
+type proxy struct {
+	listener net.Listener
+	target   string
+	group    errgroup.Group
+
+	mu    sync.Mutex
+	mode  mode
+	conns map[net.Conn]bool
+}
+
+func newProxy(addr, target string) (*proxy, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{listener: l, target: target, conns: make(map[net.Conn]bool)}
+	p.group.Go(p.accept)
+	return p, nil
+}
+
+func (p *proxy) accept() error {
+	for {
+		c, err := p.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			continue
+		}
+		p.group.Go(func() error {
+			p.serve(c)
+			return nil
+		})
+	}
+}
+
+func (p *proxy) serve(c net.Conn) {
+	defer p.forget(c)
+	p.remember(c)
+	if p.current() == refusing {
+		return
+	}
+	t, err := net.DialTimeout("tcp", p.target, time.Second)
+	if err != nil {
+		return
+	}
+	defer p.forget(t)
+	p.remember(t)
+	var g errgroup.Group
+	g.Go(func() error {
+		defer t.Close()
+		p.copy(t, c, true)
+		return nil
+	})
+	defer c.Close()
+	p.copy(c, t, false)
+	_ = c.Close()
+	_ = g.Wait() // copy reports nothing
+}
+
+// copy forwards bytes; what is read while the proxy is silent is lost, as on a path that has forgotten the connection.
+func (p *proxy) copy(to io.Writer, from io.Reader, request bool) {
+	b := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(b)
+		m := p.current()
+		if m == delaying {
+			<-time.After(proxyDelay)
+		}
+		drop := m == silent || m == oneWay && !request
+		if n > 0 && !drop {
+			if _, werr := to.Write(b[:n]); werr != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// set changes the mode; connections that have lost bytes, or are to be reset, are closed when it ends.
+func (p *proxy) set(m mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.mode == silent || p.mode == oneWay || m == refusing {
+		for c := range p.conns {
+			_ = c.Close()
+		}
+	}
+	p.mode = m
+}
+
+func (p *proxy) current() mode {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode
+}
+
+func (p *proxy) remember(c net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns[c] = true
+}
+
+func (p *proxy) forget(c net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, c)
+	_ = c.Close()
+}
+
+func (p *proxy) close() {
+	_ = p.listener.Close()
+	p.set(refusing)
+}
--- /dev/null
+++ b/scripts/soak/system.go
@@ -0,0 +1,225 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	controls = 3
+	entries  = 3
+	engines  = 4
+
+	peerPort     = 7380
+	callerPort   = 8149
+	readyPort    = 8141
+	operatorPort = 8144
+	enginePort   = 8080
+	platformPort = 8142
+
+	startLimit = 15 * time.Second
+	recovery   = 15 * time.Second // from the end of the faults until everything is served again
+)
+
+// A system is a small deployment with its surroundings.
+type system struct {
+	binary string
+	folder string
+	slot   int
+	random *rand.Rand // of the schedule of faults only
+	group  errgroup.Group
+
+	controls []*process
+	entries  []*process
+	proxies  []*proxy // before the control VMs' peers' listeners
+	engines  []*engine
+	list     *listing
+	checks   *checks
+
+	mu     sync.Mutex
+	wiped  time.Time // when a disk was lost last
+	closed []func()
+}
+
+func newSystem(binary, folder string, seed uint64, slot int) (*system, error) {
+	path, err := filepath.Abs(binary)
+	if err != nil {
+		return nil, err
+	}
+	return &system{
+		binary: path, folder: folder, slot: slot, random: rand.New(rand.NewPCG(seed, 0)), checks: newChecks(),
+	}, nil
+}
+
+// ip returns the loopback address of part i of a kind of parts.
+func (s *system) ip(kind, i int) string {
+	return fmt.Sprintf("127.%d.%d.%d", s.slot, kind, i+1)
+}
+
+// Kinds of parts, as the third number of their addresses.
+const (
+	realNode = iota + 1
+	proxyNode
+	engineNode
+	platformNode
+)
+
+func address(ip string, port int) string {
+	return fmt.Sprintf("%s:%d", ip, port)
+}
+
+func (s *system) startAll(ctx context.Context) error {
+	for i := range engines {
+		e, err := newEngine(address(s.ip(engineNode, i), enginePort), i, s.checks)
+		if err != nil {
+			return err
+		}
+		s.engines = append(s.engines, e)
+		s.onClose(e.close)
+	}
+	var err error
+	if s.list, err = newListing(address(s.ip(platformNode, 0), platformPort), s.engines); err != nil {
+		return err
+	}
+	s.onClose(s.list.close)
+	for i := range controls {
+		p, err := newProxy(address(s.ip(proxyNode, i), peerPort), address(s.ip(realNode, i), peerPort))
+		if err != nil {
+			return err
+		}
+		s.proxies = append(s.proxies, p)
+		s.onClose(p.close)
+	}
+	if err := s.startProcesses(); err != nil {
+		return err
+	}
+	return s.awaitStart(ctx)
+}
+
+func (s *system) startProcesses() error {
+	for i := range controls {
+		p := s.newProcess("control", i)
+		s.controls = append(s.controls, p)
+		if err := p.start(true); err != nil {
+			return err
+		}
+	}
+	for i := range entries {
+		p := s.newProcess("entry", controls+i)
+		s.entries = append(s.entries, p)
+		if err := p.start(false); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// awaitStart puts the first configuration into force and waits until every kind of call is served.
+func (s *system) awaitStart(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	for s.checks.acknowledged() == 0 {
+		s.putConfig(ctx, 0)
+		if !sleep(ctx, 100*time.Millisecond) {
+			return errors.New("the first configuration was not acknowledged")
+		}
+	}
+	return s.awaitService(ctx)
+}
+
+// awaitService waits until every kind of call is served through each entry VM.
+func (s *system) awaitService(ctx context.Context) error {
+	for i := range s.entries {
+		for _, k := range kinds {
+			for !s.call(ctx, i, k).served {
+				if !sleep(ctx, 100*time.Millisecond) {
+					return errors.Newf("calls of kind %s are not served through entry VM %d", k, i)
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// checkRecovery checks that everything is served again, and that what was acknowledged is there.
+func (s *system) checkRecovery(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, recovery)
+	defer cancel()
+	if err := s.awaitService(ctx); err != nil {
+		return errors.Wrap(err, "recovery")
+	}
+	for i := range s.controls {
+		for !s.readConfig(ctx, i) {
+			if !sleep(ctx, 100*time.Millisecond) {
+				return errors.Newf("recovery: control VM %d does not tell the configuration", i)
+			}
+		}
+	}
+	return nil
+}
+
+func (s *system) onClose(f func()) {
+	s.closed = append(s.closed, f)
+}
+
+func (s *system) close() {
+	for _, p := range append(append([]*process{}, s.entries...), s.controls...) {
+		p.kill()
+	}
+	for _, f := range s.closed {
+		f()
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// settings returns the settings file of a process.
+func (s *system) settings(role string, i int, first bool) string {
+	seeds := ""
+	for c := range controls {
+		seeds += fmt.Sprintf("%q, ", address(s.ip(proxyNode, c), operatorPort))
+	}
+	node := s.ip(realNode, i)
+	text := fmt.Sprintf(`vm: %s-%d
+data-centre: %s
+region: here
+regions: {dc-0: here, dc-1: here, dc-2: here}
+peer-ports: [%d, %d]
+seeds: [%s]
+first-start: %t
+memory-megabytes: 200
+platform: {address: %q, calls-per-second: 40}
+losses-to-bear: 1
+bounds: {grace-seconds: 4, lease-milliseconds: 3000, engines-check-fencing: true, retry-share: 0.2, retry-slack: 50, retry-window-seconds: 10}
+`, role, i, s.dataCentre(i), peerPort, peerPort, seeds, first, s.list.addr)
+	if role == "control" {
+		return text + fmt.Sprintf("address: %s\ndata-folder: %q\nlisten: {peers: %q, operators: %q}\n",
+			s.ip(proxyNode, i), filepath.Join(s.folder, fmt.Sprintf("disk-%d", i)), address(node, peerPort), address(node, operatorPort))
+	}
+	return text + fmt.Sprintf("address: %s\ndata-folder: \"\"\nlisten: {callers: %q, ready: %q}\n",
+		node, address(node, callerPort), address(node, readyPort))
+}
+
+func (s *system) dataCentre(i int) string {
+	return fmt.Sprintf("dc-%d", i%controls)
+}
+
+func (s *system) writeSettings(name, text string) (string, error) {
+	file := filepath.Join(s.folder, name+".yaml")
+	return file, os.WriteFile(file, []byte(text), 0o600)
+}
