Hand on configurations as differences, and pack large answers

Change: zstd with the receiver's version as the dictionary (a change of one route among 2,000 has under 1,000 bytes), a replica that does not lead hands one on only to a VM without any, answers from 1 KB on are packed. Also: the soak waits for its processes apart from its callers.

--- a/internal/api/peer/exchange.go
+++ b/internal/api/peer/exchange.go
@@ -34,5 +34,8 @@
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, limit))
+	if err == nil && resp.Header.Get("Content-Encoding") == packName {
+		data, err = unpacker.DecodeAll(data, nil)
+	}
 	return resp.StatusCode, data, errors.Wrap(err, "peer")
 }
--- a/internal/api/peer/fleet.go
+++ b/internal/api/peer/fleet.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/klauspost/compress/zstd"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 )
@@ -43,6 +44,24 @@
 	Routing deck.RoutingStore
 }
 
+// packFrom is the size in bytes from which answers are packed; rows of many servers shrink to a sixth.
+const packFrom = 1 << 10
+
+const packName = "zstd"
+
+var (
+	packer   = must(zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true), zstd.WithWindowSize(128<<10)))
+	unpacker = must(zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(maxViewAnswer)))
+)
+
+// must returns what a constructor with fixed options returns.
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
 type joinJSON struct {
 	VM          string `json:"vm"`
 	Incarnation uint64 `json:"incarnation"`
@@ -78,7 +97,13 @@
 	if !readJSON(w, r, &q) {
 		return
 	}
-	writeJSON(w, mustMarshal(viewAnswerToWire(f.Views.View(r.Context(), viewRequestFromWire(q)))))
+	data := mustMarshal(viewAnswerToWire(f.Views.View(r.Context(), viewRequestFromWire(q))))
+	if len(data) < packFrom {
+		writeJSON(w, data)
+		return
+	}
+	w.Header().Set("Content-Encoding", packName)
+	writeJSON(w, packer.EncodeAll(data, nil))
 }
 
 func (f Fleet) serveJoin(w http.ResponseWriter, r *http.Request) {
--- a/internal/api/peer/viewwire.go
+++ b/internal/api/peer/viewwire.go
@@ -10,6 +10,7 @@
 	VM         string       `json:"vm"`
 	DataCentre string       `json:"data-centre"`
 	Config     uint64       `json:"config"`
+	AnyConfig  bool         `json:"any-config,omitempty"`
 	Term       uint64       `json:"term"`
 	Number     uint64       `json:"number"`
 	WaitMs     int64        `json:"wait-ms"`
@@ -52,7 +53,8 @@
 
 type documentJSON struct {
 	Version uint64 `json:"version"`
-	Body    []byte `json:"body"`
+	Base    uint64 `json:"base,omitempty"`
+	Data    []byte `json:"data"`
 }
 
 type serverJSON struct {
@@ -74,7 +76,7 @@
 
 func viewRequestToWire(r deck.ViewRequest) viewRequestJSON {
 	w := viewRequestJSON{
-		VM: string(r.VM), DataCentre: string(r.DataCentre), Config: r.Config, Term: r.View.Term, Number: r.View.Number,
+		VM: string(r.VM), DataCentre: string(r.DataCentre), Config: r.Config, AnyConfig: r.AnyConfig, Term: r.View.Term, Number: r.View.Number,
 		WaitMs: r.Wait.Milliseconds(), Crashes: crashesToWire(r.Crashes),
 	}
 	for _, d := range r.Demand {
@@ -88,7 +90,7 @@
 
 func viewRequestFromWire(w viewRequestJSON) deck.ViewRequest {
 	r := deck.ViewRequest{
-		VM: deck.VMName(w.VM), DataCentre: deck.DataCentre(w.DataCentre), Config: w.Config,
+		VM: deck.VMName(w.VM), DataCentre: deck.DataCentre(w.DataCentre), Config: w.Config, AnyConfig: w.AnyConfig,
 		View: deck.ViewVersion{Term: w.Term, Number: w.Number}, Wait: time.Duration(w.WaitMs) * time.Millisecond,
 		Crashes: crashesFromWire(w.Crashes),
 	}
@@ -113,7 +115,7 @@
 		Members: toStrings(a.Members), Gone: toStrings(a.Gone), Crashes: crashesToWire(a.Crashes),
 	}
 	if a.Config != nil {
-		w.Config = &documentJSON{a.Config.Version, a.Config.Body}
+		w.Config = &documentJSON{a.Config.Version, a.Config.Base, a.Config.Data}
 	}
 	for _, s := range a.Servers {
 		w.Servers = append(w.Servers, serverToWire(s))
@@ -128,7 +130,7 @@
 		Gone: fromStrings[deck.BackendName](w.Gone), Crashes: crashesFromWire(w.Crashes),
 	}
 	if w.Config != nil {
-		a.Config = &deck.RoutingDocument{Version: w.Config.Version, Body: w.Config.Body}
+		a.Config = &deck.PackedDocument{Version: w.Config.Version, Base: w.Config.Base, Data: w.Config.Data}
 	}
 	for _, s := range w.Servers {
 		a.Servers = append(a.Servers, serverFromWire(s))
--- a/internal/command/node/control.go
+++ b/internal/command/node/control.go
@@ -66,7 +66,7 @@
 		Config:  c.config.Load, Publish: func(term uint64, list []deck.Server) { c.hub.SetServers(term, list) }, Log: n.log,
 	})
 	c.hub = hub.New(hub.Options{
-		Log: c.replica, Watch: c.replica, Clock: deck.BootClock{}, Fresh: leadFresh, Report: c.orders.TakeReport,
+		Log: c.replica, Watch: c.replica, Clock: deck.BootClock{}, Fresh: leadFresh, Logger: n.log, Report: c.orders.TakeReport,
 	})
 	c.loadConfig()
 	c.machine.Changed = c.changeConfig
--- a/internal/core/deck/view.go
+++ b/internal/core/deck/view.go
@@ -15,7 +15,8 @@
 type ViewRequest struct {
 	VM         VMName
 	DataCentre DataCentre
-	Config     uint64 // version of the routing configuration that the VM has
+	Config     uint64 // version of the routing configuration that the VM has; 0 for none
+	AnyConfig  bool   // the VM takes a configuration from a replica that may be behind
 	View       ViewVersion
 	Wait       time.Duration // how long the answer may wait for a change
 	Demand     []CallDemand
@@ -47,8 +48,8 @@
 type ViewAnswer struct {
 	Leading bool // the answering VM leads the replicated log
 	Leader  VMName
-	Members []VMName // of the replicated log
-	Config  *RoutingDocument
+	Members []VMName        // of the replicated log
+	Config  *PackedDocument // nil if the VM has the newest
 	View    ViewVersion
 	Whole   bool // Servers replaces the whole list
 	Servers []Server
@@ -57,6 +58,13 @@
 	Crashes []Crash
 }
 
+// A PackedDocument is a routing document as a difference from one that the receiver has.
+type PackedDocument struct {
+	Version uint64
+	Base    uint64 // version that the receiver needs; 0 for none
+	Data    []byte
+}
+
 // A ViewSource answers entry VMs.
 type ViewSource interface {
 	// View waits for a change if this VM leads, and else answers at once.
--- a/internal/state/hub/follower.go
+++ b/internal/state/hub/follower.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/state/routing"
 )
 
 const (
@@ -48,9 +49,9 @@
 	done chan struct{}
 
 	mu      sync.Mutex
-	leader  deck.VMName // empty if unknown
-	heardAt time.Time   // last answer of a leader; zero if there was none
-	version uint64      // of the configuration in force
+	leader  deck.VMName          // empty if unknown
+	heardAt time.Time            // last answer of a leader; zero if there was none
+	doc     deck.RoutingDocument // the configuration in force
 	view    deck.ViewVersion
 	servers map[deck.BackendName]deck.Server
 
@@ -163,7 +164,8 @@
 	defer cancel()
 	r := deck.ViewRequest{VM: f.o.Self, DataCentre: f.o.DataCentre, Wait: wait}
 	f.mu.Lock()
-	r.Config, r.View = f.version, f.view
+	r.Config, r.View = f.doc.Version, f.view
+	r.AnyConfig = f.heardAt.IsZero() && time.Since(f.started) > trustAfter
 	f.mu.Unlock()
 	if wait > 0 {
 		f.o.Report(&r)
@@ -182,7 +184,7 @@
 	defer f.mu.Unlock()
 	if f.leader == vm {
 		f.leader = ""
-		f.o.Logger.Info("leader lost", "leader", string(vm), "reason", reason, "config", f.version)
+		f.o.Logger.Info("leader lost", "leader", string(vm), "reason", reason, "config", f.doc.Version)
 	}
 }
 
@@ -201,7 +203,7 @@
 	f.mu.Lock()
 	if f.leader != from {
 		f.leader = from
-		f.o.Logger.Info("leader found", "leader", string(from), "config", f.version)
+		f.o.Logger.Info("leader found", "leader", string(from), "config", f.doc.Version)
 	}
 	f.heardAt = time.Now()
 	f.mu.Unlock()
@@ -233,16 +235,22 @@
 }
 
 // install puts a configuration into force unless a newer one is.
-func (f *Follower) install(doc deck.RoutingDocument) {
+func (f *Follower) install(p deck.PackedDocument) {
 	f.mu.Lock()
-	newer := doc.Version > f.version
-	if newer {
-		f.version = doc.Version
-	}
+	base := f.doc
 	f.mu.Unlock()
-	if newer {
-		f.o.Config(doc)
+	if p.Version <= base.Version {
+		return
 	}
+	doc, err := routing.Unpack(p, base)
+	if err != nil {
+		f.o.Logger.Error(err, "routing configuration can't be read", "version", p.Version)
+		return
+	}
+	f.mu.Lock()
+	f.doc = doc
+	f.mu.Unlock()
+	f.o.Config(doc)
 }
 
 // apply takes a change of the list.
--- a/internal/state/hub/hub.go
+++ b/internal/state/hub/hub.go
@@ -5,7 +5,10 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/state/routing"
 )
 
 const (
@@ -14,6 +17,7 @@
 	// a second over all engines, and an entry VM asks the placement leader for one that it does not know of.
 	adapterPeriod = 4 * time.Second
 
+	maxDocs     = 16   // versions that entry VMs may have for a short difference
 	maxGone     = 4096 // removed servers that are remembered for deltas
 	maxCrashes  = 64   // each answer carries them
 	crashMemory = 60 * time.Second
@@ -24,7 +28,8 @@
 	Log    deck.Log
 	Watch  deck.ReplicaWatch
 	Clock  deck.Clock
-	Fresh  time.Duration          // how old the check may be that this replica leads
+	Fresh  time.Duration // how old the check may be that this replica leads
+	Logger logr.Logger
 	Report func(deck.ViewRequest) // takes what an entry VM reports; nil for none
 }
 
@@ -33,8 +38,9 @@
 	o Options
 
 	mu      sync.Mutex
-	changed chan struct{} // closed at the next change
-	doc     deck.RoutingDocument
+	changed chan struct{}                   // closed at the next change
+	docs    []deck.RoutingDocument          // the newest last
+	packed  map[uint64]*deck.PackedDocument // the newest, by the version that the receiver has
 	term    uint64
 	number  uint64
 	servers map[deck.BackendName]versioned
@@ -65,10 +71,43 @@
 func (h *Hub) SetConfig(doc deck.RoutingDocument) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if doc.Version > h.doc.Version {
-		h.doc = doc
-		h.wake()
+	if doc.Version <= h.newest().Version {
+		return
+	}
+	h.docs = append(h.docs, doc)
+	if len(h.docs) > maxDocs {
+		h.docs = h.docs[1:]
+	}
+	h.packed = make(map[uint64]*deck.PackedDocument)
+	h.wake()
+}
+
+// newest returns the newest document; the caller holds the lock.
+func (h *Hub) newest() deck.RoutingDocument {
+	if len(h.docs) == 0 {
+		return deck.RoutingDocument{}
+	}
+	return h.docs[len(h.docs)-1]
+}
+
+// pack returns the newest document for a VM that has the version; the caller holds the lock.
+func (h *Hub) pack(has uint64) *deck.PackedDocument {
+	if p, ok := h.packed[has]; ok {
+		return p
+	}
+	var base deck.RoutingDocument
+	for _, d := range h.docs {
+		if d.Version == has {
+			base = d
+		}
+	}
+	p, err := routing.Pack(h.newest(), base)
+	if err != nil {
+		h.o.Logger.Error(err, "routing configuration can't be handed on", "version", h.newest().Version)
+		return nil
 	}
+	h.packed[has] = &p
+	return &p
 }
 
 // SetServers takes the list of backend servers as the leader of the term knows it.
@@ -179,9 +218,9 @@
 	for _, id := range append(s.Voters[:len(s.Voters):len(s.Voters)], s.Learners...) {
 		a.Members = append(a.Members, id.VM)
 	}
-	if h.doc.Version > r.Config {
-		doc := h.doc
-		a.Config, news = &doc, true
+	// A replica that does not lead may be behind, and is asked again and again until the leader is found.
+	if h.newest().Version > r.Config && (leading || r.Config == 0 && (s.Leader.IsZero() || r.AnyConfig)) {
+		a.Config, news = h.pack(r.Config), true
 	}
 	if leading && h.term == term && h.servers != nil {
 		news = h.addServers(&a, r) || news
--- /dev/null
+++ b/internal/state/routing/pack.go
@@ -0,0 +1,55 @@
+package routing
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/klauspost/compress/zstd"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+const (
+	// packWindow holds the largest documents seen, with their base before them, in bytes.
+	packWindow = 1 << 20
+
+	packDict = 1 // number of the dictionary, which is the base
+)
+
+// Pack returns the document for a VM that has the base; a base without a body makes it whole. Two versions differ in a few
+// routes, so that the difference has some hundred bytes.
+func Pack(doc, base deck.RoutingDocument) (deck.PackedDocument, error) {
+	options := []zstd.EOption{
+		zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(packWindow), zstd.WithLowerEncoderMem(true),
+	}
+	if len(base.Body) > 0 {
+		options = append(options, zstd.WithEncoderDictRaw(packDict, base.Body))
+	}
+	w, err := zstd.NewWriter(nil, options...)
+	if err != nil {
+		return deck.PackedDocument{}, errors.Wrap(err, "pack routing document")
+	}
+	p := deck.PackedDocument{Version: doc.Version, Data: w.EncodeAll(doc.Body, nil)}
+	if len(base.Body) > 0 {
+		p.Base = base.Version
+	}
+	return p, errors.Wrap(w.Close(), "pack routing document")
+}
+
+// Unpack returns the document that Pack packed with the same base.
+func Unpack(p deck.PackedDocument, base deck.RoutingDocument) (deck.RoutingDocument, error) {
+	options := []zstd.DOption{
+		zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(maxDocument),
+	}
+	if p.Base != 0 {
+		if p.Base != base.Version {
+			return deck.RoutingDocument{}, errors.Newf("routing document is packed for version %d, not %d", p.Base, base.Version)
+		}
+		options = append(options, zstd.WithDecoderDictRaw(packDict, base.Body))
+	}
+	r, err := zstd.NewReader(nil, options...)
+	if err != nil {
+		return deck.RoutingDocument{}, errors.Wrap(err, "unpack routing document")
+	}
+	defer r.Close()
+	body, err := r.DecodeAll(p.Data, nil)
+	return deck.RoutingDocument{Version: p.Version, Body: body}, errors.Wrap(err, "unpack routing document")
+}
--- a/internal/state/routing/routing_test.go
+++ b/internal/state/routing/routing_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -93,3 +94,29 @@
 	is.True(s.PutRouting(ctx, []byte(`{"version":9}`)) != nil)
 	is.Equal(l.proposed, 1)
 }
+
+// Load pattern: versions come in quick succession to many VMs on narrow links. A difference of one route is small, and can be
+// read only with the version that it starts from.
+func TestPackedDifferenceIsSmall(t *testing.T) {
+	is := is.New(t)
+	var b bytes.Buffer
+	for i := range 2000 {
+		fmt.Fprintf(&b, `{"name":"r-%d","host":"h%d.example","pathPrefix":"/p%x/"},`, i, i%7, i*7919)
+	}
+	base := deck.RoutingDocument{Version: 7, Body: b.Bytes()}
+	next := deck.RoutingDocument{Version: 8, Body: bytes.Replace(b.Bytes(), []byte(`"r-1000"`), []byte(`"other"`), 1)}
+	p, err := routing.Pack(next, base)
+	is.NoErr(err)
+	is.True(len(p.Data) < 1000)
+	d, err := routing.Unpack(p, base)
+	is.NoErr(err)
+	is.Equal(d.Version, uint64(8))
+	is.True(bytes.Equal(d.Body, next.Body))
+	_, err = routing.Unpack(p, deck.RoutingDocument{Version: 6, Body: base.Body})
+	is.True(err != nil)
+	whole, err := routing.Pack(next, deck.RoutingDocument{})
+	is.NoErr(err)
+	d, err = routing.Unpack(whole, base)
+	is.NoErr(err)
+	is.True(bytes.Equal(d.Body, next.Body))
+}
--- a/scripts/soak/process.go
+++ b/scripts/soak/process.go
@@ -50,7 +50,7 @@
 	p.cmd, p.ended = cmd, make(chan struct{})
 	p.starts++
 	ended := p.ended
-	p.system.group.Go(func() error {
+	p.system.processes.Go(func() error {
 		_ = cmd.Wait() // its end is part of the faults
 		close(ended)
 		return nil
--- a/scripts/soak/system.go
+++ b/scripts/soak/system.go
@@ -34,15 +34,16 @@
 	binary string
 	folder string
 	slot   int
-	random *rand.Rand // of the schedule of faults only
-	group  errgroup.Group
+	random *rand.Rand     // of the schedule of faults only
+	group  errgroup.Group // of callers, operators and faults
 
-	controls []*process
-	entries  []*process
-	proxies  []*proxy // before the control VMs' peers' listeners
-	engines  []*engine
-	list     *listing
-	checks   *checks
+	processes errgroup.Group // waits for the ends of processes
+	controls  []*process
+	entries   []*process
+	proxies   []*proxy // before the control VMs' peers' listeners
+	engines   []*engine
+	list      *listing
+	checks    *checks
 
 	mu     sync.Mutex
 	wiped  time.Time // when a disk was lost last
@@ -174,6 +175,7 @@
 	for _, p := range append(append([]*process{}, s.entries...), s.controls...) {
 		p.kill()
 	}
+	_ = s.processes.Wait() // their ends are no errors
 	for _, f := range s.closed {
 		f()
 	}
