--- a/scripts/soak/checks.go
+++ b/scripts/soak/checks.go
@@ -107,7 +107,7 @@
 }
 
 // atEnd checks what can only be said once no call is left.
-func (c *checks) atEnd(_ []*engine) {
+func (c *checks) atEnd() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for attempt, servers := range c.runs {
--- a/scripts/soak/faults.go
+++ b/scripts/soak/faults.go
@@ -119,6 +119,8 @@
 
 // restart kills a process; torn leaves a part of a record at the end of its newest log file, as a lost power can.
 func (s *system) restart(ctx context.Context, p *process, d time.Duration, torn bool) {
+	p.faults.Lock()
+	defer p.faults.Unlock()
 	p.kill()
 	if torn && p.role == "control" {
 		s.tear(p.index)
@@ -159,6 +161,8 @@
 }
 
 func (s *system) stop(ctx context.Context, p *process, d time.Duration) {
+	p.faults.Lock()
+	defer p.faults.Unlock()
 	p.signal(syscall.SIGTERM)
 	sleep(ctx, d)
 	p.signal(syscall.SIGKILL)
@@ -178,6 +182,8 @@
 	s.wiped = time.Now()
 	s.mu.Unlock()
 	p := s.controls[i]
+	p.faults.Lock()
+	defer p.faults.Unlock()
 	p.kill()
 	if err := os.RemoveAll(filepath.Join(s.folder, fmt.Sprintf("disk-%d", i))); err != nil {
 		s.checks.fail("disk %d: %v", i, err)
@@ -189,6 +195,10 @@
 }
 
 func (s *system) killAll(ctx context.Context, d time.Duration) {
+	for _, p := range s.controls {
+		p.faults.Lock()
+		defer p.faults.Unlock()
+	}
 	for _, p := range s.controls {
 		p.signal(syscall.SIGKILL)
 	}
--- a/scripts/soak/main.go
+++ b/scripts/soak/main.go
@@ -25,7 +25,7 @@
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	failed := 0
 	for i := range *count {
-		err := play(*binary, *seed+uint64(i), *slot, *length, *logs)
+		err := runSeed(*binary, *seed+uint64(i), *slot, *length, *logs)
 		if err != nil {
 			failed++
 			fmt.Fprintf(os.Stderr, "soak seed=%d failed: %v\n", *seed+uint64(i), err)
@@ -37,8 +37,8 @@
 	}
 }
 
-// play runs one seed.
-func play(binary string, seed uint64, slot int, length time.Duration, logs string) error {
+// runSeed runs one seed.
+func runSeed(binary string, seed uint64, slot int, length time.Duration, logs string) error {
 	folder, err := os.MkdirTemp(logs, fmt.Sprintf("soak-%d-", seed))
 	if err != nil {
 		return err
@@ -47,26 +47,32 @@
 	if err != nil {
 		return err
 	}
-	defer s.close()
+	err = s.play(length)
+	s.close()
+	fmt.Println("soak", fmt.Sprintf("seed=%d", seed), s.checks.summary())
+	if err != nil {
+		return errors.Wrapf(err, "logs are in %s", folder)
+	}
+	return os.RemoveAll(folder)
+}
+
+// play runs the system under faults and checks it.
+func (s *system) play(length time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), length+2*recovery)
 	defer cancel()
 	if err := s.startAll(ctx); err != nil {
-		return errors.Wrapf(err, "start; logs are in %s", folder)
+		return errors.Wrap(err, "start")
 	}
 	work, stop := context.WithCancel(ctx)
 	s.goAll(work)
 	s.injectFaults(work, length)
 	s.heal()
-	err = s.checkRecovery(ctx)
+	err := s.checkRecovery(ctx)
 	stop()
 	_ = s.group.Wait() // callers and operators report through the checks
-	s.checks.atEnd(s.engines)
-	fmt.Println("soak", fmt.Sprintf("seed=%d", seed), s.checks.summary())
+	s.checks.atEnd()
 	if broken := s.checks.broken(); len(broken) > 0 {
 		err = errors.CombineErrors(errors.Newf("%d promises broken, the first: %s", len(broken), broken[0]), err)
 	}
-	if err != nil {
-		return errors.Wrapf(err, "logs are in %s", folder)
-	}
-	return os.RemoveAll(folder)
+	return err
 }
--- a/scripts/soak/process.go
+++ b/scripts/soak/process.go
@@ -16,6 +16,7 @@
 	system *system
 	role   string
 	index  int
+	faults sync.Mutex // held while a fault ends and starts the process
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
