--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -61,7 +61,6 @@
 	term    uint64    // 0 while the replica does not lead
 	since   time.Time // when the term was first seen
 	listed  bool
-	listAt  time.Time
 	servers []deck.Server
 	engines map[deck.BackendName]*engine
 	demand  map[deck.ServiceName]*demand
