--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -32,6 +32,10 @@
 	// that dropped it would leave open whether the call ran.
 	onceIdle = 1 * time.Second
 
+	// retrySpread is the share of the time to come back by which callers' returns are spread, so that they don't come
+	// together.
+	retrySpread = 0.5
+
 	// minRemaining is the least time worth offering a call with.
 	minRemaining = 20 * time.Millisecond
 )
@@ -80,6 +84,7 @@
 	failed               // nothing further may be tried
 )
 
+// serve sees the call through to its answer.
 func (c *callRun) serve() {
 	if c.h.Poison.Refused(c.fingerprint()) {
 		c.end(http.StatusUnprocessableEntity, "request has crashed several servers")
@@ -151,6 +156,7 @@
 	return c.route.LatencyTarget
 }
 
+// place asks the placement leader for the model or adapter, once for each call.
 func (c *callRun) place(shortage balance.Shortage) {
 	c.placed = true
 	p, err := c.h.Placer.Place(c.ctx, c.service, c.want.Model, c.want.Adapter)
@@ -184,10 +190,9 @@
 	c.refuseUnrun(retry, shortage.String())
 }
 
-// refuseUnrun tells the caller that the call has not run and when to come back; the time is spread so that callers do not
-// return together.
+// refuseUnrun tells the caller that the call has not run and when to come back.
 func (c *callRun) refuseUnrun(retry time.Duration, reason string) {
-	retry += time.Duration(c.h.Random.Float64() * 0.5 * float64(retry))
+	retry += time.Duration(c.h.Random.Float64() * retrySpread * float64(retry))
 	c.end(http.StatusServiceUnavailable, reason, "retry-after-ms", retry.Milliseconds())
 	writeRefusal(c.w, refusal{http.StatusServiceUnavailable, retry, "not run: " + reason})
 }
--- a/internal/command/node/entry.go
+++ b/internal/command/node/entry.go
@@ -26,8 +26,9 @@
 	serverIdle        = 8 * time.Second        // kept connections to backend servers
 	pruneEvery        = 1 * time.Second
 
-	// callerIdle is the idle time-out of callers' connections while no configuration is known.
-	callerIdle = 15 * time.Second
+	// callerIdle is the idle time-out of callers' connections. It is longer than callers keep connections idle by the users'
+	// sheets (15 s), so that a call does not meet a connection that is being closed.
+	callerIdle = 60 * time.Second
 
 	// leaveAfter is how long a draining VM takes new connections: the balancer needs two missed probes, one a second.
 	leaveAfter = 3 * time.Second
