--- a/internal/command/node/settings_test.go
+++ b/internal/command/node/settings_test.go
@@ -26,7 +26,7 @@
 data-folder: ""
 listen: {callers: "127.0.0.1:0", ready: "127.0.0.1:0", operators: ""}
 memory-megabytes: 284
-platform: {address: "10.200.0.100:8142", calls-per-second: 44.0}
+platform: {address: "10.200.0.100:8142"}
 losses-to-bear: 1
 bounds: {grace-seconds: 8, lease-milliseconds: 3000, retry-share: 0.2, retry-slack: 56, retry-window-seconds: 10}
 `
--- a/internal/route/balance/pick.go
+++ b/internal/route/balance/pick.go
@@ -143,16 +143,3 @@
 	}
 	return cost + failingCost*e.failing.share(now) + pauseCost*e.pause.share(now)
 }
-
-// Holders returns the servers of the service that hold the model and may be used, the best first for an adapter.
-func (b *Book) Holders(now time.Time, w Want) []deck.Server {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var out []deck.Server
-	for _, e := range b.service[w.Service] {
-		if s := e.fits(now, w); s == Chosen || s == AdapterAbsent {
-			out = append(out, e.Server)
-		}
-	}
-	return out
-}
--- a/internal/settings/node/settings.go
+++ b/internal/settings/node/settings.go
@@ -42,8 +42,7 @@
 
 // Platform says how the platform is reached.
 type Platform struct {
-	Address        string  // IP:port
-	CallsPerSecond float64 // from all VMs together
+	Address string // IP:port
 }
 
 // Bounds are the limits that the users set.
@@ -74,8 +73,7 @@
 	} `yaml:"listen"`
 	Megabytes int `yaml:"memory-megabytes"`
 	Platform  struct {
-		Address        string  `yaml:"address"`
-		CallsPerSecond float64 `yaml:"calls-per-second"`
+		Address string `yaml:"address"`
 	} `yaml:"platform"`
 	LossesToBear int `yaml:"losses-to-bear"`
 	Bounds       struct {
--- a/internal/settings/node/settings_test.go
+++ b/internal/settings/node/settings_test.go
@@ -28,7 +28,6 @@
 memory-megabytes: 284
 platform:
   address: "10.200.0.100:8142"
-  calls-per-second: 44.0
 losses-to-bear: 1
 bounds:
   grace-seconds: 8
