Judge a stall from a copy of what the call may still do

Cause, found by reading the change once more: the stall's timer read the servers that a call was offered to while the call itself changed them, which can end the process (concurrent map access), and a timer that fired as the stream ended could close its connection after another call had taken it. Test: TestStallBesideABreakingStream, a data race before the change. The connection is kept only if the timer has not fired.

--- a/internal/api/ingress/handler_test.go
+++ b/internal/api/ingress/handler_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 
@@ -321,3 +322,28 @@
 	is.Equal(resp.StatusCode, http.StatusOK)
 	is.True(resp.Close)
 }
+
+// Guards against a stall that is judged while the stream breaks off: both use the servers that the call was offered to.
+func TestStallBesideABreakingStream(t *testing.T) {
+	is := is.New(t)
+	const target = 20 * time.Millisecond
+	broken := func(c net.Conn, r *http.Request) bool {
+		reply(c, r, "200 OK", streamHead, chunk(events(1, 2)))
+		<-time.After(target) // the stream breaks off when it has paused for long enough to move
+		return false
+	}
+	routes := stream(true)
+	routes[0].MaxAttempts, routes[0].LatencyTarget = 4, target
+	rg := newRig(t, routes, newBackend(t, "b1", broken), newBackend(t, "b2", broken), newBackend(t, "b3", broken))
+	rg.handler.MinStall = time.Nanosecond
+	var g errgroup.Group
+	for range 40 {
+		g.Go(func() error {
+			if res := rg.call(t, http.MethodPost, "/p/x", ""); res.status == http.StatusOK && res.err == nil {
+				return errors.New("a stream that broke off ended as complete")
+			}
+			return nil
+		})
+	}
+	is.NoErr(g.Wait())
+}
--- a/internal/api/ingress/relay.go
+++ b/internal/api/ingress/relay.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -155,11 +156,7 @@
 func (c *callRun) relayStream(s deck.Server, ex *http1.Exchange) result {
 	c.runs++
 	stallLimit := max(c.h.minStall(), c.route.LatencyTarget)
-	stall := time.AfterFunc(stallLimit, func() {
-		if c.mayMove() {
-			ex.Abort()
-		}
-	})
+	stall := time.AfterFunc(stallLimit, c.moveWhenSilent(ex))
 	defer stall.Stop()
 	events := newEventReader(ex.Response.Body, c.last)
 	if !c.began {
@@ -190,7 +187,11 @@
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF):
-			ex.Finish()
+			if stall.Stop() {
+				ex.Finish()
+			} else {
+				ex.Abort() // the stall may be about to end this connection, which nobody else may have by then
+			}
 			c.h.Book.SawAnswer(time.Now(), s.ID, false)
 			c.end(http.StatusOK, "answered")
 			return ended
@@ -221,11 +222,18 @@
 	return minStall
 }
 
-// mayMove reports whether a silent stream can go on elsewhere. Silence alone is no reason to end an answer.
-func (c *callRun) mayMove() bool {
-	if c.repeat() != again {
-		return false
+// moveWhenSilent returns what a stall does: it ends the exchange if the stream can go on elsewhere. Silence alone is no reason
+// to end an answer. The function runs beside the call, so it keeps a copy of what it reads.
+func (c *callRun) moveWhenSilent(ex *http1.Exchange) func() {
+	movable := c.repeat() == again
+	want := c.want
+	want.Tried = maps.Clone(c.want.Tried)
+	return func() {
+		if !movable {
+			return
+		}
+		if _, shortage := c.h.Book.Pick(time.Now(), want); shortage == balance.Chosen {
+			ex.Abort()
+		}
 	}
-	_, shortage := c.h.Book.Pick(time.Now(), c.want)
-	return shortage == balance.Chosen
 }
