--- a/internal/core/deck/call.go
+++ b/internal/core/deck/call.go
@@ -39,7 +39,6 @@
 // An Answer is what the head of a backend server's response says.
 type Answer struct {
 	Verdict AnswerVerdict
-	Leaving bool // the backend server closes its connections
 	Load    ServerLoad
 	HasLoad bool
 }
