--- a/internal/command/cli/apply.go
+++ b/internal/command/cli/apply.go
@@ -66,7 +66,7 @@
 	var a deck.TicketAnswer
 	var answered error // the last error that a VM answered with
 	for {
-		err := c.ask(func(cl operator.Client) error {
+		err := c.ask(ctx, func(ctx context.Context, cl operator.Client) error {
 			var err error
 			a, err = cl.ApplyTicket(ctx, t)
 			return err
@@ -99,7 +99,7 @@
 func (c *config) awaitInForce(ctx context.Context, number uint64) error {
 	var s deck.TicketStatus
 	for {
-		err := c.ask(func(cl operator.Client) error {
+		err := c.ask(ctx, func(ctx context.Context, cl operator.Client) error {
 			var err error
 			s, err = cl.TicketStatus(ctx, number)
 			return err
--- a/internal/command/cli/burn.go
+++ b/internal/command/cli/burn.go
@@ -33,7 +33,12 @@
 	}
 	var reports []burn.Report
 	for _, cl := range clients {
-		r, err := cl.Burn(ctx)
+		var r burn.Report
+		err := c.askOne(ctx, cl, c.addressTimeout(len(clients)), func(ctx context.Context, cl operator.Client) error {
+			var err error
+			r, err = cl.Burn(ctx)
+			return err
+		})
 		if err != nil {
 			fmt.Fprintf(c.stderr, "geraniumdeck: not included: %v\n", err)
 			continue
--- a/internal/command/cli/cli.go
+++ b/internal/command/cli/cli.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"time"
@@ -61,6 +62,7 @@
 	address      string
 	json         bool
 	timeout      time.Duration
+	silent       map[string]bool // addresses that did not answer in their part of the time
 }
 
 // Run executes the command line and returns the exit code.
@@ -134,17 +136,29 @@
 	return out, nil
 }
 
+// maxAddressParts bounds into how many parts the time to wait is divided, so that an address of a large system still has
+// time to answer.
+const maxAddressParts = 8
+
+// addressTimeout returns how long one of the addresses may take: a silent VM leaves most of the time to the others.
+func (c *config) addressTimeout(addresses int) time.Duration {
+	if addresses == 1 {
+		return c.timeout
+	}
+	return c.timeout / time.Duration(min(addresses+1, maxAddressParts))
+}
+
 // ask calls f for one VM after the other until one succeeds. An error that a VM answered with is reported rather than
-// one of a VM that could not be reached.
-func (c *config) ask(f func(operator.Client) error) error {
+// one of a VM that could not be reached. VMs that were silent before are asked last.
+func (c *config) ask(ctx context.Context, f func(context.Context, operator.Client) error) error {
 	clients, err := c.clients()
 	if err != nil {
 		return err
 	}
 	code := ExitUnreachable
 	var reported error
-	for _, cl := range clients {
-		err := f(cl)
+	for _, cl := range c.silentLast(clients) {
+		err := c.askOne(ctx, cl, c.addressTimeout(len(clients)), f)
 		if err == nil {
 			return nil
 		}
@@ -157,3 +171,33 @@
 	}
 	return exit(code, reported)
 }
+
+func (c *config) askOne(
+	ctx context.Context, cl operator.Client, limit time.Duration, f func(context.Context, operator.Client) error,
+) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	err := f(ctx, cl)
+	if err == nil {
+		delete(c.silent, cl.Address)
+	} else if ctx.Err() != nil {
+		if c.silent == nil {
+			c.silent = make(map[string]bool)
+		}
+		c.silent[cl.Address] = true
+	}
+	return err
+}
+
+// silentLast returns the clients with those at the end that have been silent.
+func (c *config) silentLast(clients []operator.Client) []operator.Client {
+	var first, last []operator.Client
+	for _, cl := range clients {
+		if c.silent[cl.Address] {
+			last = append(last, cl)
+		} else {
+			first = append(first, cl)
+		}
+	}
+	return append(first, last...)
+}
--- a/internal/command/cli/replica.go
+++ b/internal/command/cli/replica.go
@@ -41,7 +41,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
 	defer cancel()
 	change := deck.ReplicaChange{Action: a, Replica: deck.ReplicaID{VM: deck.VMName(vm), Incarnation: n}}
-	err = c.ask(func(cl operator.Client) error { return cl.ChangeReplica(ctx, change) })
+	err = c.ask(ctx, func(ctx context.Context, cl operator.Client) error {
+		return cl.ChangeReplica(ctx, change)
+	})
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/command/cli/silent_test.go
@@ -0,0 +1,66 @@
+package cli
+
+import (
+	"bytes"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestFrozenVMLeavesTimeForTheOthers guards against a command that waits for one VM, which takes connections and says
+// nothing, until its whole time is over.
+func TestFrozenVMLeavesTimeForTheOthers(t *testing.T) {
+	is := is.New(t)
+	frozen, err := net.Listen("tcp", "127.0.0.1:0") // the backlog takes connections that nobody accepts
+	is.NoErr(err)
+	t.Cleanup(func() { _ = frozen.Close() })
+	file := settingsWith(t, frozen.Addr().String(), startOperators(t))
+	ticketFile, err := filepath.Abs("../../../examples/single-machine-ticket-1.yaml")
+	is.NoErr(err)
+	const timeout = 2 * time.Second
+	for _, args := range [][]string{
+		{"apply", "--no-wait", ticketFile}, {"state"}, {"ticket", "1"}, {"burn"},
+	} {
+		t.Run(args[0], func(t *testing.T) {
+			is := is.New(t)
+			var out, errs bytes.Buffer
+			start := time.Now()
+			code := Run(append(args, "-s", file, "--timeout", timeout.String()), &out, &errs)
+			is.Equal(code, ExitOK)
+			is.True(time.Since(start) < timeout/2)
+		})
+	}
+}
+
+// settingsWith returns a settings file whose first two VMs have the operators' listeners given.
+func settingsWith(t *testing.T, first, second string) string {
+	t.Helper()
+	is := is.New(t)
+	data, err := os.ReadFile("../../../examples/single-machine.yaml")
+	is.NoErr(err)
+	lines := strings.Split(string(data), "\n")
+	addresses := []string{first, second}
+	for i, line := range lines {
+		at := strings.Index(line, "operators:")
+		if at >= 0 && len(addresses) > 0 {
+			lines[i], addresses = line[:at]+"operators: "+addresses[0]+rest(line[at:]), addresses[1:]
+		}
+	}
+	is.Equal(len(addresses), 0)
+	file := filepath.Join(t.TempDir(), "settings.yaml")
+	is.NoErr(os.WriteFile(file, []byte(strings.Join(lines, "\n")), 0o600))
+	return file
+}
+
+// rest returns what follows the value of a field that may stand in a list of fields on one line.
+func rest(s string) string {
+	if i := strings.IndexAny(s, ",}"); i >= 0 {
+		return s[i:]
+	}
+	return ""
+}
--- a/internal/command/cli/state.go
+++ b/internal/command/cli/state.go
@@ -23,7 +23,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
 	defer cancel()
 	var data []byte
-	err := c.ask(func(cl operator.Client) error {
+	err := c.ask(ctx, func(ctx context.Context, cl operator.Client) error {
 		var err error
 		data, err = cl.StateJSON(ctx)
 		return err
--- a/internal/command/cli/ticket.go
+++ b/internal/command/cli/ticket.go
@@ -27,7 +27,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
 	defer cancel()
 	var s deck.TicketStatus
-	err := c.ask(func(cl operator.Client) error {
+	err := c.ask(ctx, func(ctx context.Context, cl operator.Client) error {
 		var err error
 		s, err = cl.TicketStatus(ctx, number)
 		return err
--- a/internal/state/machine/client.go
+++ b/internal/state/machine/client.go
@@ -17,8 +17,13 @@
 	beginTimeout   = 3 * time.Second // a begin-call that takes longer is refused, so that a caller is not kept waiting
 	attemptTimeout = 2 * time.Second // for one attempt at one replica; a commit takes one path time between regions
 	retryPause     = 100 * time.Millisecond
-	releasePause   = time.Second // between proposals of the release of a claim
-	maxReleases    = 4096        // releases that are waiting; beyond that the oldest record is left to time out
+
+	// silentAfter is how long a replica may be silent before the next one is asked as well: several times what a commit
+	// between regions takes.
+	silentAfter = 400 * time.Millisecond
+
+	releasePause = time.Second // between proposals of the release of a claim
+	maxReleases  = 4096        // releases that are waiting; beyond that the oldest record is left to time out
 )
 
 // A Forwarder sends a command to a replica on another VM.
--- a/internal/state/machine/client_test.go
+++ b/internal/state/machine/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,7 +24,7 @@
 	moveTo    deck.VMName // leads after the next lost answer
 	refuse    bool        // no connection is made
 	losing    func(to deck.VMName) bool
-	forwards  int
+	forwards  atomic.Int64
 }
 
 var control = []deck.Peer{{Name: "a"}, {Name: "b"}, {Name: "c"}}
@@ -46,7 +47,7 @@
 }
 
 func (n *forwardNet) Forward(ctx context.Context, to deck.Peer, data []byte) ([]byte, error) {
-	n.forwards++
+	n.forwards.Add(1)
 	if n.refuse {
 		return nil, &NotProposedError{Cause: errors.New("connection refused")}
 	}
@@ -120,6 +121,40 @@
 	}
 }
 
+// Guards against a frozen leader that holds up the first call through each VM although another replica leads by now.
+func TestSilentLeaderCostsAQuarterOfACallsTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newForwardNet()
+		e := n.client("e")
+		is.Equal(e.Begin(t.Context(), "k1", "d").Status, deck.ClaimGranted) // the client knows its leader
+		n.losing = func(to deck.VMName) bool { return to == "a" }
+		n.log.Lead("c")
+		start := time.Now()
+		is.Equal(e.Begin(t.Context(), "k2", "d").Status, deck.ClaimGranted)
+		is.True(time.Since(start) <= beginTimeout/4)
+	})
+}
+
+// Guards against a call that is refused although a replica came to lead within its time.
+func TestCallWaitsForALeaderBesideASilentOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newForwardNet()
+		e := n.client("e")
+		n.losing = func(to deck.VMName) bool { return to == "a" }
+		n.log.Lead("")
+		var g errgroup.Group
+		g.Go(func() error {
+			time.Sleep(beginTimeout / 3)
+			n.log.Lead("b")
+			return nil
+		})
+		is.Equal(e.Begin(t.Context(), "k", "d").Status, deck.ClaimGranted)
+		is.NoErr(g.Wait())
+	})
+}
+
 // Guards against a call that is refused as not run and later blocks its key, and a release that is given up too early.
 func TestTimedOutClaimIsReleased(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -220,6 +255,6 @@
 		is.Equal(len(n.machines["b"].Poisoned()), 0)
 		is.NoErr(c.ReportCrash(t.Context(), "p", "e", "", false))
 		is.Equal(n.machines["b"].Poisoned()[0].Digest, "p")
-		is.Equal(n.forwards, 0)
+		is.Equal(n.forwards.Load(), int64(0))
 	})
 }
--- a/internal/state/machine/forward.go
+++ b/internal/state/machine/forward.go
@@ -16,32 +16,29 @@
 	if len(data) > command.MaxBytes {
 		return command.Result{}, &NotProposedError{Cause: errors.Newf("command of %d bytes", len(data))}
 	}
-	maybe := false
-	last := errors.New("no control replica answers")
-	for round := 0; ; round++ {
-		for _, p := range c.candidates() {
-			result, err := c.attempt(ctx, p, data)
-			if err == nil {
-				c.learn(p.Name)
-				return command.DecodeResult(result)
-			}
-			maybe = maybe || !certainlyNot(err)
+	var last error = &NotProposedError{Cause: errors.New("no control replica answers")}
+	for {
+		result, from, err := askReplicas(ctx, c, func(ctx context.Context, p deck.Peer) ([]byte, error) {
+			return c.attempt(ctx, p, data)
+		})
+		if err == nil {
+			c.learn(from)
+			return command.DecodeResult(result)
+		}
+		if certainlyNot(last) {
 			last = err
-			if c.follow(err) || ctx.Err() != nil {
-				break
-			}
 		}
 		if ctx.Err() != nil || !deck.Sleep(ctx, retryPause) {
-			return command.Result{}, failure(last, maybe)
+			return command.Result{}, failure(last)
 		}
 	}
 }
 
-func failure(last error, maybe bool) error {
-	if maybe {
-		return errors.Wrap(last, "the command may have been committed")
+func failure(last error) error {
+	if certainlyNot(last) {
+		return &NotProposedError{Cause: last}
 	}
-	return &NotProposedError{Cause: last}
+	return errors.Wrap(last, "the command may have been committed")
 }
 
 func (c *Client) attempt(ctx context.Context, p deck.Peer, data []byte) ([]byte, error) {
@@ -106,20 +103,10 @@
 
 // TicketStatus asks the control leader what became of a ticket and which VMs have it in force.
 func (c *Client) TicketStatus(ctx context.Context, number uint64) (TicketStatus, error) {
-	last := errors.New("no control replica is known")
-	for range 2 {
-		for _, p := range c.candidates() {
-			attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
-			s, err := c.cfg.Forward.TicketStatus(attempt, p, number)
-			cancel()
-			if err == nil {
-				return s, nil
-			}
-			last = err
-			if c.follow(err) {
-				break
-			}
-		}
-	}
-	return TicketStatus{}, errors.Wrap(last, "ticket status")
+	s, _, err := askReplicas(ctx, c, func(ctx context.Context, p deck.Peer) (TicketStatus, error) {
+		ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+		defer cancel()
+		return c.cfg.Forward.TicketStatus(ctx, p, number)
+	})
+	return s, errors.Wrap(err, "ticket status")
 }
