--- a/internal/api/caller/decode.go
+++ b/internal/api/caller/decode.go
@@ -34,6 +34,7 @@
 	model     string // as the caller names it
 	stream    bool
 	maxTokens int
+	usage     bool // a stream ends with a chunk that tells the tokens used
 	prompt    string
 	fields    map[string]json.RawMessage
 }
@@ -61,11 +62,29 @@
 			return q, errors.Newf("%s must be from 0 to %d", name, maxTokens)
 		}
 	}
+	if err := q.streamOptions(); err != nil {
+		return q, err
+	}
 	prompt, err := wire.Prompt(q.fields)
 	q.prompt = prompt
 	return q, err
 }
 
+// streamOptions decodes the options that only streams have.
+func (q *inference) streamOptions() error {
+	var options struct {
+		IncludeUsage bool `json:"include_usage"`
+	}
+	if err := q.field("stream_options", &options, "an object whose include_usage is a boolean"); err != nil {
+		return err
+	}
+	if _, given := q.fields["stream_options"]; given && !q.stream {
+		return errors.New("stream_options needs stream")
+	}
+	q.usage = options.IncludeUsage
+	return nil
+}
+
 // field decodes an optional field.
 func (q *inference) field(name string, out any, kind string) error {
 	raw, ok := q.fields[name]
@@ -83,6 +102,7 @@
 func (q *inference) engineBody(model deck.ModelName) []byte {
 	q.fields["model"] = encode(string(model))
 	q.fields["stream"] = []byte("true")
+	q.fields["stream_options"] = []byte(`{"include_usage":true}`) // a whole answer tells it too
 	var b bytes.Buffer
 	enc := json.NewEncoder(&b)
 	enc.SetEscapeHTML(false) // leaves the caller's texts as they are
--- a/internal/api/caller/infer.go
+++ b/internal/api/caller/infer.go
@@ -27,7 +27,7 @@
 		return
 	}
 	if q.stream {
-		h.stream(w, r, req)
+		h.stream(w, r, req, q.usage)
 		return
 	}
 	h.whole(w, r, req)
@@ -90,8 +90,8 @@
 }
 
 // stream answers with server-sent events.
-func (h *Handler) stream(w http.ResponseWriter, r *http.Request, req attempt.Request) {
-	sink := newStreamSink(w)
+func (h *Handler) stream(w http.ResponseWriter, r *http.Request, req attempt.Request, usage bool) {
+	sink := newStreamSink(w, usage)
 	result := h.run(r, req, sink)
 	if result.Kind == attempt.Done {
 		sink.done()
--- a/internal/api/caller/infer_test.go
+++ b/internal/api/caller/infer_test.go
@@ -77,6 +77,38 @@
 	})
 }
 
+// TestUsage guards against callers that can't tell what an answer has cost or why it ended, and against a chunk that a
+// caller did not ask for.
+func TestUsage(t *testing.T) {
+	run(t, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		for _, e := range r.engines {
+			e.usage = true
+		}
+		r.engines["e1"].faults = []string{"reset:2"}
+		const tokens = `"usage":{"prompt_tokens":7,"completion_tokens":5,"total_tokens":12}`
+		a := r.post(t.Context(), chat, wholeBody)
+		var doc struct {
+			Choices []struct {
+				FinishReason string `json:"finish_reason"`
+			}
+			Usage map[string]int
+		}
+		is.NoErr(json.Unmarshal([]byte(a.body), &doc))
+		is.Equal(doc.Choices[0].FinishReason, "stop")
+		is.Equal(doc.Usage["total_tokens"], 12)
+		a = r.post(t.Context(), chat, streamBody)
+		is.True(strings.Contains(a.body, `"finish_reason":"stop"`))
+		is.True(!strings.Contains(a.body, "usage"))
+		a = r.post(t.Context(), chat, strings.Replace(streamBody, "{", `{"stream_options":{"include_usage":true},`, 1))
+		is.Equal(strings.Count(a.body, "usage"), 1)
+		is.True(strings.HasSuffix(a.body, `data: {"choices":[],"id":"c",`+tokens+"}\n\ndata: [DONE]\n\n"))
+		is.True(strings.Contains(r.engines["e1"].bodies[0], `"include_usage":true`))
+		a = r.post(t.Context(), chat, strings.Replace(wholeBody, "{", `{"stream_options":{"include_usage":true},`, 1))
+		is.Equal(a.status, http.StatusBadRequest)
+	})
+}
+
 // TestHeartbeat guards against a caller that takes a long wait for a dead connection.
 func TestHeartbeat(t *testing.T) {
 	run(t, func(t *testing.T, r *rig) {
--- a/internal/api/caller/rig_test.go
+++ b/internal/api/caller/rig_test.go
@@ -32,6 +32,7 @@
 type fakeEngine struct {
 	mu      sync.Mutex
 	faults  []string // of the next requests: "reset:N", "silent:N", "slow:D", "status:N", "draining"; "" for none
+	usage   bool     // the last chunk tells the tokens used
 	seen    []*http.Request
 	bodies  []string
 	cancels []string
@@ -45,6 +46,10 @@
 	return fmt.Sprintf(`{"id":"c","choices":[{"index":0,"delta":{"content":%q}}]}`, words[n])
 }
 
+// lastChunk is the last token of an engine that tells the tokens used.
+const lastChunk = `{"id":"c","choices":[{"index":0,"delta":{"content":" spines"},"finish_reason":"stop"}],` +
+	`"usage":{"prompt_tokens":7,"completion_tokens":5,"total_tokens":12}}`
+
 func (e *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	data, _ := io.ReadAll(r.Body)
 	w.Header().Set("Boot-ID", "b1")
@@ -99,7 +104,11 @@
 				return
 			}
 		}
-		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, chunk(n))
+		data := chunk(n)
+		if e.usage && n == len(words)-1 {
+			data = lastChunk
+		}
+		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, data)
 		_ = rc.Flush()
 	}
 	fmt.Fprint(w, "data: [DONE]\n\n")
--- a/internal/api/caller/sink.go
+++ b/internal/api/caller/sink.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"strconv"
 	"time"
@@ -17,13 +18,15 @@
 	w     http.ResponseWriter
 	rc    *http.ResponseController
 	buf   bytes.Buffer
-	begun bool // the status line is sent
+	begun bool   // the status line is sent
+	usage bool   // the caller asked for a last chunk that tells the tokens used
+	last  []byte // that chunk, once an engine has told it
 }
 
 var _ attempt.Sink = (*streamSink)(nil)
 
-func newStreamSink(w http.ResponseWriter) *streamSink {
-	return &streamSink{w: w, rc: http.NewResponseController(w)}
+func newStreamSink(w http.ResponseWriter, usage bool) *streamSink {
+	return &streamSink{w: w, rc: http.NewResponseController(w), usage: usage}
 }
 
 // Heartbeat implements attempt.Sink.Heartbeat.
@@ -36,12 +39,35 @@
 func (s *streamSink) Token(t deck.Token) error {
 	s.buf.WriteString("id: ")
 	s.buf.WriteString(strconv.Itoa(t.Offset))
-	s.data(t.Data)
+	s.data(s.takeUsage(t.Data))
 	return s.flush()
 }
 
+// takeUsage keeps what a chunk tells of the tokens used for the end of the stream and returns the chunk without it.
+func (s *streamSink) takeUsage(data []byte) []byte {
+	if !bytes.Contains(data, []byte(`"usage"`)) {
+		return data
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(data, &fields); err != nil || fields["usage"] == nil {
+		return data // the word stands in the answer's text
+	}
+	if string(fields["usage"]) != "null" {
+		last := maps.Clone(fields)
+		last["choices"] = []byte("[]")
+		s.last = encode(last)
+	}
+	delete(fields, "usage")
+	return encode(fields)
+}
+
 // done ends a whole answer.
 func (s *streamSink) done() {
+	if s.usage && s.last != nil {
+		s.buf.WriteString("data: ")
+		s.buf.Write(s.last)
+		s.buf.WriteString("\n\n")
+	}
 	s.buf.WriteString("data: " + wire.Done + "\n\n")
 	_ = s.flush() // the caller notices a lost end
 }
--- a/internal/emulate/engine/generate.go
+++ b/internal/emulate/engine/generate.go
@@ -27,6 +27,10 @@
 	MaxTokens int             `json:"max_tokens"`
 	Prompt    json.RawMessage `json:"prompt"`
 	Messages  json.RawMessage `json:"messages"`
+
+	StreamOptions struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
 }
 
 // Answer returns the text of token i of the answer to a body, so that tests can check whose answer they got.
@@ -45,7 +49,8 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if c.MaxTokens <= 0 {
+	limited := c.MaxTokens > 0
+	if !limited {
 		c.MaxTokens = defaultMaxTokens
 	}
 	s, ok := e.admit(w, r, c, body)
@@ -53,19 +58,22 @@
 		return
 	}
 	defer e.leave(s.req)
+	s.limited, s.usage = limited, c.StreamOptions.IncludeUsage
 	s.run(w)
 }
 
 // A stream is one answer on its way out.
 type stream struct {
-	engine *Engine
-	req    *request
-	body   []byte
-	chat   bool
-	next   int // offset of the next token
-	total  int
-	silent int // token count after which nothing more is sent; negative for never
-	warm   bool
+	engine  *Engine
+	req     *request
+	body    []byte
+	chat    bool
+	next    int // offset of the next token
+	total   int
+	limited bool // the answer ends at the caller's limit
+	usage   bool // the last chunk tells the tokens used
+	silent  int  // token count after which nothing more is sent; negative for never
+	warm    bool
 }
 
 // admit checks the request against the engine's state and enters it into the batch.
@@ -236,30 +244,56 @@
 		<-s.req.ctx.Done()
 		panic(http.ErrAbortHandler)
 	}
-	data := chunk(s.chat, Answer(s.body, s.next))
+	data := s.chunk(Answer(s.body, s.next))
 	_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", s.next, data)
 	s.next++
 }
 
-// chunk returns a token in the inference API's form.
-func chunk(chat bool, text string) []byte {
-	type delta struct {
-		Content string `json:"content"`
-	}
-	type choice struct {
-		Index int    `json:"index"`
-		Text  string `json:"text,omitempty"`
-		Delta *delta `json:"delta,omitempty"`
-	}
-	type event struct {
-		Object  string   `json:"object"`
-		Choices []choice `json:"choices"`
-	}
-	ev := event{Object: "text_completion", Choices: []choice{{Text: text}}}
-	if chat {
-		ev = event{Object: "chat.completion.chunk", Choices: []choice{{Delta: &delta{text}}}}
+// A chunk is a token in the inference API's form.
+type chunk struct {
+	Object  string   `json:"object"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+type choice struct {
+	Index        int     `json:"index"`
+	Text         string  `json:"text,omitempty"`
+	Delta        *delta  `json:"delta,omitempty"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+type delta struct {
+	Content string `json:"content"`
+}
+
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+// bytesPerToken stands for a tokeniser.
+const bytesPerToken = 4
+
+// chunk returns the next token; the last one tells why the answer ends and what it has used.
+func (s *stream) chunk(text string) []byte {
+	c := chunk{Object: "text_completion", Choices: []choice{{Text: text}}}
+	if s.chat {
+		c = chunk{Object: "chat.completion.chunk", Choices: []choice{{Delta: &delta{text}}}}
+	}
+	if s.next+1 == s.total {
+		reason := "stop"
+		if s.limited {
+			reason = "length"
+		}
+		c.Choices[0].FinishReason = &reason
+		if s.usage {
+			prompt := 1 + len(s.body)/bytesPerToken
+			c.Usage = &usage{prompt, s.total, prompt + s.total}
+		}
 	}
-	data, err := json.Marshal(ev)
+	data, err := json.Marshal(c)
 	if err != nil {
 		panic(err)
 	}
