--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -16,6 +16,10 @@
 	// patienceShare of the latency target may pass before a call that finds no place is refused.
 	patienceShare = 0.125
 
+	// queueShare of the latency target may be spent in a server's queue; the rest is for the way and for reading the prompt
+	// beside other calls.
+	queueShare = 0.5
+
 	// resumePatience is how long a broken stream looks for an engine to go on; callers abandon a silent stream after two
 	// seconds.
 	resumePatience = 1500 * time.Millisecond
--- a/internal/api/ingress/handler.go
+++ b/internal/api/ingress/handler.go
@@ -126,7 +126,7 @@
 	c.ctx, c.cancel = context.WithDeadlineCause(r.Context(), c.deadline, errDeadline)
 	c.want = balance.Want{
 		Service: c.service, Model: call.Model, Adapter: call.Adapter, Parts: call.Parts,
-		Tried: make(map[deck.BackendName]bool),
+		Tried: make(map[deck.BackendName]bool), Patience: time.Duration(queueShare * float64(route.LatencyTarget)),
 	}
 	if s, ok := t.Config().Service(c.service); !ok || s.Engine == nil {
 		c.want.Model, c.want.Adapter = "", ""
--- a/internal/api/ingress/relay.go
+++ b/internal/api/ingress/relay.go
@@ -166,6 +166,7 @@
 	}
 	flusher := http.NewResponseController(c.w)
 	at := time.Now()
+	var began time.Time // when the first event came: the call had a place from then on
 	for {
 		data, err := events.next()
 		now := time.Now()
@@ -174,6 +175,9 @@
 		at = now
 		stall.Reset(stallLimit)
 		if len(data) > 0 {
+			if began.IsZero() {
+				began = now
+			}
 			if _, werr := c.w.Write(data); werr != nil {
 				ex.Abort()
 				return failed
@@ -192,7 +196,10 @@
 			} else {
 				ex.Abort() // the stall may be about to end this connection, which nobody else may have by then
 			}
-			c.h.Book.SawAnswer(time.Now(), s.ID, false)
+			c.h.Book.SawAnswer(now, s.ID, false)
+			if !began.IsZero() {
+				c.h.Book.SawHeld(c.service, now.Sub(began))
+			}
 			c.end(http.StatusOK, "answered")
 			return ended
 		default:
@@ -212,6 +219,7 @@
 	c.suspect(now, s)
 	delete(c.want.Tried, s.ID) // an engine that broke one connection may go on with the stream on another
 	c.brokeAt = now
+	c.want.Patience = resumePatience
 	return c.repeat()
 }
 
--- a/internal/command/node/entry.go
+++ b/internal/command/node/entry.go
@@ -76,7 +76,7 @@
 	e.follower = hub.NewFollower(hub.FollowerOptions{
 		Self: s.Peer(), DataCentre: s.DataCentre, Seeds: n.seeds, Client: fleet,
 		List:   platform.Listing{Address: s.Platform.Address, HTTP: fleet.HTTP, Log: n.log},
-		Logger: n.log, Report: e.report, Config: e.setConfig, Servers: e.setServers, VMs: e.setBudget,
+		Logger: n.log, Report: e.report, Config: e.setConfig, Servers: e.setServers, VMs: e.setVMs,
 		Crashes: e.learn, Calls: e.setCalls,
 	})
 	e.handler.ViewAge = e.follower.Age
@@ -115,6 +115,12 @@
 	e.budget.Limits(b.RetryWindow, b.RetryShare*budgetShare, b.RetrySlack*budgetShare/float64(max(1, vms)))
 }
 
+// setVMs takes the number of entry VMs that share budget and servers.
+func (e *entry) setVMs(vms int) {
+	e.setBudget(vms)
+	e.book.SetVMs(vms)
+}
+
 func (e *entry) setConfig(doc deck.RoutingDocument) {
 	cfg, err := platform.ManifestDecoder{}.DecodeRouting(doc.Body)
 	if err != nil {
--- a/internal/route/balance/balance_test.go
+++ b/internal/route/balance/balance_test.go
@@ -67,6 +67,54 @@
 	}
 }
 
+// Load pattern: many entry VMs have the same report, by which one engine has fewer calls than the others, and each sends a
+// call before the next report.
+func TestVMsWithTheSameReportDoNotMeetOnOneEngine(t *testing.T) {
+	is := is.New(t)
+	const vms, engines, slots, calls = 78, 6, 12, 24
+	var servers []deck.Server
+	var sums []deck.ServerCalls
+	for i := range engines {
+		s := server(fmt.Sprint("e", i), slots)
+		servers = append(servers, s)
+		if i > 0 {
+			sums = append(sums, deck.ServerCalls{Server: s.ID, Calls: 4})
+		}
+	}
+	at := make(map[deck.BackendName]int)
+	for i := range calls {
+		b := book(uint64(i), near, servers...)
+		b.SetVMs(vms)
+		b.SawCalls(now, sums)
+		s, _ := b.Pick(now, want)
+		at[s.ID]++
+	}
+	is.True(at["e0"] > 0)
+	is.True(at["e0"] <= slots)
+}
+
+// Load pattern: demand for a model exceeds the places of its engines. A call that would wait for a place beyond its latency
+// target only makes the next ones late too.
+func TestCallsAreNotOfferedToAQueueBeyondTheirPatience(t *testing.T) {
+	is := is.New(t)
+	const slots = 12
+	b := book(1, near, server("a", slots))
+	for range 50 {
+		b.SawHeld("llm", 1200*time.Millisecond) // a place becomes free each 100 ms
+	}
+	interactive := balance.Want{Service: "llm", Patience: 250 * time.Millisecond}
+	batch := balance.Want{Service: "llm", Patience: time.Second}
+	for range slots + 2 {
+		_, shortage := b.Pick(now, interactive)
+		is.Equal(shortage, balance.Chosen)
+		b.Began("a")
+	}
+	_, shortage := b.Pick(now, interactive)
+	is.Equal(shortage, balance.AllFull)
+	_, shortage = b.Pick(now, batch)
+	is.Equal(shortage, balance.Chosen) // an engine serves interactive calls first
+}
+
 func TestServerInTheOwnDataCentreGoesFirst(t *testing.T) {
 	is := is.New(t)
 	far := func(dc deck.DataCentre) balance.Distance {
--- a/internal/route/balance/book.go
+++ b/internal/route/balance/book.go
@@ -26,6 +26,8 @@
 	servers map[deck.BackendName]*entry
 	service map[deck.ServiceName][]*entry
 	prefix  prefixes
+	held    map[deck.ServiceName]*holdTime
+	vms     int // entry VMs that share the servers; 0 for not known
 }
 
 // An entry is one backend server with this VM's own observations.
--- a/internal/route/balance/pick.go
+++ b/internal/route/balance/pick.go
@@ -30,10 +30,19 @@
 	prefixGain  = 0.03 // the prompt's shared parts need not be read again
 )
 
-// maxFill is how many calls, in units of the server's places, may be there before no more are offered. A caller's patience
-// is about the time in which a batch of its places ends.
+// maxFill is how many calls, in units of the server's places, may be there before no more are offered if it is not known
+// how long calls keep their places.
 const maxFill = 2.0
 
+const (
+	// viewers is how many VMs look at each server on average for one call each. All VMs see the same loads, up to the
+	// interval of their reports old, and would otherwise choose the same server until the next report.
+	viewers = 16
+
+	// minLooks is the least number of servers that a call looks at; already two keep apart the fullest and the emptiest.
+	minLooks = 2
+)
+
 // A Want says what a call needs of a backend server.
 type Want struct {
 	Service deck.ServiceName
@@ -41,6 +50,9 @@
 	Adapter deck.AdapterName // empty for none
 	Parts   []deck.PromptPart
 	Tried   map[deck.BackendName]bool // servers that this call was offered to
+
+	// Patience is the longest wait for a place that is worth an offer; 0 for not known.
+	Patience time.Duration
 }
 
 // A Shortage says why no server was chosen.
@@ -60,26 +72,32 @@
 	return [...]string{"chosen", "no-server", "model-absent", "adapter-absent", "all-full"}[s]
 }
 
-// Pick chooses a server for a call.
+// Pick chooses a server for a call: the best of some that are chosen at random in each distance.
 func (b *Book) Pick(now time.Time, w Want) (deck.Server, Shortage) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	shortage := NoServer
+	var usable [OtherRegion + 1][]*entry
+	held := time.Duration(0)
+	if h := b.held[w.Service]; h != nil {
+		held = h.mean
+	}
+	for _, e := range b.service[w.Service] {
+		s := e.fits(now, w, held)
+		if s == Chosen {
+			usable[e.distance] = append(usable[e.distance], e)
+		} else {
+			shortage = max(shortage, s)
+		}
+	}
 	var best *entry
 	bestCost := 0.0
-	for _, e := range b.service[w.Service] {
-		s := e.fits(now, w)
-		if s == Chosen && best == nil {
-			shortage = Chosen
-		} else if s != Chosen {
-			if best == nil && s > shortage {
-				shortage = s
+	for _, list := range usable {
+		for _, e := range b.some(list, w) {
+			cost := e.cost(now) + jitterCost*b.random.Float64() - b.prefix.gain(e.ID, w)
+			if best == nil || cost < bestCost {
+				best, bestCost = e, cost
 			}
-			continue
-		}
-		cost := e.cost(now) + jitterCost*b.random.Float64() - b.prefix.gain(e.ID, w)
-		if best == nil || cost < bestCost {
-			best, bestCost = e, cost
 		}
 	}
 	if best == nil {
@@ -88,8 +106,28 @@
 	return best.Server, Chosen
 }
 
+// some returns the servers that a call looks at: fewer the more VMs there are, and the one that has read the prompt's
+// shared parts.
+func (b *Book) some(list []*entry, w Want) []*entry {
+	looks := len(list)
+	if b.vms > 0 {
+		looks = min(looks, max(minLooks, len(list)*viewers/b.vms))
+	}
+	for i := range looks {
+		j := i + b.random.IntN(len(list)-i)
+		list[i], list[j] = list[j], list[i]
+	}
+	for i := looks; i < len(list); i++ {
+		if b.prefix.gain(list[i].ID, w) > 0 {
+			list[looks], list[i] = list[i], list[looks]
+			return list[:looks+1]
+		}
+	}
+	return list[:looks]
+}
+
 // fits says what keeps the server from running the call.
-func (e *entry) fits(now time.Time, w Want) Shortage {
+func (e *entry) fits(now time.Time, w Want, held time.Duration) Shortage {
 	switch {
 	case e.Draining || w.Tried[e.ID] || now.Before(e.downUntil):
 		return NoServer
@@ -97,13 +135,24 @@
 		return ModelAbsent
 	case w.Model != "" && w.Adapter != "" && !e.holds(now, w.Model, w.Adapter):
 		return AdapterAbsent
-	case now.Before(e.fullUntil) || e.fill(now) >= maxFill:
+	case now.Before(e.fullUntil) || e.full(now, w, held):
 		return AllFull
 	default:
 		return Chosen
 	}
 }
 
+// full reports whether a call would wait too long for a place at the server.
+func (e *entry) full(now time.Time, w Want, held time.Duration) bool {
+	fill := e.fill(now)
+	if held <= 0 || w.Patience <= 0 {
+		return fill >= maxFill
+	}
+	slots := float64(max(1, e.Slots))
+	ahead := fill*slots + 1 - slots // calls that have to end before this one begins
+	return ahead*held.Seconds()/slots > w.Patience.Seconds()
+}
+
 // holds reports whether the engine is believed to hold a model or adapter.
 func (e *entry) holds(now time.Time, m deck.ModelName, a deck.AdapterName) bool {
 	key := held{m, a}
