--- a/internal/place/assign/assign_test.go
+++ b/internal/place/assign/assign_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -39,20 +40,100 @@
 	return assign.Outlook{Now: d, Keep: d}
 }
 
+// settle carries out what Next returns until it returns nothing more, with orders that take no time.
+func settle(t *testing.T, s deck.EngineSpec, engines []assign.Engine, o assign.Outlook) []assign.Engine {
+	t.Helper()
+	for range 100 {
+		actions := assign.Next(s, engines, o, 1).Actions
+		if len(actions) == 0 {
+			return engines
+		}
+		for _, a := range actions {
+			i := slices.IndexFunc(engines, func(e assign.Engine) bool { return e.ID == a.Engine })
+			e := &engines[i]
+			if a.Unload != "" {
+				delete(e.Models, a.Unload)
+				e.AtHand[a.Unload] = true
+			}
+			if a.Load != "" {
+				e.Models[a.Load] = true
+			}
+			e.Used = 70 * float64(len(e.Models))
+		}
+	}
+	t.Fatal("the placement does not settle")
+	return nil
+}
+
+// copies counts the engines that hold each model.
+func copies(engines []assign.Engine) map[deck.ModelName]int {
+	out := map[deck.ModelName]int{}
+	for _, e := range engines {
+		for m := range e.Models {
+			out[m]++
+		}
+	}
+	return out
+}
+
+// busiest returns the work of the busiest engine in units of the average one, if each small piece of the demand goes to the
+// engine that has the least work.
+func busiest(engines []assign.Engine, d assign.Demand) float64 {
+	const pieces = 200
+	load := map[deck.BackendName]float64{}
+	all := 0.0
+	for range pieces {
+		for m, demand := range d {
+			var best deck.BackendName
+			for _, e := range engines {
+				if e.Models[m] && (best == "" || load[e.ID] < load[best]) {
+					best = e.ID
+				}
+			}
+			load[best] += demand / pieces
+			all += demand / pieces
+		}
+	}
+	most := 0.0
+	for _, l := range load {
+		most = max(most, l)
+	}
+	return most / (all / float64(len(engines)))
+}
+
 func TestCopiesFollowTheWorkAndKeepAReserve(t *testing.T) {
 	is := is.New(t)
 	s := spec(6)
-	want := assign.Copies(s, 6, assign.Demand{name(0): 600, name(1): 200, name(2): 10})
+	engines := []assign.Engine{
+		engine("a", 0), engine("b", 1), engine("c", 2), engine("d", 3), engine("e", 4), engine("f", 5),
+	}
+	demand := assign.Demand{name(0): 600, name(1): 200, name(2): 10}
+	engines = settle(t, s, engines, outlook(demand))
+	have := copies(engines)
 	total := 0
-	for _, n := range want {
+	for _, n := range have {
 		total += n
 	}
-	is.True(want[name(0)] > want[name(1)])    // more work, more copies
-	is.Equal(want[name(2)], 1)                // little work is served by one copy
-	is.Equal(want[name(5)], 1)                // a model without work stays reachable
+	is.True(have[name(0)] > have[name(1)])    // more work, more copies
+	is.Equal(have[name(2)], 1)                // little work is served by one copy
+	is.Equal(have[name(5)], 1)                // a model without work stays reachable
 	is.True(total <= 18-assign.Reserve(s, 6)) // room is left for a model whose demand rises
 }
 
+// Load pattern: every busy model has the copies that its share of the work asks for, but they stand on the same engines,
+// while others hold models that nobody asks for.
+func TestBusyModelsLeaveSharedEngines(t *testing.T) {
+	is := is.New(t)
+	s := spec(11)
+	engines := []assign.Engine{
+		engine("a", 0, 1, 2), engine("b", 0, 1, 2), engine("c", 0, 1, 3), engine("d", 4, 5), engine("e", 6, 7),
+		engine("f", 8, 9, 10),
+	}
+	demand := assign.Demand{name(0): 500, name(1): 500, name(2): 500}
+	is.True(busiest(engines, demand) > 1.9)
+	is.True(busiest(settle(t, s, engines, outlook(demand)), demand) <= 1.55)
+}
+
 // Load pattern: demand moves to a model with one copy within seconds. All missing copies start at once, into free places.
 func TestRisingModelGetsItsCopiesTogether(t *testing.T) {
 	is := is.New(t)
@@ -61,7 +142,7 @@
 		engine("a", 0, 1), engine("b", 0, 2), engine("c", 0, 3), engine("d", 0), engine("e", 0), engine("f", 0),
 	}
 	var loads int
-	for _, a := range assign.Next(s, engines, outlook(assign.Demand{name(1): 1000, name(0): 50}), 10) {
+	for _, a := range assign.Next(s, engines, outlook(assign.Demand{name(1): 1000, name(0): 50}), 10).Actions {
 		is.True(a.Unload == "")
 		if a.Load == name(1) {
 			loads++
@@ -75,7 +156,7 @@
 	is := is.New(t)
 	s := spec(5) // m03 and m04 are held by nobody
 	engines := []assign.Engine{engine("a", 0, 1), engine("b", 0, 1, 2), engine("c", 0, 1)}
-	actions := assign.Next(s, engines, outlook(assign.Demand{name(2): 1000}), 10)
+	actions := assign.Next(s, engines, outlook(assign.Demand{name(2): 1000}), 10).Actions
 	loaded := map[deck.ModelName]int{}
 	for _, a := range actions {
 		if a.Load != "" {
@@ -86,11 +167,50 @@
 	is.Equal(loaded[name(2)], 0)
 }
 
+// Load pattern: engines come back empty after a crash, with their models on their disks, while busy models lack copies.
+func TestModelsOnTheDisksOfEmptyEnginesComeFirst(t *testing.T) {
+	is := is.New(t)
+	s := spec(9)
+	back := []assign.Engine{engine("x"), engine("y"), engine("z")}
+	for i := range back {
+		back[i].AtHand[name(3+i)] = true // m03 to m05 are held by nobody
+	}
+	engines := append([]assign.Engine{engine("a", 0, 1, 2), engine("b", 6, 7, 8)}, back...)
+	demand := assign.Demand{name(0): 900, name(1): 800, name(2): 700, name(3): 5, name(4): 5, name(5): 5}
+	quick := 0
+	for _, a := range assign.Next(s, engines, outlook(demand), 10).Actions {
+		if !a.Store {
+			quick++
+		}
+	}
+	is.Equal(quick, 3)
+}
+
+// Load pattern: all engines are full and more copies are held than the work of now asks for. Waiting for runs to end on many
+// engines at once would leave few that take orders.
+func TestFewEnginesWaitForRunsToFreePlaces(t *testing.T) {
+	is := is.New(t)
+	s := spec(6)
+	var engines []assign.Engine
+	for i := range 20 {
+		engines = append(engines, engine(fmt.Sprintf("e%02d", i), 0, 1, 2+i%4))
+	}
+	demand := assign.Demand{name(0): 2000, name(1): 2000, name(2): 200, name(3): 200, name(4): 200, name(5): 200}
+	o := assign.Outlook{Now: demand, Keep: demand}
+	waiting := 0
+	for _, a := range assign.Next(s, engines, o, 10).Actions {
+		if a.Load == "" {
+			waiting++
+		}
+	}
+	is.True(waiting <= 1)
+}
+
 func TestTheLastCopyIsNeverUnloaded(t *testing.T) {
 	is := is.New(t)
 	s := spec(6)
 	engines := []assign.Engine{engine("a", 0, 1, 2), engine("b", 3, 4, 5)}
-	is.Equal(len(assign.Next(s, engines, outlook(assign.Demand{name(0): 1000}), 10)), 0)
+	is.Equal(len(assign.Next(s, engines, outlook(assign.Demand{name(0): 1000}), 10).Actions), 0)
 }
 
 func TestStoreLoadsStopAtTheLimit(t *testing.T) {
@@ -99,7 +219,7 @@
 	warm := engine("c")
 	warm.AtHand[name(0)] = true
 	engines := []assign.Engine{engine("a", 0, 1, 2), engine("b"), warm}
-	actions := assign.Next(s, engines, outlook(assign.Demand{name(0): 1000, name(3): 10}), 1)
+	actions := assign.Next(s, engines, outlook(assign.Demand{name(0): 1000, name(3): 10}), 1).Actions
 	store := 0
 	for _, a := range actions {
 		if a.Store {
@@ -114,7 +234,7 @@
 	is := is.New(t)
 	e := engine("a")
 	e.Idle = false
-	is.Equal(len(assign.Next(spec(2), []assign.Engine{e}, outlook(assign.Demand{name(0): 1}), 5)), 0)
+	is.Equal(len(assign.Next(spec(2), []assign.Engine{e}, outlook(assign.Demand{name(0): 1}), 5).Actions), 0)
 }
 
 // Load pattern: the engines that hold the busiest models have all the work while others idle.
@@ -122,7 +242,7 @@
 	is := is.New(t)
 	s := spec(4)
 	engines := []assign.Engine{engine("a", 0, 1), engine("b", 0, 1), engine("c", 0, 2), engine("idle", 2, 3)}
-	actions := assign.Next(s, engines, outlook(assign.Demand{name(0): 900, name(1): 300}), 1)
+	actions := assign.Next(s, engines, outlook(assign.Demand{name(0): 900, name(1): 300}), 1).Actions
 	is.True(len(actions) > 0)
 	is.Equal(actions[0].Engine, deck.BackendName("idle"))
 }
--- a/internal/place/assign/next.go
+++ b/internal/place/assign/next.go
@@ -11,6 +11,7 @@
 	Idle       bool                    // it can take an order
 	Models     map[deck.ModelName]bool // held
 	Loading    deck.ModelName          // empty for none
+	Unloading  bool                    // it waits for the runs of a model to end
 	Used       float64                 // megabytes of weights and adapters, those on their way included
 	AtHand     map[deck.ModelName]bool // copies in its memory or on its disk
 }
@@ -23,36 +24,44 @@
 	Store  bool           // the weights come from the weight store
 }
 
+// A Plan says what to do now and how the engines stand.
+type Plan struct {
+	Actions     []Action
+	Average     float64 // work of the average engine, in tokens a second
+	Busiest     float64 // work of the busiest engine once the copies under way and planned are there
+	Unreachable int     // models that no engine holds or loads
+	Free        int     // places without a model
+}
+
 // Next returns the orders to send now, at most one for each engine. Loads from the weight store stop at the given number.
-func Next(spec deck.EngineSpec, engines []Engine, outlook Outlook, storeLoads int) []Action {
+func Next(spec deck.EngineSpec, engines []Engine, outlook Outlook, storeLoads int) Plan {
 	p := newPlanner(spec, engines, outlook)
 	p.storeLoads = storeLoads
-	for {
-		m, ok := p.mostLacking()
-		if !ok {
-			break
-		}
-		if !p.supply(m) {
-			p.skipped[m.Name] = true
-		}
-	}
+	p.each(p.mostLackingSoon, p.quick)
+	p.each(p.mostLacking, p.onEngine)
+	p.each(p.mostPressed, p.relief)
 	p.restoreReserve()
 	p.spread()
-	return p.actions
+	plan := Plan{Actions: p.actions, Average: p.average(), Unreachable: p.lost, Free: p.free}
+	for _, load := range p.now.load {
+		plan.Busiest = max(plan.Busiest, load)
+	}
+	return plan
 }
 
 type planner struct {
 	spec       deck.EngineSpec
 	engines    []Engine
-	demand     Demand
-	kept       Demand
+	now        *shares
+	kept       *shares
 	storeLoads int
 
 	want    map[deck.ModelName]int // copies to have for the demand of now
 	keep    map[deck.ModelName]int // copies not to unload
 	have    map[deck.ModelName]int
 	ready   map[deck.ModelName]int // copies that are not being loaded any more
-	near    map[place]int          // copies in a data centre
+	soon    map[deck.ModelName]int // copies that are ready or come from an engine's memory or disk
+	near    map[nearby]int         // copies in a data centre
 	skipped map[deck.ModelName]bool
 	busy    map[deck.BackendName]bool
 	lost    int // models that no engine holds
@@ -60,16 +69,17 @@
 	actions []Action
 }
 
-type place struct {
+// nearby names copies of a model in a data centre.
+type nearby struct {
 	model deck.ModelName
 	dc    deck.DataCentre
 }
 
 func newPlanner(spec deck.EngineSpec, engines []Engine, o Outlook) *planner {
 	p := &planner{
-		spec: spec, engines: engines, demand: o.Now, kept: o.Keep,
+		spec: spec, engines: engines, now: newShares(engines, o.Now), kept: newShares(engines, o.Keep),
 		want: Copies(spec, len(engines), o.Now), keep: Copies(spec, len(engines), o.Keep),
-		have: make(map[deck.ModelName]int), ready: make(map[deck.ModelName]int), near: make(map[place]int), skipped: make(map[deck.ModelName]bool),
+		have: make(map[deck.ModelName]int), ready: make(map[deck.ModelName]int), soon: make(map[deck.ModelName]int), near: make(map[nearby]int), skipped: make(map[deck.ModelName]bool),
 		busy: make(map[deck.BackendName]bool),
 	}
 	for _, e := range engines {
@@ -77,11 +87,15 @@
 		for m := range e.Models {
 			p.have[m]++
 			p.ready[m]++
-			p.near[place{m, e.DataCentre}]++
+			p.soon[m]++
+			p.near[nearby{m, e.DataCentre}]++
 		}
 		if e.Loading != "" {
 			p.have[e.Loading]++
-			p.near[place{e.Loading, e.DataCentre}]++
+			if e.AtHand[e.Loading] {
+				p.soon[e.Loading]++
+			}
+			p.near[nearby{e.Loading, e.DataCentre}]++
 		}
 	}
 	for _, m := range spec.Models {
@@ -105,26 +119,66 @@
 	return best, ok
 }
 
+// mostLackingSoon returns the model with too few copies for the seconds that loads from the store take, whose copies have the
+// most work until then.
+func (p *planner) mostLackingSoon() (best deck.EngineModel, ok bool) {
+	most := 0.0
+	for _, m := range p.spec.Models {
+		if p.skipped[m.Name] || p.soon[m.Name] >= p.want[m.Name] {
+			continue
+		}
+		pressure := p.now.demand[m.Name] * unreachableSoon
+		if n := p.soon[m.Name]; n > 0 {
+			pressure = p.now.demand[m.Name] / float64(n)
+		}
+		if !ok || pressure > most {
+			best, most, ok = m, pressure, true
+		}
+	}
+	return best, ok
+}
+
+// unreachableSoon weighs the demand for a model that no engine has ready: a few calls that find no engine at all against
+// many that find all places taken.
+const unreachableSoon = 10.0
+
 // unreachable weighs the demand for a model that no engine holds.
 const unreachable = 100.0
 
 // pressure returns the work for each copy.
 func (p *planner) pressure(m deck.ModelName) float64 {
 	if p.have[m] == 0 {
-		return p.demand[m] * unreachable
+		return p.now.demand[m] * unreachable
+	}
+	return p.now.demand[m] / float64(p.have[m])
+}
+
+// An option is a way to bring a further copy of a model to an engine, and what that costs.
+type option func(Engine, deck.EngineModel) (a Action, cost float64, ok bool)
+
+// each supplies the models that choose returns until it returns none.
+func (p *planner) each(choose func() (deck.EngineModel, bool), o option) {
+	clear(p.skipped)
+	for {
+		m, ok := choose()
+		if !ok {
+			return
+		}
+		if !p.supply(m, o) {
+			p.skipped[m.Name] = true
+		}
 	}
-	return p.demand[m] / float64(p.have[m])
 }
 
 // supply adds the order that brings a further copy of the model closer.
-func (p *planner) supply(m deck.EngineModel) bool {
+func (p *planner) supply(m deck.EngineModel, o option) bool {
 	var best Action
 	bestCost, found := 0.0, false
 	for _, e := range p.engines {
 		if !e.Idle || p.busy[e.ID] || e.Models[m.Name] || !e.AtHand[m.Name] && p.storeLoads <= 0 {
 			continue
 		}
-		a, cost, ok := p.onEngine(e, m)
+		a, cost, ok := o(e, m)
 		if ok && (!found || cost < bestCost) {
 			best, bestCost, found = a, cost, true
 		}
@@ -143,17 +197,29 @@
 		p.lost--
 	}
 	p.have[m.Name]++
+	p.now.add(m.Name, a.Engine)
+	p.kept.add(m.Name, a.Engine)
 	if a.Unload != "" {
-		p.have[a.Unload]--
-		p.ready[a.Unload]--
+		p.drop(a.Unload, a.Engine)
 	} else {
 		p.free--
 	}
 	if a.Store {
 		p.storeLoads--
+	} else {
+		p.soon[m.Name]++
 	}
 }
 
+// drop takes away a copy.
+func (p *planner) drop(m deck.ModelName, e deck.BackendName) {
+	p.have[m]--
+	p.ready[m]--
+	p.soon[m]--
+	p.now.remove(m, e)
+	p.kept.remove(m, e)
+}
+
 // Costs that order the engines for a further copy.
 const (
 	evictCost = 1.0 // the load waits until the runs of another model have ended
@@ -163,23 +229,32 @@
 	loadCost  = 1.0 // for work as much as an engine has on average
 )
 
-// work returns the work of the models that an engine holds, in units of the average engine's.
-func (p *planner) work(e Engine) float64 {
-	own := 0.0
-	for m := range e.Models {
-		own += p.kept[m] / float64(max(1, p.have[m]))
+// cost returns what a further copy on the engine costs, without that of a model that makes way.
+func (p *planner) cost(e Engine, m deck.EngineModel) float64 {
+	cost := nearCost*float64(p.near[nearby{m.Name, e.DataCentre}]) + fillCost*float64(len(e.Models))
+	if average := p.average(); average > 0 {
+		cost += loadCost * p.kept.load[e.ID] / average
 	}
-	if own <= 0 {
-		return 0
+	if !e.AtHand[m.Name] {
+		cost += storeCost
 	}
-	return own / p.average()
+	return cost
 }
 
-func (p *planner) onEngine(e Engine, m deck.EngineModel) (a Action, cost float64, ok bool) {
-	cost = nearCost*float64(p.near[place{m.Name, e.DataCentre}]) + fillCost*float64(len(e.Models)) + loadCost*p.work(e)
-	if !e.AtHand[m.Name] {
-		cost += storeCost
+// quick is the option for a model that lacks copies and is in the memory or on the disk of an engine with little work. These
+// go first: an engine that comes back empty is as it was within seconds, and takes no other order during a load from the
+// store.
+func (p *planner) quick(e Engine, m deck.EngineModel) (a Action, cost float64, ok bool) {
+	if !e.AtHand[m.Name] || p.soon[m.Name] > 0 && p.kept.load[e.ID] > p.average() {
+		return a, 0, false
 	}
+	a, cost, ok = p.onEngine(e, m)
+	return a, cost, ok && (a.Unload == "" || p.kept.demand[a.Unload] < idleDemand)
+}
+
+// onEngine is the option for a model that lacks copies.
+func (p *planner) onEngine(e Engine, m deck.EngineModel) (a Action, cost float64, ok bool) {
+	cost = p.cost(e, m)
 	lostFirst := p.have[m.Name] > 0 && p.free <= p.lost // the last free places are for models that nobody can reach
 	if !lostFirst && e.Used+m.Megabytes <= p.spec.WeightMegabytes {
 		return Action{Engine: e.ID, Load: m.Name, Store: !e.AtHand[m.Name]}, cost, true
@@ -191,7 +266,7 @@
 	if !ok || p.pressure(m.Name) < evictGain*p.left(victim) {
 		return a, 0, false
 	}
-	if p.kept[victim] > 0 {
+	if p.kept.demand[victim] > 0 {
 		cost += evictCost
 	}
 	return Action{Engine: e.ID, Unload: victim, Load: m.Name, Store: !e.AtHand[m.Name]}, cost, true
@@ -203,7 +278,7 @@
 
 // left returns the work for each copy of a model with one copy less.
 func (p *planner) left(m deck.ModelName) float64 {
-	return p.kept[m] / float64(max(1, p.have[m]-1))
+	return p.kept.demand[m] / float64(max(1, p.have[m]-1))
 }
 
 // victim returns the model on the engine that has copies to spare and the least work for each.
@@ -230,8 +305,14 @@
 func (p *planner) restoreReserve() {
 	missing := Reserve(p.spec, len(p.engines)) + p.lost - p.free
 	average := p.average()
+	unloading := 0
 	for _, e := range p.engines {
-		if missing <= 0 {
+		if e.Unloading {
+			unloading++
+		}
+	}
+	for _, e := range p.engines {
+		if missing <= 0 || unloading > len(p.engines)/enginesPerUnload {
 			return
 		}
 		if !e.Idle || p.busy[e.ID] || places(p.spec, p.spec.WeightMegabytes-e.Used) > 0 {
@@ -242,17 +323,21 @@
 			continue
 		}
 		missing--
-		if p.kept[victim] < idleDemand {
+		if p.kept.demand[victim] < idleDemand {
 			continue // it makes way at once when the place is needed
 		}
+		unloading++
 		p.actions = append(p.actions, Action{Engine: e.ID, Unload: victim})
 		p.busy[e.ID] = true
-		p.have[victim]--
-		p.ready[victim]--
+		p.drop(victim, e.ID)
 	}
 }
 
 const (
+	// enginesPerUnload bounds how many engines wait at a time until a model's runs have ended just to have a place free: such
+	// an engine takes no other order, not even for an adapter.
+	enginesPerUnload = 30
+
 	// idleDemand in tokens a second is about one small request in ten seconds.
 	idleDemand = 50.0
 
@@ -266,11 +351,7 @@
 
 // average returns the work of the average engine.
 func (p *planner) average() float64 {
-	all := 0.0
-	for _, d := range p.kept {
-		all += d
-	}
-	return all / float64(max(1, len(p.engines)))
+	return p.kept.average(len(p.engines))
 }
 
 // spread uses free places for second copies of models while nothing is asked for at all: a load takes its engine from the
@@ -293,7 +374,7 @@
 		if reach[m.Name] >= spreadCopies || p.skipped[m.Name] {
 			continue
 		}
-		if !found || reach[m.Name] < reach[best.Name] || reach[m.Name] == reach[best.Name] && p.kept[m.Name] > p.kept[best.Name] {
+		if !found || reach[m.Name] < reach[best.Name] || reach[m.Name] == reach[best.Name] && p.kept.demand[m.Name] > p.kept.demand[best.Name] {
 			best, found = m, true
 		}
 	}
@@ -313,7 +394,7 @@
 		if e.Used+m.Megabytes > p.spec.WeightMegabytes {
 			continue
 		}
-		if w := p.work(e); !found || w < least {
+		if w := p.kept.load[e.ID]; !found || w < least {
 			target, least, found = Action{Engine: e.ID, Load: m.Name, Store: true}, w, true
 		}
 	}
--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -30,6 +30,7 @@
 	fencedWait = 500 * time.Millisecond
 
 	retryPause = 500 * time.Millisecond // after a conflict or a lost answer
+	logPeriod  = 1 * time.Second        // of the line about the placement
 
 	// storeBurst is how many loads from the weight store may begin together beyond its rate. The users allow three beyond a
 	// rate a tenth higher.
@@ -61,6 +62,7 @@
 	term    uint64    // 0 while the replica does not lead
 	since   time.Time // when the term was first seen
 	listed  bool
+	logged  time.Time // last line about the placement
 	servers []deck.Server
 	engines map[deck.BackendName]*engine
 	demand  map[deck.ServiceName]*demand
@@ -261,11 +263,33 @@
 		engines = append(engines, e.view(*s.Engine, now))
 	}
 	allowed := c.allowance(s, now)
-	for _, a := range assign.Next(*s.Engine, engines, outlook, int(allowed.tokens)) {
+	plan := assign.Next(*s.Engine, engines, outlook, int(allowed.tokens))
+	c.logPlan(s.Name, engines, plan, now)
+	for _, a := range plan.Actions {
 		c.carryOut(ctx, *s.Engine, a, allowed, outlook, now)
 	}
 }
 
+// logPlan tells from time to time what the plan rests on; the caller holds the lock.
+func (c *Controller) logPlan(s deck.ServiceName, engines []assign.Engine, p assign.Plan, now time.Time) {
+	if now.Sub(c.logged) < logPeriod {
+		return
+	}
+	c.logged = now
+	idle, loading := 0, 0
+	for _, e := range engines {
+		if e.Idle {
+			idle++
+		}
+		if e.Loading != "" {
+			loading++
+		}
+	}
+	c.o.Log.Info("placement", "service", string(s), "engines", len(engines), "idle", idle, "loading", loading,
+		"average-work", int(p.Average), "busiest-work", int(p.Busiest), "unreachable-models", p.Unreachable,
+		"free-places", p.Free)
+}
+
 // allowance returns the loads from the weight store that may begin; the caller holds the lock.
 func (c *Controller) allowance(s deck.RoutedService, now time.Time) *allowance {
 	a := c.store[s.Name]
--- a/internal/place/order/controller_test.go
+++ b/internal/place/order/controller_test.go
@@ -36,7 +36,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		c := NewController(Options{
 			Self: "self", Watch: w, Clock: deck.SystemClock{}, Fresh: time.Second, Lease: 3 * time.Second, Fenced: !w.unfenced,
-			Engines: w, List: w, Config: w.config, Publish: func(uint64, []deck.Server) {}, Log: logr.Discard(),
+			Engines: w, List: w, Config: w.config, Publish: w.publish, Log: logr.Discard(),
 		})
 		var g errgroup.Group
 		g.Go(func() error { return c.Run(ctx) })
@@ -169,3 +169,23 @@
 		is.Equal(w.ordered(), before+1)
 	})
 }
+
+// Guards against loads from the weight store that are counted for engines which took no order: after a crash the platform's
+// list shows the former engines for some seconds, and others answer at their addresses.
+func TestRestartedEnginesCostNoStoreLoads(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, testSpec(6), 4, 1)
+	w.set(func() {
+		for id, e := range w.engines {
+			e.server.Born = 1
+			e.restarted = id != "a"
+		}
+	})
+	run(t, w, func(*Controller) {
+		<-time.After(12 * time.Second)
+		w.set(func() {
+			is.Equal(w.orders, 3) // all at the engine that the list shows rightly
+			is.Equal(len(w.engines["a"].models), 3)
+		})
+	})
+}
--- a/internal/place/order/engine.go
+++ b/internal/place/order/engine.go
@@ -52,7 +52,7 @@
 	<-e.sending
 }
 
-// setModels takes what the engine says that it holds, and keeps when adapters were used.
+// setModels takes what the engine or the list says that it holds, and keeps when adapters were used.
 func (e *engine) setModels(held []deck.HeldModel, now time.Time) {
 	models := make(map[deck.ModelName]map[deck.AdapterName]time.Time, len(held))
 	for _, h := range held {
@@ -132,7 +132,7 @@
 func (e *engine) view(spec deck.EngineSpec, now time.Time) assign.Engine {
 	v := assign.Engine{
 		ID: e.id, DataCentre: e.server.DataCentre, Idle: e.idle(now), Models: make(map[deck.ModelName]bool),
-		Used: e.used(spec), AtHand: e.atHand, Loading: e.loading,
+		Used: e.used(spec), AtHand: e.atHand, Loading: e.loading, Unloading: e.leaving != "" && e.loading == "",
 	}
 	for m := range e.models {
 		if m != e.leaving {
--- a/internal/place/order/fake_test.go
+++ b/internal/place/order/fake_test.go
@@ -24,18 +24,22 @@
 	leads    bool
 	unfenced bool // engines don't check fencing tokens
 	broken   []string
+	shown    []deck.Server // what entry VMs were told last
 	orders   int
 }
 
 // A fakeEngine crashes nothing: it notes each order that breaks a rule.
 type fakeEngine struct {
-	server   deck.Server
-	seq      uint64
-	models   map[deck.ModelName]map[deck.AdapterName]bool
-	loading  deck.ModelName
-	until    time.Time
-	lastFrom deck.VMName
-	fence    uint64
+	server    deck.Server
+	seq       uint64
+	restarted bool // the list still shows the incarnation before
+	models    map[deck.ModelName]map[deck.AdapterName]bool
+	loading   deck.ModelName
+	leaving   deck.ModelName // its runs have not ended
+	runs      time.Duration  // how long runs take
+	until     time.Time
+	lastFrom  deck.VMName
+	fence     uint64
 }
 
 var errLost = errors.New("answer lost")
@@ -90,14 +94,21 @@
 	defer w.mu.Unlock()
 	e := w.engines[s.ID]
 	e.settle()
-	return deck.EngineState{Models: e.held(), Busy: e.loading != "", OrdersAccepted: e.seq}, nil
+	if e.restarted {
+		return deck.EngineState{Born: e.server.Born + 1}, nil
+	}
+	return deck.EngineState{Models: e.held(), Busy: e.loading != "" || e.leaving != "", OrdersAccepted: e.seq}, nil
 }
 
 func (e *fakeEngine) settle() {
-	if e.loading != "" && !time.Now().Before(e.until) {
+	if time.Now().Before(e.until) {
+		return
+	}
+	if e.loading != "" {
 		e.models[e.loading] = make(map[deck.AdapterName]bool)
-		e.loading = ""
 	}
+	delete(e.models, e.leaving)
+	e.loading, e.leaving = "", ""
 }
 
 // Order implements deck.EngineControl; a lost order may be carried out up to 12 s later.
@@ -125,7 +136,7 @@
 	switch {
 	case o.Fence < e.fence:
 		return deck.OrderFenced
-	case e.loading != "" || o.After != e.seq:
+	case e.loading != "" || e.leaving != "" || o.After != e.seq:
 		return deck.OrderConflict
 	}
 	if o.Fence == e.fence && e.lastFrom != o.Holder {
@@ -141,7 +152,8 @@
 	adapters, holds := e.models[o.Model]
 	switch {
 	case o.Adapter == "" && o.Unload:
-		delete(e.models, o.Model)
+		e.leaving, e.until = o.Model, time.Now().Add(e.runs)
+		e.settle()
 	case o.Adapter == "":
 		if holds {
 			return deck.OrderHolds
@@ -219,3 +231,18 @@
 	defer w.mu.Unlock()
 	return w.orders
 }
+
+// publish takes what entry VMs are told.
+func (w *world) publish(_ uint64, list []deck.Server) {
+	w.set(func() { w.shown = list })
+}
+
+// shows reports whether entry VMs were told that the engine holds the model; the caller holds the lock.
+func (w *world) shows(id deck.BackendName, m deck.ModelName) bool {
+	for _, s := range w.shown {
+		if s.ID == id && s.Holds(m, "") {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/place/order/work.go
+++ b/internal/place/order/work.go
@@ -4,16 +4,23 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	"github.com/geraniumdeck/geraniumdeck/internal/place/assign"
 )
 
 const (
 	unloadTime  = 300 * time.Millisecond // an unload waits for its runs; without any it ends at once
-	watchPeriod = 250 * time.Millisecond // between two reports while an order is carried out
+	watchPeriod = 150 * time.Millisecond // between two reports while an order is carried out
+	stale       = 200 * time.Millisecond // usual age of what a report says
 	watchLimit  = 20 * time.Second       // runs of an unloaded model end within a caller's deadline
+	listLag     = 2 * time.Second        // until the platform's list shows another engine at an address
 )
 
+// errRestarted means that an engine has started anew and holds nothing of before; the platform's list shows it soon.
+var errRestarted = errors.New("engine has restarted")
+
 // scan reads an engine's report, so that orders can follow on what it holds.
 func (c *Controller) scan(ctx context.Context, e *engine) {
 	defer func() {
@@ -46,7 +53,11 @@
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return c.o.Engines.Report(ctx, server)
+	st, err := c.o.Engines.Report(ctx, server)
+	if err == nil && st.Born != 0 && server.Born != 0 && st.Born != server.Born {
+		return st, errRestarted
+	}
+	return st, err
 }
 
 // send sends one order, if this VM is still the holder, and notes what the answer tells.
@@ -78,6 +89,9 @@
 			e.seq++ // an adapter without runs goes at once, and that counts as an order
 			e.ordered = time.Now()
 		}
+	case deck.OrderMisplaced:
+		e.known = false
+		e.retryAt = time.Now().Add(listLag)
 	default:
 		e.known = false
 		e.retryAt = time.Now().Add(retryPause)
@@ -104,6 +118,7 @@
 func (c *Controller) unload(ctx context.Context, e *engine, a assign.Action) bool {
 	outcome := c.orderModel(ctx, e, deck.ModelOrder{Unload: true, Model: a.Unload})
 	if outcome != deck.OrderAccepted && outcome != deck.OrderHolds {
+		c.refund(e, a)
 		return false
 	}
 	if a.Load == "" {
@@ -127,12 +142,24 @@
 		c.mu.Lock()
 		e.known = false
 		c.mu.Unlock()
+		if outcome != deck.OrderUnknown {
+			c.refund(e, a)
+		}
 		return outcome == deck.OrderHolds
 	}
 	c.await(ctx, e, takes)
 	return true
 }
 
+// refund gives a load from the weight store back that certainly does not begin.
+func (c *Controller) refund(e *engine, a assign.Action) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if allowed := c.store[e.server.Service]; allowed != nil && a.Store {
+		allowed.tokens++
+	}
+}
+
 // orderModel sends an order about a model when it is its turn.
 func (c *Controller) orderModel(ctx context.Context, e *engine, o deck.ModelOrder) deck.OrderOutcome {
 	if !e.turn(ctx) {
@@ -145,7 +172,7 @@
 // await polls the engine's report until it is no longer busy with the order.
 func (c *Controller) await(ctx context.Context, e *engine, takes time.Duration) {
 	until := time.Now().Add(watchLimit)
-	wait := takes
+	wait := takes + stale
 	for time.Now().Before(until) {
 		if !deck.Sleep(ctx, wait) {
 			return
