--- a/internal/place/order/controller_test.go
+++ b/internal/place/order/controller_test.go
@@ -189,3 +189,38 @@
 		})
 	})
 }
+
+// Load pattern: a model's copy makes way while calls for the model run, so that the engine takes no other order for seconds
+// and refuses the calls that come.
+func TestEntryVMsAreNotSentToAModelThatWaitsForItsRuns(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, testSpec(4), 2, 1)
+	w.set(func() {
+		for id, held := range map[deck.BackendName][]int{"a": {0, 2, 3}, "b": {0, 1, 3}} {
+			e := w.engines[id]
+			e.runs = 4 * time.Second
+			for _, m := range held {
+				e.models[model(m)] = make(map[deck.AdapterName]bool)
+			}
+		}
+	})
+	run(t, w, func(c *Controller) {
+		for range 30 {
+			ask(c, 2, 100000)
+			ask(c, 0, 20)
+			<-time.After(100 * time.Millisecond)
+			w.set(func() {
+				for _, e := range w.engines {
+					is.True(e.leaving == "" || !w.shows(e.server.ID, e.leaving))
+				}
+			})
+		}
+		waited := false
+		w.set(func() {
+			for _, e := range w.engines {
+				waited = waited || e.seq > 0
+			}
+		})
+		is.True(waited) // a model had to make way
+	})
+}
--- a/internal/place/order/engine.go
+++ b/internal/place/order/engine.go
@@ -18,6 +18,7 @@
 	seq      uint64                                            // orders that the engine has accepted
 	models   map[deck.ModelName]map[deck.AdapterName]time.Time // adapters with their last use
 	atHand   map[deck.ModelName]bool
+	dropped  map[deck.ModelName]bool  // unloads that were sent since the last report; the list may still show the models
 	loading  deck.ModelName           // empty for none
 	leaving  deck.ModelName           // being unloaded; empty for none
 	readyAt  time.Time                // estimate for the end of the load
@@ -31,7 +32,7 @@
 func newEngine(s deck.Server) *engine {
 	return &engine{
 		id: s.ID, server: s, sending: make(chan struct{}, 1), models: make(map[deck.ModelName]map[deck.AdapterName]time.Time),
-		atHand: make(map[deck.ModelName]bool), coming: make(map[deck.AdapterRef]bool), going: make(map[deck.AdapterRef]bool),
+		dropped: make(map[deck.ModelName]bool), atHand: make(map[deck.ModelName]bool), coming: make(map[deck.AdapterRef]bool), going: make(map[deck.AdapterRef]bool),
 	}
 }
 
@@ -56,6 +57,9 @@
 func (e *engine) setModels(held []deck.HeldModel, now time.Time) {
 	models := make(map[deck.ModelName]map[deck.AdapterName]time.Time, len(held))
 	for _, h := range held {
+		if e.dropped[h.Name] {
+			continue
+		}
 		adapters := make(map[deck.AdapterName]time.Time, len(h.Adapters))
 		for _, a := range h.Adapters {
 			used, ok := e.models[h.Name][a]
@@ -73,6 +77,9 @@
 func (e *engine) take(st deck.EngineState, now time.Time) {
 	e.known = true
 	e.seq = st.OrdersAccepted
+	if !st.Busy {
+		clear(e.dropped)
+	}
 	e.setModels(st.Models, now)
 	e.atHand = make(map[deck.ModelName]bool)
 	for _, m := range st.WarmModels {
@@ -142,12 +149,10 @@
 	return v
 }
 
-// published returns the server as entry VMs should see it: without a model that is about to go.
+// published returns the server as entry VMs should see it: without a model that is about to go or may have gone. An engine
+// refuses calls for such a model while it waits for its runs.
 func (e *engine) published() deck.Server {
 	s := e.server
-	if !e.known {
-		return s
-	}
 	s.Models = nil
 	for _, h := range sortedModels(e.models) {
 		if h.Name != e.leaving {
--- a/internal/place/order/work.go
+++ b/internal/place/order/work.go
@@ -69,6 +69,9 @@
 	c.mu.Lock()
 	o.After, o.Holder, o.Fence = e.seq, c.o.Self, fence
 	server := e.server
+	if o.Unload && o.Adapter == "" {
+		e.dropped[o.Model] = true
+	}
 	c.mu.Unlock()
 	octx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
