--- a/internal/place/order/controller_test.go
+++ b/internal/place/order/controller_test.go
@@ -36,7 +36,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		c := NewController(Options{
 			Self: "self", Watch: w, Clock: deck.SystemClock{}, Fresh: time.Second, Lease: 3 * time.Second, Fenced: !w.unfenced,
-			Engines: w, List: w, Config: w.config, Publish: func(uint64, []deck.Server) {}, Log: logr.Discard(),
+			Engines: w, List: w, Config: w.config, Publish: w.publish, Log: logr.Discard(),
 		})
 		var g errgroup.Group
 		g.Go(func() error { return c.Run(ctx) })
@@ -169,3 +169,58 @@
 		is.Equal(w.ordered(), before+1)
 	})
 }
+
+// Guards against loads from the weight store that are counted for engines which took no order: after a crash the platform's
+// list shows the former engines for some seconds, and others answer at their addresses.
+func TestRestartedEnginesCostNoStoreLoads(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, testSpec(6), 4, 1)
+	w.set(func() {
+		for id, e := range w.engines {
+			e.server.Born = 1
+			e.restarted = id != "a"
+		}
+	})
+	run(t, w, func(*Controller) {
+		<-time.After(12 * time.Second)
+		w.set(func() {
+			is.Equal(w.orders, 3) // all at the engine that the list shows rightly
+			is.Equal(len(w.engines["a"].models), 3)
+		})
+	})
+}
+
+// Load pattern: a model's copy makes way while calls for the model run, so that the engine takes no other order for seconds
+// and refuses the calls that come.
+func TestEntryVMsAreNotSentToAModelThatWaitsForItsRuns(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, testSpec(4), 2, 1)
+	w.set(func() {
+		for id, held := range map[deck.BackendName][]int{"a": {0, 2, 3}, "b": {0, 1, 3}} {
+			e := w.engines[id]
+			e.runs = 4 * time.Second
+			for _, m := range held {
+				e.models[model(m)] = make(map[deck.AdapterName]bool)
+			}
+		}
+	})
+	run(t, w, func(c *Controller) {
+		for range 30 {
+			ask(c, 2, 100000)
+			ask(c, 0, 20)
+			<-time.After(100 * time.Millisecond)
+			w.set(func() {
+				for _, e := range w.engines {
+					is.True(e.leaving == "" || !w.shows(e.server.ID, e.leaving))
+				}
+			})
+		}
+		waited := false
+		w.set(func() {
+			for _, e := range w.engines {
+				waited = waited || e.seq > 0
+			}
+		})
+		is.True(waited) // a model had to make way
+	})
+}
