--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -29,6 +29,10 @@
 	// maxSheds is how many servers may refuse a call for lack of room before the caller is told to come back.
 	maxSheds = 3
 
+	// holdShare of the latency target may be left until a model or adapter is loaded for a call: a load from an engine's disk
+	// takes about as long as callers at the desk expect to wait, and one from the store several times that.
+	holdShare = 2.0
+
 	// silentShare of the latency target may pass without an answer before a call that may be repeated goes elsewhere.
 	silentShare = 2.0
 
@@ -154,10 +158,9 @@
 	}
 }
 
-// holdLimit is the longest load of a model that a call is held for; it could not meet its latency target after a longer
-// one, and is better told to come back.
+// holdLimit is the longest load of a model that a call is held for. After a longer one it is better told to come back.
 func (c *callRun) holdLimit() time.Duration {
-	return c.route.LatencyTarget
+	return time.Duration(holdShare * float64(c.route.LatencyTarget))
 }
 
 // place asks the placement leader for the model or adapter, once for each call.
--- a/internal/place/assign/next.go
+++ b/internal/place/assign/next.go
@@ -56,6 +56,7 @@
 	kept       *shares
 	storeLoads int
 
+	parked  map[deck.ModelName]bool
 	want    map[deck.ModelName]int // copies to have for the demand of now
 	keep    map[deck.ModelName]int // copies not to unload
 	have    map[deck.ModelName]int
@@ -76,11 +77,12 @@
 }
 
 func newPlanner(spec deck.EngineSpec, engines []Engine, o Outlook) *planner {
+	parked := parkedModels(spec, engines, o)
 	p := &planner{
-		spec: spec, engines: engines, now: newShares(engines, o.Now), kept: newShares(engines, o.Keep),
-		want: Copies(spec, len(engines), o.Now), keep: Copies(spec, len(engines), o.Keep),
-		have: make(map[deck.ModelName]int), ready: make(map[deck.ModelName]int), soon: make(map[deck.ModelName]int), near: make(map[nearby]int), skipped: make(map[deck.ModelName]bool),
-		busy: make(map[deck.BackendName]bool),
+		spec: spec, engines: engines, now: newShares(engines, o.Now), kept: newShares(engines, o.Keep), parked: parked,
+		want: copies(spec, len(engines), o.Now, parked), keep: copies(spec, len(engines), o.Keep, parked),
+		have: make(map[deck.ModelName]int), ready: make(map[deck.ModelName]int), soon: make(map[deck.ModelName]int),
+		near: make(map[nearby]int), skipped: make(map[deck.ModelName]bool), busy: make(map[deck.BackendName]bool),
 	}
 	for _, e := range engines {
 		p.free += places(spec, spec.WeightMegabytes-e.Used)
@@ -99,7 +101,7 @@
 		}
 	}
 	for _, m := range spec.Models {
-		if p.have[m.Name] == 0 {
+		if p.have[m.Name] == 0 && !parked[m.Name] {
 			p.lost++
 		}
 	}
@@ -193,7 +195,7 @@
 func (p *planner) add(a Action, m deck.EngineModel) {
 	p.actions = append(p.actions, a)
 	p.busy[a.Engine] = true
-	if p.have[m.Name] == 0 {
+	if p.have[m.Name] == 0 && !p.parked[m.Name] {
 		p.lost--
 	}
 	p.have[m.Name]++
@@ -263,7 +265,7 @@
 		return a, 0, false
 	}
 	victim, ok := p.victim(e)
-	if !ok || p.pressure(m.Name) < evictGain*p.left(victim) {
+	if !ok || p.kept.demand[victim] >= idleDemand && p.pressure(m.Name) < evictGain*p.left(victim) {
 		return a, 0, false
 	}
 	if p.kept.demand[victim] > 0 {
@@ -289,6 +291,9 @@
 			continue
 		}
 		each := p.left(v)
+		if p.ready[v] == 1 {
+			each += idleDemand // a further copy goes first
+		}
 		if !ok || each < least || each == least && v < best {
 			best, least, ok = v, each, true
 		}
@@ -298,7 +303,12 @@
 
 // surplus reports whether the model has a copy to spare. A copy that is being loaded can't replace one that is held.
 func (p *planner) surplus(m deck.ModelName) bool {
-	return p.ready[m] > 1 && p.have[m] > max(p.want[m], p.keep[m])
+	return p.spareable(m) && p.have[m] > max(p.want[m], p.keep[m])
+}
+
+// spareable reports whether the model stays reachable without one of its copies.
+func (p *planner) spareable(m deck.ModelName) bool {
+	return p.ready[m] > 1 || p.parked[m]
 }
 
 // restoreReserve unloads copies that are no longer wanted until enough places are free, or hold copies that nobody uses.
--- a/internal/place/assign/relief.go
+++ b/internal/place/assign/relief.go
@@ -56,7 +56,10 @@
 	least := 0.0
 	for v := range e.Models {
 		part := p.kept.part[place{v, e.ID}]
-		if p.ready[v] <= 1 || evictGain*part > gap {
+		if p.ready[v] == 1 {
+			part += idleDemand
+		}
+		if !p.spareable(v) || evictGain*part > gap {
 			continue
 		}
 		if a.Unload == "" || part < least || part == least && v < a.Unload {
--- a/internal/place/order/adapters.go
+++ b/internal/place/order/adapters.go
@@ -38,7 +38,8 @@
 		return p, nil
 	}
 	if a == "" {
-		return c.pending(s, m), nil
+		c.asked(s, m)
+		return c.pending(spec, s, m), nil
 	}
 	key := placeKey{s, m, a}
 	if c.join(ctx, key) {
@@ -113,16 +114,37 @@
 	return deck.Placement{Server: best.id}, true
 }
 
-// pending estimates when a model will be held.
-func (c *Controller) pending(s deck.ServiceName, m deck.ModelName) deck.Placement {
+// askedTokens is the demand that a call stands for that found no engine: about a small request. The next plan then counts the
+// model, some time before the entry VM's own count arrives.
+const askedTokens = 500
+
+// asked counts a call for a model that no engine holds.
+func (c *Controller) asked(s deck.ServiceName, m deck.ModelName) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.demandOf(s).add(time.Now(), m, askedTokens)
+}
+
+// pending estimates when a model will be held; 0 for not known.
+func (c *Controller) pending(spec deck.EngineSpec, s deck.ServiceName, m deck.ModelName) deck.Placement {
+	model, _ := spec.Model(m)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var p deck.Placement
+	now := time.Now()
 	for _, e := range c.engines {
-		if e.server.Service != s || e.loading != m {
+		if e.server.Service != s {
+			continue
+		}
+		var left time.Duration
+		switch {
+		case e.loading == m:
+			left = max(e.readyAt.Sub(now), watchPeriod)
+		case e.atHand[m] && e.idle(now):
+			left = period + max(model.DiskTime, model.WarmTime) + stale
+		default:
 			continue
 		}
-		left := max(time.Until(e.readyAt), watchPeriod)
 		if p.ReadyIn == 0 || left < p.ReadyIn {
 			p.ReadyIn = left
 		}
@@ -146,7 +168,7 @@
 			return deck.Placement{Server: e.id}
 		}
 	}
-	return c.pending(key.service, key.model)
+	return c.pending(spec, key.service, key.model)
 }
 
 // adapterHome chooses the engine with the most room for adapters.
--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -49,6 +49,7 @@
 	List    deck.ServerList
 	Config  func() *deck.RoutingConfig // nil before the first configuration
 	Publish func(term uint64, list []deck.Server)
+	Calls   func(deck.BackendName) int // of all entry VMs at a server
 	Log     logr.Logger
 }
 
@@ -249,7 +250,9 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	outlook := c.demandOf(s.Name).at(now)
+	d := c.demandOf(s.Name)
+	d.sawFill(now, c.fill(s.Name))
+	outlook := d.at(now)
 	var engines []assign.Engine
 	for _, id := range slices.Sorted(maps.Keys(c.engines)) {
 		e := c.engines[id]
@@ -270,6 +273,18 @@
 	}
 }
 
+// fill returns the calls at the service's engines in units of their places; the caller holds the lock.
+func (c *Controller) fill(s deck.ServiceName) float64 {
+	calls, slots := 0, 0
+	for id, e := range c.engines {
+		if e.server.Service == s && !e.server.Draining {
+			calls += c.o.Calls(id)
+			slots += e.server.Slots
+		}
+	}
+	return float64(calls) / float64(max(1, slots))
+}
+
 // logPlan tells from time to time what the plan rests on; the caller holds the lock.
 func (c *Controller) logPlan(s deck.ServiceName, engines []assign.Engine, p assign.Plan, now time.Time) {
 	if now.Sub(c.logged) < logPeriod {
@@ -286,7 +301,7 @@
 		}
 	}
 	c.o.Log.Info("placement", "service", string(s), "engines", len(engines), "idle", idle, "loading", loading,
-		"average-work", int(p.Average), "busiest-work", int(p.Busiest), "unreachable-models", p.Unreachable,
+		"fill", c.demandOf(s).fill, "average-work", int(p.Average), "busiest-work", int(p.Busiest), "unreachable-models", p.Unreachable,
 		"free-places", p.Free)
 }
 
--- a/internal/place/order/demand.go
+++ b/internal/place/order/demand.go
@@ -11,6 +11,15 @@
 // A demand estimates the work asked of each model of a service; its zero value has seen none.
 type demand struct {
 	models map[deck.ModelName]*modelDemand
+	fill   float64 // calls at the engines in units of their places, over the time of falling demand
+	filled time.Time
+}
+
+// sawFill takes the calls at all engines in units of their places.
+func (d *demand) sawFill(now time.Time, fill float64) {
+	w := math.Exp(-now.Sub(d.filled).Seconds() / fallingFade.Seconds())
+	d.fill = w*d.fill + (1-w)*fill
+	d.filled = now
 }
 
 // A modelDemand holds two estimates in tokens a second: one that follows quickly and one that forgets slowly.
@@ -35,7 +44,7 @@
 
 // at returns both estimates.
 func (d *demand) at(now time.Time) assign.Outlook {
-	o := assign.Outlook{Now: make(assign.Demand, len(d.models)), Keep: make(assign.Demand, len(d.models))}
+	o := assign.Outlook{Now: make(assign.Demand, len(d.models)), Keep: make(assign.Demand, len(d.models)), Fill: d.fill}
 	for m, e := range d.models {
 		e.fade(now)
 		o.Now[m] = e.rising
--- a/internal/state/hub/hub.go
+++ b/internal/state/hub/hub.go
@@ -229,6 +229,13 @@
 	}
 }
 
+// Calls returns how many calls of all entry VMs are at a server, as they reported last.
+func (h *Hub) Calls(id deck.BackendName) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.calls[id]
+}
+
 // answer returns what has changed for the VM and whether that is worth an answer before the wait ends.
 func (h *Hub) answer(r deck.ViewRequest, term uint64, leading bool) (a deck.ViewAnswer, news bool, changed <-chan struct{}) {
 	s := h.o.Log.Status()
