--- a/internal/place/assign/next.go
+++ b/internal/place/assign/next.go
@@ -224,7 +224,7 @@
 
 // Costs that order the engines for a further copy.
 const (
-	evictCost = 1.0 // the load waits until the runs of another model have ended
+	evictCost = 2.5 // the load waits until the runs of another model have ended, mostly for two to five seconds
 	storeCost = 0.8 // the load takes seconds instead of half a second
 	nearCost  = 0.5 // for each copy in the same data centre
 	fillCost  = 0.2 // for each model that the engine holds already
@@ -276,7 +276,7 @@
 
 // evictGain is how many times the work for each copy must be that of the model that makes way: an engine that changes its
 // models takes no other order for seconds.
-const evictGain = 1.5
+const evictGain = 2.0
 
 // left returns the work for each copy of a model with one copy less.
 func (p *planner) left(m deck.ModelName) float64 {
--- a/internal/place/order/adapters.go
+++ b/internal/place/order/adapters.go
@@ -118,6 +118,9 @@
 // model, some time before the entry VM's own count arrives.
 const askedTokens = 500
 
+// overdue is how late a load may be before it is no longer expected at any moment: it waits for runs, or the engine is gone.
+const overdue = 500 * time.Millisecond
+
 // asked counts a call for a model that no engine holds.
 func (c *Controller) asked(s deck.ServiceName, m deck.ModelName) {
 	c.mu.Lock()
@@ -138,7 +141,7 @@
 		}
 		var left time.Duration
 		switch {
-		case e.loading == m:
+		case e.loading == m && now.Sub(e.readyAt) < overdue:
 			left = max(e.readyAt.Sub(now), watchPeriod)
 		case e.atHand[m] && e.idle(now):
 			left = period + max(model.DiskTime, model.WarmTime) + stale
--- a/internal/place/order/controller_test.go
+++ b/internal/place/order/controller_test.go
@@ -224,3 +224,24 @@
 		is.True(waited) // a model had to make way
 	})
 }
+
+// Guards against an engine that is left alone for the longest time an order may take because it went dark while it loaded a
+// model, and came back empty.
+func TestEngineThatWentDarkIsUsedAgain(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, testSpec(1), 1, 1)
+	run(t, w, func(*Controller) {
+		e := w.engines["a"]
+		for loading := false; !loading; {
+			<-time.After(50 * time.Millisecond)
+			w.set(func() {
+				loading = e.loading != ""
+				e.dark = loading
+			})
+		}
+		<-time.After(6 * time.Second)
+		w.set(func() { e.dark, e.loading, e.seq, e.fence = false, "", 0, 0 })
+		<-time.After(5 * time.Second) // a load takes three
+		is.Equal(w.copies(model(0)), 1)
+	})
+}
--- a/internal/place/order/fake_test.go
+++ b/internal/place/order/fake_test.go
@@ -33,6 +33,7 @@
 	server    deck.Server
 	seq       uint64
 	restarted bool // the list still shows the incarnation before
+	dark      bool // it answers nothing, and the list still shows it
 	models    map[deck.ModelName]map[deck.AdapterName]bool
 	loading   deck.ModelName
 	leaving   deck.ModelName // its runs have not ended
@@ -93,6 +94,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	e := w.engines[s.ID]
+	if e.dark {
+		return deck.EngineState{}, errLost
+	}
 	e.settle()
 	if e.restarted {
 		return deck.EngineState{Born: e.server.Born + 1}, nil
@@ -116,6 +120,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.orders++
+	if w.engines[s.ID].dark {
+		return deck.OrderUnknown, errLost
+	}
 	if w.random.Float64() >= w.lossy {
 		return w.carryOut(s.ID, o), nil
 	}
--- a/internal/place/order/work.go
+++ b/internal/place/order/work.go
@@ -11,11 +11,12 @@
 )
 
 const (
-	unloadTime  = 300 * time.Millisecond // an unload waits for its runs; without any it ends at once
-	watchPeriod = 150 * time.Millisecond // between two reports while an order is carried out
-	stale       = 200 * time.Millisecond // usual age of what a report says
-	watchLimit  = 20 * time.Second       // runs of an unloaded model end within a caller's deadline
-	listLag     = 2 * time.Second        // until the platform's list shows another engine at an address
+	unloadTime  = 300 * time.Millisecond  // an unload waits for its runs; without any it ends at once
+	watchPeriod = 150 * time.Millisecond  // between two reports while an order is carried out
+	stale       = 200 * time.Millisecond  // usual age of what a report says
+	watchLimit  = 20 * time.Second        // runs of an unloaded model end within a caller's deadline
+	silentLimit = 1500 * time.Millisecond // without a report, after which the engine counts as gone for now
+	listLag     = 2 * time.Second         // until the platform's list shows another engine at an address
 )
 
 // errRestarted means that an engine has started anew and holds nothing of before; the platform's list shows it soon.
@@ -176,6 +177,7 @@
 func (c *Controller) await(ctx context.Context, e *engine, takes time.Duration) {
 	until := time.Now().Add(watchLimit)
 	wait := takes + stale
+	heard := time.Now().Add(wait)
 	for time.Now().Before(until) {
 		if !deck.Sleep(ctx, wait) {
 			return
@@ -186,7 +188,13 @@
 		}
 		st, err := c.report(ctx, e)
 		c.mu.Lock()
-		gone := c.engines[e.id] != e
+		if err == nil {
+			heard = time.Now()
+		}
+		gone := c.engines[e.id] != e || time.Since(heard) > silentLimit
+		if gone {
+			e.known = false
+		}
 		finished := err == nil && !st.Busy && st.OrdersAccepted >= e.seq && time.Since(e.ordered) > reportLag
 		if finished {
 			e.take(st, time.Now())
