--- a/internal/place/order/controller_test.go
+++ b/internal/place/order/controller_test.go
@@ -36,7 +36,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		c := NewController(Options{
 			Self: "self", Watch: w, Clock: deck.SystemClock{}, Fresh: time.Second, Lease: 3 * time.Second, Fenced: !w.unfenced,
-			Engines: w, List: w, Config: w.config, Publish: w.publish, Log: logr.Discard(),
+			Engines: w, List: w, Config: w.config, Publish: w.publish, Calls: func(deck.BackendName) int { return 0 }, Log: logr.Discard(),
 		})
 		var g errgroup.Group
 		g.Go(func() error { return c.Run(ctx) })
@@ -224,3 +224,24 @@
 		is.True(waited) // a model had to make way
 	})
 }
+
+// Guards against an engine that is left alone for the longest time an order may take because it went dark while it loaded a
+// model, and came back empty.
+func TestEngineThatWentDarkIsUsedAgain(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, testSpec(1), 1, 1)
+	run(t, w, func(*Controller) {
+		e := w.engines["a"]
+		for loading := false; !loading; {
+			<-time.After(50 * time.Millisecond)
+			w.set(func() {
+				loading = e.loading != ""
+				e.dark = loading
+			})
+		}
+		<-time.After(6 * time.Second)
+		w.set(func() { e.dark, e.loading, e.seq, e.fence = false, "", 0, 0 })
+		<-time.After(5 * time.Second) // a load takes three
+		is.Equal(w.copies(model(0)), 1)
+	})
+}
