--- a/internal/place/order/demand.go
+++ b/internal/place/order/demand.go
@@ -11,13 +11,17 @@
 // A demand estimates the work asked of each model of a service; its zero value has seen none.
 type demand struct {
 	models map[deck.ModelName]*modelDemand
-	fill   float64 // calls at the engines in units of their places, over the time of falling demand
+	fill   float64 // calls at the engines in units of their places; it follows quickly up and slowly down
 	filled time.Time
 }
 
 // sawFill takes the calls at all engines in units of their places.
 func (d *demand) sawFill(now time.Time, fill float64) {
-	w := math.Exp(-now.Sub(d.filled).Seconds() / fallingFade.Seconds())
+	fade := fallingFade
+	if fill > d.fill {
+		fade = risingFade
+	}
+	w := math.Exp(-now.Sub(d.filled).Seconds() / fade.Seconds())
 	d.fill = w*d.fill + (1-w)*fill
 	d.filled = now
 }
