--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -104,6 +104,7 @@
 	}
 	if c.want.Model != "" {
 		c.h.Demand.Count(c.service, c.call)
+		c.h.crowd.call(c.start)
 	}
 	for {
 		s, ok := c.choose()
@@ -192,6 +193,9 @@
 	}
 	retry := fullRetry
 	switch shortage {
+	case balance.AllFull:
+		now := time.Now()
+		retry = c.h.crowd.refuse(now, fullRetry, c.deadline.Sub(now))
 	case balance.NoServer:
 		retry = downRetry
 	case balance.ModelAbsent, balance.AdapterAbsent:
--- /dev/null
+++ b/internal/api/ingress/crowd_test.go
@@ -0,0 +1,34 @@
+package ingress
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Load pattern: demand exceeds all places for seconds. Callers that are sent back at once meet the same peak, and are refused
+// for good.
+func TestCallersComeBackLaterTheMoreAreRefused(t *testing.T) {
+	is := is.New(t)
+	const least, remaining = 700 * time.Millisecond, 12 * time.Second
+	now := time.Unix(1000, 0)
+	calm, peak := &crowd{}, &crowd{}
+	var first, last time.Duration
+	for i := range 60 {
+		now = now.Add(50 * time.Millisecond)
+		calm.call(now)
+		peak.call(now)
+		if i%20 == 19 {
+			first = calm.refuse(now, least, remaining)
+		}
+		if i%4 != 0 {
+			last = peak.refuse(now, least, remaining)
+		}
+	}
+	is.True(first < 1200*time.Millisecond)
+	is.True(last > 1800*time.Millisecond)
+	is.True(last <= remaining/4)
+	is.True(peak.refuse(now.Add(10*time.Second), least, remaining) < 1500*time.Millisecond) // the peak is over
+	is.Equal(peak.refuse(now, least, time.Second), least)
+}
--- a/internal/api/ingress/handler.go
+++ b/internal/api/ingress/handler.go
@@ -54,6 +54,7 @@
 	routes   atomic.Pointer[table.Table]
 	draining atomic.Bool
 	running  atomic.Int64
+	crowd    crowd
 }
 
 // SetRoutes puts a configuration into force.
