--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -315,6 +317,9 @@
 		return failed
 	}
 	c.h.Book.SawDown(now, s.ID)
+	if brokeConnection(err) {
+		c.h.Book.SawBroke(s.ID)
+	}
 	if !sent {
 		return again
 	}
@@ -324,6 +329,16 @@
 	return c.repeat()
 }
 
+// brokeConnection reports whether the server itself ended a connection; a way that is cut shows as a time-out. Servers
+// may drop connections that are idle.
+func brokeConnection(err error) bool {
+	var send *http1.SendError
+	if errors.As(err, &send) && send.Idle > onceIdle {
+		return false
+	}
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+}
+
 // suspect notes that the server broke off while it had the call. Calls without a body have the same content too often.
 func (c *callRun) suspect(now time.Time, s deck.Server) {
 	if len(c.body) > 0 {
--- a/internal/api/peer/viewwire.go
+++ b/internal/api/peer/viewwire.go
@@ -20,6 +20,8 @@
 	Running    []runJSON      `json:"running,omitempty"`
 	Calls      map[string]int `json:"calls,omitempty"`
 	Crashes    []crashJSON    `json:"crashes,omitempty"`
+	Broke      []string       `json:"broke,omitempty"`
+	Answered   []string       `json:"answered,omitempty"`
 }
 
 type demandCall struct {
@@ -69,6 +71,7 @@
 	Slots      int        `json:"slots"`
 	Draining   bool       `json:"draining,omitempty"`
 	Born       int64      `json:"born,omitempty"`
+	Broken     bool       `json:"broken,omitempty"`
 	Models     []heldJSON `json:"models,omitempty"`
 }
 
@@ -82,6 +85,7 @@
 	w := viewRequestJSON{
 		VM: string(r.VM), DataCentre: string(r.DataCentre), Config: r.Config, AnyConfig: r.AnyConfig, Term: r.View.Term, Number: r.View.Number,
 		WaitMs: r.Wait.Milliseconds(), Crashes: crashesToWire(r.Crashes), Calls: callsToWire(r.Calls),
+		Broke: toStrings(r.Broke), Answered: toStrings(r.Answered),
 	}
 	for _, d := range r.Demand {
 		w.Demand = append(w.Demand, demandCall{string(d.Service), string(d.Model), string(d.Adapter), d.Tokens})
@@ -97,6 +101,7 @@
 		VM: deck.VMName(w.VM), DataCentre: deck.DataCentre(w.DataCentre), Config: w.Config, AnyConfig: w.AnyConfig,
 		View: deck.ViewVersion{Term: w.Term, Number: w.Number}, Wait: time.Duration(w.WaitMs) * time.Millisecond,
 		Crashes: crashesFromWire(w.Crashes), Calls: callsFromWire(w.Calls),
+		Broke: fromStrings[deck.BackendName](w.Broke), Answered: fromStrings[deck.BackendName](w.Answered),
 	}
 	for _, d := range w.Demand {
 		r.Demand = append(r.Demand, deck.CallDemand{
@@ -147,7 +152,7 @@
 func serverToWire(s deck.Server) serverJSON {
 	w := serverJSON{
 		ID: string(s.ID), Service: string(s.Service), Address: s.Address, DataCentre: string(s.DataCentre),
-		Slots: s.Slots, Draining: s.Draining, Born: s.Born,
+		Slots: s.Slots, Draining: s.Draining, Born: s.Born, Broken: s.Broken,
 	}
 	for _, m := range s.Models {
 		w.Models = append(w.Models, heldJSON{string(m.Name), m.Version, toStrings(m.Adapters)})
@@ -158,7 +163,7 @@
 func serverFromWire(w serverJSON) deck.Server {
 	s := deck.Server{
 		ID: deck.BackendName(w.ID), Service: deck.ServiceName(w.Service), Address: w.Address,
-		DataCentre: deck.DataCentre(w.DataCentre), Slots: w.Slots, Draining: w.Draining, Born: w.Born,
+		DataCentre: deck.DataCentre(w.DataCentre), Slots: w.Slots, Draining: w.Draining, Born: w.Born, Broken: w.Broken,
 	}
 	for _, m := range w.Models {
 		s.Models = append(s.Models, deck.HeldModel{
--- a/internal/backend/http1/client.go
+++ b/internal/backend/http1/client.go
@@ -28,7 +28,8 @@
 
 // A SendError is why a request has no answer.
 type SendError struct {
-	Sent bool // some of the request may have arrived
+	Sent bool          // some of the request may have arrived
+	Idle time.Duration // how long the connection had been idle before; 0 for a new one
 	Err  error
 }
 
@@ -62,12 +63,16 @@
 	if err != nil {
 		return nil, &SendError{Err: err}
 	}
+	idle := time.Duration(0)
+	if reused {
+		idle = time.Since(cn.idleSince)
+	}
 	stop := context.AfterFunc(ctx, cn.close)
 	e := &Exchange{client: c, addr: addr, conn: cn, stop: stop, Reused: reused, whole: true}
 	if err := c.send(ctx, e, r); err != nil {
 		stop()
 		cn.close()
-		return nil, &SendError{Sent: true, Err: cause(ctx, err)}
+		return nil, &SendError{Sent: true, Idle: idle, Err: cause(ctx, err)}
 	}
 	return e, nil
 }
--- a/internal/command/node/entry.go
+++ b/internal/command/node/entry.go
@@ -145,6 +145,7 @@
 	r.Running = e.handler.Demand.Running()
 	r.Calls = e.book.ReportCalls()
 	r.Crashes = e.handler.Poison.Take()
+	r.Broke, r.Answered = e.book.TakeSeen()
 }
 
 func (e *entry) setCalls(calls []deck.ServerCalls) {
--- a/internal/core/deck/server.go
+++ b/internal/core/deck/server.go
@@ -23,6 +23,7 @@
 	Draining   bool
 	Born       int64 // Unix ms of its start; 0 if the list does not say
 	Models     []HeldModel
+	Broken     bool // several entry VMs have seen it break connections of late
 }
 
 // Holds reports whether the server holds the model and, unless it is empty, the adapter.
@@ -124,7 +125,7 @@
 // SameModels reports whether both descriptions are the same but for the adapters.
 func (s Server) SameModels(o Server) bool {
 	return s.ID == o.ID && s.Service == o.Service && s.Address == o.Address && s.DataCentre == o.DataCentre &&
-		s.Slots == o.Slots && s.Draining == o.Draining && s.Born == o.Born &&
+		s.Slots == o.Slots && s.Draining == o.Draining && s.Born == o.Born && s.Broken == o.Broken &&
 		slices.EqualFunc(s.Models, o.Models, func(a, b HeldModel) bool {
 			return a.Name == b.Name && a.Version == b.Version
 		})
--- a/internal/core/deck/view.go
+++ b/internal/core/deck/view.go
@@ -23,6 +23,8 @@
 	Running    []AdapterRun
 	Calls      []ServerCalls // that this VM has at servers now
 	Crashes    []Crash
+	Broke      []BackendName // servers that broke connections since the last report
+	Answered   []BackendName // servers that gave a whole answer since the last report
 }
 
 // A ServerCalls is how many calls are at a backend server.
--- a/internal/route/balance/book.go
+++ b/internal/route/balance/book.go
@@ -1,6 +1,8 @@
 package balance
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,7 +29,9 @@
 	service map[deck.ServiceName][]*entry
 	prefix  prefixes
 	held    map[deck.ServiceName]*holdTime
-	vms     int // entry VMs that share the servers; 0 for not known
+	broke   map[deck.BackendName]bool // servers that broke connections since the last report
+	fine    map[deck.BackendName]bool // servers that gave a whole answer since the last report
+	vms     int                       // entry VMs that share the servers; 0 for not known
 }
 
 // An entry is one backend server with this VM's own observations.
@@ -45,6 +49,7 @@
 
 	downUntil time.Time
 	downFor   time.Duration
+	returning bool // it is no longer avoided by all VMs
 	fullUntil time.Time
 	failing   failureRate
 	pause     pauseRate
@@ -74,6 +79,7 @@
 		if e == nil || e.Address != s.Address || e.Born != s.Born {
 			e = &entry{distance: b.distance(s.DataCentre)}
 		}
+		e.returning = e.Broken && !s.Broken
 		e.Server = s
 		servers[s.ID] = e
 		b.service[s.Service] = append(b.service[s.Service], e)
@@ -148,6 +154,11 @@
 	b.with(id, func(e *entry) {
 		e.failing.add(now, ownFault)
 		if !ownFault {
+			if b.fine == nil {
+				b.fine = make(map[deck.BackendName]bool)
+			}
+			b.fine[id] = true
+			delete(b.broke, id)
 			e.downFor, e.downUntil = 0, time.Time{}
 		}
 	})
@@ -172,6 +183,25 @@
 	})
 }
 
+// SawBroke notes that the server broke a connection on which it had a call, or refuses connections.
+func (b *Book) SawBroke(id deck.BackendName) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.broke == nil {
+		b.broke = make(map[deck.BackendName]bool)
+	}
+	b.broke[id] = true
+}
+
+// TakeSeen returns the servers that broke connections since the last call, and those that gave a whole answer.
+func (b *Book) TakeSeen() (broke, answered []deck.BackendName) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	broke, answered = slices.Sorted(maps.Keys(b.broke)), slices.Sorted(maps.Keys(b.fine))
+	b.broke, b.fine = nil, nil
+	return broke, answered
+}
+
 // SawFull notes that the server refused a call because all its places were taken.
 func (b *Book) SawFull(now time.Time, id deck.BackendName) {
 	b.with(id, func(e *entry) { e.fullUntil = now.Add(fullFor) })
--- a/internal/route/balance/pick.go
+++ b/internal/route/balance/pick.go
@@ -8,13 +8,17 @@
 
 // Times for which an observation of a backend server holds.
 const (
-	minDown    = 300 * time.Millisecond // doubled for each further failure
-	maxDown    = 4 * time.Second        // an engine restarts within a few seconds
-	fullFor    = 100 * time.Millisecond // some calls end in this time
-	otherFor   = 2 * time.Second        // longer than the lag of the platform's list
-	absentFor  = 1 * time.Second        // the lag of the platform's list
-	presentFor = 3 * time.Second        // the lag of the platform's list and of its way here
-	loadFor    = 2 * time.Second        // the load of other VMs has changed after this time
+	minDown  = 300 * time.Millisecond // doubled for each further failure
+	maxDown  = 4 * time.Second        // an engine restarts within a few seconds
+	fullFor  = 100 * time.Millisecond // some calls end in this time
+	otherFor = 2 * time.Second        // longer than the lag of the platform's list
+	// returnSpread is the time over which VMs return to a server that all of them have avoided: if it still breaks connections, the
+	// first ones find out for the others.
+	returnSpread = 2 * time.Second
+
+	absentFor  = 1 * time.Second // the lag of the platform's list
+	presentFor = 3 * time.Second // the lag of the platform's list and of its way here
+	loadFor    = 2 * time.Second // the load of other VMs has changed after this time
 )
 
 // Costs in units of a caller's longest allowed wait or pause.
@@ -82,6 +86,10 @@
 	var usable [OtherRegion + 1][]*entry
 	held := b.holdTime(w.Service)
 	for _, e := range b.service[w.Service] {
+		if e.returning {
+			e.returning = false
+			e.downUntil = now.Add(time.Duration(b.random.Float64() * float64(returnSpread)))
+		}
 		s := e.fits(now, w, held)
 		if s == Chosen {
 			usable[e.distance] = append(usable[e.distance], e)
@@ -128,7 +136,7 @@
 // fits says what keeps the server from running the call.
 func (e *entry) fits(now time.Time, w Want, held time.Duration) Shortage {
 	switch {
-	case e.Draining || w.Tried[e.ID] || w.Among != nil && !w.Among[e.ID] || now.Before(e.downUntil):
+	case e.Draining || e.Broken || w.Tried[e.ID] || w.Among != nil && !w.Among[e.ID] || now.Before(e.downUntil):
 		return NoServer
 	case w.Model != "" && !e.holds(now, w.Model, ""):
 		return ModelAbsent
--- a/internal/state/hub/hub.go
+++ b/internal/state/hub/hub.go
@@ -48,6 +48,7 @@
 	vms     map[deck.VMName]vmReport
 	calls   map[deck.BackendName]int // of all VMs
 	crashes []seenCrash
+	breaks  breaks
 }
 
 type versioned struct {
@@ -139,6 +140,7 @@
 	listed := make(map[deck.BackendName]bool, len(list))
 	for _, s := range list {
 		listed[s.ID] = true
+		s.Broken = h.breaks.avoided(now, s.ID)
 		old, ok := h.servers[s.ID]
 		if ok && (old.Equal(s) || old.SameModels(s) && now.Sub(old.at) < adapterPeriod) {
 			continue
@@ -147,6 +149,7 @@
 		delete(h.gone, s.ID)
 		changed = true
 	}
+	h.breaks.keep(listed)
 	for id := range h.servers {
 		if !listed[id] {
 			delete(h.servers, id)
@@ -211,6 +214,12 @@
 			delete(h.vms, vm)
 		}
 	}
+	for _, id := range r.Answered {
+		h.breaks.answered(id)
+	}
+	for _, id := range r.Broke {
+		h.sawBroken(now, r.VM, id)
+	}
 	for _, c := range r.Crashes {
 		h.crashes = append(h.crashes, seenCrash{c, now})
 	}
@@ -229,6 +238,33 @@
 	}
 }
 
+// sawBroken takes a VM's word on a server, and tells all VMs if the server is to be avoided; the caller holds the lock.
+func (h *Hub) sawBroken(now time.Time, vm deck.VMName, id deck.BackendName) {
+	s, ok := h.servers[id]
+	if !ok || s.Broken || h.avoidedShare(s.Service) >= maxAvoidedShare || !h.breaks.saw(now, vm, id) {
+		return
+	}
+	h.o.Logger.Info("server breaks connections of several VMs and is avoided", "server", string(id))
+	s.Broken = true
+	h.number++
+	h.servers[id] = versioned{s.Server, h.number, now}
+	h.wake()
+}
+
+// avoidedShare returns the share of a service's servers that are avoided; the caller holds the lock.
+func (h *Hub) avoidedShare(name deck.ServiceName) float64 {
+	all, avoided := 0, 0
+	for _, s := range h.servers {
+		if s.Service == name {
+			all++
+			if s.Broken {
+				avoided++
+			}
+		}
+	}
+	return float64(avoided) / float64(max(1, all))
+}
+
 // Calls returns how many calls of all entry VMs are at a server, as they reported last.
 func (h *Hub) Calls(id deck.BackendName) int {
 	h.mu.Lock()
--- a/internal/state/hub/hub_test.go
+++ b/internal/state/hub/hub_test.go
@@ -263,3 +263,35 @@
 		})
 	})
 }
+
+// Load pattern: most engines of a service break connections for a moment, as after the loss of a data centre. Avoiding them all
+// would leave the calls to a few.
+func TestOnlyAFewServersAreAvoided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h, _ := newHub("a", "a")
+		var list []deck.Server
+		var ids []deck.BackendName
+		for i := range 10 {
+			id := deck.BackendName(rune('0' + i))
+			list, ids = append(list, deck.Server{ID: id, Service: "svc"}), append(ids, id)
+		}
+		h.SetServers(1, list)
+		var seen deck.ViewAnswer
+		for i := range 6 {
+			seen = h.View(context.Background(), deck.ViewRequest{VM: deck.VMName(rune('a' + i)), Broke: ids})
+		}
+		broken := 0
+		for _, s := range seen.Servers {
+			if s.Broken {
+				broken++
+			}
+		}
+		is.Equal(broken, 2)
+		<-time.After(2 * time.Second)
+		h.SetServers(1, list)
+		for _, s := range h.View(context.Background(), deck.ViewRequest{VM: "z"}).Servers {
+			is.True(!s.Broken)
+		}
+	})
+}
