--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -197,7 +197,7 @@
 	switch shortage {
 	case balance.AllFull:
 		now := time.Now()
-		retry = c.h.crowd.refuse(now, fullRetry, c.deadline.Sub(now))
+		retry = c.h.crowd.refuse(now, c.deadline.Sub(now))
 	case balance.NoServer:
 		retry = downRetry
 	case balance.ModelAbsent, balance.AdapterAbsent:
--- a/internal/api/ingress/crowd.go
+++ b/internal/api/ingress/crowd.go
@@ -35,14 +35,14 @@
 
 // refuse counts a call that found none, and returns when it should come back: the more calls are refused, the later, up to
 // what callers heed. Callers that come back into the same peak are refused once more.
-func (c *crowd) refuse(now time.Time, least, remaining time.Duration) time.Duration {
+func (c *crowd) refuse(now time.Time, remaining time.Duration) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.fade(now)
 	c.refused++
 	share := min(1, c.refused/(c.calls+crowdPrior))
 	latest := time.Duration(callersLimit * float64(remaining))
-	return max(least, least+time.Duration(share*float64(latest-least)))
+	return max(fullRetry, fullRetry+time.Duration(share*float64(latest-fullRetry)))
 }
 
 func (c *crowd) fade(now time.Time) {
--- a/internal/api/ingress/crowd_test.go
+++ b/internal/api/ingress/crowd_test.go
@@ -11,7 +11,7 @@
 // for good.
 func TestCallersComeBackLaterTheMoreAreRefused(t *testing.T) {
 	is := is.New(t)
-	const least, remaining = 700 * time.Millisecond, 12 * time.Second
+	const remaining = 12 * time.Second
 	now := time.Unix(1000, 0)
 	calm, peak := &crowd{}, &crowd{}
 	var first, last time.Duration
@@ -20,15 +20,15 @@
 		calm.call(now)
 		peak.call(now)
 		if i%20 == 19 {
-			first = calm.refuse(now, least, remaining)
+			first = calm.refuse(now, remaining)
 		}
 		if i%4 != 0 {
-			last = peak.refuse(now, least, remaining)
+			last = peak.refuse(now, remaining)
 		}
 	}
 	is.True(first < 1200*time.Millisecond)
 	is.True(last > 1800*time.Millisecond)
 	is.True(last <= remaining/4)
-	is.True(peak.refuse(now.Add(10*time.Second), least, remaining) < 1500*time.Millisecond) // the peak is over
-	is.Equal(peak.refuse(now, least, time.Second), least)
+	is.True(peak.refuse(now.Add(10*time.Second), remaining) < 1500*time.Millisecond) // the peak is over
+	is.Equal(peak.refuse(now, time.Second), fullRetry)
 }
