--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -104,6 +106,7 @@
 	}
 	if c.want.Model != "" {
 		c.h.Demand.Count(c.service, c.call)
+		c.h.crowd.call(c.start)
 	}
 	for {
 		s, ok := c.choose()
@@ -192,6 +195,9 @@
 	}
 	retry := fullRetry
 	switch shortage {
+	case balance.AllFull:
+		now := time.Now()
+		retry = c.h.crowd.refuse(now, c.deadline.Sub(now))
 	case balance.NoServer:
 		retry = downRetry
 	case balance.ModelAbsent, balance.AdapterAbsent:
@@ -311,6 +317,9 @@
 		return failed
 	}
 	c.h.Book.SawDown(now, s.ID)
+	if brokeConnection(err) {
+		c.h.Book.SawBroke(s.ID)
+	}
 	if !sent {
 		return again
 	}
@@ -320,6 +329,16 @@
 	return c.repeat()
 }
 
+// brokeConnection reports whether the server itself ended a connection; a way that is cut shows as a time-out. Servers
+// may drop connections that are idle.
+func brokeConnection(err error) bool {
+	var send *http1.SendError
+	if errors.As(err, &send) && send.Idle > onceIdle {
+		return false
+	}
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+}
+
 // suspect notes that the server broke off while it had the call. Calls without a body have the same content too often.
 func (c *callRun) suspect(now time.Time, s deck.Server) {
 	if len(c.body) > 0 {
