--- a/internal/place/assign/next.go
+++ b/internal/place/assign/next.go
@@ -37,8 +37,8 @@
 func Next(spec deck.EngineSpec, engines []Engine, outlook Outlook, storeLoads int) Plan {
 	p := newPlanner(spec, engines, outlook)
 	p.storeLoads = storeLoads
-	p.each(p.mostLackingSoon, p.quick)
-	p.each(p.mostLacking, p.onEngine)
+	p.each(p.lacking(p.soon, unreachableSoon), p.quick)
+	p.each(p.lacking(p.have, unreachable), p.onEngine)
 	p.each(p.mostPressed, p.relief)
 	p.restoreReserve()
 	p.spread()
@@ -108,51 +108,37 @@
 	return p
 }
 
-// mostLacking returns the model with too few copies whose copies have the most work.
-func (p *planner) mostLacking() (best deck.EngineModel, ok bool) {
-	for _, m := range p.spec.Models {
-		if p.skipped[m.Name] || p.have[m.Name] >= p.want[m.Name] {
-			continue
-		}
-		if !ok || p.pressure(m.Name) > p.pressure(best.Name) {
-			best, ok = m, true
-		}
-	}
-	return best, ok
-}
-
-// mostLackingSoon returns the model with too few copies for the seconds that loads from the store take, whose copies have the
-// most work until then.
-func (p *planner) mostLackingSoon() (best deck.EngineModel, ok bool) {
-	most := 0.0
-	for _, m := range p.spec.Models {
-		if p.skipped[m.Name] || p.soon[m.Name] >= p.want[m.Name] {
-			continue
-		}
-		pressure := p.now.demand[m.Name] * unreachableSoon
-		if n := p.soon[m.Name]; n > 0 {
-			pressure = p.now.demand[m.Name] / float64(n)
-		}
-		if !ok || pressure > most {
-			best, most, ok = m, pressure, true
+// lacking returns a choice of the model with too few copies, of those counted, whose copies have the most work.
+func (p *planner) lacking(counted map[deck.ModelName]int, none float64) func() (deck.EngineModel, bool) {
+	return func() (best deck.EngineModel, ok bool) {
+		most := 0.0
+		for _, m := range p.spec.Models {
+			if p.skipped[m.Name] || counted[m.Name] >= p.want[m.Name] {
+				continue
+			}
+			if pressure := p.pressure(m.Name, counted, none); !ok || pressure > most {
+				best, most, ok = m, pressure, true
+			}
 		}
+		return best, ok
 	}
-	return best, ok
 }
 
-// unreachableSoon weighs the demand for a model that no engine has ready: a few calls that find no engine at all against
-// many that find all places taken.
-const unreachableSoon = 10.0
+// Weights of the demand for a model without any of the copies that are counted.
+const (
+	unreachable = 100.0 // no engine holds or loads it
 
-// unreachable weighs the demand for a model that no engine holds.
-const unreachable = 100.0
+	// unreachableSoon is for the seconds that loads from the store take: a few calls that find no engine at all stand against
+	// many that find all places taken.
+	unreachableSoon = 10.0
+)
 
-// pressure returns the work for each copy.
-func (p *planner) pressure(m deck.ModelName) float64 {
-	if p.have[m] == 0 {
-		return p.now.demand[m] * unreachable
+// pressure returns the work for each of the copies that are counted, or the demand times a weight if there are none.
+func (p *planner) pressure(m deck.ModelName, counted map[deck.ModelName]int, none float64) float64 {
+	if n := counted[m]; n > 0 {
+		return p.now.demand[m] / float64(n)
 	}
-	return p.now.demand[m] / float64(p.have[m])
+	return p.now.demand[m] * none
 }
 
 // An option is a way to bring a further copy of a model to an engine, and what that costs.
@@ -256,22 +242,30 @@
 
 // onEngine is the option for a model that lacks copies.
 func (p *planner) onEngine(e Engine, m deck.EngineModel) (a Action, cost float64, ok bool) {
-	cost = p.cost(e, m)
-	lostFirst := p.have[m.Name] > 0 && p.free <= p.lost // the last free places are for models that nobody can reach
-	if !lostFirst && e.Used+m.Megabytes <= p.spec.WeightMegabytes {
-		return Action{Engine: e.ID, Load: m.Name, Store: !e.AtHand[m.Name]}, cost, true
+	a, cost = p.load(e, m), p.cost(e, m)
+	if p.fits(e, m) {
+		return a, cost, p.have[m.Name] == 0 || p.free > p.lost // the last free places are for models that nobody can reach
 	}
-	if e.Used+m.Megabytes <= p.spec.WeightMegabytes {
-		return a, 0, false
-	}
-	victim, ok := p.victim(e)
-	if !ok || p.kept.demand[victim] >= idleDemand && p.pressure(m.Name) < evictGain*p.left(victim) {
+	victim, _, ok := p.victim(e, p.surplus, p.left)
+	used := p.kept.demand[victim] >= idleDemand
+	if !ok || used && p.pressure(m.Name, p.have, unreachable) < evictGain*p.left(victim) {
 		return a, 0, false
 	}
 	if p.kept.demand[victim] > 0 {
 		cost += evictCost
 	}
-	return Action{Engine: e.ID, Unload: victim, Load: m.Name, Store: !e.AtHand[m.Name]}, cost, true
+	a.Unload = victim
+	return a, cost, true
+}
+
+// load returns the action that loads the model without one that makes way.
+func (p *planner) load(e Engine, m deck.EngineModel) Action {
+	return Action{Engine: e.ID, Load: m.Name, Store: !e.AtHand[m.Name]}
+}
+
+// fits reports whether the engine has room for the model.
+func (p *planner) fits(e Engine, m deck.EngineModel) bool {
+	return e.Used+m.Megabytes <= p.spec.WeightMegabytes
 }
 
 // evictGain is how many times the work for each copy must be that of the model that makes way: an engine that changes its
@@ -283,22 +277,23 @@
 	return p.kept.demand[m] / float64(max(1, p.have[m]-1))
 }
 
-// victim returns the model on the engine that has copies to spare and the least work for each.
-func (p *planner) victim(e Engine) (best deck.ModelName, ok bool) {
-	least := 0.0
+// victim returns the model with the least work of those on the engine that may go, and that work.
+func (p *planner) victim(
+	e Engine, may func(deck.ModelName) bool, work func(deck.ModelName) float64,
+) (best deck.ModelName, least float64, ok bool) {
 	for v := range e.Models {
-		if !p.surplus(v) {
+		if !may(v) {
 			continue
 		}
-		each := p.left(v)
+		w := work(v)
 		if p.ready[v] == 1 {
-			each += idleDemand // a further copy goes first
+			w += idleDemand // a further copy goes first
 		}
-		if !ok || each < least || each == least && v < best {
-			best, least, ok = v, each, true
+		if !ok || w < least || w == least && v < best {
+			best, least, ok = v, w, true
 		}
 	}
-	return best, ok
+	return best, least, ok
 }
 
 // surplus reports whether the model has a copy to spare. A copy that is being loaded can't replace one that is held.
@@ -328,7 +323,7 @@
 		if !e.Idle || p.busy[e.ID] || places(p.spec, p.spec.WeightMegabytes-e.Used) > 0 {
 			continue
 		}
-		victim, ok := p.victim(e)
+		victim, _, ok := p.victim(e, p.surplus, p.left)
 		if !ok || p.left(victim)*evictGain > average {
 			continue
 		}
@@ -389,26 +384,11 @@
 		}
 	}
 	if found {
-		p.spreadTo(best)
+		p.supply(best, p.spreadTo)
 	}
 }
 
-// spreadTo loads a copy into a free place beside the models with the least work.
-func (p *planner) spreadTo(m deck.EngineModel) {
-	var target Action
-	least, found := 0.0, false
-	for _, e := range p.engines {
-		if !e.Idle || p.busy[e.ID] || e.Models[m.Name] || e.AtHand[m.Name] {
-			continue
-		}
-		if e.Used+m.Megabytes > p.spec.WeightMegabytes {
-			continue
-		}
-		if w := p.kept.load[e.ID]; !found || w < least {
-			target, least, found = Action{Engine: e.ID, Load: m.Name, Store: true}, w, true
-		}
-	}
-	if found {
-		p.add(target, m)
-	}
+// spreadTo is the option for a second copy: a free place beside the models with the least work.
+func (p *planner) spreadTo(e Engine, m deck.EngineModel) (a Action, cost float64, ok bool) {
+	return p.load(e, m), p.kept.load[e.ID], !e.AtHand[m.Name] && p.fits(e, m)
 }
--- a/internal/place/assign/relief.go
+++ b/internal/place/assign/relief.go
@@ -48,26 +48,17 @@
 	if gap < minGap*p.now.average(len(p.engines)) {
 		return a, 0, false
 	}
-	cost = p.cost(e, m)
-	a = Action{Engine: e.ID, Load: m.Name, Store: !e.AtHand[m.Name]}
-	if e.Used+m.Megabytes <= p.spec.WeightMegabytes {
+	a, cost = p.load(e, m), p.cost(e, m)
+	if p.fits(e, m) {
 		return a, cost, p.free > p.lost
 	}
-	least := 0.0
-	for v := range e.Models {
-		part := p.kept.part[place{v, e.ID}]
-		if p.ready[v] == 1 {
-			part += idleDemand
-		}
-		if !p.spareable(v) || evictGain*part > gap {
-			continue
-		}
-		if a.Unload == "" || part < least || part == least && v < a.Unload {
-			a.Unload, least = v, part
-		}
+	victim, part, ok := p.victim(e, p.spareable, func(v deck.ModelName) float64 { return p.kept.part[place{v, e.ID}] })
+	if !ok || evictGain*part > gap {
+		return a, 0, false
 	}
-	if p.kept.demand[a.Unload] >= idleDemand {
+	if p.kept.demand[victim] >= idleDemand {
 		cost += evictCost
 	}
-	return a, cost, a.Unload != ""
+	a.Unload = victim
+	return a, cost, true
 }
--- a/internal/place/assign/shares.go
+++ b/internal/place/assign/shares.go
@@ -20,6 +20,7 @@
 // possible, which is what entry VMs do when they choose the engine with the fewest calls.
 type shares struct {
 	demand  Demand
+	total   float64          // of the demand
 	models  []deck.ModelName // with demand and holders, in a fixed order
 	holders map[deck.ModelName][]deck.BackendName
 	part    map[place]float64
@@ -37,6 +38,9 @@
 		demand: demand, holders: make(map[deck.ModelName][]deck.BackendName), part: make(map[place]float64),
 		load: make(map[deck.BackendName]float64, len(engines)),
 	}
+	for _, d := range demand {
+		s.total += d
+	}
 	for _, e := range engines {
 		for m := range e.Models {
 			s.hold(m, e.ID)
@@ -131,9 +135,5 @@
 
 // average returns the work of the average engine.
 func (s *shares) average(engines int) float64 {
-	all := 0.0
-	for _, d := range s.demand {
-		all += d
-	}
-	return all / float64(max(1, engines))
+	return s.total / float64(max(1, engines))
 }
