--- a/internal/api/ingress/rig_test.go
+++ b/internal/api/ingress/rig_test.go
@@ -170,7 +170,7 @@
 	for _, b := range backends {
 		servers = append(servers, deck.Server{ID: b.id, Service: "svc", Address: b.addr, Slots: 8})
 	}
-	rg.book.SetServers(servers)
+	rg.book.SetServers(time.Now(), servers)
 }
 
 // A result is what the caller sees.
--- a/internal/command/node/entry.go
+++ b/internal/command/node/entry.go
@@ -133,7 +133,7 @@
 }
 
 func (e *entry) setServers(list []deck.Server) {
-	e.book.SetServers(list)
+	e.book.SetServers(time.Now(), list)
 	e.listed.Store(true)
 }
 
--- a/internal/route/balance/balance_test.go
+++ b/internal/route/balance/balance_test.go
@@ -18,7 +18,7 @@
 
 func book(seed uint64, distance func(deck.DataCentre) balance.Distance, servers ...deck.Server) *balance.Book {
 	b := balance.NewBook(distance, rand.New(rand.NewPCG(seed, 0)))
-	b.SetServers(servers)
+	b.SetServers(now, servers)
 	return b
 }
 
@@ -115,6 +115,26 @@
 	is.Equal(shortage, balance.Chosen) // an engine serves interactive calls first
 }
 
+// Load pattern: a server that all VMs have avoided is shown again, and the list changes once more before the next call.
+func TestVMsReturnToAnAvoidedServerOneAfterTheOther(t *testing.T) {
+	is := is.New(t)
+	const vms = 40
+	broken := server("a", 8)
+	broken.Broken = true
+	returned := 0
+	for i := range vms {
+		b := book(uint64(i), near, broken)
+		b.SetServers(now, []deck.Server{server("a", 8)})
+		b.SetServers(now, []deck.Server{server("a", 8), server("b", 8)})
+		w := want
+		w.Among = map[deck.BackendName]bool{"a": true}
+		if _, shortage := b.Pick(now.Add(200*time.Millisecond), w); shortage == balance.Chosen {
+			returned++
+		}
+	}
+	is.True(returned < vms/4)
+}
+
 func TestServerInTheOwnDataCentreGoesFirst(t *testing.T) {
 	is := is.New(t)
 	far := func(dc deck.DataCentre) balance.Distance {
--- a/internal/route/balance/book.go
+++ b/internal/route/balance/book.go
@@ -49,7 +49,6 @@
 
 	downUntil time.Time
 	downFor   time.Duration
-	returning bool // it is no longer avoided by all VMs
 	fullUntil time.Time
 	failing   failureRate
 	pause     pauseRate
@@ -65,11 +64,14 @@
 
 // NewBook returns an empty book.
 func NewBook(distance func(deck.DataCentre) Distance, random deck.Rand) *Book {
-	return &Book{distance: distance, random: random, servers: make(map[deck.BackendName]*entry)}
+	return &Book{
+		distance: distance, random: random, servers: make(map[deck.BackendName]*entry),
+		held: make(map[deck.ServiceName]*holdTime), broke: make(map[deck.BackendName]bool), fine: make(map[deck.BackendName]bool),
+	}
 }
 
 // SetServers replaces the list of backend servers; observations of those that stay are kept.
-func (b *Book) SetServers(list []deck.Server) {
+func (b *Book) SetServers(now time.Time, list []deck.Server) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	servers := make(map[deck.BackendName]*entry, len(list))
@@ -79,7 +81,9 @@
 		if e == nil || e.Address != s.Address || e.Born != s.Born {
 			e = &entry{distance: b.distance(s.DataCentre)}
 		}
-		e.returning = e.Broken && !s.Broken
+		if e.Broken && !s.Broken {
+			e.downUntil = now.Add(time.Duration(b.random.Float64() * float64(returnSpread)))
+		}
 		e.Server = s
 		servers[s.ID] = e
 		b.service[s.Service] = append(b.service[s.Service], e)
@@ -154,9 +158,6 @@
 	b.with(id, func(e *entry) {
 		e.failing.add(now, ownFault)
 		if !ownFault {
-			if b.fine == nil {
-				b.fine = make(map[deck.BackendName]bool)
-			}
 			b.fine[id] = true
 			delete(b.broke, id)
 			e.downFor, e.downUntil = 0, time.Time{}
@@ -183,13 +184,10 @@
 	})
 }
 
-// SawBroke notes that the server broke a connection on which it had a call, or refuses connections.
+// SawBroke notes that the server broke a connection on which it had a call.
 func (b *Book) SawBroke(id deck.BackendName) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.broke == nil {
-		b.broke = make(map[deck.BackendName]bool)
-	}
 	b.broke[id] = true
 }
 
@@ -198,7 +196,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	broke, answered = slices.Sorted(maps.Keys(b.broke)), slices.Sorted(maps.Keys(b.fine))
-	b.broke, b.fine = nil, nil
+	clear(b.broke)
+	clear(b.fine)
 	return broke, answered
 }
 
--- a/internal/route/balance/holdtime.go
+++ b/internal/route/balance/holdtime.go
@@ -24,9 +24,6 @@
 func (b *Book) SawHeld(s deck.ServiceName, held time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.held == nil {
-		b.held = make(map[deck.ServiceName]*holdTime)
-	}
 	if b.held[s] == nil {
 		b.held[s] = &holdTime{}
 	}
--- a/internal/route/balance/pick.go
+++ b/internal/route/balance/pick.go
@@ -86,10 +86,6 @@
 	var usable [OtherRegion + 1][]*entry
 	held := b.holdTime(w.Service)
 	for _, e := range b.service[w.Service] {
-		if e.returning {
-			e.returning = false
-			e.downUntil = now.Add(time.Duration(b.random.Float64() * float64(returnSpread)))
-		}
 		s := e.fits(now, w, held)
 		if s == Chosen {
 			usable[e.distance] = append(usable[e.distance], e)
