--- a/internal/api/ingress/crowd.go
+++ b/internal/api/ingress/crowd.go
@@ -1,9 +1,10 @@
 package ingress
 
 import (
-	"math"
 	"sync"
 	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 )
 
 const (
@@ -47,7 +48,7 @@
 
 func (c *crowd) fade(now time.Time) {
 	if !c.at.IsZero() {
-		w := math.Exp(-now.Sub(c.at).Seconds() / crowdMemory.Seconds())
+		w := deck.Fade(now.Sub(c.at), crowdMemory)
 		c.calls *= w
 		c.refused *= w
 	}
--- a/internal/place/order/demand.go
+++ b/internal/place/order/demand.go
@@ -1,7 +1,6 @@
 package order
 
 import (
-	"math"
 	"time"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
@@ -21,7 +20,7 @@
 	if fill > d.fill {
 		fade = risingFade
 	}
-	w := math.Exp(-now.Sub(d.filled).Seconds() / fade.Seconds())
+	w := deck.Fade(now.Sub(d.filled), fade)
 	d.fill = w*d.fill + (1-w)*fill
 	d.filled = now
 }
@@ -58,8 +57,8 @@
 }
 
 func (e *modelDemand) fade(now time.Time) {
-	passed := now.Sub(e.seen).Seconds()
+	passed := now.Sub(e.seen)
 	e.seen = now
-	e.rising *= math.Exp(-passed / risingFade.Seconds())
-	e.falling *= math.Exp(-passed / fallingFade.Seconds())
+	e.rising *= deck.Fade(passed, risingFade)
+	e.falling *= deck.Fade(passed, fallingFade)
 }
--- a/internal/route/balance/failures.go
+++ b/internal/route/balance/failures.go
@@ -1,8 +1,9 @@
 package balance
 
 import (
-	"math"
 	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 )
 
 const (
@@ -36,5 +37,5 @@
 	if f.at.IsZero() {
 		return 0
 	}
-	return math.Exp(-now.Sub(f.at).Seconds() / failureMemory.Seconds())
+	return deck.Fade(now.Sub(f.at), failureMemory)
 }
--- a/internal/route/balance/pauses.go
+++ b/internal/route/balance/pauses.go
@@ -1,8 +1,9 @@
 package balance
 
 import (
-	"math"
 	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 )
 
 // pauseMemory is the time constant with which pauses lose their weight; a noisy neighbour comes and goes in about this
@@ -33,5 +34,5 @@
 	if p.at.IsZero() {
 		return 0
 	}
-	return math.Exp(-now.Sub(p.at).Seconds() / pauseMemory.Seconds())
+	return deck.Fade(now.Sub(p.at), pauseMemory)
 }
