Count the memory of engines by the size of each model

Cause: the planner counted places of the size of the largest model and took any model with little work as a victim. The fixtures of the tests knew one size only.

Change: a plan evicts one model, several or none, the set with the least work that frees enough; targets come from a trial packing; memory is kept free for unreachable models by their size; only copies move if a model fits nowhere; models larger than any engine are logged once. The controller counts adapters being loaded and unloaded in bytes and checks each load just before it is sent. A copy that is being loaded counts as a second copy.

--- a/internal/place/assign/assign_test.go
+++ b/internal/place/assign/assign_test.go
@@ -28,7 +28,7 @@
 func engine(id string, models ...int) assign.Engine {
 	e := assign.Engine{
 		ID: deck.BackendName(id), Available: true, Models: map[deck.ModelName]bool{}, Cached: map[deck.ModelName]bool{},
-		UsedMegabytes: 70 * float64(len(models)),
+		CapacityMegabytes: 230, UsedMegabytes: 70 * float64(len(models)),
 	}
 	for _, m := range models {
 		e.Models[name(m)] = true
@@ -51,9 +51,9 @@
 		for _, a := range actions {
 			i := slices.IndexFunc(engines, func(e assign.Engine) bool { return e.ID == a.Engine })
 			e := &engines[i]
-			if a.Unload != "" {
-				delete(e.Models, a.Unload)
-				e.Cached[a.Unload] = true
+			for _, m := range a.Unload {
+				delete(e.Models, m)
+				e.Cached[m] = true
 			}
 			if a.Load != "" {
 				e.Models[a.Load] = true
@@ -114,10 +114,10 @@
 	for _, n := range held {
 		total += n
 	}
-	is.True(held[name(0)] > held[name(1)])          // more work, more copies
-	is.Equal(held[name(2)], 1)                      // little work is served by one copy
-	is.Equal(held[name(5)], 1)                      // a model without demand stays reachable
-	is.True(total <= 18-assign.ReservedSlots(s, 6)) // slots are left for a model whose demand rises
+	is.True(held[name(0)] > held[name(1)])                 // more work, more copies
+	is.Equal(held[name(2)], 1)                             // little work is served by one copy
+	is.Equal(held[name(5)], 1)                             // a model without demand stays reachable
+	is.True(total <= 18-assign.ReservedPlaces(s, engines)) // slots are left for a model whose demand rises
 }
 
 // Load pattern: every busy model has the copies that its demand justifies, but they are on the same engines, while the other
@@ -144,7 +144,7 @@
 	}
 	var loads int
 	for _, a := range assign.NewPlan(s, engines, estimate(assign.Demand{name(1): 1000, name(0): 50}), 10).Actions {
-		is.True(a.Unload == "")
+		is.Equal(len(a.Unload), 0)
 		if a.Load == name(1) {
 			loads++
 		}
--- a/internal/place/assign/copies.go
+++ b/internal/place/assign/copies.go
@@ -21,34 +21,44 @@
 	// work.
 	minCopyWork = 0.35
 
-	// reserveFraction of the model slots beyond one for each model is kept free, so that a model whose demand rises is loaded
+	// reserveFraction of the places beyond one for each model is kept free, so that a model whose demand rises is loaded
 	// without waiting for another model's running requests to end.
 	reserveFraction = 0.3
 )
 
-// targetCopies returns how many engines should hold each model. Each model that is not evictable gets one; the remaining slots,
-// except for the reserve, go to the models with the most work for each copy.
+// targetCopies returns how many engines should hold each model. Each model that is not evictable gets one; the remaining room,
+// except for the reserve, goes to the models with the most work for each copy, as far as the copies fit on the engines.
 func targetCopies(
-	spec deck.EngineSpec, engines int, demand Demand, evictable map[deck.ModelName]bool,
+	spec deck.EngineSpec, engines []Engine, demand Demand, evictable map[deck.ModelName]bool,
 ) map[deck.ModelName]int {
+	var required []deck.EngineModel
 	target := make(map[deck.ModelName]int, len(spec.Models))
 	total := 0.0
 	for _, m := range spec.Models {
 		if !evictable[m.Name] {
+			required = append(required, m)
 			target[m.Name] = 1
 		}
 		total += demand[m.Name]
 	}
-	if engines == 0 || total <= 0 {
+	if len(engines) == 0 || total <= 0 {
 		return target
 	}
-	minWork := total / float64(engines) * minCopyWork
-	for left := spareSlots(spec, engines) + len(evictable) - ReservedSlots(spec, engines); left > 0; left-- {
-		m, ok := mostWorkPerCopy(spec, engines, demand, target, minWork)
+	pack := newPacking(engines, meanSize(spec))
+	pack.addAll(required)
+	minWork := total / float64(len(engines)) * minCopyWork
+	reserve := ReservedPlaces(spec, engines)
+	full := make(map[deck.ModelName]bool) // no engine has room for a further copy
+	for pack.places > reserve {
+		m, ok := mostWorkPerCopy(spec, demand, target, full, minWork)
 		if !ok {
 			break
 		}
-		target[m.Name]++
+		if target[m.Name] < largeEnough(engines, m) && pack.add(m) {
+			target[m.Name]++
+		} else {
+			full[m.Name] = true
+		}
 	}
 	return target
 }
@@ -63,14 +73,15 @@
 const minEvictUtilisation = 0.35
 
 // evictableModels returns the idle models that need no loaded copy while there is other work, since at least minCachedCopies
-// engines can load them within a second.
+// engines can load them within a second, and the models that no engine is large enough for.
 func evictableModels(spec deck.EngineSpec, engines []Engine, o DemandEstimate) map[deck.ModelName]bool {
 	evictable := make(map[deck.ModelName]bool)
-	if o.Utilisation < minEvictUtilisation {
-		return evictable
-	}
 	for _, m := range spec.Models {
-		if o.Recent[m.Name] >= idleDemand || o.Current[m.Name] >= idleDemand {
+		if largeEnough(engines, m) == 0 {
+			evictable[m.Name] = true
+			continue
+		}
+		if o.Utilisation < minEvictUtilisation || o.Recent[m.Name] >= idleDemand || o.Current[m.Name] >= idleDemand {
 			continue
 		}
 		cached := 0
@@ -86,33 +97,22 @@
 	return evictable
 }
 
-// ReservedSlots returns how many model slots should be free for models whose demand rises.
-func ReservedSlots(spec deck.EngineSpec, engines int) int {
-	return int(reserveFraction * float64(max(0, spareSlots(spec, engines))))
-}
-
-// spareSlots returns the number of model slots beyond one for each model.
-func spareSlots(spec deck.EngineSpec, engines int) int {
-	return engines*modelSlots(spec, spec.WeightMegabytes) - len(spec.Models)
-}
-
-// modelSlots returns how many copies of the largest model fit into the given memory.
-func modelSlots(spec deck.EngineSpec, megabytes float64) int {
-	largest := 1.0
-	for _, m := range spec.Models {
-		largest = max(largest, m.Megabytes)
-	}
-	return int(megabytes / largest)
+// ReservedPlaces returns how many models of average size should fit into the memory that is kept free for models whose demand
+// rises.
+func ReservedPlaces(spec deck.EngineSpec, engines []Engine) int {
+	pack := newPacking(engines, meanSize(spec))
+	pack.addAll(spec.Models)
+	return int(reserveFraction * float64(pack.places))
 }
 
-// mostWorkPerCopy returns the model with the most work for each copy, if that exceeds minWork.
+// mostWorkPerCopy returns the model with the most work for each copy, if that exceeds minWork, except those that are full.
 func mostWorkPerCopy(
-	spec deck.EngineSpec, engines int, demand Demand, target map[deck.ModelName]int, minWork float64,
+	spec deck.EngineSpec, demand Demand, target map[deck.ModelName]int, full map[deck.ModelName]bool, minWork float64,
 ) (best deck.EngineModel, ok bool) {
 	bestWork := minWork
 	for _, m := range spec.Models {
 		work := demand[m.Name] / float64(max(1, target[m.Name]))
-		if target[m.Name] < engines && work > bestWork {
+		if !full[m.Name] && work > bestWork {
 			best, bestWork, ok = m, work, true
 		}
 	}
--- a/internal/place/assign/overload.go
+++ b/internal/place/assign/overload.go
@@ -41,8 +41,8 @@
 	return p.current.demand[m] / float64(p.copies[m]+1)
 }
 
-// offloadCandidate returns the action that places a copy of an overloaded model on an engine with less work: into a free slot,
-// or in place of a model that has other copies or is evictable, and has little work on the engine.
+// offloadCandidate returns the action that places a copy of an overloaded model on an engine with less work: into free
+// memory, or in place of models that have other copies or are evictable, and have little work on the engine.
 func (p *planner) offloadCandidate(e Engine, m deck.EngineModel) (a Action, cost float64, ok bool) {
 	gap := p.current.maxWork(m.Name) - p.current.work[e.ID]
 	if gap < minWorkGap*p.current.averageWork(len(p.engines)) {
@@ -50,17 +50,19 @@
 	}
 	a, cost = p.loadAction(e, m), p.cost(e, m)
 	if p.fits(e, m) {
-		return a, cost, p.freeSlots > p.unreachable
+		return a, cost, p.leavesRoomForUnreachable(e, m)
 	}
-	victim, share, ok := p.victim(e, p.canLoseCopy, func(v deck.ModelName) float64 {
+	victims, share, ok := p.victims(e, m.Megabytes, p.canLoseCopy, func(v deck.ModelName) float64 {
 		return p.recent.share[assignment{v, e.ID}]
 	})
 	if !ok || minEvictionGain*share > gap {
 		return a, 0, false
 	}
-	if p.recent.demand[victim] >= idleDemand {
-		cost += evictCost
+	for _, v := range victims {
+		if p.isActive(v) {
+			cost += evictCost
+		}
 	}
-	a.Unload = victim
+	a.Unload = victims
 	return a, cost, true
 }
--- a/internal/place/assign/planner.go
+++ b/internal/place/assign/planner.go
@@ -1,27 +1,31 @@
 package assign
 
 import (
+	"slices"
+
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 )
 
 // An Engine is the state of one engine as the planner knows it.
 type Engine struct {
-	ID            deck.BackendName
-	DataCentre    deck.DataCentre
-	Available     bool                    // it can take an order
-	Models        map[deck.ModelName]bool // held
-	Loading       deck.ModelName          // empty for none
-	Unloading     bool                    // an unload waits for running requests to end
-	UsedMegabytes float64                 // weights and adapters, including those being loaded
-	Cached        map[deck.ModelName]bool // can be loaded from the engine's memory or disk, without the weight store
+	ID                deck.BackendName
+	DataCentre        deck.DataCentre
+	Available         bool                       // it can take an order
+	Models            map[deck.ModelName]bool    // held
+	Loading           deck.ModelName             // empty for none
+	Unloading         bool                       // an unload waits for running requests to end
+	CapacityMegabytes float64                    // for weights and adapters
+	UsedMegabytes     float64                    // weights and adapters, including those being loaded or unloaded
+	AdapterMegabytes  map[deck.ModelName]float64 // of the adapters of a held model, which an unload frees as well
+	Cached            map[deck.ModelName]bool    // can be loaded from the engine's memory or disk, without the weight store
 }
 
 // An Action changes the models of an engine.
 type Action struct {
 	Engine    deck.BackendName
-	Unload    deck.ModelName // evicted to make room; empty for none
-	Load      deck.ModelName // empty for none
-	FromStore bool           // the weights come from the weight store
+	Unload    []deck.ModelName // evicted to make room, in this order
+	Load      deck.ModelName   // empty for none
+	FromStore bool             // the weights come from the weight store
 }
 
 // A Plan is the actions to start now, with figures on the state of the engines.
@@ -30,7 +34,7 @@
 	AverageWork       float64 // work of the average engine, in tokens a second
 	BusiestWork       float64 // work of the busiest engine once the copies being loaded and planned are ready
 	UnreachableModels int     // models that no engine holds or loads, except evictable ones
-	FreeSlots         int     // model slots that are empty
+	FreePlaces        int     // models of average size that fit into the free memory
 }
 
 // NewPlan returns the actions to start now, at most one for each engine and at most storeLoads loads from the weight store.
@@ -40,9 +44,12 @@
 	p.placeCopies(p.underReplicated(p.soonReadyCopies, noSoonReadyCopyWeight), p.cachedCandidate)
 	p.placeCopies(p.underReplicated(p.copies, noCopyWeight), p.missingCopyCandidate)
 	p.placeCopies(p.mostOverloaded, p.offloadCandidate)
+	p.relocate()
 	p.restoreReserve()
 	p.placeSecondCopy()
-	plan := Plan{Actions: p.actions, AverageWork: p.averageWork(), UnreachableModels: p.unreachable, FreeSlots: p.freeSlots}
+	plan := Plan{
+		Actions: p.actions, AverageWork: p.averageWork(), UnreachableModels: p.unreachable, FreePlaces: p.freePlaces(p.meanSize),
+	}
 	for _, work := range p.current.work {
 		plan.BusiestWork = max(plan.BusiestWork, work)
 	}
@@ -65,8 +72,10 @@
 	dcCopies        map[modelDC]int        // in a data centre
 	skipped         map[deck.ModelName]bool
 	planned         map[deck.BackendName]bool
-	unreachable     int // models that no engine holds or loads, except evictable ones
-	freeSlots       int
+	free            map[deck.BackendName]float64 // megabytes, less those of planned copies
+	meanSize        float64                      // of a model, in megabytes
+	unreachable     int                          // models that no engine holds or loads, except evictable ones
+	unreachableSize float64                      // of the largest of these, in megabytes
 	actions         []Action
 }
 
@@ -80,13 +89,14 @@
 	p := &planner{
 		spec: spec, engines: engines,
 		current: newDistribution(engines, o.Current), recent: newDistribution(engines, o.Recent), evictable: evictable,
-		target: targetCopies(spec, len(engines), o.Current, evictable), retain: targetCopies(spec, len(engines), o.Recent, evictable),
+		target: targetCopies(spec, engines, o.Current, evictable), retain: targetCopies(spec, engines, o.Recent, evictable),
 		copies: make(map[deck.ModelName]int), readyCopies: make(map[deck.ModelName]int),
 		soonReadyCopies: make(map[deck.ModelName]int), dcCopies: make(map[modelDC]int),
 		skipped: make(map[deck.ModelName]bool), planned: make(map[deck.BackendName]bool),
+		free: make(map[deck.BackendName]float64, len(engines)), meanSize: meanSize(spec),
 	}
 	for _, e := range engines {
-		p.freeSlots += modelSlots(spec, spec.WeightMegabytes-e.UsedMegabytes)
+		p.free[e.ID] = e.CapacityMegabytes - e.UsedMegabytes
 		for m := range e.Models {
 			p.copies[m]++
 			p.readyCopies[m]++
@@ -101,12 +111,38 @@
 			p.dcCopies[modelDC{e.Loading, e.DataCentre}]++
 		}
 	}
-	for _, m := range spec.Models {
-		if p.copies[m.Name] == 0 && !evictable[m.Name] {
+	p.countUnreachable()
+	return p
+}
+
+// countUnreachable counts the models that no engine holds or loads.
+func (p *planner) countUnreachable() {
+	p.unreachable, p.unreachableSize = 0, 0
+	for _, m := range p.spec.Models {
+		if p.copies[m.Name] == 0 && !p.evictable[m.Name] {
 			p.unreachable++
+			p.unreachableSize = max(p.unreachableSize, m.Megabytes)
 		}
 	}
-	return p
+}
+
+// freePlaces returns how many models of the size fit into the free memory of the engines.
+func (p *planner) freePlaces(megabytes float64) int {
+	n := 0
+	for _, free := range p.free {
+		n += places(free, megabytes)
+	}
+	return n
+}
+
+// leavesRoomForUnreachable reports whether the unreachable models still fit once the engine holds a copy of another model.
+func (p *planner) leavesRoomForUnreachable(e Engine, m deck.EngineModel) bool {
+	if p.unreachable == 0 {
+		return true
+	}
+	size := p.unreachableSize
+	left := p.freePlaces(size) - places(p.free[e.ID], size) + places(p.free[e.ID]-m.Megabytes, size)
+	return left >= p.unreachable
 }
 
 // underReplicated returns a function that selects the most urgent model with fewer counted copies than its target.
@@ -184,17 +220,14 @@
 func (p *planner) addCopy(a Action, m deck.EngineModel) {
 	p.actions = append(p.actions, a)
 	p.planned[a.Engine] = true
-	if p.copies[m.Name] == 0 && !p.evictable[m.Name] {
-		p.unreachable--
-	}
 	p.copies[m.Name]++
 	p.current.addCopy(m.Name, a.Engine)
 	p.recent.addCopy(m.Name, a.Engine)
-	if a.Unload != "" {
-		p.dropCopy(a.Unload, a.Engine)
-	} else {
-		p.freeSlots--
+	p.free[a.Engine] -= m.Megabytes
+	for _, v := range a.Unload {
+		p.dropCopy(v, a.Engine)
 	}
+	p.countUnreachable()
 	if a.FromStore {
 		p.storeLoads--
 	} else {
@@ -207,6 +240,8 @@
 	p.copies[m]--
 	p.readyCopies[m]--
 	p.soonReadyCopies[m]--
+	dropped, _ := p.spec.Model(m)
+	p.free[e] += dropped.Megabytes
 	p.current.removeCopy(m, e)
 	p.recent.removeCopy(m, e)
 }
@@ -241,25 +276,36 @@
 		return a, 0, false
 	}
 	a, cost, ok = p.missingCopyCandidate(e, m)
-	return a, cost, ok && (a.Unload == "" || p.recent.demand[a.Unload] < idleDemand)
+	return a, cost, ok && !slices.ContainsFunc(a.Unload, p.isActive)
+}
+
+// isActive reports whether the model has had enough demand recently that its unload would wait for running requests.
+func (p *planner) isActive(m deck.ModelName) bool {
+	return p.recent.demand[m] >= idleDemand
 }
 
 // missingCopyCandidate returns the action that places a copy of an under-replicated model on any engine, if need be in place of
-// another model.
+// other models.
 func (p *planner) missingCopyCandidate(e Engine, m deck.EngineModel) (a Action, cost float64, ok bool) {
 	a, cost = p.loadAction(e, m), p.cost(e, m)
 	if p.fits(e, m) {
-		return a, cost, p.copies[m.Name] == 0 || p.freeSlots > p.unreachable // the last free slots are for unreachable models
+		return a, cost, p.copies[m.Name] == 0 || p.leavesRoomForUnreachable(e, m)
 	}
-	victim, _, ok := p.victim(e, p.hasSurplusCopy, p.workWithoutCopy)
-	inUse := p.recent.demand[victim] >= idleDemand
-	if !ok || inUse && p.urgency(m.Name, p.copies, noCopyWeight) < minEvictionGain*p.workWithoutCopy(victim) {
+	allowed, gain := p.hasSurplusCopy, p.urgency(m.Name, p.copies, noCopyWeight)
+	if p.copies[m.Name] == 0 && !p.evictable[m.Name] {
+		allowed, gain = p.canLoseCopy, max(gain, p.averageWork())
+	}
+	victims, work, ok := p.victims(e, m.Megabytes, allowed, p.workWithoutCopy)
+	inUse := slices.ContainsFunc(victims, p.isActive)
+	if !ok || inUse && gain < minEvictionGain*work {
 		return a, 0, false
 	}
-	if p.recent.demand[victim] > 0 {
-		cost += evictCost
+	for _, v := range victims {
+		if p.recent.demand[v] > 0 {
+			cost += evictCost
+		}
 	}
-	a.Unload = victim
+	a.Unload = victims
 	return a, cost, true
 }
 
@@ -270,12 +316,12 @@
 
 // fits reports whether the engine has room for the model.
 func (p *planner) fits(e Engine, m deck.EngineModel) bool {
-	return e.UsedMegabytes+m.Megabytes <= p.spec.WeightMegabytes
+	return m.Megabytes <= p.free[e.ID]
 }
 
 // minEvictionGain is the factor by which the work that an eviction gains for a loaded model must exceed the work that the
-// evicted copy had, because an engine that changes its models takes no other order for seconds. restoreReserve, which loads no
-// model, takes the work of the average engine as the gain.
+// evicted copies had, because an engine that changes its models takes no other order for seconds. The gain of a model that no
+// engine holds, and of restoreReserve, which loads no model, is at least the work of the average engine.
 const minEvictionGain = 2.0
 
 // workWithoutCopy returns the work for each copy if the model had one fewer.
@@ -283,25 +329,6 @@
 	return p.recent.demand[m] / float64(max(1, p.copies[m]-1))
 }
 
-// victim returns the model on the engine with the least work among those allowed to be evicted, and that work.
-func (p *planner) victim(
-	e Engine, allowed func(deck.ModelName) bool, work func(deck.ModelName) float64,
-) (best deck.ModelName, least float64, ok bool) {
-	for v := range e.Models {
-		if !allowed(v) {
-			continue
-		}
-		w := work(v)
-		if p.readyCopies[v] == 1 {
-			w += idleDemand // prefer to evict models that have other copies
-		}
-		if !ok || w < least || w == least && v < best {
-			best, least, ok = v, w, true
-		}
-	}
-	return best, least, ok
-}
-
 // hasSurplusCopy reports whether the model has more copies than it needs. A copy that is still loading does not make up for an
 // evicted one.
 func (p *planner) hasSurplusCopy(m deck.ModelName) bool {
@@ -313,9 +340,10 @@
 	return p.readyCopies[m] > 1 || p.evictable[m]
 }
 
-// restoreReserve unloads surplus copies until enough model slots are free or hold a copy that can be evicted at once.
+// restoreReserve unloads surplus copies until enough memory is free or held by copies that can be evicted at once.
 func (p *planner) restoreReserve() {
-	missing := ReservedSlots(p.spec, len(p.engines)) + p.unreachable - p.freeSlots
+	size := max(p.meanSize, p.unreachableSize)
+	missing := ReservedPlaces(p.spec, p.engines) + p.unreachable - p.freePlaces(size)
 	averageWork := p.averageWork()
 	unloading := 0
 	for _, e := range p.engines {
@@ -327,21 +355,23 @@
 		if missing <= 0 || unloading > len(p.engines)/enginesPerUnload {
 			return
 		}
-		if !e.Available || p.planned[e.ID] || modelSlots(p.spec, p.spec.WeightMegabytes-e.UsedMegabytes) > 0 {
+		if !e.Available || p.planned[e.ID] || p.free[e.ID] >= size {
 			continue
 		}
-		victim, _, ok := p.victim(e, p.hasSurplusCopy, p.workWithoutCopy)
-		if !ok || p.workWithoutCopy(victim)*minEvictionGain > averageWork {
+		victims, work, ok := p.victims(e, size, p.hasSurplusCopy, p.workWithoutCopy)
+		if !ok || work*minEvictionGain > averageWork {
 			continue
 		}
 		missing--
-		if p.recent.demand[victim] < idleDemand {
-			continue // no running requests delay its eviction once the slot is needed
+		if !slices.ContainsFunc(victims, p.isActive) {
+			continue // no running requests delay their eviction once the memory is needed
 		}
 		unloading++
-		p.actions = append(p.actions, Action{Engine: e.ID, Unload: victim})
+		p.actions = append(p.actions, Action{Engine: e.ID, Unload: victims})
 		p.planned[e.ID] = true
-		p.dropCopy(victim, e.ID)
+		for _, v := range victims {
+			p.dropCopy(v, e.ID)
+		}
 	}
 }
 
@@ -366,17 +396,16 @@
 	return p.recent.averageWork(len(p.engines))
 }
 
-// placeSecondCopy uses a free slot for a second copy of a model, but only while there is no demand at all: during a load, an
+// placeSecondCopy uses free memory for a second copy of a model, but only while there is no demand at all: during a load, an
 // engine takes no orders for seconds, not even for adapters of the models in use.
 func (p *planner) placeSecondCopy() {
-	if len(p.actions) > 0 || p.storeLoads <= reservedStoreLoads || p.freeSlots <= p.unreachable ||
-		len(p.engines) == 0 || p.averageWork() > 0 {
+	if len(p.actions) > 0 || p.storeLoads <= reservedStoreLoads || len(p.engines) == 0 || p.averageWork() > 0 {
 		return
 	}
 	heldOrCached := make(map[deck.ModelName]int)
 	for _, e := range p.engines {
 		for _, m := range p.spec.Models {
-			if e.Models[m.Name] || e.Cached[m.Name] {
+			if e.Models[m.Name] || e.Cached[m.Name] || e.Loading == m.Name {
 				heldOrCached[m.Name]++
 			}
 		}
@@ -384,7 +413,7 @@
 	var best deck.EngineModel
 	found := false
 	for _, m := range p.spec.Models {
-		if heldOrCached[m.Name] >= minHeldOrCached || p.skipped[m.Name] {
+		if heldOrCached[m.Name] >= minHeldOrCached || p.skipped[m.Name] || largeEnough(p.engines, m) == 0 {
 			continue
 		}
 		if !found || heldOrCached[m.Name] < heldOrCached[best.Name] ||
@@ -397,7 +426,8 @@
 	}
 }
 
-// secondCopyCandidate returns the action that places a second copy in a free slot of the engine; its cost is the engine's work.
+// secondCopyCandidate returns the action that places a second copy in free memory of the engine; its cost is the engine's work.
 func (p *planner) secondCopyCandidate(e Engine, m deck.EngineModel) (a Action, cost float64, ok bool) {
-	return p.loadAction(e, m), p.recent.work[e.ID], !e.Cached[m.Name] && p.fits(e, m)
+	ok = !e.Cached[m.Name] && p.fits(e, m) && p.leavesRoomForUnreachable(e, m)
+	return p.loadAction(e, m), p.recent.work[e.ID], ok
 }
--- a/internal/place/order/actions.go
+++ b/internal/place/order/actions.go
@@ -68,7 +68,19 @@
 	if !ok {
 		return deck.OrderFenced
 	}
+	spec, _ := c.spec(e.service)
 	c.mu.Lock()
+	if !o.Unload && !e.fits(spec, o) {
+		e.synced = false
+		e.retryAt = time.Now().Add(retryDelay)
+		c.mu.Unlock()
+		c.opts.Log.Info("load not ordered: it would exceed the engine's memory or adapter slots", "engine", string(e.id),
+			"model", string(o.Model), "adapter", string(o.Adapter))
+		return deck.OrderConflict
+	}
+	if !o.Unload && o.Adapter != "" {
+		e.adaptersLoading[deck.AdapterRef{Model: o.Model, Adapter: o.Adapter}] = true
+	}
 	o.ExpectOrdersAccepted, o.LeaseHolder, o.FencingToken = e.ordersAccepted, c.opts.Self, token
 	server := e.server
 	if o.Unload && o.Adapter == "" {
@@ -108,41 +120,43 @@
 // that reports can be read in between.
 func (c *Controller) runAction(ctx context.Context, e *engine, a assign.Action, expected time.Duration) {
 	c.publish() // entry VMs stop sending calls for a model that is about to be unloaded
-	if a.Unload != "" && !c.unloadModel(ctx, e, a) || a.Load != "" && !c.loadModel(ctx, e, a, expected) {
-		c.opts.Log.Info("failed to change the models of an engine as planned", "engine", string(e.id), "unload", string(a.Unload),
+	ok := c.unloadModels(ctx, e, a.Unload)
+	switch {
+	case !ok:
+		c.refund(e, a)
+	case a.Load != "":
+		ok = c.loadModel(ctx, e, a, expected)
+	default:
+		c.awaitCompletion(ctx, e, unloadTime)
+	}
+	if !ok {
+		c.opts.Log.Info("failed to change the models of an engine as planned", "engine", string(e.id), "unload", a.Unload,
 			"load", string(a.Load))
 	}
 	c.mu.Lock()
-	e.loading, e.unloading = "", ""
+	e.loading = ""
+	clear(e.unloading)
 	c.mu.Unlock()
 	c.publish()
 }
 
-// unloadModel unloads a model and reports whether a load may follow. An engine accepts the load at once if the unloaded model
-// has no running requests, and refuses it until they have ended otherwise.
-func (c *Controller) unloadModel(ctx context.Context, e *engine, a assign.Action) bool {
-	outcome := c.sendModelOrder(ctx, e, deck.ModelOrder{Unload: true, Model: a.Unload})
-	if outcome != deck.OrderAccepted && outcome != deck.OrderSatisfied {
-		c.refund(e, a)
-		return false
-	}
-	if a.Load == "" {
-		c.awaitCompletion(ctx, e, unloadTime)
-		return true
+// unloadModels unloads the models one after the other and reports whether the engine has accepted all the orders.
+func (c *Controller) unloadModels(ctx context.Context, e *engine, models []deck.ModelName) bool {
+	for i, m := range models {
+		outcome := c.sendOrderAfter(ctx, e, deck.ModelOrder{Unload: true, Model: m}, i > 0)
+		if outcome != deck.OrderAccepted && outcome != deck.OrderSatisfied {
+			return false
+		}
+		c.mu.Lock()
+		delete(e.models, m)
+		delete(e.unloading, m)
+		c.mu.Unlock()
 	}
-	c.mu.Lock()
-	delete(e.models, a.Unload)
-	e.unloading = ""
-	c.mu.Unlock()
 	return true
 }
 
 func (c *Controller) loadModel(ctx context.Context, e *engine, a assign.Action, expected time.Duration) bool {
-	outcome := c.sendModelOrder(ctx, e, deck.ModelOrder{Model: a.Load})
-	if outcome == deck.OrderConflict && a.Unload != "" {
-		c.awaitCompletion(ctx, e, unloadTime)
-		outcome = c.sendModelOrder(ctx, e, deck.ModelOrder{Model: a.Load})
-	}
+	outcome := c.sendOrderAfter(ctx, e, deck.ModelOrder{Model: a.Load}, len(a.Unload) > 0)
 	if outcome != deck.OrderAccepted {
 		c.mu.Lock()
 		e.synced = false
@@ -156,6 +170,17 @@
 	return true
 }
 
+// sendOrderAfter sends an order for a model, after an unload if afterUnload is set. An engine accepts it at once if the unloaded
+// model has no running requests, and refuses it until they have ended otherwise.
+func (c *Controller) sendOrderAfter(ctx context.Context, e *engine, o deck.ModelOrder, afterUnload bool) deck.OrderOutcome {
+	outcome := c.sendModelOrder(ctx, e, o)
+	if outcome == deck.OrderConflict && afterUnload {
+		c.awaitCompletion(ctx, e, unloadTime)
+		outcome = c.sendModelOrder(ctx, e, o)
+	}
+	return outcome
+}
+
 // refund puts the token for a load from the weight store back into the bucket; the load must be known not to start.
 func (c *Controller) refund(e *engine, a assign.Action) {
 	c.mu.Lock()
--- a/internal/place/order/adapters.go
+++ b/internal/place/order/adapters.go
@@ -99,7 +99,7 @@
 	var best *engine
 	for _, e := range c.engines {
 		adapters, ok := e.models[m]
-		if e.server.Service != s || e.server.Draining || !ok || e.unloading == m {
+		if e.server.Service != s || e.server.Draining || !ok || e.unloading[m] {
 			continue
 		}
 		if _, ok := adapters[a]; a != "" && !ok {
@@ -192,7 +192,7 @@
 			continue
 		}
 		cost := float64(e.usedAdapterSlots() + len(e.sendLock))
-		if e.usedAdapterSlots() >= spec.AdapterSlots {
+		if !e.fitsAdapter(spec, key.model) {
 			if _, found := e.lruAdapter(now); !found {
 				continue
 			}
@@ -212,7 +212,7 @@
 // model refuses it.
 func (e *engine) canLoadAdapter(m deck.ModelName) bool {
 	_, holds := e.models[m]
-	return holds && e.synced && !e.fenced && !e.server.Draining && e.unloading == "" && e.loading == "" &&
+	return holds && e.synced && !e.fenced && !e.server.Draining && len(e.unloading) == 0 && e.loading == "" &&
 		len(e.adaptersLoading) < maxAdapterLoads
 }
 
@@ -248,12 +248,18 @@
 		return false
 	}
 	outcome := c.sendOrder(ctx, e, deck.ModelOrder{Model: key.model, Adapter: key.adapter})
-	if outcome != deck.OrderAccepted && outcome != deck.OrderSatisfied {
-		return false
+	loading := outcome == deck.OrderAccepted || outcome == deck.OrderSatisfied
+	if loading {
+		deck.Sleep(ctx, adapterLoadTime)
 	}
-	deck.Sleep(ctx, adapterLoadTime)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if outcome != deck.OrderUnknown { // an order without an answer may still take its room, until a report shows the outcome
+		delete(e.adaptersLoading, deck.AdapterRef{Model: key.model, Adapter: key.adapter})
+	}
+	if !loading {
+		return false
+	}
 	held, ok := e.models[key.model]
 	if ok {
 		held[key.adapter] = time.Now()
@@ -261,11 +267,11 @@
 	return ok
 }
 
-// makeRoom evicts an adapter if the engine has no free adapter slot, and reports whether there is one now.
+// makeRoom evicts an adapter if the engine has no room for another of the model, and reports whether there is room now.
 func (c *Controller) makeRoom(ctx context.Context, spec deck.EngineSpec, e *engine, m deck.ModelName) bool {
 	c.mu.Lock()
 	ok := e.canLoadAdapter(m)
-	free := e.usedAdapterSlots() < spec.AdapterSlots
+	free := e.fitsAdapter(spec, m)
 	victim, found := e.lruAdapter(time.Now())
 	c.mu.Unlock()
 	if !ok || free {
@@ -285,7 +291,7 @@
 	defer c.mu.Unlock()
 	if outcome == deck.OrderSatisfied {
 		delete(e.adaptersUnloading, a)
-		return true
+		return true // unless the evicted adapter is smaller than the new one, which is checked before the order
 	}
 	return false // the adapter is unloaded once its running requests have ended; a later report shows it
 }
--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -68,6 +68,7 @@
 	engines      map[deck.BackendName]*engine
 	estimators   map[deck.ServiceName]*demandEstimator
 	storeBuckets map[deck.ServiceName]*tokenBucket
+	tooLarge     map[deck.ModelName]bool      // models already logged as too large for any engine
 	placing      map[adapterKey]chan struct{} // closed when the placement has ended
 }
 
@@ -82,7 +83,7 @@
 	return &Controller{
 		opts: opts, done: make(chan struct{}), engines: make(map[deck.BackendName]*engine),
 		estimators: make(map[deck.ServiceName]*demandEstimator), storeBuckets: make(map[deck.ServiceName]*tokenBucket),
-		placing: make(map[adapterKey]chan struct{}),
+		placing: make(map[adapterKey]chan struct{}), tooLarge: make(map[deck.ModelName]bool),
 	}
 }
 
@@ -265,6 +266,7 @@
 		}
 		engines = append(engines, e.snapshot(*s.Engine, now))
 	}
+	c.logTooLarge(s)
 	bucket := c.tokenBucket(s, now)
 	plan := assign.NewPlan(*s.Engine, engines, demand, int(bucket.tokens))
 	c.logPlan(s.Name, engines, plan, now)
@@ -285,6 +287,17 @@
 	return float64(calls) / float64(max(1, slots))
 }
 
+// logTooLarge logs the models that no engine of the service is large enough for, once each; the caller holds the lock.
+func (c *Controller) logTooLarge(s deck.RoutedService) {
+	for _, m := range s.Engine.Models {
+		if m.Megabytes > s.Engine.WeightMegabytes && !c.tooLarge[m.Name] {
+			c.tooLarge[m.Name] = true
+			c.opts.Log.Info("model is larger than the memory of an engine and can't be served", "service", string(s.Name),
+				"model", string(m.Name), "megabytes", m.Megabytes, "engine-megabytes", s.Engine.WeightMegabytes)
+		}
+	}
+}
+
 // logPlan logs the state behind a service's plan, at most once in logPeriod for all services together, so that only the first
 // service to be planned in a period is logged; the caller holds the lock.
 func (c *Controller) logPlan(s deck.ServiceName, engines []assign.Engine, p assign.Plan, now time.Time) {
@@ -303,7 +316,7 @@
 	}
 	c.opts.Log.Info("placement", "service", string(s), "engines", len(engines), "idle", idle, "loading", loading,
 		"fill", c.estimatorOf(s).utilisation, "average-work", int(p.AverageWork), "busiest-work", int(p.BusiestWork),
-		"unreachable-models", p.UnreachableModels, "free-places", p.FreeSlots)
+		"unreachable-models", p.UnreachableModels, "free-places", p.FreePlaces)
 }
 
 // tokenBucket returns the service's refilled token bucket for loads from the weight store; the caller holds the lock.
@@ -335,11 +348,16 @@
 			expected = max(m.DiskLoadTime, m.WarmLoadTime)
 		}
 	}
-	e.unloading, e.loading = a.Unload, a.Load
+	e.loading = a.Load
+	demandUnloaded := 0.0
+	for _, m := range a.Unload {
+		e.unloading[m] = true
+		demandUnloaded += o.Recent[m]
+	}
 	e.readyAt = now.Add(expected)
-	c.opts.Log.Info("changing the models of an engine", "engine", string(a.Engine), "unload", string(a.Unload),
+	c.opts.Log.Info("changing the models of an engine", "engine", string(a.Engine), "unload", a.Unload,
 		"load", string(a.Load), "store", a.FromStore, "demand-now", int(o.Current[a.Load]),
-		"demand-unloaded", int(o.Recent[a.Unload]), "orders-accepted", e.ordersAccepted)
+		"demand-unloaded", int(demandUnloaded), "orders-accepted", e.ordersAccepted)
 	c.start(ctx, func(ctx context.Context) { c.runAction(ctx, e, a, expected) })
 }
 
--- a/internal/place/order/engine.go
+++ b/internal/place/order/engine.go
@@ -10,7 +10,8 @@
 
 // An engine is the controller's knowledge of one incarnation of an engine. Its fields are guarded by the controller's lock.
 type engine struct {
-	id                deck.BackendName // never changes, and may be read without the lock
+	id                deck.BackendName // id and service never change, and may be read without the lock
+	service           deck.ServiceName
 	server            deck.Server
 	sendLock          chan struct{}                                     // capacity 1: at most one order or report at a time
 	refreshing        bool                                              // a report is being read
@@ -20,7 +21,7 @@
 	cached            map[deck.ModelName]bool                           // can be loaded from the engine's memory or disk
 	unloadSent        map[deck.ModelName]bool                           // since the last report; the list may still show them
 	loading           deck.ModelName                                    // empty for none
-	unloading         deck.ModelName                                    // empty for none
+	unloading         map[deck.ModelName]bool                           // about to be unloaded
 	readyAt           time.Time                                         // estimate for the end of the load
 	adaptersLoading   map[deck.AdapterRef]bool
 	adaptersUnloading map[deck.AdapterRef]bool // unloaded once their running requests have ended
@@ -31,7 +32,7 @@
 
 func newEngine(s deck.Server) *engine {
 	return &engine{
-		id: s.ID, server: s, sendLock: make(chan struct{}, 1), models: make(map[deck.ModelName]map[deck.AdapterName]time.Time),
+		id: s.ID, service: s.Service, server: s, unloading: make(map[deck.ModelName]bool), sendLock: make(chan struct{}, 1), models: make(map[deck.ModelName]map[deck.AdapterName]time.Time),
 		unloadSent: make(map[deck.ModelName]bool), cached: make(map[deck.ModelName]bool),
 		adaptersLoading: make(map[deck.AdapterRef]bool), adaptersUnloading: make(map[deck.AdapterRef]bool),
 	}
@@ -106,7 +107,7 @@
 	return n
 }
 
-// usedMegabytes returns the memory of all models and adapters that are held or being loaded.
+// usedMegabytes returns the memory of all models and adapters that are held, being loaded or being unloaded.
 func (e *engine) usedMegabytes(spec deck.EngineSpec) float64 {
 	total := 0.0
 	for name, adapters := range e.models {
@@ -117,17 +118,38 @@
 	if m, ok := spec.Model(e.loading); ok {
 		total += m.Megabytes
 	}
-	for c := range e.adaptersLoading {
-		if m, ok := spec.Model(c.Model); ok {
-			total += m.AdapterMegabytes
+	for _, pending := range []map[deck.AdapterRef]bool{e.adaptersLoading, e.adaptersUnloading} {
+		for a := range pending {
+			if m, ok := spec.Model(a.Model); ok {
+				total += m.AdapterMegabytes
+			}
 		}
 	}
 	return total
 }
 
+// fits reports whether the engine has room for the model or adapter that the order loads.
+func (e *engine) fits(spec deck.EngineSpec, o deck.ModelOrder) bool {
+	if o.Adapter != "" {
+		return e.fitsAdapter(spec, o.Model)
+	}
+	m, ok := spec.Model(o.Model)
+	used := e.usedMegabytes(spec)
+	if e.loading == o.Model {
+		used -= m.Megabytes
+	}
+	return ok && used+m.Megabytes <= spec.WeightMegabytes
+}
+
+// fitsAdapter reports whether the engine has a slot and memory for a further adapter of the model.
+func (e *engine) fitsAdapter(spec deck.EngineSpec, name deck.ModelName) bool {
+	m, ok := spec.Model(name)
+	return ok && e.usedAdapterSlots() < spec.AdapterSlots && e.usedMegabytes(spec)+m.AdapterMegabytes <= spec.WeightMegabytes
+}
+
 // available reports whether an order for a model may be sent to the engine.
 func (e *engine) available(now time.Time) bool {
-	return e.synced && !e.fenced && !e.server.Draining && e.loading == "" && e.unloading == "" &&
+	return e.synced && !e.fenced && !e.server.Draining && e.loading == "" && len(e.unloading) == 0 &&
 		now.After(e.retryAt)
 }
 
@@ -141,11 +163,16 @@
 func (e *engine) snapshot(spec deck.EngineSpec, now time.Time) assign.Engine {
 	v := assign.Engine{
 		ID: e.id, DataCentre: e.server.DataCentre, Available: e.available(now), Models: make(map[deck.ModelName]bool),
-		UsedMegabytes: e.usedMegabytes(spec), Cached: e.cached, Loading: e.loading, Unloading: e.unloading != "" && e.loading == "",
+		CapacityMegabytes: spec.WeightMegabytes, UsedMegabytes: e.usedMegabytes(spec),
+		AdapterMegabytes: make(map[deck.ModelName]float64), Cached: e.cached, Loading: e.loading,
+		Unloading: len(e.unloading) > 0 && e.loading == "",
 	}
-	for m := range e.models {
-		if m != e.unloading {
-			v.Models[m] = true
+	for name, adapters := range e.models {
+		if !e.unloading[name] {
+			v.Models[name] = true
+		}
+		if m, ok := spec.Model(name); ok {
+			v.AdapterMegabytes[name] = float64(len(adapters)) * m.AdapterMegabytes
 		}
 	}
 	return v
@@ -157,7 +184,7 @@
 	s := e.server
 	s.Models = nil
 	for _, h := range sortedModels(e.models) {
-		if h.Name != e.unloading {
+		if !e.unloading[h.Name] {
 			s.Models = append(s.Models, h)
 		}
 	}
