Plan no change of models without demand while the list of engines grows

Cause: at the start the platform lists 0, 4, 8 and then 12 engines within four seconds.

Change: a plan without any demand waits until the list has not grown for the list's lag. The first list of a leader counts as complete.

Shown first: TestEnginesMissingFromListCauseNoEviction fails without the change (2 copies left of 4).

--- a/internal/place/assign/copies.go
+++ b/internal/place/assign/copies.go
@@ -16,6 +16,16 @@
 	Utilisation float64 // calls at the engines divided by their request slots
 }
 
+// IsZero reports whether there has been no demand recently.
+func (e DemandEstimate) IsZero() bool {
+	for _, d := range e.Recent {
+		if d > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 const (
 	// minCopyWork is the least work for each copy that justifies a further copy of a model, in units of the average engine's
 	// work.
--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -64,6 +64,7 @@
 	termSince    time.Time // when the term was first seen
 	hasList      bool      // a list was read in this term
 	loggedAt     time.Time // last log line about the plan
+	listGrewAt   time.Time // when the list last became longer in this term
 	servers      []deck.Server
 	engines      map[deck.BackendName]*engine
 	estimators   map[deck.ServiceName]*demandEstimator
@@ -116,7 +117,7 @@
 		return term, ok
 	}
 	c.opts.Log.Info("leadership of the replicated log changed", "term", term, "before", c.term, "leading", ok)
-	c.term, c.termSince, c.hasList = term, now, false
+	c.term, c.termSince, c.hasList, c.listGrewAt = term, now, false, time.Time{}
 	clear(c.engines)
 	clear(c.storeBuckets)
 	return term, ok
@@ -158,8 +159,11 @@
 
 // applyList updates the engines from the platform's list; the caller holds the lock.
 func (c *Controller) applyList(list []deck.Server) {
-	c.servers, c.hasList = list, true
 	now := time.Now()
+	if c.hasList && len(list) > len(c.servers) {
+		c.listGrewAt = now
+	}
+	c.servers, c.hasList = list, true
 	seen := make(map[deck.BackendName]bool, len(list))
 	for _, s := range list {
 		seen[s.ID] = true
@@ -267,6 +271,9 @@
 		engines = append(engines, e.snapshot(*s.Engine, now))
 	}
 	c.logTooLarge(s)
+	if demand.IsZero() && now.Sub(c.listGrewAt) < listLag {
+		return // models that seem to have no copy may be on engines that the list does not show yet
+	}
 	bucket := c.tokenBucket(s, now)
 	plan := assign.NewPlan(*s.Engine, engines, demand, int(bucket.tokens))
 	c.logPlan(s.Name, engines, plan, now)
--- a/internal/place/order/controller_test.go
+++ b/internal/place/order/controller_test.go
@@ -247,3 +247,26 @@
 		is.Equal(p.copies(model(0)), 1)
 	})
 }
+
+// Load pattern: the platform starts its engines one after the other, with the busiest model on most of them. Guards against an
+// eviction of these copies for models that only engines hold which the list does not show yet.
+func TestEnginesMissingFromListCauseNoEviction(t *testing.T) {
+	is := is.New(t)
+	p := newFakePlatform(t, testSpec(9), 4, 1)
+	for i, id := range []deck.BackendName{"a", "b", "c", "d"} {
+		for _, m := range []int{0, 1 + 2*i, 2 + 2*i} {
+			p.engines[id].models[model(m)] = make(map[deck.AdapterName]bool)
+		}
+	}
+	engines := p.engines
+	p.engines = make(map[deck.BackendName]*fakeEngine)
+	runController(t, p, func(*Controller) {
+		for _, id := range []deck.BackendName{"a", "b", "c", "d"} {
+			<-time.After(800 * time.Millisecond)
+			p.locked(func() { p.engines[id] = engines[id] })
+		}
+		<-time.After(10 * time.Second)
+		is.Equal(p.copies(model(0)), 4)
+		is.Equal(p.ordersSent(), 0)
+	})
+}
