Wait for a slow server if no other can take the call

Cause: a repeatable call without an answer after twice its latency target was cancelled whether or not another server could take it.

Change: the offer is cancelled only once another server can take the call, and the server counts as unreachable only if it has sent nothing since the offer.

Shown first: TestSlowAnswerIsAwaitedWithoutAlternative fails without the change (502 instead of 200).

--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"syscall"
 	"time"
@@ -37,9 +38,13 @@
 	// expect to wait, loading from the store several times that.
 	loadingWaitFactor = 2.0
 
-	// answerTimeoutFactor times the latency target may pass without an answer before a repeatable call is sent to another server.
+	// answerTimeoutFactor times the latency target may pass without an answer before a repeatable call is sent to another server,
+	// if one can take it.
 	answerTimeoutFactor = 2.0
 
+	// answerCheckInterval is the time between two searches for another server after that.
+	answerCheckInterval = 200 * time.Millisecond
+
 	// nonRepeatableMaxIdle is the longest idle time of a connection that is reused for a call which must not run twice: if the
 	// backend server had dropped the connection, it would be unknown whether the call ran.
 	nonRepeatableMaxIdle = 1 * time.Second
@@ -84,6 +89,7 @@
 	interruptedAt      time.Time       // when the stream to the caller was last interrupted; zero if never
 	lastEventID        string          // of the last event that the caller has received
 	server             deck.Server     // of the last offer
+	sentAt             time.Time       // of the last offer
 	firstByte          time.Duration   // from the start to the first byte of the answer; 0 if there was none
 	maxGap             time.Duration   // the longest pause between two events
 	fallback           *bufferedAnswer // a server's error that is relayed if no other server succeeds
@@ -259,7 +265,7 @@
 		c.h.Budget.RecordCall(now, c.service)
 	}
 	c.offers++
-	c.server = s
+	c.server, c.sentAt = s, now
 	c.requirements.Tried[s.ID] = true
 	c.h.Balancer.RecordCallStart(s.ID)
 	c.h.Balancer.RecordPrompt(s.ID, c.requirements)
@@ -274,25 +280,46 @@
 
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	defer cancel(nil)
-	answerTimer := c.startAnswerTimer(cancel)
+	stopWatch := c.watchAnswer(ctx, cancel)
 	ex, err := c.h.Client.Do(ctx, s.Address, c.backendRequest(s, remaining))
-	if answerTimer != nil {
-		answerTimer.Stop()
-	}
+	stopWatch()
 	if err != nil {
 		return c.handleSendError(s, err)
 	}
 	return c.handleAnswer(ctx, s, ex)
 }
 
-// startAnswerTimer starts a timer that cancels the offer if no answer arrives in time; it returns nil if the call may not be
-// sent to another server.
-func (c *callRun) startAnswerTimer(cancel context.CancelCauseFunc) *time.Timer {
+// watchAnswer cancels the offer if no answer arrives in time and another server can take the call. Without one, the server may be
+// slow but sound. The returned function ends the watch.
+func (c *callRun) watchAnswer(ctx context.Context, cancel context.CancelCauseFunc) (stop func()) {
 	if !c.route.Repeatable() || c.possibleRuns+1 >= c.route.MaxAttempts || c.route.LatencyTarget <= 0 {
-		return nil
+		return func() {}
+	}
+	ctx, stop = context.WithCancel(ctx)
+	hasAlternative := c.alternativeFinder()
+	var check func()
+	check = func() {
+		switch {
+		case ctx.Err() != nil:
+		case hasAlternative():
+			cancel(errNoAnswer)
+		default:
+			time.AfterFunc(answerCheckInterval, check)
+		}
+	}
+	time.AfterFunc(time.Duration(answerTimeoutFactor*float64(c.route.LatencyTarget)), check)
+	return stop
+}
+
+// alternativeFinder returns a function that reports whether a server that the call has not been sent to can take it now. The
+// function may run concurrently with the call, so it uses copies of the call's state.
+func (c *callRun) alternativeFinder() func() bool {
+	requirements := c.requirements
+	requirements.Tried = maps.Clone(c.requirements.Tried)
+	return func() bool {
+		_, result := c.h.Balancer.Pick(time.Now(), requirements)
+		return result == balance.Chosen
 	}
-	limit := time.Duration(answerTimeoutFactor * float64(c.route.LatencyTarget))
-	return time.AfterFunc(limit, func() { cancel(errNoAnswer) })
 }
 
 func (c *callRun) backendRequest(s deck.Server, remaining time.Duration) *http1.Request {
@@ -325,7 +352,9 @@
 	if callerEnded {
 		return failed
 	}
-	c.h.Balancer.RecordUnreachable(now, s.ID)
+	if !errors.Is(err, errNoAnswer) || !c.h.Balancer.HasAnsweredSince(s.ID, c.sentAt) {
+		c.h.Balancer.RecordUnreachable(now, s.ID)
+	}
 	if closedByServer(err) {
 		c.h.Balancer.RecordBrokenConnection(s.ID)
 	}
--- a/internal/api/ingress/handler_test.go
+++ b/internal/api/ingress/handler_test.go
@@ -218,6 +218,20 @@
 	is.Equal(res.body, events(1, 2))
 }
 
+// Load pattern: the only engine that holds a model has more calls than it answers in time. Guards against cancelling a call that
+// no other engine can take, after which the engine also counts as unreachable for the calls behind it.
+func TestSlowAnswerIsAwaitedWithoutAlternative(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, stream(true), newBackend(t, "b1", func(c net.Conn, r *http.Request) bool {
+		<-time.After(900 * time.Millisecond) // several times the latency target
+		return reply(c, r, "200 OK", streamHead, chunk(events(1, 2))+"0\r\n\r\n")
+	}))
+	res := h.call(t, http.MethodPost, "/p/x", "")
+	is.NoErr(res.err)
+	is.Equal(res.status, http.StatusOK)
+	is.Equal(res.body, events(1, 2))
+}
+
 func TestAnswerWithoutLengthIsRelayed(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(t, once(), newBackend(t, "b1", func(c net.Conn, r *http.Request) bool {
--- a/internal/api/ingress/relay.go
+++ b/internal/api/ingress/relay.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"io"
-	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -13,7 +12,6 @@
 
 	"github.com/geraniumdeck/geraniumdeck/internal/backend/http1"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
-	"github.com/geraniumdeck/geraniumdeck/internal/route/balance"
 )
 
 const (
@@ -232,16 +230,12 @@
 }
 
 // abortOnStall returns the function that the stall timer runs: it aborts the exchange if another server can continue the stream.
-// A pause alone does not end an answer. The function runs concurrently with the call, so it uses copies of the call's state.
+// A pause alone does not end an answer.
 func (c *callRun) abortOnStall(ex *http1.Exchange) func() {
 	resumable := c.retryResult() == tryAnother
-	requirements := c.requirements
-	requirements.Tried = maps.Clone(c.requirements.Tried)
+	hasAlternative := c.alternativeFinder()
 	return func() {
-		if !resumable {
-			return
-		}
-		if _, result := c.h.Balancer.Pick(time.Now(), requirements); result == balance.Chosen {
+		if resumable && hasAlternative() {
 			ex.Abort()
 		}
 	}
--- a/internal/route/balance/balancer.go
+++ b/internal/route/balance/balancer.go
@@ -46,6 +46,7 @@
 	load           deck.ServerLoad
 	loadAt         time.Time // when the load was recorded; zero if there is none
 	selfReportedAt time.Time // when the server last reported its load itself; zero if it never has
+	answeredAt     time.Time // when the server last sent an event or an answer of its own; zero if it never has
 	inFlightAtLoad int       // this VM's calls that the load includes
 
 	inFlightReported int // this VM's calls in its last report to the control leader
@@ -161,6 +162,7 @@
 	b.update(id, func(s *serverState) {
 		s.failures.add(now, failed)
 		if !failed {
+			s.answeredAt = now
 			b.answered[id] = true
 			delete(b.brokeConnection, id)
 			s.backoff, s.downUntil = 0, time.Time{}
@@ -171,10 +173,20 @@
 // RecordEventGap records the gap between two events of a stream. target is the longest gap that the stream's route allows; 0 for
 // no limit.
 func (b *Balancer) RecordEventGap(now time.Time, id deck.BackendName, gap, target time.Duration) {
-	if target <= 0 {
-		return
-	}
-	b.update(id, func(s *serverState) { s.gap.add(now, gap.Seconds()/target.Seconds()) })
+	b.update(id, func(s *serverState) {
+		s.answeredAt = now
+		if target > 0 {
+			s.gap.add(now, gap.Seconds()/target.Seconds())
+		}
+	})
+}
+
+// HasAnsweredSince reports whether the server has sent this VM an event or an answer since the given time.
+func (b *Balancer) HasAnsweredSince(id deck.BackendName, t time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.servers[id]
+	return s != nil && s.answeredAt.After(t)
 }
 
 // RecordUnreachable records that the server could not be reached or broke a connection, and backs off from it.
