Let idle models make way also where streams are late

Cause: the last copy of an idle model could make way only while calls took 0.35 of the request slots.

Change: entry VMs report ended and late streams with the demand; a share of a tenth late streams counts as crowding, too. Reports of demand no longer name adapters, which nobody read.

--- a/internal/api/ingress/demand.go
+++ b/internal/api/ingress/demand.go
@@ -6,19 +6,18 @@
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 )
 
-// A DemandCounter counts the tokens that callers requested of models since the last report, and the adapters in use; its zero
+// A DemandCounter counts the work that callers requested of models since the last report, and the adapters in use; its zero
 // value is empty.
 type DemandCounter struct {
 	mu          sync.Mutex
-	tokens      map[DemandKey]int
+	models      map[modelKey]*deck.CallDemand
 	adapterUses map[deck.AdapterUse]int
 }
 
-// A DemandKey identifies a model or adapter of a service.
-type DemandKey struct {
-	Service deck.ServiceName
-	Model   deck.ModelName
-	Adapter deck.AdapterName
+// A modelKey identifies a model of a service.
+type modelKey struct {
+	service deck.ServiceName
+	model   deck.ModelName
 }
 
 // expectedOutputShare is the average share of a call's maximum tokens that is generated.
@@ -28,18 +27,41 @@
 func (d *DemandCounter) RecordCall(s deck.ServiceName, c deck.Call) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.tokens == nil {
-		d.tokens = make(map[DemandKey]int)
+	d.model(s, c.Model).Tokens += max(1, c.PromptTokens+int(expectedOutputShare*float64(c.MaxTokens)))
+}
+
+// RecordStream counts a stream that has ended, and whether it was late.
+func (d *DemandCounter) RecordStream(s deck.ServiceName, m deck.ModelName, late bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	demand := d.model(s, m)
+	demand.Streams++
+	if late {
+		demand.LateStreams++
 	}
-	d.tokens[DemandKey{s, c.Model, c.Adapter}] += max(1, c.PromptTokens+int(expectedOutputShare*float64(c.MaxTokens)))
 }
 
-// Take returns the tokens counted since the last call by model and adapter, and resets them.
-func (d *DemandCounter) Take() map[DemandKey]int {
+// model returns the counts of the model; the caller holds the lock.
+func (d *DemandCounter) model(s deck.ServiceName, m deck.ModelName) *deck.CallDemand {
+	if d.models == nil {
+		d.models = make(map[modelKey]*deck.CallDemand)
+	}
+	key := modelKey{s, m}
+	if d.models[key] == nil {
+		d.models[key] = &deck.CallDemand{Service: s, Model: m}
+	}
+	return d.models[key]
+}
+
+// Take returns what was counted for each model since the last call, and resets it.
+func (d *DemandCounter) Take() []deck.CallDemand {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := d.tokens
-	d.tokens = nil
+	var out []deck.CallDemand
+	for _, demand := range d.models {
+		out = append(out, *demand)
+	}
+	d.models = nil
 	return out
 }
 
--- a/internal/api/ingress/handler_test.go
+++ b/internal/api/ingress/handler_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/geraniumdeck/geraniumdeck/internal/api/ingress"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/route/table"
 )
 
 func itoa(n int) string { return strconv.Itoa(n) }
@@ -232,6 +233,34 @@
 	is.Equal(res.body, events(1, 2))
 }
 
+// Guards against streams with a pause beyond the target of their route that the placement takes for served in time.
+func TestLateStreamsAreCounted(t *testing.T) {
+	is := is.New(t)
+	routes := stream(true)
+	routes[0].EventGapTarget = 100 * time.Millisecond
+	pause := time.Duration(0)
+	b := newBackend(t, "b1", func(c net.Conn, r *http.Request) bool {
+		reply(c, r, "200 OK", streamHead, chunk(events(1, 1)))
+		<-time.After(pause)
+		_, err := io.WriteString(c, chunk(events(2, 2))+"0\r\n\r\n")
+		return err == nil
+	})
+	h := newHarness(t, routes, b)
+	h.handler.SetRoutes(table.New(&deck.RoutingConfig{
+		Routes: routes, Services: []deck.RoutedService{{Name: "svc", Engine: &deck.EngineSpec{}}},
+	}))
+	h.balancer.SetServers(time.Now(), []deck.Server{
+		{ID: b.id, Service: "svc", Address: b.addr, Slots: 8, Models: []deck.HeldModel{{Name: "m1"}}},
+	})
+	for _, pause = range []time.Duration{0, 250 * time.Millisecond} {
+		is.NoErr(h.call(t, http.MethodPost, "/p/x?model=m1", "").err)
+	}
+	counted := h.handler.Demand.Take()
+	is.Equal(len(counted), 1)
+	is.Equal(counted[0].Streams, 2)
+	is.Equal(counted[0].LateStreams, 1)
+}
+
 func TestAnswerWithoutLengthIsRelayed(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(t, once(), newBackend(t, "b1", func(c net.Conn, r *http.Request) bool {
--- a/internal/api/ingress/harness_test.go
+++ b/internal/api/ingress/harness_test.go
@@ -212,6 +212,7 @@
 	ms, err := strconv.Atoi(r.Header.Get("Call-Deadline-Ms"))
 	return deck.Call{
 		ID: deck.RequestID(r.Header.Get("Call-Id")), Timeout: time.Duration(ms) * time.Millisecond,
+		Model: deck.ModelName(r.URL.Query().Get("model")),
 	}, err
 }
 
--- a/internal/api/ingress/relay.go
+++ b/internal/api/ingress/relay.go
@@ -154,6 +154,7 @@
 // complete one.
 func (c *callRun) relayStream(s deck.Server, ex *http1.Exchange) offerResult {
 	c.possibleRuns++
+	defer c.countStream()
 	stallLimit := max(c.h.minStall(), c.route.LatencyTarget)
 	stallTimer := time.AfterFunc(stallLimit, c.abortOnStall(ex))
 	defer stallTimer.Stop()
@@ -208,6 +209,16 @@
 	}
 }
 
+// countStream counts an ended stream of a model, for the decision of how many copies the models need.
+func (c *callRun) countStream() {
+	if c.requirements.Model == "" {
+		return
+	}
+	late := c.route.LatencyTarget > 0 && c.firstByte > c.route.LatencyTarget ||
+		c.route.EventGapTarget > 0 && c.maxGap > c.route.EventGapTarget
+	c.h.Demand.RecordStream(c.service, c.requirements.Model, late)
+}
+
 func (c *callRun) handleStreamError(s deck.Server, err error) offerResult {
 	c.logFailedOffer(s, "stream interrupted: "+err.Error(), "last-event", c.lastEventID)
 	if c.ctx.Err() != nil {
--- a/internal/api/peer/viewwire.go
+++ b/internal/api/peer/viewwire.go
@@ -27,8 +27,10 @@
 type callDemandJSON struct {
 	Service string `json:"service"`
 	Model   string `json:"model"`
-	Adapter string `json:"adapter,omitempty"`
 	Tokens  int    `json:"tokens"`
+
+	Streams int `json:"streams,omitempty"`
+	Late    int `json:"late,omitempty"`
 }
 
 type adapterUseJSON struct {
@@ -89,7 +91,9 @@
 		Broke: toStrings(r.BrokenConnections), Answered: toStrings(r.Answered),
 	}
 	for _, d := range r.Demand {
-		w.Demand = append(w.Demand, callDemandJSON{string(d.Service), string(d.Model), string(d.Adapter), d.Tokens})
+		w.Demand = append(w.Demand, callDemandJSON{
+			string(d.Service), string(d.Model), d.Tokens, d.Streams, d.LateStreams,
+		})
 	}
 	for _, a := range r.AdaptersInUse {
 		w.Running = append(w.Running, adapterUseJSON{string(a.Server), string(a.Model), string(a.Adapter)})
@@ -106,8 +110,8 @@
 	}
 	for _, d := range w.Demand {
 		r.Demand = append(r.Demand, deck.CallDemand{
-			Service: deck.ServiceName(d.Service), Model: deck.ModelName(d.Model), Adapter: deck.AdapterName(d.Adapter),
-			Tokens: d.Tokens,
+			Service: deck.ServiceName(d.Service), Model: deck.ModelName(d.Model), Tokens: d.Tokens,
+			Streams: d.Streams, LateStreams: d.Late,
 		})
 	}
 	for _, a := range w.Running {
--- a/internal/command/node/entry.go
+++ b/internal/command/node/entry.go
@@ -142,9 +142,7 @@
 // fillReport adds demand, running adapters, calls in flight, crashes and connection events to a request to the control
 // leader.
 func (e *entryVM) fillReport(r *deck.ViewRequest) {
-	for k, n := range e.handler.Demand.Take() {
-		r.Demand = append(r.Demand, deck.CallDemand{Service: k.Service, Model: k.Model, Adapter: k.Adapter, Tokens: n})
-	}
+	r.Demand = e.handler.Demand.Take()
 	r.AdaptersInUse = e.handler.Demand.AdaptersInUse()
 	r.CallsInFlight = e.balancer.ReportInFlight()
 	r.Crashes = e.handler.Poison.TakeCrashes()
--- a/internal/core/deck/view.go
+++ b/internal/core/deck/view.go
@@ -39,12 +39,13 @@
 	AdapterRef
 }
 
-// A CallDemand is the work that callers requested from a model or adapter since the last report.
+// A CallDemand is the work that callers requested from a model since the last report, and how many of its streams were late.
 type CallDemand struct {
-	Service ServiceName
-	Model   ModelName
-	Adapter AdapterName
-	Tokens  int // upper limit of the tokens that the calls generate
+	Service     ServiceName
+	Model       ModelName
+	Tokens      int // that engines are expected to read and generate for the calls
+	Streams     int // that ended
+	LateStreams int // of these, with a first event or a gap between events that exceeded its target
 }
 
 // A Crash reports that a backend server broke its connection while it had a request.
--- a/internal/place/assign/assign_test.go
+++ b/internal/place/assign/assign_test.go
@@ -237,6 +237,26 @@
 	}
 }
 
+// Load pattern: streams of the busy models pause for too long on engines that have most of their request slots free. Guards against
+// a measure of crowding by slots alone, with which idle models hold the memory for further copies.
+func TestIdleModelsAreEvictedWhereStreamsAreLate(t *testing.T) {
+	is := is.New(t)
+	s := spec(12)
+	engines := []assign.Engine{
+		engine("a", 0, 1, 2), engine("b", 3, 4, 5), engine("c", 6, 7, 8), engine("d", 9, 10, 11),
+	}
+	for i := range engines {
+		for m := 3; m < 12; m++ {
+			engines[i].Cached[name(m)] = true
+		}
+	}
+	demand := assign.Demand{name(0): 900, name(1): 600, name(2): 60}
+	est := assign.DemandEstimate{Current: demand, Recent: demand, Utilisation: 0.1, LateShare: 0.2}
+	engines = settle(t, s, engines, est)
+	is.True(copies(engines)[name(0)] > 1)
+	is.True(busiest(engines, demand) <= 1.5)
+}
+
 func TestLastCopyIsKeptIfNotCached(t *testing.T) {
 	is := is.New(t)
 	s := spec(6)
--- a/internal/place/assign/copies.go
+++ b/internal/place/assign/copies.go
@@ -14,6 +14,7 @@
 	Current     Demand
 	Recent      Demand
 	Utilisation float64 // calls at the engines divided by their request slots
+	LateShare   float64 // share of streams with a first event or a gap between events that exceeded its target
 }
 
 // IsZero reports whether there has been no demand recently.
@@ -77,21 +78,25 @@
 // evicted.
 const minCachedCopies = 2
 
-// minEvictUtilisation is the utilisation from which on the last copy of an idle model may be evicted. Below it, the engines
-// that already hold the busy models have request slots free, and further copies of these would serve fewer callers than the
-// last copies of idle models.
-const minEvictUtilisation = 0.35
+// The last copy of an idle model may be evicted from either value on. Below both, the engines that already hold the busy models
+// serve their callers in time, and further copies of these would serve fewer callers than the last copies of idle models. Engines
+// with many slots are short of processing time long before they are short of slots.
+const (
+	minEvictUtilisation = 0.35
+	minEvictLateShare   = 0.1
+)
 
 // evictableModels returns the idle models that need no loaded copy while there is other work, since at least minCachedCopies
 // engines can load them within a second, and the models that no engine is large enough for.
 func evictableModels(spec deck.EngineSpec, engines []Engine, o DemandEstimate) map[deck.ModelName]bool {
 	evictable := make(map[deck.ModelName]bool)
+	crowded := o.Utilisation >= minEvictUtilisation || o.LateShare >= minEvictLateShare
 	for _, m := range spec.Models {
 		if largeEnough(engines, m) == 0 {
 			evictable[m.Name] = true
 			continue
 		}
-		if o.Utilisation < minEvictUtilisation || o.Recent[m.Name] >= idleDemand || o.Current[m.Name] >= idleDemand {
+		if !crowded || o.Recent[m.Name] >= idleDemand || o.Current[m.Name] >= idleDemand {
 			continue
 		}
 		cached := 0
--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -210,6 +210,7 @@
 	defer c.mu.Unlock()
 	for _, d := range r.Demand {
 		c.estimatorOf(d.Service).recordDemand(now, d.Model, float64(d.Tokens))
+		c.estimatorOf(d.Service).recordStreams(now, d.Streams, d.LateStreams)
 	}
 	for _, use := range r.AdaptersInUse {
 		e := c.engines[use.Server]
@@ -322,7 +323,7 @@
 		}
 	}
 	c.opts.Log.Info("placement", "service", string(s), "engines", len(engines), "idle", idle, "loading", loading,
-		"fill", c.estimatorOf(s).utilisation, "average-work", int(p.AverageWork), "busiest-work", int(p.BusiestWork),
+		"fill", c.estimatorOf(s).utilisation, "late-share", c.estimatorOf(s).lateShare(now), "average-work", int(p.AverageWork), "busiest-work", int(p.BusiestWork),
 		"unreachable-models", p.UnreachableModels, "free-places", p.FreePlaces)
 }
 
--- a/internal/place/order/controller_test.go
+++ b/internal/place/order/controller_test.go
@@ -151,6 +151,30 @@
 	}
 }
 
+// Guards against a few late streams that count as crowding, and against lateness that is never forgotten.
+func TestLateShareFollowsReportedStreams(t *testing.T) {
+	is := is.New(t)
+	p := newFakePlatform(t, testSpec(1), 1, 1)
+	runController(t, p, func(c *Controller) {
+		share := func() float64 {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return c.estimatorOf("llm").lateShare(time.Now())
+		}
+		report := func(streams, late int) {
+			c.RecordReport(deck.ViewRequest{Demand: []deck.CallDemand{{
+				Service: "llm", Model: model(0), Streams: streams, LateStreams: late,
+			}}})
+		}
+		report(1, 1)
+		is.True(share() < 0.05)
+		report(200, 100)
+		is.True(share() > 0.4)
+		<-time.After(time.Minute)
+		is.True(share() < 0.05)
+	})
+}
+
 func TestConcurrentCallersShareOneAdapterLoad(t *testing.T) {
 	is := is.New(t)
 	p := newFakePlatform(t, testSpec(1), 1, 1)
--- a/internal/place/order/demand.go
+++ b/internal/place/order/demand.go
@@ -13,6 +13,26 @@
 	models        map[deck.ModelName]*modelDemand
 	utilisation   float64 // calls at the engines divided by their request slots; it rises quickly and falls slowly
 	utilisationAt time.Time
+
+	streams, lateStreams float64 // recent, decaying
+	streamsAt            time.Time
+}
+
+// priorStreams is how many streams in time are added to the recent ones, so that a few late ones don't count as crowding.
+const priorStreams = 20.0
+
+// recordStreams records ended streams and how many of them were late.
+func (d *demandEstimator) recordStreams(now time.Time, streams, late int) {
+	w := deck.Decay(now.Sub(d.streamsAt), fallTimeConstant)
+	d.streams = w*d.streams + float64(streams)
+	d.lateStreams = w*d.lateStreams + float64(late)
+	d.streamsAt = now
+}
+
+// lateShare returns the recent share of streams that were late.
+func (d *demandEstimator) lateShare(now time.Time) float64 {
+	w := deck.Decay(now.Sub(d.streamsAt), fallTimeConstant)
+	return w * d.lateStreams / (w*d.streams + priorStreams)
 }
 
 // recordUtilisation records the calls at all engines divided by their request slots.
@@ -50,6 +70,7 @@
 func (d *demandEstimator) estimate(now time.Time) assign.DemandEstimate {
 	o := assign.DemandEstimate{
 		Current: make(assign.Demand, len(d.models)), Recent: make(assign.Demand, len(d.models)), Utilisation: d.utilisation,
+		LateShare: d.lateShare(now),
 	}
 	for m, e := range d.models {
 		e.decay(now)
