--- a/internal/state/hub/subscriber.go
+++ b/internal/state/hub/subscriber.go
@@ -13,14 +13,11 @@
 )
 
 const (
-	minPollWait        = 500 * time.Millisecond // minimum time that the leader holds a request if nothing changes
-	leaderRequestRate  = 240.0                  // requests per second that all entry VMs together send to the leader
-	answerMargin       = 600 * time.Millisecond // added to the wait: a round trip between regions, with a margin for a slow VM
-	searchInterval     = 100 * time.Millisecond // between requests to VMs that do not lead
-	searchTimeout      = 400 * time.Millisecond // timeout of a request to a VM that is not known to lead
-	staleAfter         = 2 * time.Second        // without an answer of a leader for this time, the platform's list is read
-	staleCheckInterval = 200 * time.Millisecond
-	fallbackInterval   = 1 * time.Second // between two reads of the platform's list
+	minPollWait       = 500 * time.Millisecond // minimum time that the leader holds a request if nothing changes
+	leaderRequestRate = 240.0                  // requests per second that all entry VMs together send to the leader
+	answerMargin      = 600 * time.Millisecond // added to the wait: a round trip between regions, with a margin for a slow VM
+	searchInterval    = 100 * time.Millisecond // between requests to VMs that do not lead
+	searchTimeout     = 400 * time.Millisecond // timeout of a request to a VM that is not known to lead
 
 	// acceptStaleAfter is how long a process that never had an answer of a leader waits before it accepts a document from
 	// a replica that may be behind although it knows a leader.
@@ -56,11 +53,11 @@
 	doc               deck.RoutingDocument // the document in force
 	viewVersion       deck.ViewVersion
 	servers           map[deck.BackendName]deck.Server
+	entryVMs          int // entry VMs that ask the leader; 0 if unknown
 
 	members     []deck.VMName
 	started     time.Time
 	targetIndex int
-	entryVMs    int // entry VMs that ask the leader
 }
 
 // NewSubscriber returns a subscriber that is ready to run.
@@ -112,30 +109,10 @@
 	return nil
 }
 
-// RunDirect reads the platform's list of backend servers while no leader answers, until ctx ends.
-func (s *Subscriber) RunDirect(ctx context.Context) error {
-	var last time.Time
-	for ctx.Err() == nil {
-		deck.Sleep(ctx, staleCheckInterval)
-		s.mu.Lock()
-		stale := time.Since(s.lastLeaderContact) > staleAfter
-		s.mu.Unlock()
-		if !stale || time.Since(last) < fallbackInterval {
-			continue
-		}
-		last = time.Now()
-		list, err := s.o.List.ListServers(ctx)
-		if err != nil {
-			s.o.Logger.Info("platform's list of backend servers could not be read", "reason", err.Error())
-			continue
-		}
-		s.replaceServers(list)
-	}
-	return nil
-}
-
 // pollWait returns how long the leader may hold a request, so that all entry VMs together keep to leaderRequestRate.
 func (s *Subscriber) pollWait() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	return max(minPollWait, time.Duration(float64(s.entryVMs)/leaderRequestRate*float64(time.Second)))
 }
 
@@ -202,12 +179,11 @@
 		s.leader = from
 		s.o.Logger.Info("leader found", "leader", string(from), "config", s.doc.Version)
 	}
-	s.lastLeaderContact = time.Now()
+	s.lastLeaderContact, s.entryVMs = time.Now(), a.EntryVMCount
 	s.mu.Unlock()
 	if a.Config != nil {
 		s.installDocument(*a.Config)
 	}
-	s.entryVMs = a.EntryVMCount
 	s.o.VMs(a.EntryVMCount)
 	s.o.Crashes(a.Crashes)
 	s.applyServers(a)
