Bound what a backend server in trouble may send, and count events as progress

Causes, each seen in a test that fails without the change: - The head of a response had no bound, nor had interim responses before it: a server that sends either without end took the memory of the entry VM (the test runs out of 8 GB). Now 64 KiB; the connection ends and the outcome is unknown. - An event had no bound. Now 256 KiB; the stream counts as broken. - Comments and blank lines counted as progress, so that a stalled stream never moved to another engine, nor was its gap seen. - An answer without length or chunks that ended within an event reached the caller as complete.

Bodies are unaffected: other answers are buffered up to 256 KiB and then relayed within the caller's time.

--- a/internal/api/ingress/events.go
+++ b/internal/api/ingress/events.go
@@ -8,7 +8,12 @@
 	"strconv"
 )
 
-const eventBufferBytes = 2 << 10 // an event has a few hundred bytes
+const (
+	eventBufferBytes = 2 << 10   // an event has a few hundred bytes
+	maxEventBytes    = 256 << 10 // a stream with a longer event, or one without end, counts as broken
+)
+
+var errEventTooLarge = errors.New("event is too large")
 
 // An eventReader reads whole server-sent events and returns their bytes unchanged.
 type eventReader struct {
@@ -17,6 +22,7 @@
 	lastID      string // of the last event returned
 	event       bytes.Buffer
 	id          string
+	fields      bool // the block that next returned has a field, so it is an event
 }
 
 // newEventReader returns a reader that skips events up to and including the given id.
@@ -28,13 +34,16 @@
 	return &eventReader{reader: bufio.NewReaderSize(r, eventBufferBytes), skipThrough: skipThrough, lastID: lastID}
 }
 
-// next returns the next event with its blank line. At the end of the stream it returns the remaining bytes with io.EOF; before
-// any other error a partial event is dropped.
+// next returns the next event with its blank line, or a block of comments and blank lines, which fields reports as no event. At the
+// end of the stream it returns the remaining bytes with io.EOF; before any other error a partial event is dropped.
 func (e *eventReader) next() ([]byte, error) {
 	e.event.Reset()
-	e.id = ""
+	e.id, e.fields = "", false
 	for {
 		line, err := e.reader.ReadSlice('\n')
+		if e.event.Len()+len(line) > maxEventBytes {
+			return nil, errEventTooLarge
+		}
 		e.event.Write(line)
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
@@ -50,6 +59,7 @@
 			if id, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 				e.id = string(bytes.TrimSpace(id))
 			}
+			e.fields = e.fields || text[0] != ':'
 			continue
 		}
 		if !e.delivered() {
@@ -59,7 +69,7 @@
 			return e.event.Bytes(), nil
 		}
 		e.event.Reset()
-		e.id = ""
+		e.id, e.fields = "", false
 	}
 }
 
--- a/internal/api/ingress/handler_test.go
+++ b/internal/api/ingress/handler_test.go
@@ -171,6 +171,64 @@
 	is.Equal(res.body, events(1, 2))
 }
 
+// Guards against an event without end that takes this VM's memory.
+func TestEventWithoutEndBreaksStream(t *testing.T) {
+	is := is.New(t)
+	sent := make(chan int, 1)
+	h := newHarness(t, stream(false), newBackend(t, "b1", func(c net.Conn, r *http.Request) bool {
+		reply(c, r, "200 OK", streamHead, chunk(events(1, 1)))
+		block := chunk(strings.Repeat("x", 64<<10))
+		for total := 0; ; {
+			n, err := io.WriteString(c, block)
+			total += n
+			if err != nil {
+				sent <- total
+				return false
+			}
+		}
+	}))
+	res := h.call(t, http.MethodPost, "/p/x", "")
+	is.True(res.err != nil)
+	is.Equal(res.body, events(1, 1))
+	is.True(<-sent < 32<<20) // the rest is in the sockets' buffers
+}
+
+// Guards against an answer without a length that ends within an event and looks complete to the caller.
+func TestStreamThatEndsWithinEventIsBroken(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, stream(false), newBackend(t, "b1", func(c net.Conn, r *http.Request) bool {
+		reply(c, r, "200 OK", "Content-Type: text/event-stream\r\nConnection: close\r\n", events(1, 2)+"id: 3\ndata: ev")
+		return false
+	}))
+	res := h.call(t, http.MethodPost, "/p/x", "")
+	is.True(res.err != nil)
+	is.Equal(res.body, events(1, 2))
+}
+
+// Guards against a stalled stream that never ends because its engine sends comments or blank lines now and then.
+func TestStreamWithoutEventsMovesToAnotherServer(t *testing.T) {
+	for _, filler := range []string{": still here\n\n", "\n", ":\n"} {
+		is := is.New(t)
+		second := newBackend(t, "b2", func(c net.Conn, r *http.Request) bool {
+			return reply(c, r, "200 OK", streamHead, chunk(events(2, 3))+"0\r\n\r\n")
+		})
+		first := newBackend(t, "b1", func(c net.Conn, r *http.Request) bool {
+			ok := reply(c, r, "200 OK", streamHead, chunk(events(1, 1)))
+			for ok {
+				<-time.After(20 * time.Millisecond)
+				_, err := io.WriteString(c, chunk(filler))
+				ok = err == nil
+			}
+			return false
+		})
+		h := newHarness(t, stream(true), first, second)
+		h.handler.MinStall = time.Millisecond
+		res := h.call(t, http.MethodPost, "/p/x", "")
+		is.NoErr(res.err)
+		is.True(strings.HasSuffix(res.body, events(2, 3)))
+	}
+}
+
 func TestResumableStreamContinuesOnAnotherServer(t *testing.T) {
 	is := is.New(t)
 	second := newBackend(t, "b2", func(c net.Conn, r *http.Request) bool {
--- a/internal/api/ingress/relay.go
+++ b/internal/api/ingress/relay.go
@@ -170,10 +170,16 @@
 	for {
 		data, err := events.next()
 		now := time.Now()
-		c.maxGap = max(c.maxGap, now.Sub(lastRead))
-		c.h.Balancer.RecordEventGap(now, s.ID, now.Sub(lastRead), c.route.EventGapTarget)
-		lastRead = now
-		stallTimer.Reset(stallLimit)
+		if events.fields || err != nil { // comments and blank lines are no progress
+			c.maxGap = max(c.maxGap, now.Sub(lastRead))
+			c.h.Balancer.RecordEventGap(now, s.ID, now.Sub(lastRead), c.route.EventGapTarget)
+			lastRead = now
+			stallTimer.Reset(stallLimit)
+		}
+		if errors.Is(err, io.EOF) && len(data) > 0 && endsWithConnection(ex.Response) {
+			err = io.ErrUnexpectedEOF // the connection ended within an event
+			data = nil
+		}
 		if len(data) > 0 {
 			if firstEvent.IsZero() {
 				firstEvent = now
@@ -209,6 +215,12 @@
 	}
 }
 
+// endsWithConnection reports whether the body of the response has neither a length nor chunks, so that its end can't be told from
+// a lost connection.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // countStream counts an ended stream of a model, for the decision of how many copies the models need.
 func (c *callRun) countStream() {
 	if c.requirements.Model == "" {
--- a/internal/backend/http1/client_test.go
+++ b/internal/backend/http1/client_test.go
@@ -272,3 +272,38 @@
 	}
 	is.Equal(s.accepted.Load(), int32(2))
 }
+
+// Guards against a backend server in trouble that sends bytes without end in place of a head: the memory and time spent on them
+// must be bounded, and the connection closed.
+func TestHeadWithoutEndIsBounded(t *testing.T) {
+	for _, tt := range []struct{ name, start, repeated string }{
+		{"one line", "HTTP/1.1 200 OK\r\nX: ", "xxxxxxxxxxxxxxxx"},
+		{"many lines", "HTTP/1.1 200 OK\r\n", "X: xxxxxxxxxxxxxxxx\r\n"},
+		{"no status line", "", "garbage "},
+		{"interim responses", "", "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			closed := make(chan struct{})
+			s := startServer(t, func(c net.Conn, r *bufio.Reader) {
+				defer close(closed)
+				if _, err := http.ReadRequest(r); err != nil {
+					return
+				}
+				block := strings.Repeat(tt.repeated, 1000)
+				_, err := io.WriteString(c, tt.start)
+				for err == nil {
+					_, err = io.WriteString(c, block)
+				}
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			_, err := newClient().Do(ctx, s.addr, getRequest("/a")) //nolint:bodyclose // there is no response
+			var send *http1.SendError
+			is.True(errors.As(err, &send))
+			is.True(send.MaybeSent)
+			is.NoErr(ctx.Err())
+			<-closed
+		})
+	}
+}
--- a/internal/backend/http1/conn.go
+++ b/internal/backend/http1/conn.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -18,11 +20,18 @@
 	// keepAliveMargin is how long before a backend server's own keep-alive timeout an idle connection is no longer used, so
 	// that a request is not in transit when the server closes the connection; it covers the latency between two regions.
 	keepAliveMargin = 500 * time.Millisecond
+
+	// maxHeadBytes bounds the head of a response together with the interim responses before it, so that a backend server that
+	// sends a head without end does not take this VM's memory.
+	maxHeadBytes = 64 << 10
 )
 
+var errHeadTooLarge = errors.Newf("head of the response exceeds %d bytes", maxHeadBytes)
+
 // A conn is one connection; its read loop detects that the server closed the connection even while it is idle.
 type conn struct {
 	socket net.Conn
+	limit  *headLimiter // between socket and reader
 	reader *bufio.Reader
 
 	responses chan result        // buffers the response to the request in flight
@@ -41,8 +50,9 @@
 }
 
 func newConn(socket net.Conn) *conn {
+	limit := &headLimiter{source: socket}
 	return &conn{
-		socket: socket, reader: bufio.NewReaderSize(socket, readBufferBytes),
+		socket: socket, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes),
 		responses: make(chan result, 1), pending: make(chan *http.Request, 1), bodyDone: make(chan struct{}, 1),
 		closed: make(chan struct{}),
 	}
@@ -79,7 +89,9 @@
 		default:
 			return
 		}
+		c.limit.start(maxHeadBytes)
 		resp, err := readResponse(c.reader, req) //nolint:bodyclose // the receiver of the result closes it
+		c.limit.stop()
 		if !c.deliver(result{resp, err}) || err != nil {
 			return
 		}
@@ -91,6 +103,35 @@
 	}
 }
 
+// A headLimiter passes bytes on from a connection, while a head is read no more than a given number. It is used by one goroutine at
+// a time: the read loop until the head is delivered, then the reader of the body.
+type headLimiter struct {
+	source  io.Reader
+	limited bool
+	left    int // bytes that may still be read while limited
+}
+
+func (l *headLimiter) start(n int) {
+	l.limited, l.left = true, n
+}
+
+func (l *headLimiter) stop() {
+	l.limited = false
+}
+
+// Read implements io.Reader.Read.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.source.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.source.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
 // deliver passes a result on without blocking, since nothing receives from an idle connection; it reports whether the
 // result was passed on.
 func (c *conn) deliver(r result) bool {
