--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 LENGTH ?= 8s
 FUZZ_CHECKS ?= 200
 
-.PHONY: build demo faults soak soak-many test fmt-check lint vet race prove fuzz measure slopes
+.PHONY: build demo faults soak soak-many test fmt-check lint vet race prove proof-names fuzz measure slopes
 
 build:
 	$(GO) build -o $(BIN) .
@@ -14,7 +14,7 @@
 	bash scripts/demo.sh
 
 # test runs all checks of a change; CI calls it.
-test: fmt-check vet lint race demo faults soak
+test: fmt-check vet lint proof-names race demo faults soak
 	bash scripts/known-red.sh
 
 fmt-check:
@@ -41,6 +41,10 @@
 soak-many: build
 	$(GO) run ./platform/soak --binary $(BIN) --seed $(SEED) --count 50 --length $(LENGTH)
 
+# proof-names checks that the tests that docs/proof.md names exist.
+proof-names:
+	bash scripts/prove.sh names
+
 # prove runs the tests that docs/proof.md names, and demo, faults and soak.
 prove:
 	bash scripts/prove.sh
