Leave the leader of a large system time to confirm that it leads

Each change of an engine's models or adapters answered all of 294 waiting polls, which asked again at once, and each woken poll copied the calls of all engines. A plan of 160 engines and 347 models takes tens of milliseconds ten times a second.

Change: an entry VM gets changes of the list at most as often as 300 answers a second over all VMs allow; a new configuration and a whole list don't wait, and waiting polls are no longer woken by each change. Planning takes a tenth of the time at most. Evictions look at the models of an engine, not at all models.

--- a/internal/backend/http1/client_test.go
+++ b/internal/backend/http1/client_test.go
@@ -298,7 +298,7 @@
 			})
 			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 			defer cancel()
-			_, err := newClient().Do(ctx, s.addr, getRequest("/a")) //nolint:bodyclose // there is no response
+			_, err := newClient().Do(ctx, s.addr, getRequest("/a"))
 			var send *http1.SendError
 			is.True(errors.As(err, &send))
 			is.True(send.MaybeSent)
--- a/internal/place/assign/evict.go
+++ b/internal/place/assign/evict.go
@@ -22,13 +22,13 @@
 ) (models []deck.ModelName, work float64, ok bool) {
 	missing := megabytes - p.free[e.ID]
 	var candidates []victim
-	for _, m := range p.spec.Models {
-		if !e.Models[m.Name] || !allowed(m.Name) {
+	for m := range e.Models {
+		if !allowed(m) {
 			continue
 		}
-		v := victim{model: m.Name, megabytes: m.Megabytes + e.AdapterMegabytes[m.Name], work: workOf(m.Name)}
+		v := victim{model: m, megabytes: p.size[m] + e.AdapterMegabytes[m], work: workOf(m)}
 		v.rank = v.work
-		if p.readyCopies[m.Name] == 1 {
+		if p.readyCopies[m] == 1 {
 			v.rank += idleDemand // prefer to evict models that have other copies
 		}
 		candidates = append(candidates, v)
@@ -93,7 +93,7 @@
 
 // A move is a model and another engine that has room for it.
 type move struct {
-	model deck.EngineModel
+	model deck.ModelName
 	to    Engine
 }
 
@@ -117,18 +117,16 @@
 // need no move.
 func (p *planner) movesFrom(e Engine, megabytes float64) (moves []move, ok bool) {
 	free := p.free[e.ID]
-	var sole []deck.EngineModel
-	for _, m := range p.spec.Models {
-		switch {
-		case !e.Models[m.Name]:
-		case p.copies[m.Name] > 1 || p.evictable[m.Name]:
-			free += m.Megabytes + e.AdapterMegabytes[m.Name]
-		default:
+	var sole []deck.ModelName
+	for m := range e.Models {
+		if p.copies[m] > 1 || p.evictable[m] {
+			free += p.size[m] + e.AdapterMegabytes[m]
+		} else {
 			sole = append(sole, m)
 		}
 	}
-	slices.SortStableFunc(sole, func(a, b deck.EngineModel) int {
-		return cmp.Compare(p.recent.demand[a.Name], p.recent.demand[b.Name])
+	slices.SortFunc(sole, func(a, b deck.ModelName) int {
+		return cmp.Or(cmp.Compare(p.recent.demand[a], p.recent.demand[b]), cmp.Compare(a, b))
 	})
 	taken := make(map[deck.BackendName]float64)
 	for _, m := range sole {
@@ -136,19 +134,19 @@
 			break
 		}
 		if to, found := p.engineWithRoom(e, m, taken); found {
-			taken[to.ID] += m.Megabytes
+			taken[to.ID] += p.size[m]
 			moves = append(moves, move{m, to})
-			free += m.Megabytes + e.AdapterMegabytes[m.Name]
+			free += p.size[m] + e.AdapterMegabytes[m]
 		}
 	}
 	return moves, free >= megabytes
 }
 
 // engineWithRoom returns the engine with the least sufficient room for a model of the engine from.
-func (p *planner) engineWithRoom(from Engine, m deck.EngineModel, taken map[deck.BackendName]float64) (best Engine, ok bool) {
+func (p *planner) engineWithRoom(from Engine, m deck.ModelName, taken map[deck.BackendName]float64) (best Engine, ok bool) {
 	for _, e := range p.engines {
 		free := p.free[e.ID] - taken[e.ID]
-		if e.ID == from.ID || !e.Available || p.planned[e.ID] || taken[e.ID] > 0 || e.Models[m.Name] || free < m.Megabytes {
+		if e.ID == from.ID || !e.Available || p.planned[e.ID] || taken[e.ID] > 0 || e.Models[m] || free < p.size[m] {
 			continue
 		}
 		if !ok || free < p.free[best.ID] {
@@ -161,9 +159,10 @@
 // addMoves adds the loads of the moves to the plan, as far as the weight store allows.
 func (p *planner) addMoves(moves []move) {
 	for _, v := range moves {
-		if !v.to.Cached[v.model.Name] && p.storeLoads <= 0 {
+		if !v.to.Cached[v.model] && p.storeLoads <= 0 {
 			return
 		}
-		p.addCopy(p.loadAction(v.to, v.model), v.model)
+		m := deck.EngineModel{Name: v.model, Megabytes: p.size[v.model]}
+		p.addCopy(p.loadAction(v.to, m), m)
 	}
 }
--- a/internal/place/assign/planner.go
+++ b/internal/place/assign/planner.go
@@ -73,6 +73,7 @@
 	skipped         map[deck.ModelName]bool
 	planned         map[deck.BackendName]bool
 	free            map[deck.BackendName]float64 // megabytes, less those of planned copies
+	size            map[deck.ModelName]float64   // megabytes
 	meanSize        float64                      // of a model, in megabytes
 	unreachable     int                          // models that no engine holds or loads, except evictable ones
 	unreachableSize float64                      // of the largest of these, in megabytes
@@ -94,6 +95,10 @@
 		soonReadyCopies: make(map[deck.ModelName]int), dcCopies: make(map[modelDC]int),
 		skipped: make(map[deck.ModelName]bool), planned: make(map[deck.BackendName]bool),
 		free: make(map[deck.BackendName]float64, len(engines)), meanSize: meanSize(spec),
+		size: make(map[deck.ModelName]float64, len(spec.Models)),
+	}
+	for _, m := range spec.Models {
+		p.size[m.Name] = m.Megabytes
 	}
 	for _, e := range engines {
 		p.free[e.ID] = e.CapacityMegabytes - e.UsedMegabytes
@@ -240,8 +245,7 @@
 	p.copies[m]--
 	p.readyCopies[m]--
 	p.soonReadyCopies[m]--
-	dropped, _ := p.spec.Model(m)
-	p.free[e] += dropped.Megabytes
+	p.free[e] += p.size[m]
 	p.current.removeCopy(m, e)
 	p.recent.removeCopy(m, e)
 }
--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -16,7 +16,8 @@
 )
 
 const (
-	planPeriod       = 100 * time.Millisecond
+	planPeriod       = 100 * time.Millisecond // between two plans, unless planning takes long
+	planTimeShare    = 0.1                    // of the time, that planning may take
 	listPeriod       = 500 * time.Millisecond // between two reads of the platform's list, whose own lag is of the same order
 	listTimeout      = 1 * time.Second
 	callTimeout      = 700 * time.Millisecond  // of an order or a report
@@ -99,7 +100,7 @@
 	c.mu.Lock()
 	c.group, ctx = errgroup.WithContext(ctx)
 	c.mu.Unlock()
-	c.start(ctx, func(ctx context.Context) { deck.Every(ctx, planPeriod, c.planAll) })
+	c.start(ctx, c.planLoop)
 	c.start(ctx, func(ctx context.Context) { deck.Every(ctx, listPeriod, c.readList) })
 	return c.group.Wait()
 }
@@ -233,6 +234,17 @@
 	return d
 }
 
+// planLoop plans until ctx ends. With many engines and models a plan takes long, and the leader's other work needs the processor,
+// too: the answers of its peers confirm that it leads.
+func (c *Controller) planLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		started := time.Now()
+		c.planAll(ctx)
+		taken := time.Since(started)
+		deck.Sleep(ctx, max(planPeriod-taken, time.Duration(float64(taken)*(1/planTimeShare-1))))
+	}
+}
+
 // planAll plans each service and starts the planned actions.
 func (c *Controller) planAll(ctx context.Context) {
 	if _, ok := c.updateLeadership(); !ok {
--- a/internal/state/hub/hub_test.go
+++ b/internal/state/hub/hub_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -96,6 +97,59 @@
 	})
 }
 
+// Load pattern: the engines of a large system change their models fifty times a second while 300 entry VMs wait for changes. Guards
+// against an answer to every VM at every change, which leaves the leader no time to confirm that it leads, and against VMs that
+// learn of the last change late.
+func TestListChangesAreSentAtABoundedRate(t *testing.T) {
+	const (
+		entryVMs = 300
+		seconds  = 5
+	)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		p, _ := newPublisher("a", "a")
+		list := make([]deck.Server, 160)
+		for i := range list {
+			list[i].ID = deck.BackendName(fmt.Sprint("x", i))
+		}
+		p.SetServers(1, list)
+		var g errgroup.Group
+		var answers, current atomic.Int64
+		for i := range entryVMs {
+			g.Go(func() error {
+				r := deck.ViewRequest{VM: deck.VMName(fmt.Sprint("e", i)), MaxWait: time.Second}
+				for ctx.Err() == nil {
+					a := p.View(ctx, r)
+					answers.Add(1)
+					r.View = a.View
+					for _, s := range a.Servers {
+						if s.ID == "x0" && s.Draining {
+							current.Add(1)
+						}
+					}
+					<-time.After(2 * time.Millisecond) // to and from the leader
+				}
+				return nil
+			})
+		}
+		<-time.After(time.Second)
+		answers.Store(0)
+		for i := range 50 * seconds {
+			list[i%len(list)].Models = []deck.HeldModel{{Name: "m", Version: i}}
+			p.SetServers(1, append([]deck.Server(nil), list...))
+			<-time.After(20 * time.Millisecond)
+		}
+		is.True(answers.Load() <= (300+50)*seconds)
+		list[0].Draining = true
+		p.SetServers(1, list)
+		<-time.After(1100 * time.Millisecond)
+		is.Equal(current.Load(), int64(entryVMs))
+		cancel()
+		is.NoErr(g.Wait())
+	})
+}
+
 // Guards against a replica that does not lead and sends the whole document with each answer. After a restart of all VMs, entry
 // VMs ask such replicas again and again; the documents fill narrow links and keep the entry VMs from starting.
 func TestNonLeaderSendsOneDocument(t *testing.T) {
--- a/internal/state/hub/publisher.go
+++ b/internal/state/hub/publisher.go
@@ -19,6 +19,10 @@
 	// for.
 	minAdapterInterval = 4 * time.Second
 
+	// listAnswerRate is how many answers with changes of the list the leader sends per second at most, to all entry VMs together.
+	// The list changes many times a second, and a VM that is answered at each change asks again at once.
+	listAnswerRate = 300.0
+
 	maxDocuments   = 16   // kept as bases of deltas
 	maxRemoved     = 4096 // removed servers kept for deltas of the list
 	maxCrashes     = 64   // every answer carries them all
@@ -41,7 +45,8 @@
 	o Options
 
 	mu        sync.Mutex
-	changed   chan struct{}                   // closed and replaced at each change
+	newConfig chan struct{}                   // closed and replaced at each new document
+	newList   chan struct{}                   // closed and replaced at each change of the list
 	documents []deck.RoutingDocument          // oldest first
 	packed    map[uint64]*deck.PackedDocument // newest document, by the version that the receiver has
 	term      uint64                          // term of the leader that the list is of
@@ -49,7 +54,8 @@
 	servers   map[deck.BackendName]serverEntry
 	removed   map[deck.BackendName]uint64 // removed servers, with the revision of the removal
 	reports   map[deck.VMName]vmReport
-	calls     map[deck.BackendName]int // calls in flight of all entry VMs
+	listSent  map[deck.VMName]time.Time // when a VM was last sent a change of the list
+	calls     map[deck.BackendName]int  // calls in flight of all entry VMs
 	crashes   []crashReport
 	outliers  outlierDetector
 }
@@ -78,8 +84,8 @@
 // NewPublisher returns a publisher without a document and without servers.
 func NewPublisher(o Options) *Publisher {
 	return &Publisher{
-		o: o, changed: make(chan struct{}),
-		reports: make(map[deck.VMName]vmReport), calls: make(map[deck.BackendName]int),
+		o: o, newConfig: make(chan struct{}), newList: make(chan struct{}),
+		reports: make(map[deck.VMName]vmReport), listSent: make(map[deck.VMName]time.Time), calls: make(map[deck.BackendName]int),
 	}
 }
 
@@ -95,7 +101,7 @@
 		p.documents = p.documents[1:]
 	}
 	p.packed = make(map[uint64]*deck.PackedDocument)
-	p.notifyWaiters()
+	notify(&p.newConfig)
 }
 
 // newest returns the newest document; zero if there is none. The caller holds p.mu.
@@ -139,7 +145,7 @@
 	next := p.revision + 1
 	if p.applyList(list, next) {
 		p.revision = next
-		p.notifyWaiters()
+		notify(&p.newList)
 	}
 }
 
@@ -174,10 +180,10 @@
 	return changed
 }
 
-// notifyWaiters wakes all waiting requests. The caller holds p.mu.
-func (p *Publisher) notifyWaiters() {
-	close(p.changed)
-	p.changed = make(chan struct{})
+// notify wakes all requests that wait for the channel, and replaces it. The caller holds the publisher's lock.
+func notify(changed *chan struct{}) {
+	close(*changed)
+	*changed = make(chan struct{})
 }
 
 // View implements deck.ViewSource.View.
@@ -185,24 +191,76 @@
 	if _, leading := p.leads(); leading {
 		p.recordReport(r)
 	}
-	timer := time.NewTimer(r.MaxWait)
-	defer timer.Stop()
+	end := time.NewTimer(r.MaxWait)
+	defer end.Stop()
 	for {
 		term, leading := p.leads()
-		a, hasChanges, changed := p.buildAnswer(r, term, leading)
-		if !leading || hasChanges {
-			return a
+		status := p.o.Log.Status()
+		w := p.pending(r, term, leading, status)
+		if !leading || w.ready {
+			return p.buildAnswer(r, term, leading, status)
 		}
 		select {
-		case <-changed:
-		case <-timer.C:
-			return a
+		case <-w.newConfig:
+		case <-w.newList:
+		case <-w.due:
+		case <-end.C:
+			return p.buildAnswer(r, term, leading, status)
 		case <-ctx.Done():
-			return a
+			return p.buildAnswer(r, term, leading, status)
 		}
 	}
 }
 
+// A pendingAnswer says whether a request can be answered now, and otherwise what it waits for.
+type pendingAnswer struct {
+	ready              bool
+	newConfig, newList <-chan struct{}
+	due                <-chan time.Time // when changes of the list may be sent to the VM; nil if there are none
+}
+
+// pending returns whether there are changes to send to the VM now. A new document and a whole list don't wait; between two changes
+// of the list, a VM waits the longer the more VMs there are.
+func (p *Publisher) pending(r deck.ViewRequest, term uint64, leading bool, status deck.LogStatus) pendingAnswer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w := pendingAnswer{ready: p.hasDocument(r, leading, status), newConfig: p.newConfig, newList: p.newList}
+	if w.ready || !leading || p.term != term || p.servers == nil {
+		return w
+	}
+	if p.needsWholeList(r) {
+		w.ready = true
+		return w
+	}
+	if r.View.Revision == p.revision {
+		return w
+	}
+	interval := time.Duration(float64(len(p.reports)) / listAnswerRate * float64(time.Second))
+	wait := p.listSent[r.VM].Add(interval).Sub(p.o.Clock.Now())
+	if wait <= 0 {
+		w.ready = true
+		return w
+	}
+	w.newList = nil // the answer will carry further changes as well
+	w.due = time.After(wait)
+	return w
+}
+
+// hasDocument reports whether there is a newer document for the VM. The leader sends the newest document. Another replica may be
+// behind, and a VM may ask it many times before it finds the leader: it sends its document only to a VM that has none, and only
+// if no leader is known or the VM accepts a stale one. The caller holds p.mu.
+func (p *Publisher) hasDocument(r deck.ViewRequest, leading bool, status deck.LogStatus) bool {
+	if p.newest().Version <= r.ConfigVersion {
+		return false
+	}
+	return leading || r.ConfigVersion == 0 && (r.AcceptStaleConfig || status.Leader.IsZero())
+}
+
+// needsWholeList reports whether the VM has no list that changes could be applied to. The caller holds p.mu.
+func (p *Publisher) needsWholeList(r deck.ViewRequest) bool {
+	return r.View.Term != p.term || r.View.Revision > p.revision
+}
+
 // leads returns the term that this replica leads, and whether it leads.
 func (p *Publisher) leads() (uint64, bool) {
 	return p.o.Monitor.LeaderTerm(p.o.Clock.Now(), p.o.MaxLeadershipAge)
@@ -223,6 +281,7 @@
 		if now.Sub(last.receivedAt) > vmTimeout {
 			p.addCalls(last.calls, -1)
 			delete(p.reports, vm)
+			delete(p.listSent, vm)
 		}
 	}
 	for _, id := range r.Answered {
@@ -260,7 +319,7 @@
 	s.Ejected = true
 	p.revision++
 	p.servers[id] = serverEntry{s.Server, p.revision, now}
-	p.notifyWaiters()
+	notify(&p.newList)
 }
 
 // ejectedShare returns the share of a service's servers that are ejected. The caller holds p.mu.
@@ -284,25 +343,19 @@
 	return p.calls[id]
 }
 
-// buildAnswer returns the answer to a request, whether it has changes that must not wait for the end of the poll, and a
-// channel that is closed at the next change.
-func (p *Publisher) buildAnswer(
-	r deck.ViewRequest, term uint64, leading bool,
-) (a deck.ViewAnswer, hasChanges bool, changed <-chan struct{}) {
-	s := p.o.Log.Status()
+// buildAnswer returns the answer to a request.
+func (p *Publisher) buildAnswer(r deck.ViewRequest, term uint64, leading bool, status deck.LogStatus) deck.ViewAnswer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	a = deck.ViewAnswer{IsLeader: leading, Leader: s.Leader.VM, EntryVMCount: len(p.reports)}
-	for _, id := range append(s.Voters[:len(s.Voters):len(s.Voters)], s.Learners...) {
+	a := deck.ViewAnswer{IsLeader: leading, Leader: status.Leader.VM, EntryVMCount: len(p.reports)}
+	for _, id := range append(status.Voters[:len(status.Voters):len(status.Voters)], status.Learners...) {
 		a.Members = append(a.Members, id.VM)
 	}
-	// The leader sends the newest document. Another replica may be behind, and a VM may ask it many times before it finds the
-	// leader: it sends its document only to a VM that has none, and only if no leader is known or the VM accepts a stale one.
-	if p.newest().Version > r.ConfigVersion && (leading || r.ConfigVersion == 0 && (s.Leader.IsZero() || r.AcceptStaleConfig)) {
-		a.Config, hasChanges = p.packFor(r.ConfigVersion), true
+	if p.hasDocument(r, leading, status) {
+		a.Config = p.packFor(r.ConfigVersion)
 	}
 	if leading && p.term == term && p.servers != nil {
-		hasChanges = p.addServers(&a, r) || hasChanges
+		p.addServers(&a, r)
 	} else {
 		a.View = r.View
 	}
@@ -314,14 +367,18 @@
 	for _, c := range p.crashes {
 		a.Crashes = append(a.Crashes, c.Crash)
 	}
-	return a, hasChanges, p.changed
+	return a
 }
 
 // addServers adds the changes of the list since the request's version to the answer, or the whole list if the version is
-// of another term, and reports whether there are any. The caller holds p.mu.
-func (p *Publisher) addServers(a *deck.ViewAnswer, r deck.ViewRequest) bool {
+// of another term. The caller holds p.mu.
+func (p *Publisher) addServers(a *deck.ViewAnswer, r deck.ViewRequest) {
 	a.View = deck.ViewVersion{Term: p.term, Revision: p.revision}
-	a.FullList = r.View.Term != p.term || r.View.Revision > p.revision
+	a.FullList = p.needsWholeList(r)
+	if !a.FullList && r.View.Revision == p.revision {
+		return
+	}
+	p.listSent[r.VM] = p.o.Clock.Now()
 	after := r.View.Revision
 	if a.FullList {
 		after = 0
@@ -331,12 +388,12 @@
 			a.Servers = append(a.Servers, s.Server)
 		}
 	}
-	if !a.FullList {
-		for id, revision := range p.removed {
-			if revision > after {
-				a.RemovedServers = append(a.RemovedServers, id)
-			}
+	if a.FullList {
+		return
+	}
+	for id, revision := range p.removed {
+		if revision > after {
+			a.RemovedServers = append(a.RemovedServers, id)
 		}
 	}
-	return a.FullList || len(a.Servers) > 0 || len(a.RemovedServers) > 0
 }
