Deny a missing route only with a current configuration

Change: with a view older than three seconds it answers 503 with a time to come back. Test: TestMissingRouteIsDeniedOnlyByACurrentConfiguration.

--- a/internal/api/ingress/handler.go
+++ b/internal/api/ingress/handler.go
@@ -92,7 +92,7 @@
 	}
 	route, ok := t.Match(r.Host, rawPath(r))
 	if !ok {
-		h.refuse(w, r, errorResponse{http.StatusNotFound, 0, "no route for host and path"})
+		h.refuseUnrouted(w, r)
 		return
 	}
 	call, err := h.Codec.ReadCall(r)
@@ -165,6 +165,18 @@
 	reason     string
 }
 
+// maxRouteAge is the age of the routing configuration from which on a route that it lacks may have been added since.
+const maxRouteAge = 3 * time.Second
+
+// refuseUnrouted refuses a request without a route. Only a VM that knows the newest configuration can tell that there is none.
+func (h *Handler) refuseUnrouted(w http.ResponseWriter, r *http.Request) {
+	if h.ViewAge != nil && h.ViewAge() > maxRouteAge {
+		h.refuse(w, r, errorResponse{http.StatusServiceUnavailable, noServerRetryAfter, "routing configuration may be out of date"})
+		return
+	}
+	h.refuse(w, r, errorResponse{http.StatusNotFound, 0, "no route for host and path"})
+}
+
 func (h *Handler) refuseUnreadBody(w http.ResponseWriter, r *http.Request, err error) {
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
--- a/internal/api/ingress/handler_test.go
+++ b/internal/api/ingress/handler_test.go
@@ -73,6 +73,19 @@
 
 // Guards against a second run of a call that may run once only, and against an idempotent call that is not retried, for each way
 // in which the first server can fail. The second server would answer 200.
+// Guards against a final refusal of a route that a newer configuration has, by a VM that is cut off from the control VMs.
+func TestMissingRouteIsDeniedOnlyByACurrentConfiguration(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, stream(false))
+	age := time.Second
+	h.handler.ViewAge = func() time.Duration { return age }
+	is.Equal(h.call(t, http.MethodGet, "/unknown/x", "").status, http.StatusNotFound)
+	age = 10 * time.Second
+	res := h.call(t, http.MethodGet, "/unknown/x", "")
+	is.Equal(res.status, http.StatusServiceUnavailable)
+	is.True(res.header.Get("Retry-After") != "")
+}
+
 func TestFailover(t *testing.T) {
 	brokenBody := func(c net.Conn, r *http.Request) bool {
 		reply(c, r, "200 OK", "Content-Length: 100\r\n", "part")
