Let restarted entry VMs read the platform's list soon

Change: only the first start of the whole system waits for two seconds; a VM that restarts reads the list after 0.2 to 0.5 s, by its name, unless a leader answers.

Test: TestRestartedVMReadsTheListSoon.

--- a/internal/command/node/entry.go
+++ b/internal/command/node/entry.go
@@ -75,7 +75,7 @@
 		Demand: &ingress.DemandCounter{}, Poison: &ingress.PoisonDetector{}, Random: newRand(), Log: n.log, OnCallEnd: recorder.record,
 	}
 	e.subscriber = hub.NewSubscriber(hub.SubscriberOptions{
-		Self: s.PeerName(), DataCentre: s.DataCentre, Seeds: n.seeds, Client: fleet,
+		Self: s.PeerName(), DataCentre: s.DataCentre, Seeds: n.seeds, FirstStart: s.FirstStart, Client: fleet,
 		List:   platform.ServerList{Address: s.Platform.Address, HTTP: fleet.HTTP, Log: n.log},
 		Logger: n.log, Report: e.fillReport, Config: e.applyConfig, Servers: e.setServers, VMs: e.setVMs,
 		Crashes: e.addCrashes, Calls: e.recordCalls,
--- a/internal/state/hub/direct.go
+++ b/internal/state/hub/direct.go
@@ -12,8 +12,13 @@
 const (
 	staleAfter         = 2 * time.Second // without an answer of a leader for this time, the platform's list is read
 	staleCheckInterval = 100 * time.Millisecond
-	minDirectInterval  = 1 * time.Second // between two reads of the platform's list by one VM
-	maxDirectInterval  = time.Minute
+
+	// A VM that has restarted has no list at all, and after a loss of power there is no leader for some seconds either.
+	restartGrace  = 200 * time.Millisecond
+	restartSpread = 300 * time.Millisecond // over which the restarted VMs spread their first reads
+
+	minDirectInterval = 1 * time.Second // between two reads of the platform's list by one VM
+	maxDirectInterval = time.Minute
 
 	// directReadRate is how many reads per second all entry VMs together start. The platform limits their rate, and the next
 	// leader reads the list as well.
@@ -34,7 +39,11 @@
 			next = time.Time{}
 		case next.IsZero():
 			interval = directInterval(entryVMs)
-			next = now.Add(time.Duration(s.phase() * float64(interval)))
+			spread := interval
+			if s.hasNoList() {
+				spread = restartSpread
+			}
+			next = now.Add(time.Duration(s.phase() * float64(spread)))
 		}
 		if next.IsZero() || now.Before(next) {
 			continue
@@ -46,15 +55,27 @@
 	return nil
 }
 
-// staleness reports whether no leader has answered for staleAfter, and how many entry VMs there were by the last answer.
+// staleness reports whether no leader has answered for so long that the platform's list is needed, and how many entry VMs there
+// were by the last answer.
 func (s *Subscriber) staleness(now time.Time) (stale bool, entryVMs int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	contact := s.lastLeaderContact
-	if contact.IsZero() {
-		contact = s.started
+	switch {
+	case !s.lastLeaderContact.IsZero():
+		stale = now.Sub(s.lastLeaderContact) > staleAfter
+	case s.o.FirstStart:
+		stale = now.Sub(s.started) > staleAfter
+	default:
+		stale = now.Sub(s.started) > restartGrace
 	}
-	return now.Sub(contact) > staleAfter, s.entryVMs
+	return stale, s.entryVMs
+}
+
+// hasNoList reports whether this VM has restarted and has no list of backend servers yet.
+func (s *Subscriber) hasNoList() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.o.FirstStart && len(s.servers) == 0
 }
 
 // directInterval returns the time between the first two reads of one VM.
--- a/internal/state/hub/direct_test.go
+++ b/internal/state/hub/direct_test.go
@@ -46,8 +46,9 @@
 		for i := range entryVMs {
 			sub := hub.NewSubscriber(hub.SubscriberOptions{
 				Self: deck.VMName(fmt.Sprintf("10.0.%d.%d:80", i/256, i%256)), Client: client, List: list, Logger: logr.Discard(),
-				Seeds:  func() []deck.VMName { return []deck.VMName{"a"} },
-				Report: func(*deck.ViewRequest) {}, Config: func(deck.RoutingDocument) {}, Servers: func([]deck.Server) {},
+				FirstStart: true,
+				Seeds:      func() []deck.VMName { return []deck.VMName{"a"} },
+				Report:     func(*deck.ViewRequest) {}, Config: func(deck.RoutingDocument) {}, Servers: func([]deck.Server) {},
 				VMs: func(int) {}, Calls: func([]deck.ServerCalls) {}, Crashes: func([]deck.Crash) {},
 			})
 			g.Go(func() error { return sub.Run(ctx) })
@@ -67,3 +68,16 @@
 		is.NoErr(g.Wait())
 	})
 }
+
+// Load pattern: all VMs have lost power and restart; there is no leader for some seconds. Guards against entry VMs that know no
+// backend server until there is one.
+func TestRestartedVMReadsTheListSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		runSubscriber(t, &memoryClient{}, staticList{{ID: "x"}, {ID: "y"}}, func(w *recorder, _ *hub.Subscriber) {
+			<-time.After(700 * time.Millisecond)
+			_, servers := w.last()
+			is.Equal(servers, 2)
+		})
+	})
+}
--- a/internal/state/hub/subscriber.go
+++ b/internal/state/hub/subscriber.go
@@ -30,6 +30,7 @@
 	Self       deck.VMName
 	DataCentre deck.DataCentre
 	Seeds      func() []deck.VMName
+	FirstStart bool // of the whole system: calls come only after there is a leader
 	Client     deck.ViewClient
 	List       deck.ServerList // the platform's list of backend servers, which lags behind
 	Logger     logr.Logger
