Answer the calls in flight before a planned stop ends

Cause: a call without an answer at the end of the grace period lost its connection.

Change: 0.2 s before the end of the drain, calls without an answer get one: 503 where nothing ran, 504 where that is unknown. Test: TestCallsInFlightAreAnsweredBeforeTheStop.

--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -58,6 +58,7 @@
 
 var (
 	errDeadline = errors.New("deadline of the caller or the route has passed")
+	errStopping = errors.New("this VM stops")
 	errNoAnswer = errors.New("backend server did not answer in time")
 )
 
@@ -241,6 +242,9 @@
 		c.fallback.write(c.w)
 	case c.possibleRuns == 0:
 		c.refuseNotRun(fullRetryAfter, "no server took the call in time")
+	case errors.Is(context.Cause(c.ctx), errStopping):
+		c.recordEnd(http.StatusGatewayTimeout, "this VM stops")
+		writeError(c.w, errorResponse{http.StatusGatewayTimeout, 0, "the server had not finished when this VM stopped"})
 	case c.ctx.Err() != nil:
 		c.recordEnd(http.StatusGatewayTimeout, "deadline exceeded")
 		writeError(c.w, errorResponse{http.StatusGatewayTimeout, 0, "the server did not finish in time"})
--- a/internal/api/ingress/handler.go
+++ b/internal/api/ingress/handler.go
@@ -53,6 +53,7 @@
 
 	routes      atomic.Pointer[table.Table]
 	draining    atomic.Bool
+	ending      ending
 	inFlight    atomic.Int64
 	refusalRate refusalRate
 }
@@ -72,6 +73,11 @@
 	h.draining.Store(true)
 }
 
+// EndCalls ends the calls in flight: those without an answer yet are answered that they have not run, or that this is unknown.
+func (h *Handler) EndCalls() {
+	h.ending.end()
+}
+
 // InFlight returns the number of calls in flight.
 func (h *Handler) InFlight() int {
 	return int(h.inFlight.Load())
@@ -124,7 +130,15 @@
 		h: h, w: w, r: r, route: route, call: call, body: body, start: start, deadline: start.Add(limit),
 		version: t.Config().Version, service: table.PickService(route, h.Random.Float64()),
 	}
-	c.ctx, c.cancel = context.WithDeadlineCause(r.Context(), c.deadline, errDeadline)
+	ctx, cancelDeadline := context.WithDeadlineCause(r.Context(), c.deadline, errDeadline)
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := h.ending.notify(func() { cancel(errStopping) })
+	c.ctx = ctx
+	c.cancel = func() {
+		stop()
+		cancel(nil)
+		cancelDeadline()
+	}
 	c.requirements = balance.Requirements{
 		Service: c.service, Model: call.Model, Adapter: call.Adapter, PromptParts: call.Parts,
 		Tried: make(map[deck.BackendName]bool), MaxWait: time.Duration(serverQueueShare * float64(route.LatencyTarget)),
--- a/internal/api/ingress/handler_test.go
+++ b/internal/api/ingress/handler_test.go
@@ -438,6 +438,37 @@
 	is.True(resp.Close)
 }
 
+// Guards against calls in flight at the end of a planned stop whose connections are closed without an answer.
+func TestCallsInFlightAreAnsweredBeforeTheStop(t *testing.T) {
+	is := is.New(t)
+	arrived := make(chan struct{}, 1)
+	release := make(chan struct{})
+	defer close(release)
+	h := newHarness(t, once(), newBackend(t, "b1", func(net.Conn, *http.Request) bool {
+		arrived <- struct{}{}
+		<-release
+		return false
+	}))
+	results := make(chan result, 1)
+	var g errgroup.Group
+	g.Go(func() error {
+		results <- h.call(t, http.MethodPost, "/p/x", "commit")
+		return nil
+	})
+	<-arrived
+	h.handler.Drain()
+	h.handler.EndCalls()
+	res := <-results
+	is.NoErr(res.err)
+	is.Equal(res.status, http.StatusGatewayTimeout) // it may have run
+	is.NoErr(g.Wait())
+
+	h.setServers() // none
+	res = h.call(t, http.MethodPost, "/p/x", "commit")
+	is.NoErr(res.err)
+	is.Equal(res.status, http.StatusServiceUnavailable) // it has not run
+}
+
 // Guards against a data race between the stall timer and a stream that breaks at the same time: both use the set of servers that
 // the call was offered to.
 func TestStallTimerRacesStreamFailure(t *testing.T) {
--- a/internal/command/node/entry.go
+++ b/internal/command/node/entry.go
@@ -37,6 +37,9 @@
 	// exitMargin is the part of the grace period that is reserved for the process's exit.
 	exitMargin = 400 * time.Millisecond
 
+	// answerMargin is how long before that the calls in flight are ended, so that their callers get an answer.
+	answerMargin = 200 * time.Millisecond
+
 	// retryBudgetShare is the share of the retry budget that is used. The rest is a margin, since the VMs' windows differ from
 	// those in which the budget is checked, and calls are not spread evenly over the VMs.
 	retryBudgetShare = 0.6
@@ -164,7 +167,7 @@
 }
 
 // Drain implements kernel.Drainer.Drain. It reports the VM as not ready to the load balancer, then closes idle connections
-// and lets calls in flight finish within the grace period.
+// and lets calls in flight finish within the grace period. Shortly before its end the remaining calls are answered.
 func (e *entryVM) Drain(ctx context.Context) error {
 	deadline := time.Now().Add(e.settings.Bounds.GracePeriod - exitMargin)
 	e.draining.Store(true)
@@ -176,6 +179,8 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	end := time.AfterFunc(time.Until(deadline)-answerMargin, e.handler.EndCalls)
+	defer end.Stop()
 	err := e.server.Shutdown(ctx)
 	if err != nil {
 		e.node.log.Info("grace period ended with calls in flight", "calls", e.handler.InFlight())
