Begin loads from the weight store within its rate

Cause: a load was counted when it was planned, but begins when the unload before it ends.

Change: a second token bucket of the same rate and burst is taken from just before the order to load is sent, and given back if the engine refuses it.

Shown first: TestLoadsThatWaitForUnloadsBeginWithinRate fails without it.

--- a/internal/place/order/actions.go
+++ b/internal/place/order/actions.go
@@ -143,7 +143,9 @@
 // unloadModels unloads the models one after the other and reports whether the engine has accepted all the orders.
 func (c *Controller) unloadModels(ctx context.Context, e *engine, models []deck.ModelName) bool {
 	for i, m := range models {
-		outcome := c.sendOrderAfter(ctx, e, deck.ModelOrder{Unload: true, Model: m}, i > 0)
+		outcome := c.sendOrderAfter(ctx, i > 0, e, func() deck.OrderOutcome {
+			return c.sendModelOrder(ctx, e, deck.ModelOrder{Unload: true, Model: m})
+		})
 		if outcome != deck.OrderAccepted && outcome != deck.OrderSatisfied {
 			return false
 		}
@@ -156,7 +158,7 @@
 }
 
 func (c *Controller) loadModel(ctx context.Context, e *engine, a assign.Action, expected time.Duration) bool {
-	outcome := c.sendOrderAfter(ctx, e, deck.ModelOrder{Model: a.Load}, len(a.Unload) > 0)
+	outcome := c.sendOrderAfter(ctx, len(a.Unload) > 0, e, func() deck.OrderOutcome { return c.sendLoad(ctx, e, a) })
 	if outcome != deck.OrderAccepted {
 		c.mu.Lock()
 		e.synced = false
@@ -172,15 +174,58 @@
 
 // sendOrderAfter sends an order for a model, after an unload if afterUnload is set. An engine accepts it at once if the unloaded
 // model has no running requests, and refuses it until they have ended otherwise.
-func (c *Controller) sendOrderAfter(ctx context.Context, e *engine, o deck.ModelOrder, afterUnload bool) deck.OrderOutcome {
-	outcome := c.sendModelOrder(ctx, e, o)
+func (c *Controller) sendOrderAfter(
+	ctx context.Context, afterUnload bool, e *engine, send func() deck.OrderOutcome,
+) deck.OrderOutcome {
+	outcome := send()
 	if outcome == deck.OrderConflict && afterUnload {
 		c.awaitCompletion(ctx, e, unloadTime)
-		outcome = c.sendModelOrder(ctx, e, o)
+		outcome = send()
 	}
 	return outcome
 }
 
+// sendLoad sends the order to load the action's model, once the rate of loads that begin allows it. Loads that were planned seconds
+// apart would otherwise begin together when the unloads before them end.
+func (c *Controller) sendLoad(ctx context.Context, e *engine, a assign.Action) deck.OrderOutcome {
+	if a.FromStore && !c.awaitStoreStart(ctx, e.service) {
+		return deck.OrderConflict
+	}
+	outcome := c.sendModelOrder(ctx, e, deck.ModelOrder{Model: a.Load})
+	if a.FromStore && outcome != deck.OrderAccepted && outcome != deck.OrderUnknown {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if bucket := c.storeStarts[e.service]; bucket != nil {
+			bucket.tokens++
+		}
+	}
+	return outcome
+}
+
+// awaitStoreStart waits until a load from the weight store may begin; it returns false if the service is gone or ctx ends.
+func (c *Controller) awaitStoreStart(ctx context.Context, s deck.ServiceName) bool {
+	for {
+		spec, ok := c.spec(s)
+		if !ok || spec.StoreLoadsPerSecond <= 0 {
+			return false
+		}
+		c.mu.Lock()
+		bucket := refill(c.storeStarts, s, spec, time.Now())
+		missing := 1 - bucket.tokens
+		if missing <= 0 {
+			bucket.tokens--
+		}
+		c.mu.Unlock()
+		if missing <= 0 {
+			return true
+		}
+		wait := time.Duration(missing / spec.StoreLoadsPerSecond * float64(time.Second))
+		if !deck.Sleep(ctx, max(wait, time.Millisecond)) {
+			return false
+		}
+	}
+}
+
 // refund puts the token for a load from the weight store back into the bucket; the load must be known not to start.
 func (c *Controller) refund(e *engine, a assign.Action) {
 	c.mu.Lock()
--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -69,9 +69,10 @@
 	servers      []deck.Server
 	engines      map[deck.BackendName]*engine
 	estimators   map[deck.ServiceName]*demandEstimator
-	storeBuckets map[deck.ServiceName]*tokenBucket
-	tooLarge     map[deck.ModelName]bool      // models already logged as too large for any engine
-	placing      map[adapterKey]chan struct{} // closed when the placement has ended
+	storeBuckets map[deck.ServiceName]*tokenBucket // for loads to be planned
+	storeStarts  map[deck.ServiceName]*tokenBucket // for loads to begin
+	tooLarge     map[deck.ModelName]bool           // models already logged as too large for any engine
+	placing      map[adapterKey]chan struct{}      // closed when the placement has ended
 }
 
 // A tokenBucket limits the rate of loads from the weight store.
@@ -85,7 +86,8 @@
 	return &Controller{
 		opts: opts, done: make(chan struct{}), engines: make(map[deck.BackendName]*engine),
 		estimators: make(map[deck.ServiceName]*demandEstimator), storeBuckets: make(map[deck.ServiceName]*tokenBucket),
-		placing: make(map[adapterKey]chan struct{}), tooLarge: make(map[deck.ModelName]bool),
+		storeStarts: make(map[deck.ServiceName]*tokenBucket),
+		placing:     make(map[adapterKey]chan struct{}), tooLarge: make(map[deck.ModelName]bool),
 	}
 }
 
@@ -121,6 +123,7 @@
 	c.term, c.termSince, c.hasList, c.listGrewAt = term, now, false, time.Time{}
 	clear(c.engines)
 	clear(c.storeBuckets)
+	clear(c.storeStarts)
 	return term, ok
 }
 
@@ -287,7 +290,7 @@
 	if demand.IsZero() && now.Sub(c.listGrewAt) < listLag {
 		return // models that seem to have no copy may be on engines that the list does not show yet
 	}
-	bucket := c.tokenBucket(s, now)
+	bucket := refill(c.storeBuckets, s.Name, *s.Engine, now)
 	plan := assign.NewPlan(*s.Engine, engines, demand, int(bucket.tokens))
 	c.logPlan(s.Name, engines, plan, now)
 	for _, a := range plan.Actions {
@@ -339,14 +342,14 @@
 		"unreachable-models", p.UnreachableModels, "free-places", p.FreePlaces)
 }
 
-// tokenBucket returns the service's refilled token bucket for loads from the weight store; the caller holds the lock.
-func (c *Controller) tokenBucket(s deck.RoutedService, now time.Time) *tokenBucket {
-	b := c.storeBuckets[s.Name]
+// refill returns the service's token bucket, refilled at the rate of the weight store; the caller holds the controller's lock.
+func refill(buckets map[deck.ServiceName]*tokenBucket, s deck.ServiceName, spec deck.EngineSpec, now time.Time) *tokenBucket {
+	b := buckets[s]
 	if b == nil {
 		b = &tokenBucket{refilledAt: now} // an earlier leader may have used the burst
-		c.storeBuckets[s.Name] = b
+		buckets[s] = b
 	}
-	b.tokens = min(storeBurst, b.tokens+now.Sub(b.refilledAt).Seconds()*s.Engine.StoreLoadsPerSecond)
+	b.tokens = min(storeBurst, b.tokens+now.Sub(b.refilledAt).Seconds()*spec.StoreLoadsPerSecond)
 	b.refilledAt = now
 	return b
 }
--- a/internal/place/order/controller_test.go
+++ b/internal/place/order/controller_test.go
@@ -125,6 +125,51 @@
 	is.True(n[24] >= 24)
 }
 
+// Load pattern: demand moves to other models while all engines run long requests that end together. Guards against loads that were
+// planned one after the other and begin together, more than the weight store allows.
+func TestLoadsThatWaitForUnloadsBeginWithinRate(t *testing.T) {
+	const (
+		engines = 14
+		models  = 56
+		window  = 5 * time.Second
+	)
+	is := is.New(t)
+	p := newFakePlatform(t, testSpec(models), engines, 1)
+	n := 0
+	for _, e := range p.engines {
+		for _, m := range []int{0, 1, 2 + n} {
+			e.models[model(m)] = make(map[deck.AdapterName]bool)
+		}
+		n++
+	}
+	runController(t, p, func(c *Controller) {
+		end := time.Now().Add(12 * time.Second)
+		for step := range 240 {
+			p.locked(func() {
+				for _, e := range p.engines {
+					e.requestTime = max(0, time.Until(end))
+				}
+			})
+			for m := range models {
+				if m > 1 {
+					reportDemand(c, m, 500+10*((m+step)%7))
+				}
+			}
+			<-time.After(100 * time.Millisecond)
+		}
+	})
+	is.True(len(p.loadStarts) > engines)
+	for i, first := range p.loadStarts {
+		inWindow := 0
+		for _, t := range p.loadStarts[i:] {
+			if t.Sub(first) < window {
+				inWindow++
+			}
+		}
+		is.True(float64(inWindow) <= 3*window.Seconds()*1.1+3)
+	}
+}
+
 // Guards against orders that exceed an engine's memory or adapter slots while orders are lost or executed late, demand moves
 // between models, and adapters are requested continuously.
 func TestEngineLimitsHoldWithLostAndDelayedOrders(t *testing.T) {
--- a/internal/place/order/fake_test.go
+++ b/internal/place/order/fake_test.go
@@ -26,6 +26,7 @@
 	violations []string
 	published  []deck.Server // last published to the entry VMs
 	orderCount int
+	loadStarts []time.Time // when engines accepted orders to load a model
 }
 
 // A fakeEngine is an engine of a fakePlatform.
@@ -151,6 +152,9 @@
 	}
 	e.fencingToken, e.lastHolder = o.FencingToken, o.LeaseHolder
 	outcome := e.apply(p.spec, o)
+	if outcome == deck.OrderAccepted && !o.Unload && o.Adapter == "" {
+		p.loadStarts = append(p.loadStarts, time.Now())
+	}
 	p.checkLimits(e)
 	return outcome
 }
