Log how the end of an answer was marked and how many events it had

The line on a call that ended and the one on an interrupted stream now have the framing of the body (length, chunks or connection) and the events that the caller received.

--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -89,6 +89,8 @@
 	headSent           bool            // the caller has received the head of an answer
 	interruptedAt      time.Time       // when the stream to the caller was last interrupted; zero if never
 	lastEventID        string          // of the last event that the caller has received
+	framing            framing         // of the last answer whose body was read; empty if there was none
+	events             int             // events of a stream that the caller has received
 	server             deck.Server     // of the last offer
 	sentAt             time.Time       // of the last offer
 	firstByte          time.Duration   // from the start to the first byte of the answer; 0 if there was none
--- a/internal/api/ingress/record.go
+++ b/internal/api/ingress/record.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
@@ -25,6 +26,9 @@
 		"status", status, "outcome", outcome,
 		"first-ms", c.firstByte.Milliseconds(), "gap-ms", c.maxGap.Milliseconds(), "total-ms", total.Milliseconds(),
 	}, extra...)
+	if c.framing != "" {
+		fields = append(fields, "framing", string(c.framing), "events", c.events)
+	}
 	if c.call.Model != "" {
 		fields = append(fields, "model", string(c.call.Model), "adapter", string(c.call.Adapter))
 	}
@@ -39,6 +43,26 @@
 	}
 }
 
+// A framing says what marks the end of an answer's body.
+type framing string
+
+const (
+	framedByLength     framing = "length"
+	framedByChunks     framing = "chunks"
+	framedByConnection framing = "connection" // its end can't be told from a lost connection
+)
+
+func framingOf(resp *http.Response) framing {
+	switch {
+	case resp.ContentLength >= 0:
+		return framedByLength
+	case len(resp.TransferEncoding) > 0:
+		return framedByChunks
+	default:
+		return framedByConnection
+	}
+}
+
 // logFailedOffer logs why an offer did not end the call.
 func (c *callRun) logFailedOffer(s deck.Server, reason string, extra ...any) {
 	fields := append([]any{
--- a/internal/api/ingress/relay.go
+++ b/internal/api/ingress/relay.go
@@ -105,6 +105,7 @@
 	_, err := io.CopyN(&body, ex.Response.Body, maxBufferedBytes)
 	now := time.Now()
 	c.possibleRuns++
+	c.framing = framingOf(ex.Response)
 	switch {
 	case err == nil:
 		return c.relayLarge(s, ex, body.Bytes())
@@ -154,6 +155,7 @@
 // complete one.
 func (c *callRun) relayStream(s deck.Server, ex *http1.Exchange) offerResult {
 	c.possibleRuns++
+	c.framing = framingOf(ex.Response)
 	defer c.countStream()
 	stallLimit := max(c.h.minStall(), c.route.LatencyTarget)
 	stallTimer := time.AfterFunc(stallLimit, c.abortOnStall(ex))
@@ -176,7 +178,7 @@
 			lastRead = now
 			stallTimer.Reset(stallLimit)
 		}
-		if errors.Is(err, io.EOF) && len(data) > 0 && endsWithConnection(ex.Response) {
+		if errors.Is(err, io.EOF) && len(data) > 0 && c.framing == framedByConnection {
 			err = io.ErrUnexpectedEOF // the connection ended within an event
 			data = nil
 		}
@@ -193,6 +195,9 @@
 				return failed
 			}
 			c.lastEventID = events.lastID
+			if events.fields {
+				c.events++
+			}
 		}
 		switch {
 		case err == nil:
@@ -215,12 +220,6 @@
 	}
 }
 
-// endsWithConnection reports whether the body of the response has neither a length nor chunks, so that its end can't be told from
-// a lost connection.
-func endsWithConnection(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-}
-
 // countStream counts an ended stream of a model, for the decision of how many copies the models need.
 func (c *callRun) countStream() {
 	if c.requirements.Model == "" {
@@ -232,7 +231,8 @@
 }
 
 func (c *callRun) handleStreamError(s deck.Server, err error) offerResult {
-	c.logFailedOffer(s, "stream interrupted: "+err.Error(), "last-event", c.lastEventID)
+	c.logFailedOffer(s, "stream interrupted: "+err.Error(), "last-event", c.lastEventID, "events", c.events,
+		"framing", string(c.framing))
 	if c.ctx.Err() != nil {
 		return failed
 	}
