Break off answers that end within an event under any framing

Callers would see an answer that was broken off as complete if it had a length or chunks and ended within an event, and on routes that aren't streams, also if it ended with its connection. The cause: the check that an event is whole was made only for streams without a length or chunks, in one of three ways in which answers are relayed. Whether the last event is whole is now asked of each event stream, buffered and large answers included, by one function that the other path can use.

--- a/internal/api/ingress/brokenoff_test.go
+++ b/internal/api/ingress/brokenoff_test.go
@@ -47,6 +47,22 @@
 	}
 }
 
+// Guards against a large answer, relayed while it is read, that was broken off within an event and ends cleanly.
+func TestLargeAnswerThatEndsWithinEventIsBroken(t *testing.T) {
+	is := is.New(t)
+	whole := strings.Repeat(events(1, 1), 20_000)
+	for _, tc := range []struct {
+		body   string
+		broken bool
+	}{{whole, false}, {whole[:len(whole)-1], true}} {
+		h := newHarness(t, idempotent(), newBackend(t, "b1", func(c net.Conn, r *http.Request) bool {
+			reply(c, r, "200 OK", eventStream+unframed, tc.body)
+			return false
+		}))
+		is.Equal(h.call(t, http.MethodPost, "/p/x", "").err != nil, tc.broken)
+	}
+}
+
 // Guards against a stream whose connection was lost before the first event and that reaches the caller as a complete answer
 // without content.
 func TestStreamThatEndsBeforeItsFirstEventIsBroken(t *testing.T) {
--- a/internal/api/ingress/events.go
+++ b/internal/api/ingress/events.go
@@ -22,7 +22,7 @@
 	lastID      string // of the last event returned
 	event       bytes.Buffer
 	id          string
-	fields      bool // the block that next returned has a field, so it is an event
+	fields      bool // the block that next returned has a field, or a part of one, so it is an event
 }
 
 // newEventReader returns a reader that skips events up to and including the given id.
@@ -48,13 +48,14 @@
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
+		text := bytes.TrimRight(line, "\r\n")
 		if errors.Is(err, io.EOF) {
+			e.fields = e.fields || len(text) > 0 && text[0] != ':'
 			return e.event.Bytes(), err
 		}
 		if err != nil {
 			return nil, err
 		}
-		text := bytes.TrimRight(line, "\r\n")
 		if len(text) > 0 {
 			if id, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 				e.id = string(bytes.TrimSpace(id))
--- a/internal/api/ingress/record.go
+++ b/internal/api/ingress/record.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/eventstream"
 )
 
 // A CallRecord describes how a call ended.
@@ -54,12 +55,12 @@
 
 func framingOf(resp *http.Response) framing {
 	switch {
+	case eventstream.EndsWithConnection(resp):
+		return framedByConnection
 	case resp.ContentLength >= 0:
 		return framedByLength
-	case len(resp.TransferEncoding) > 0:
-		return framedByChunks
 	default:
-		return framedByConnection
+		return framedByChunks
 	}
 }
 
--- a/internal/api/ingress/relay.go
+++ b/internal/api/ingress/relay.go
@@ -12,12 +12,12 @@
 
 	"github.com/geraniumdeck/geraniumdeck/internal/backend/http1"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/eventstream"
 )
 
 const (
 	maxBufferedBytes  = 256 << 10 // read of a non-streaming answer before its head is relayed
 	maxDiscardedBytes = 16 << 10  // read of an unwanted answer to keep its connection
-	eventStreamType   = "text/event-stream"
 
 	// minStall is the shortest pause after which a resumable stream is resumed on another engine. It is longer than the pause of
 	// about a second of a request that its engine preempts for more urgent ones, and as long as callers wait before they
@@ -86,8 +86,7 @@
 // relay forwards a server's answer to the caller.
 func (c *callRun) relay(s deck.Server, ex *http1.Exchange) offerResult {
 	resp := ex.Response
-	if c.route.Kind == deck.CallStream && resp.StatusCode == http.StatusOK &&
-		strings.HasPrefix(resp.Header.Get("Content-Type"), eventStreamType) {
+	if c.route.Kind == deck.CallStream && resp.StatusCode == http.StatusOK && eventstream.IsStream(resp.Header) {
 		return c.relayStream(s, ex)
 	}
 	if c.headSent { // an interrupted stream, which only another stream can continue
@@ -106,6 +105,9 @@
 	now := time.Now()
 	c.possibleRuns++
 	c.framing = framingOf(ex.Response)
+	if errors.Is(err, io.EOF) && eventstream.IsBrokenOff(ex.Response.Header, body.Bytes()) {
+		err = io.ErrUnexpectedEOF
+	}
 	switch {
 	case err == nil:
 		return c.relayLarge(s, ex, body.Bytes())
@@ -138,8 +140,12 @@
 	c.firstByte = time.Since(c.start)
 	writeHead(c.w, ex.Response.StatusCode, ex.Response.Header, ex.Response.ContentLength)
 	_, err := c.w.Write(head)
+	var end tailWriter
 	if err == nil {
-		_, err = io.Copy(c.w, ex.Response.Body)
+		_, err = io.Copy(c.w, io.TeeReader(ex.Response.Body, &end))
+	}
+	if err == nil && eventstream.IsBrokenOff(ex.Response.Header, append(head, end.last...)) {
+		err = io.ErrUnexpectedEOF
 	}
 	if err != nil {
 		ex.Abort()
@@ -151,6 +157,20 @@
 	return answered
 }
 
+// A tailWriter keeps the last bytes written to it, enough to see whether a stream ended within an event.
+type tailWriter struct {
+	last []byte
+}
+
+const tailBytes = 4 // two line ends
+
+// Write implements io.Writer.Write.
+func (t *tailWriter) Write(p []byte) (int, error) {
+	t.last = append(t.last, p[max(0, len(p)-tailBytes):]...)
+	t.last = t.last[max(0, len(t.last)-tailBytes):]
+	return len(p), nil
+}
+
 // relayStream relays events as they arrive. It never relays a partial event, so that another engine can continue after the last
 // complete one.
 func (c *callRun) relayStream(s deck.Server, ex *http1.Exchange) offerResult {
@@ -178,9 +198,8 @@
 			lastRead = now
 			stallTimer.Reset(stallLimit)
 		}
-		if errors.Is(err, io.EOF) && len(data) > 0 && c.framing == framedByConnection {
-			err = io.ErrUnexpectedEOF // the connection ended within an event
-			data = nil
+		if errors.Is(err, io.EOF) && c.isBrokenOff(events, data) {
+			err, data = io.ErrUnexpectedEOF, nil
 		}
 		if len(data) > 0 {
 			if firstEvent.IsZero() {
@@ -220,6 +239,11 @@
 	}
 }
 
+// isBrokenOff reports whether a stream that has come to its end was broken off; rest is what it ended with after its last event.
+func (c *callRun) isBrokenOff(events *eventReader, rest []byte) bool {
+	return len(rest) > 0 && (events.fields || c.framing == framedByConnection)
+}
+
 // countStream counts an ended stream of a model, for the decision of how many copies the models need.
 func (c *callRun) countStream() {
 	if c.requirements.Model == "" {
