Break off streams whose connection is lost before the first event

A caller got a 200 that ended cleanly without any content if the engine's connection ended between the head of a stream without length or chunks and its first event: there was no part of an event that showed the loss. Such a stream now counts as interrupted, so that another engine may begin it where the route allows that.

TestStreamThatEndsBeforeItsFirstEventIsBroken failed before and passes now. A resumed stream that has nothing left looks the same and is broken off too: its caller sees a failure instead of an answer that may be short.

--- a/internal/api/ingress/events.go
+++ b/internal/api/ingress/events.go
@@ -23,6 +23,7 @@
 	event       bytes.Buffer
 	id          string
 	fields      bool // the block that next returned has a field, or a part of one, so it is an event
+	hasEvents   bool // a whole event was read, delivered by an earlier engine or not
 }
 
 // newEventReader returns a reader that skips events up to and including the given id.
@@ -63,6 +64,7 @@
 			e.fields = e.fields || text[0] != ':'
 			continue
 		}
+		e.hasEvents = e.hasEvents || e.fields
 		if !e.delivered() {
 			if e.id != "" {
 				e.lastID = e.id
--- a/internal/api/ingress/relay.go
+++ b/internal/api/ingress/relay.go
@@ -240,8 +240,12 @@
 }
 
 // isBrokenOff reports whether a stream that has come to its end was broken off; rest is what it ended with after its last event.
+// Without a length or chunks, a stream without any event has lost its connection.
 func (c *callRun) isBrokenOff(events *eventReader, rest []byte) bool {
-	return len(rest) > 0 && (events.fields || c.framing == framedByConnection)
+	if c.framing == framedByConnection {
+		return len(rest) > 0 || !events.hasEvents
+	}
+	return len(rest) > 0 && events.fields
 }
 
 // countStream counts an ended stream of a model, for the decision of how many copies the models need.
