Reset the connection of an HTTP/1.0 caller whose answer broke off

An answer to HTTP/1.0 has no chunks: it ends with its connection. The entry VM closed that connection when it gave up on an answer, as it does for HTTP/1.1, where the missing last chunk tells the caller; an HTTP/1.0 caller took the part for the whole. The connection is now reset.

TestBrokenAnswerOfHTTP10CallerIsReset failed before and passes now.

--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -235,7 +235,7 @@
 	switch {
 	case c.headSent:
 		c.recordEnd(0, "answer interrupted")
-		panic(http.ErrAbortHandler) // aborts the connection, so that the caller does not take a partial answer for a complete one
+		abortAnswer(c.w, c.r)
 	case c.r.Context().Err() != nil:
 		c.recordEnd(0, "caller disconnected")
 		panic(http.ErrAbortHandler)
--- a/internal/api/ingress/relay.go
+++ b/internal/api/ingress/relay.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -157,6 +158,20 @@
 	return answered
 }
 
+// abortAnswer aborts the connection, so that the caller does not take a partial answer for a complete one. An answer to HTTP/1.0 ends
+// with its connection, which must therefore be reset instead of closed.
+func abortAnswer(w http.ResponseWriter, r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			if tcp, ok := conn.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0) // fails only if the connection is closed already
+			}
+			_ = conn.Close()
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // A tailWriter keeps the last bytes written to it, enough to see whether a stream ended within an event.
 type tailWriter struct {
 	last []byte
