See an engine's crash in a stream without length or chunks

On the inference API's path such a stream was never taken for complete, since its end event is missing, but its end counted as a fault of the protocol instead of a lost connection: the crash was neither observed nor reported, and a request that crashes engines could go from one to the next. A response without length or chunks can end early only with its connection, so that is a crash now.

--- a/internal/backend/engine/client.go
+++ b/internal/backend/engine/client.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +15,7 @@
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	wire "github.com/geraniumdeck/geraniumdeck/internal/wire/engine"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/eventstream"
 )
 
 // stallTimeout is four times the interval at which an engine sends keep-alive comments.
@@ -88,6 +88,7 @@
 		body:        body,
 		eventReader: newEventReader(body),
 		bootID:      bootID,
+		unframed:    eventstream.EndsWithConnection(resp),
 		nextOffset:  g.Offset,
 	}, nil
 }
@@ -171,7 +172,7 @@
 }
 
 func isStream(resp *http.Response) bool {
-	return resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+	return resp.StatusCode == http.StatusOK && eventstream.IsStream(resp.Header)
 }
 
 // responseError maps a response that is not a token stream to a *deck.EngineError.
--- a/internal/backend/engine/stream.go
+++ b/internal/backend/engine/stream.go
@@ -28,6 +28,7 @@
 	body        *stallTimedBody
 	eventReader *eventReader
 	bootID      string
+	unframed    bool // the response ends with its connection
 	nextOffset  int // expected offset of the next token
 	done        bool
 }
@@ -100,7 +101,11 @@
 // readError returns the error of a stream that ended without the wire.DoneData event.
 func (s *stream) readError(err error) error {
 	if errors.Is(err, errUnterminatedStream) {
-		return &deck.EngineError{Kind: deck.EngineFailed, BootID: s.bootID, Err: err}
+		e := &deck.EngineError{Kind: deck.EngineFailed, BootID: s.bootID, Err: err}
+		if s.unframed {
+			e.Kind = deck.EngineCrashed // only a lost connection ends such a response early
+		}
+		return e
 	}
 	e := classify(s.streamCtx, err, s.bootID)
 	if e.Kind == deck.EngineStalled {
