Take a KV cache only from a response with a length or chunks

An export that ended with its connection was moved as a whole KV cache, also if the connection was lost halfway; unlike JSON, a part of it can't be told from the whole. Such a response is now an error, and the move is given up.

TestUnframedKV failed before and passes now.

--- a/internal/backend/engine/call.go
+++ b/internal/backend/engine/call.go
@@ -14,6 +14,7 @@
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	wire "github.com/geraniumdeck/geraniumdeck/internal/wire/engine"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/eventstream"
 )
 
 // Timeouts of requests other than token streams.
@@ -22,6 +23,9 @@
 	kvTimeout    = 30 * time.Second
 )
 
+// errUnframed means that the end of a response can't be told from a lost connection.
+var errUnframed = errors.New("the response has neither a length nor chunks")
+
 // CacheEvents implements deck.Engine.CacheEvents.
 func (c *Client) CacheEvents(ctx context.Context, after uint64) (deck.CacheEvents, error) {
 	var w wire.CacheEvents
@@ -45,7 +49,7 @@
 
 // ExportKV implements deck.Engine.ExportKV.
 func (c *Client) ExportKV(ctx context.Context, id deck.RequestID) ([]byte, error) {
-	r := unaryRequest{method: http.MethodGet, path: kvPath(id)}
+	r := unaryRequest{method: http.MethodGet, path: kvPath(id), framed: true}
 	return c.do(ctx, c.pool.pooled(), r, kvTimeout, wire.MaxKVBytes)
 }
 
@@ -104,6 +108,7 @@
 	body        []byte
 	contentType string
 	noRetry     bool // prevents the transport from sending it again
+	framed      bool // the response must have a length or chunks, since a part of its body looks like the whole
 }
 
 func (c *Client) newPost(path string, body []byte) unaryRequest {
@@ -141,6 +146,9 @@
 	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusNoContent {
 		return nil, responseError(resp, bootID)
 	}
+	if r.framed && eventstream.EndsWithConnection(resp) {
+		return nil, &deck.EngineError{Kind: deck.EngineFailed, BootID: bootID, Err: errUnframed}
+	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err != nil {
 		return nil, classify(ctx, err, bootID)
