Take a service's event stream for complete only if its last event is whole

A plain service's answer that ended with its connection, within an event, reached the caller as complete and was recorded as the answer of its idempotency key. Its outcome is unknown now, as for any answer that broke off.

TestUnframedOutcomes failed before and passes now.

--- a/internal/backend/service/client.go
+++ b/internal/backend/service/client.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/eventstream"
 )
 
 // Limits of connections and responses.
@@ -145,6 +146,9 @@
 	if len(body) > maxResponseBytes {
 		return deck.ServiceAnswer{Reason: "the answer exceeds 8 MiB"}
 	}
+	if eventstream.IsBrokenOff(resp.Header, body) {
+		return deck.ServiceAnswer{Reason: "the answer ends within an event"}
+	}
 	headers := make(map[string]string, len(resp.Header))
 	for name, values := range resp.Header {
 		headers[name] = strings.Join(values, ", ")
