--- a/internal/backend/engine/stream.go
+++ b/internal/backend/engine/stream.go
@@ -29,7 +29,7 @@
 	eventReader *eventReader
 	bootID      string
 	unframed    bool // the response ends with its connection
-	nextOffset  int // expected offset of the next token
+	nextOffset  int  // expected offset of the next token
 	done        bool
 }
 
