Log what an interrupted call may have crashed its server with

Each call that a server interrupts now gets a line with its fingerprint, the parts of its prompt and how far its answer had come, so that a suspect that changes from request to request can be told from reports that get lost. Behaviour is unchanged; the tests of the package passed.

--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -387,6 +387,7 @@
 // after the call was sent, and for any stream error, also if the stall timer aborted the stream. Calls without a body are left
 // out, because unrelated ones often have the same fingerprint.
 func (c *callRun) recordPossibleCrash(now time.Time, s deck.Server) {
+	c.logSuspect(s)
 	if len(c.body) > 0 {
 		c.h.Poison.RecordCrash(now, c.fingerprint(), s.ID)
 	}
