Add failing tests of a part of prompts that crashes engines

Both serving paths: requests that differ in everything but one part of their prompt go to engine after engine, and are never refused. Sound requests that share their other parts must be served.

--- a/internal/api/caller/fixture_test.go
+++ b/internal/api/caller/fixture_test.go
@@ -34,6 +34,8 @@
 	mu       sync.Mutex
 	faults   []string // of the next requests, in order; "" for none
 	usage    bool     // the last chunk has the token usage
+	crashOn  string   // the engine process crashes when it begins to answer a request with this text in its body
+	crashes  int
 	requests []*http.Request
 	bodies   []string
 	cancels  []string
@@ -53,8 +55,8 @@
 
 func (e *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	data, _ := io.ReadAll(r.Body)
-	w.Header().Set("Boot-ID", "b1")
 	e.mu.Lock()
+	w.Header().Set("Boot-ID", "b"+strconv.Itoa(1+e.crashes))
 	if r.URL.Path == "/engine/cancel" {
 		e.cancels = append(e.cancels, string(data))
 		e.mu.Unlock()
@@ -66,6 +68,10 @@
 	if len(e.faults) > 0 {
 		fault, e.faults = e.faults[0], e.faults[1:]
 	}
+	if e.crashOn != "" && strings.Contains(string(data), e.crashOn) {
+		fault = "reset:0"
+		e.crashes++
+	}
 	e.mu.Unlock()
 	e.answer(w, r, fault)
 }
--- a/internal/api/ingress/harness_test.go
+++ b/internal/api/ingress/harness_test.go
@@ -188,7 +188,7 @@
 	return h.callContext(ctx, t, method, path, body)
 }
 
-func (h *harness) callContext(ctx context.Context, t *testing.T, method, path, body string) result {
+func (h *harness) callContext(ctx context.Context, t *testing.T, method, path, body string, parts ...string) result {
 	t.Helper()
 	is := is.New(t)
 	r, err := http.NewRequestWithContext(ctx, method, h.server.URL+path, strings.NewReader(body))
@@ -196,6 +196,7 @@
 	r.Host = "a.example"
 	r.Header.Set("Call-Id", "id-1")
 	r.Header.Set("Call-Deadline-Ms", "4000")
+	r.Header.Set("Prompt-Parts", strings.Join(parts, " "))
 	resp, err := h.server.Client().Do(r)
 	if err != nil {
 		return result{err: err}
@@ -210,10 +211,14 @@
 
 func (testCodec) ReadCall(r *http.Request) (deck.Call, error) {
 	ms, err := strconv.Atoi(r.Header.Get("Call-Deadline-Ms"))
-	return deck.Call{
+	c := deck.Call{
 		ID: deck.RequestID(r.Header.Get("Call-Id")), Timeout: time.Duration(ms) * time.Millisecond,
 		Model: deck.ModelName(r.URL.Query().Get("model")),
-	}, err
+	}
+	for _, id := range strings.Fields(r.Header.Get("Prompt-Parts")) {
+		c.Parts = append(c.Parts, deck.PromptPart{ID: id, Tokens: 100})
+	}
+	return c, err
 }
 
 func (testCodec) SetHeaders(h http.Header, o deck.Offer) {
