Blame parts of prompts, and not only whole requests, for crashes of engines

A VM identified a suspect by path and body, so that each of these requests was a new one with a single crash. The reports of crashes were also of little use to others: each was sent once, lost if the poll failed, forgotten by a new leader, and only the last 64 were passed on, which one crash of a full engine can fill.

The class is blame that is bound to the whole of a request. Each interrupted call now reports the parts of its prompt that aren't proven: a part is proven on a VM where an engine wrote on it for half a second, or finished, within 30 s. The leader counts separate crashes with each part, simultaneous ones as one, and only if different requests were alone with it; it asks all VMs for proofs before it refuses a part, and lets the strongest suspect explain a crash, so that what merely ran beside it goes free. VMs repeat their reports until the leader has them, tell a new leader of earlier crashes and verdicts, and judge alone while there is none.

--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -72,6 +72,8 @@
 	route        deck.Route
 	call         deck.Call
 	body         []byte
+	hash         Fingerprint // of path and body; 0 until it is needed
+	parts        []uint64    // fingerprints of the shared parts of the prompt
 	start        time.Time
 	deadline     time.Time
 	version      uint64 // of the configuration that the route is from
@@ -94,6 +96,8 @@
 	server             deck.Server     // of the last offer
 	sentAt             time.Time       // of the last offer
 	firstByte          time.Duration   // from the start to the first byte of the answer; 0 if there was none
+	headReceived       bool            // the server of the last offer has sent the head of a stream
+	firstEvent         time.Time       // when the first event of the last stream came; zero if none did
 	maxGap             time.Duration   // the longest pause between two events
 	fallback           *bufferedAnswer // a server's error that is relayed if no other server succeeds
 }
@@ -109,9 +113,8 @@
 
 // serve sends the call to servers until the caller has been answered.
 func (c *callRun) serve() {
-	if c.h.Poison.IsPoison(c.fingerprint()) {
-		c.recordEnd(http.StatusUnprocessableEntity, "request has crashed several servers")
-		writeError(c.w, errorResponse{http.StatusUnprocessableEntity, 0, "request has crashed several servers"})
+	if c.isPoison() {
+		c.refusePoison()
 		return
 	}
 	if c.requirements.Model != "" {
@@ -133,6 +136,22 @@
 	}
 }
 
+// isPoison reports whether the call, or a part of its prompt, crashes servers.
+func (c *callRun) isPoison() bool {
+	return c.h.Poison.Refuses(time.Now(), c.fingerprint(), c.parts)
+}
+
+// refusePoison refuses a call that crashes servers.
+func (c *callRun) refusePoison() {
+	if c.possibleRuns > 0 {
+		c.fail()
+		return
+	}
+	const reason = "the request or a part of its prompt has crashed several servers"
+	c.recordEnd(http.StatusUnprocessableEntity, reason)
+	writeError(c.w, errorResponse{http.StatusUnprocessableEntity, 0, reason})
+}
+
 // choose returns the next server to try and waits for one if need be. It returns false if there is none; the caller has been
 // answered then.
 func (c *callRun) choose() (deck.Server, bool) {
@@ -272,6 +291,7 @@
 	}
 	c.offers++
 	c.server, c.sentAt = s, now
+	c.headReceived, c.firstEvent = false, time.Time{}
 	c.requirements.Tried[s.ID] = true
 	c.h.Balancer.RecordCallStart(s.ID)
 	c.h.Balancer.RecordPrompt(s.ID, c.requirements)
@@ -368,7 +388,7 @@
 		return tryAnother
 	}
 	if !errors.Is(err, errNoAnswer) {
-		c.recordPossibleCrash(now, s)
+		c.recordPossibleCrash(now, s, err)
 	}
 	return c.retryResult()
 }
@@ -384,12 +404,12 @@
 }
 
 // recordPossibleCrash counts an interrupted call as a possible crash of the server. It is called for any error but errNoAnswer
-// after the call was sent, and for any stream error, also if the stall timer aborted the stream. Calls without a body are left
-// out, because unrelated ones often have the same fingerprint.
-func (c *callRun) recordPossibleCrash(now time.Time, s deck.Server) {
+// after the call was sent, and for any stream error, also if the stall timer aborted the stream. Calls with neither a body nor
+// parts of a prompt are left out, because unrelated ones often have the same fingerprint.
+func (c *callRun) recordPossibleCrash(now time.Time, s deck.Server, err error) {
 	c.logSuspect(s)
-	if len(c.body) > 0 {
-		c.h.Poison.RecordCrash(now, c.fingerprint(), s.ID)
+	if len(c.body) > 0 || len(c.parts) > 0 {
+		c.h.Poison.RecordCrash(now, c.fingerprint(), s, c.suspectParts(now, err), c.headReceived)
 	}
 }
 
--- a/internal/api/ingress/handler.go
+++ b/internal/api/ingress/handler.go
@@ -127,7 +127,7 @@
 		limit = defaultTimeout
 	}
 	c := &callRun{
-		h: h, w: w, r: r, route: route, call: call, body: body, start: start, deadline: start.Add(limit),
+		h: h, w: w, r: r, route: route, call: call, body: body, parts: partFingerprints(call.Parts), start: start, deadline: start.Add(limit),
 		version: t.Config().Version, service: table.PickService(route, h.Random.Float64()),
 	}
 	ctx, cancelDeadline := context.WithDeadlineCause(r.Context(), c.deadline, errDeadline)
--- a/internal/api/ingress/poison.go
+++ b/internal/api/ingress/poison.go
@@ -1,92 +1,223 @@
 package ingress
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/route/blame"
 )
 
 const (
-	refuseAfterServers = 3                // number of different servers from which a request that may have crashed them is refused
-	suspectTTL         = 60 * time.Second // after the last crash
-	maxSuspects        = 4096
+	// provenTime is how long a part of a prompt is no suspect after a server wrote an answer on it for a call of this VM.
+	provenTime = 30 * time.Second
+
+	// suspiciousWriting is how long a request may have received events from a server that crashes and still be a suspect for the
+	// parts of its prompt: these crash a server when it begins to write. A longer answer proves that they don't.
+	suspiciousWriting = 500 * time.Millisecond
+
+	// aloneAfter is how long after the last answer of a leader this VM judges parts of prompts by the crashes that it saw itself.
+	aloneAfter = 3 * time.Second
+
+	maxUnconfirmed  = 256  // crashes kept until the leader confirms them; the oldest are dropped beyond that
+	maxProofs       = 8192 // parts of which it is remembered that they are sound
+	maxSuspectParts = 16   // of one prompt
 )
 
 // A Fingerprint identifies a request by its path and body.
 type Fingerprint uint64
 
-// A PoisonDetector tracks the servers that may have crashed while they had a request, to refuse requests that crash servers.
-// Its zero value is empty.
+// A PoisonDetector refuses requests that crash servers, by their fingerprint or by a part of their prompt that is to blame. It shares
+// what it observes with the other VMs through the leader, and decides by itself while there is none. Its zero value is empty.
 type PoisonDetector struct {
-	mu         sync.Mutex
-	suspects   map[Fingerprint]*suspect
-	unreported []deck.Crash
+	mu       sync.Mutex
+	ledger   blame.Ledger // of the crashes that this VM observed
+	verdicts blame.Verdicts
+	watched  map[uint64]bool // parts of which the leader wants to know whether a request with them completes
+
+	proofs map[uint64]time.Time // when a part was last seen to be sound
+
+	crashes    []observedCrash // that this VM observed, oldest first
+	confirmed  int             // the first of these, which the leader of the term has
+	reported   int             // the first of these, which the last report carried as well
+	term       uint64
+	reportedAt time.Time // of the last report
+	appliedAt  time.Time // of the last answer of a leader
+	cleared    []uint64  // suspects with which a request completed since the last confirmed report
+	inReport   int       // the first of these, which the last report carried
 }
 
-type suspect struct {
-	servers   map[deck.BackendName]bool
-	lastCrash time.Time
+type observedCrash struct {
+	deck.Crash
+	at time.Time
 }
 
-// RecordCrash records a possible crash that this VM has observed.
-func (p *PoisonDetector) RecordCrash(now time.Time, f Fingerprint, s deck.BackendName) {
+// RecordCrash records a possible crash of the server that this VM has observed, with a request. parts are those of its prompt that may
+// be to blame; began says that the server had begun to answer.
+func (p *PoisonDetector) RecordCrash(now time.Time, f Fingerprint, s deck.Server, parts []uint64, began bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.add(now, deck.Crash{RequestFingerprint: uint64(f), Server: s}) {
-		p.unreported = append(p.unreported, deck.Crash{RequestFingerprint: uint64(f), Server: s})
+	c := deck.Crash{
+		RequestFingerprint: uint64(f), Server: s.ID, StartUnixMs: s.StartUnixMs, Parts: p.suspects(now, parts), Began: began,
+	}
+	p.crashes = append(p.crashes, observedCrash{c, now})
+	if len(p.crashes) > maxUnconfirmed {
+		p.crashes = p.crashes[1:]
+		p.confirmed, p.reported = max(0, p.confirmed-1), max(0, p.reported-1)
+	}
+	if p.ledger.Record(now, c) {
+		p.verdicts.Add(now, c.RequestFingerprint)
+	}
+}
+
+// suspects returns the parts that are not proven to be harmless.
+func (p *PoisonDetector) suspects(now time.Time, parts []uint64) []uint64 {
+	var suspects []uint64
+	for _, part := range parts[:min(len(parts), maxSuspectParts)] {
+		if !p.isProven(now, part) {
+			suspects = append(suspects, part)
+		}
 	}
+	return suspects
 }
 
-// AddRemote records crashes that other VMs have observed.
-func (p *PoisonDetector) AddRemote(now time.Time, crashes []deck.Crash) {
+// isProven reports whether the part was seen to be sound of late.
+func (p *PoisonDetector) isProven(now time.Time, part uint64) bool {
+	proof, ok := p.proofs[part]
+	return ok && now.Sub(proof) <= provenTime
+}
+
+// RecordCompletion records that a request with the given parts of its prompt was answered in full.
+func (p *PoisonDetector) RecordCompletion(now time.Time, f Fingerprint, parts []uint64) {
+	p.RecordSound(now, parts)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, c := range crashes {
-		p.add(now, c)
+	if p.verdicts.Has(uint64(f)) {
+		p.clear(now, uint64(f))
 	}
 }
 
-// TakeCrashes returns the crashes that this VM has observed since the last call.
-func (p *PoisonDetector) TakeCrashes() []deck.Crash {
+// RecordSound records that a server has written an answer on a prompt with the given parts, so far that they don't crash it.
+func (p *PoisonDetector) RecordSound(now time.Time, parts []uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := p.unreported
-	p.unreported = nil
-	return out
+	for _, part := range parts {
+		if p.proofs == nil || len(p.proofs) >= maxProofs {
+			p.proofs = make(map[uint64]time.Time)
+		}
+		p.proofs[part] = now
+		if p.watched[part] || p.verdicts.Has(part) {
+			p.clear(now, part)
+		}
+	}
 }
 
-// IsPoison reports whether the request may have crashed so many different servers that it must be refused.
-func (p *PoisonDetector) IsPoison(f Fingerprint) bool {
+// clear withdraws what is held against a suspect, here and at the leader.
+func (p *PoisonDetector) clear(now time.Time, suspect uint64) {
+	p.verdicts.Lift(now, suspect)
+	p.ledger.Clear(now, suspect)
+	p.cleared = append(p.cleared, suspect)
+	delete(p.watched, suspect)
+}
+
+// Refuses reports whether a request must be refused, because it, or a part of its prompt, crashes servers.
+func (p *PoisonDetector) Refuses(now time.Time, f Fingerprint, parts []uint64) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.suspects[f]
-	return s != nil && len(s.servers) >= refuseAfterServers && time.Since(s.lastCrash) < suspectTTL
+	if p.verdicts.Contains(now, uint64(f)) {
+		return true
+	}
+	alone := now.Sub(p.appliedAt) > aloneAfter
+	for _, part := range parts {
+		if p.verdicts.Contains(now, part) || alone && p.ledger.BlamesPart(part) && !p.isProven(now, part) {
+			return true
+		}
+	}
+	return false
 }
 
-// add records the crash; it returns false if the request had crashed the server before.
-func (p *PoisonDetector) add(now time.Time, c deck.Crash) bool {
-	if p.suspects == nil || len(p.suspects) >= maxSuspects {
-		p.suspects = make(map[Fingerprint]*suspect)
+// Report returns what the leader has not confirmed yet. It is repeated until Apply is called.
+func (p *PoisonDetector) Report(now time.Time) deck.BlameReport {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := deck.BlameReport{Verdicts: p.verdicts.List(now), Cleared: p.cleared[:len(p.cleared):len(p.cleared)]}
+	for _, c := range p.crashes[p.confirmed:] {
+		c.Age = now.Sub(c.at)
+		c.Parts = slices.DeleteFunc(slices.Clone(c.Parts), func(part uint64) bool { return p.proofs[part].After(c.at) })
+		r.Crashes = append(r.Crashes, c.Crash)
+	}
+	p.reported, p.inReport, p.reportedAt = len(p.crashes), len(p.cleared), now
+	return r
+}
+
+// Apply takes over what the leader answered to the last report. A new leader is told of all crashes again.
+func (p *PoisonDetector) Apply(now time.Time, v deck.BlameView) {
+	if v.Term == 0 {
+		return // the leader did not take the report
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.appliedAt = now
+	p.confirmed = p.reported
+	if v.Term != p.term {
+		p.term, p.confirmed = v.Term, 0
+	}
+	p.reported = p.confirmed
+	p.cleared = p.cleared[p.inReport:]
+	p.inReport = 0
+	p.watched = make(map[uint64]bool, len(v.Watched))
+	for _, part := range v.Watched {
+		p.watched[part] = true
+		if p.isProven(now, part) {
+			p.clear(now, part)
+		}
+	}
+	p.verdicts.Retain(p.reportedAt, v.Verdicts)
+	p.verdicts.Merge(now, p.withoutProven(now, v.Verdicts))
+}
+
+// withoutProven returns the verdicts but for those that calls of this VM contradict, which it withdraws at the leader.
+func (p *PoisonDetector) withoutProven(now time.Time, verdicts []deck.Verdict) []deck.Verdict {
+	return slices.DeleteFunc(slices.Clone(verdicts), func(v deck.Verdict) bool {
+		proven := p.isProven(now, v.Suspect)
+		if proven {
+			p.cleared = append(p.cleared, v.Suspect)
+		}
+		return proven
+	})
+}
+
+// partFingerprints returns the fingerprints of the parts of a prompt that requests share: all but the last.
+func partFingerprints(parts []deck.PromptPart) []uint64 {
+	if len(parts) < 2 {
+		return nil
 	}
-	s := p.suspects[Fingerprint(c.RequestFingerprint)]
-	if s == nil || now.Sub(s.lastCrash) > suspectTTL {
-		s = &suspect{servers: make(map[deck.BackendName]bool)}
-		p.suspects[Fingerprint(c.RequestFingerprint)] = s
+	out := make([]uint64, 0, len(parts)-1)
+	for _, part := range parts[:len(parts)-1] {
+		out = append(out, xxhash.Sum64String("part "+part.ID))
 	}
-	known := s.servers[c.Server]
-	s.servers[c.Server] = true
-	s.lastCrash = now
-	return !known
+	return out
 }
 
 // fingerprint returns a hash of the call's path and body.
 func (c *callRun) fingerprint() Fingerprint {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(c.r.RequestURI) // hashing never fails
-	_, _ = d.Write(c.body)
-	return Fingerprint(d.Sum64())
+	if c.hash == 0 {
+		var d xxhash.Digest
+		d.Reset()
+		_, _ = d.WriteString(c.r.RequestURI) // hashing never fails
+		_, _ = d.Write(c.body)
+		c.hash = Fingerprint(d.Sum64())
+	}
+	return c.hash
+}
+
+// suspectParts returns the parts of the call's prompt that may have crashed the server, which interrupted the call with the error.
+func (c *callRun) suspectParts(now time.Time, err error) []uint64 {
+	if !closedByServer(err) || !c.firstEvent.IsZero() && now.Sub(c.firstEvent) > suspiciousWriting {
+		return nil
+	}
+	return c.parts
 }
--- a/internal/api/ingress/record.go
+++ b/internal/api/ingress/record.go
@@ -81,6 +81,6 @@
 		parts = append(parts, p.ID)
 	}
 	c.h.Log.Info("call suspected of a crash", "request", string(c.call.ID), "server", string(s.ID),
-		"fingerprint", strconv.FormatUint(uint64(c.fingerprint()), 16), "prompt-parts", parts, "head-received", c.firstByte > 0,
+		"fingerprint", strconv.FormatUint(uint64(c.fingerprint()), 16), "prompt-parts", parts, "head-received", c.headReceived,
 		"events", c.events, "elapsed-ms", time.Since(c.start).Milliseconds())
 }
--- a/internal/api/ingress/relay.go
+++ b/internal/api/ingress/relay.go
@@ -130,6 +130,9 @@
 		c.fallback = a
 		return tryAnother
 	}
+	if a.status < http.StatusMultipleChoices {
+		c.h.Poison.RecordCompletion(now, c.fingerprint(), c.parts)
+	}
 	c.recordEnd(a.status, "answered")
 	a.write(c.w)
 	return answered
@@ -190,7 +193,7 @@
 // complete one.
 func (c *callRun) relayStream(s deck.Server, ex *http1.Exchange) offerResult {
 	c.possibleRuns++
-	c.framing = framingOf(ex.Response)
+	c.framing, c.headReceived = framingOf(ex.Response), true
 	defer c.countStream()
 	stallLimit := max(c.h.minStall(), c.route.LatencyTarget)
 	stallTimer := time.AfterFunc(stallLimit, c.abortOnStall(ex))
@@ -203,7 +206,7 @@
 	}
 	flusher := http.NewResponseController(c.w)
 	lastRead := time.Now()
-	var firstEvent time.Time // the call has occupied a slot from then on
+	sound := false // the server has written for long enough to prove the prompt
 	for {
 		data, err := events.next()
 		now := time.Now()
@@ -217,8 +220,12 @@
 			err, data = io.ErrUnexpectedEOF, nil
 		}
 		if len(data) > 0 {
-			if firstEvent.IsZero() {
-				firstEvent = now
+			if c.firstEvent.IsZero() && events.fields {
+				c.firstEvent = now // the call occupies a slot from then on
+			}
+			if !sound && !c.firstEvent.IsZero() && now.Sub(c.firstEvent) > suspiciousWriting {
+				sound = true
+				c.h.Poison.RecordSound(now, c.parts)
 			}
 			if _, werr := c.w.Write(data); werr != nil {
 				ex.Abort()
@@ -242,9 +249,10 @@
 				ex.Abort() // the stall timer has fired and may yet abort this connection, so no other call may reuse it
 			}
 			c.h.Balancer.RecordResult(now, s.ID, false)
-			if !firstEvent.IsZero() {
-				c.h.Balancer.RecordSlotTime(c.service, now.Sub(firstEvent))
+			if !c.firstEvent.IsZero() {
+				c.h.Balancer.RecordSlotTime(c.service, now.Sub(c.firstEvent))
 			}
+			c.h.Poison.RecordCompletion(now, c.fingerprint(), c.parts)
 			c.recordEnd(http.StatusOK, "answered")
 			return answered
 		default:
@@ -281,7 +289,7 @@
 	}
 	now := time.Now()
 	c.h.Balancer.RecordResult(now, s.ID, true)
-	c.recordPossibleCrash(now, s)
+	c.recordPossibleCrash(now, s, err)
 	delete(c.requirements.Tried, s.ID) // an engine that broke one connection may continue the stream on another
 	c.interruptedAt = now
 	c.requirements.MaxWait = resumeTimeout
--- a/internal/api/peer/viewwire.go
+++ b/internal/api/peer/viewwire.go
@@ -20,6 +20,8 @@
 	Running    []adapterUseJSON `json:"running,omitempty"`
 	Calls      map[string]int   `json:"calls,omitempty"`
 	Crashes    []crashJSON      `json:"crashes,omitempty"`
+	Verdicts   []verdictJSON    `json:"verdicts,omitempty"`
+	Cleared    []uint64         `json:"cleared,omitempty"`
 	Broke      []string         `json:"broke,omitempty"`
 	Answered   []string         `json:"answered,omitempty"`
 }
@@ -39,24 +41,21 @@
 	Adapter string `json:"adapter"`
 }
 
-type crashJSON struct {
-	Request uint64 `json:"request"`
-	Server  string `json:"server"`
-}
-
 type viewAnswerJSON struct {
-	Leading bool           `json:"leading"`
-	Leader  string         `json:"leader,omitempty"`
-	Members []string       `json:"members"`
-	Config  *documentJSON  `json:"config,omitempty"`
-	Term    uint64         `json:"term"`
-	Number  uint64         `json:"number"`
-	Whole   bool           `json:"whole,omitempty"`
-	Servers []serverJSON   `json:"servers,omitempty"`
-	Gone    []string       `json:"gone,omitempty"`
-	VMs     int            `json:"vms"`
-	Calls   map[string]int `json:"calls,omitempty"`
-	Crashes []crashJSON    `json:"crashes,omitempty"`
+	Leading    bool           `json:"leading"`
+	Leader     string         `json:"leader,omitempty"`
+	Members    []string       `json:"members"`
+	Config     *documentJSON  `json:"config,omitempty"`
+	Term       uint64         `json:"term"`
+	Number     uint64         `json:"number"`
+	Whole      bool           `json:"whole,omitempty"`
+	Servers    []serverJSON   `json:"servers,omitempty"`
+	Gone       []string       `json:"gone,omitempty"`
+	VMs        int            `json:"vms"`
+	Calls      map[string]int `json:"calls,omitempty"`
+	LeaderTerm uint64         `json:"leader-term,omitempty"`
+	Verdicts   []verdictJSON  `json:"verdicts,omitempty"`
+	Watched    []uint64       `json:"watched,omitempty"`
 }
 
 type documentJSON struct {
@@ -87,7 +86,8 @@
 	w := viewRequestJSON{
 		VM: string(r.VM), DataCentre: string(r.DataCentre), Config: r.ConfigVersion, AnyConfig: r.AcceptStaleConfig,
 		Term: r.View.Term, Number: r.View.Revision, WaitMs: r.MaxWait.Milliseconds(),
-		Crashes: crashesToWire(r.Crashes), Calls: callsToWire(r.CallsInFlight),
+		Crashes: crashesToWire(r.Blame.Crashes), Verdicts: verdictsToWire(r.Blame.Verdicts), Cleared: r.Blame.Cleared,
+		Calls: callsToWire(r.CallsInFlight),
 		Broke: toStrings(r.BrokenConnections), Answered: toStrings(r.Answered),
 	}
 	for _, d := range r.Demand {
@@ -105,7 +105,10 @@
 	r := deck.ViewRequest{
 		VM: deck.VMName(w.VM), DataCentre: deck.DataCentre(w.DataCentre), ConfigVersion: w.Config, AcceptStaleConfig: w.AnyConfig,
 		View: deck.ViewVersion{Term: w.Term, Revision: w.Number}, MaxWait: time.Duration(w.WaitMs) * time.Millisecond,
-		Crashes: crashesFromWire(w.Crashes), CallsInFlight: callsFromWire(w.Calls),
+		Blame: deck.BlameReport{
+			Crashes: crashesFromWire(w.Crashes), Verdicts: verdictsFromWire(w.Verdicts), Cleared: w.Cleared,
+		},
+		CallsInFlight:     callsFromWire(w.Calls),
 		BrokenConnections: fromStrings[deck.BackendName](w.Broke), Answered: fromStrings[deck.BackendName](w.Answered),
 	}
 	for _, d := range w.Demand {
@@ -127,7 +130,8 @@
 	w := viewAnswerJSON{
 		Leading: a.IsLeader, Leader: string(a.Leader), Term: a.View.Term, Number: a.View.Revision, Whole: a.FullList,
 		VMs:     a.EntryVMCount,
-		Members: toStrings(a.Members), Gone: toStrings(a.RemovedServers), Crashes: crashesToWire(a.Crashes),
+		Members: toStrings(a.Members), Gone: toStrings(a.RemovedServers), LeaderTerm: a.Blame.Term,
+		Verdicts: verdictsToWire(a.Blame.Verdicts), Watched: a.Blame.Watched,
 		Calls: callsToWire(a.CallsInFlight),
 	}
 	if a.Config != nil {
@@ -143,8 +147,9 @@
 	a := deck.ViewAnswer{
 		IsLeader: w.Leading, Leader: deck.VMName(w.Leader), View: deck.ViewVersion{Term: w.Term, Revision: w.Number},
 		FullList: w.Whole, EntryVMCount: w.VMs, Members: fromStrings[deck.VMName](w.Members),
-		RemovedServers: fromStrings[deck.BackendName](w.Gone), Crashes: crashesFromWire(w.Crashes),
-		CallsInFlight: callsFromWire(w.Calls),
+		RemovedServers: fromStrings[deck.BackendName](w.Gone),
+		Blame:          deck.BlameView{Term: w.LeaderTerm, Verdicts: verdictsFromWire(w.Verdicts), Watched: w.Watched},
+		CallsInFlight:  callsFromWire(w.Calls),
 	}
 	if w.Config != nil {
 		a.Config = &deck.PackedDocument{Version: w.Config.Version, BaseVersion: w.Config.Base, Data: w.Config.Data}
@@ -198,22 +203,6 @@
 	return out
 }
 
-func crashesToWire(crashes []deck.Crash) []crashJSON {
-	var out []crashJSON
-	for _, c := range crashes {
-		out = append(out, crashJSON{c.RequestFingerprint, string(c.Server)})
-	}
-	return out
-}
-
-func crashesFromWire(crashes []crashJSON) []deck.Crash {
-	var out []deck.Crash
-	for _, c := range crashes {
-		out = append(out, deck.Crash{RequestFingerprint: c.Request, Server: deck.BackendName(c.Server)})
-	}
-	return out
-}
-
 func toStrings[T ~string](names []T) []string {
 	var out []string
 	for _, n := range names {
--- a/internal/command/node/entry.go
+++ b/internal/command/node/entry.go
@@ -81,7 +81,7 @@
 		Self: s.PeerName(), DataCentre: s.DataCentre, Seeds: n.seeds, FirstStart: s.FirstStart, Client: fleet,
 		List:   platform.ServerList{Address: s.Platform.Address, HTTP: fleet.HTTP, Log: n.log},
 		Logger: n.log, Report: e.fillReport, Config: e.applyConfig, Servers: e.setServers, VMs: e.setVMs,
-		Crashes: e.addCrashes, Calls: e.recordCalls,
+		Blame: e.applyBlame, Calls: e.recordCalls,
 	})
 	e.handler.ViewAge = e.subscriber.Age
 	readyMux := http.NewServeMux()
@@ -148,7 +148,7 @@
 	r.Demand = e.handler.Demand.Take()
 	r.AdaptersInUse = e.handler.Demand.AdaptersInUse()
 	r.CallsInFlight = e.balancer.ReportInFlight()
-	r.Crashes = e.handler.Poison.TakeCrashes()
+	r.Blame = e.handler.Poison.Report(time.Now())
 	r.BrokenConnections, r.Answered = e.balancer.TakeConnectionEvents()
 }
 
@@ -156,8 +156,8 @@
 	e.balancer.RecordInFlightTotals(time.Now(), calls)
 }
 
-func (e *entryVM) addCrashes(crashes []deck.Crash) {
-	e.handler.Poison.AddRemote(time.Now(), crashes)
+func (e *entryVM) applyBlame(v deck.BlameView) {
+	e.handler.Poison.Apply(time.Now(), v)
 }
 
 // prune closes pooled connections that have been idle too long or lead to servers that are no longer listed.
--- a/internal/core/deck/view.go
+++ b/internal/core/deck/view.go
@@ -22,7 +22,7 @@
 	Demand            []CallDemand
 	AdaptersInUse     []AdapterUse  // adapters that calls of this VM use now
 	CallsInFlight     []ServerCalls // calls of this VM that are in flight now
-	Crashes           []Crash
+	Blame             BlameReport
 	BrokenConnections []BackendName // servers that broke connections since the last report
 	Answered          []BackendName // servers that sent a complete answer since the last report
 }
@@ -48,12 +48,6 @@
 	LateStreams int // of these, with a first event or a gap between events that exceeded its target
 }
 
-// A Crash reports that a backend server broke its connection while it had a request.
-type Crash struct {
-	RequestFingerprint uint64 // fingerprint of the path and body
-	Server             BackendName
-}
-
 // A ViewAnswer holds the changes since the request's versions.
 type ViewAnswer struct {
 	IsLeader       bool // the answering VM leads the replicated log
@@ -66,7 +60,7 @@
 	RemovedServers []BackendName // servers removed from the list
 	EntryVMCount   int           // number of entry VMs that poll the leader
 	CallsInFlight  []ServerCalls // in flight, summed over the last reports of all entry VMs
-	Crashes        []Crash
+	Blame          BlameView
 }
 
 // A PackedDocument is a routing document, compressed with one that the receiver has as the dictionary.
--- /dev/null
+++ b/internal/route/blame/verdicts.go
@@ -0,0 +1,126 @@
+package blame
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+const (
+	verdictTTL  = 10 * time.Minute // since requests with the suspect last came
+	maxVerdicts = 256              // those that were last needed longest ago are dropped beyond that
+)
+
+// Verdicts are the suspects that are refused. The zero value is empty; it is not safe for concurrent use.
+type Verdicts struct {
+	bySuspect map[uint64]verdict
+	lifted    map[uint64]time.Time // verdicts from before that time don't come back from other VMs
+}
+
+type verdict struct {
+	since    time.Time
+	lastSeen time.Time // when a request with the suspect last came
+}
+
+// Add adds a verdict that was formed now; it reports whether it is new.
+func (v *Verdicts) Add(now time.Time, suspect uint64) bool {
+	old, ok := v.bySuspect[suspect]
+	if !ok {
+		old.since = now
+	}
+	v.put(now, suspect, verdict{old.since, now})
+	return !ok
+}
+
+// Contains reports whether the suspect is refused, and counts the question as a request with it.
+func (v *Verdicts) Contains(now time.Time, suspect uint64) bool {
+	old, ok := v.bySuspect[suspect]
+	if !ok || now.Sub(old.lastSeen) > verdictTTL {
+		return false
+	}
+	v.bySuspect[suspect] = verdict{old.since, now}
+	return true
+}
+
+// Has reports whether the suspect is refused, or was until its verdict expired.
+func (v *Verdicts) Has(suspect uint64) bool {
+	_, ok := v.bySuspect[suspect]
+	return ok
+}
+
+// Lift removes a verdict, since a request with the suspect completed; it reports whether there was one.
+func (v *Verdicts) Lift(now time.Time, suspect uint64) bool {
+	if v.lifted == nil || len(v.lifted) >= maxCleared {
+		v.lifted = make(map[uint64]time.Time)
+	}
+	v.lifted[suspect] = now
+	_, ok := v.bySuspect[suspect]
+	delete(v.bySuspect, suspect)
+	return ok
+}
+
+// List returns the verdicts for other VMs, in ascending order of the suspects.
+func (v *Verdicts) List(now time.Time) []deck.Verdict {
+	var list []deck.Verdict
+	for suspect, old := range v.bySuspect {
+		if now.Sub(old.lastSeen) <= verdictTTL {
+			list = append(list, deck.Verdict{Suspect: suspect, Age: now.Sub(old.since), Idle: now.Sub(old.lastSeen)})
+		}
+	}
+	slices.SortFunc(list, func(a, b deck.Verdict) int { return cmp.Compare(a.Suspect, b.Suspect) })
+	return list
+}
+
+// Merge adds verdicts of another VM, but for those that were lifted since they were formed.
+func (v *Verdicts) Merge(now time.Time, list []deck.Verdict) {
+	for _, other := range list {
+		since, lastSeen := now.Add(-other.Age), now.Add(-other.Idle)
+		if lifted, ok := v.lifted[other.Suspect]; ok && !since.After(lifted) {
+			continue
+		}
+		if old, ok := v.bySuspect[other.Suspect]; ok {
+			lastSeen = later(lastSeen, old.lastSeen)
+			since = old.since
+		}
+		v.put(now, other.Suspect, verdict{since, lastSeen})
+	}
+}
+
+// Retain removes the verdicts formed before the given time that are not in the list.
+func (v *Verdicts) Retain(before time.Time, list []deck.Verdict) {
+	listed := make(map[uint64]bool, len(list))
+	for _, other := range list {
+		listed[other.Suspect] = true
+	}
+	for suspect, old := range v.bySuspect {
+		if !listed[suspect] && old.since.Before(before) {
+			delete(v.bySuspect, suspect)
+		}
+	}
+}
+
+func (v *Verdicts) put(now time.Time, suspect uint64, entry verdict) {
+	if v.bySuspect == nil {
+		v.bySuspect = make(map[uint64]verdict)
+	}
+	v.bySuspect[suspect] = entry
+	if len(v.bySuspect) <= maxVerdicts {
+		return
+	}
+	oldest := suspect
+	for s, e := range v.bySuspect {
+		if e.lastSeen.Before(v.bySuspect[oldest].lastSeen) || now.Sub(e.lastSeen) > verdictTTL {
+			oldest = s
+		}
+	}
+	delete(v.bySuspect, oldest)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/state/hub/blametable.go
@@ -0,0 +1,77 @@
+package hub
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/route/blame"
+)
+
+// objectionMargin is added to the time in which each entry VM polls once: a round trip between regions.
+const objectionMargin = 200 * time.Millisecond
+
+// A blameTable collects what entry VMs report about requests that crash backend servers. Its zero value is empty.
+type blameTable struct {
+	ledger       blame.Ledger
+	verdicts     blame.Verdicts
+	watchedSince map[uint64]time.Time // parts that entry VMs have been asked about
+}
+
+// record adds an entry VM's report. Verdicts that the VM knows from an earlier leader are taken over.
+func (t *blameTable) record(now time.Time, vm deck.VMName, r deck.BlameReport, log logr.Logger) {
+	for _, suspect := range r.Cleared {
+		t.ledger.Clear(now, suspect)
+		if t.verdicts.Lift(now, suspect) {
+			log.Info("verdict lifted: a request with the suspect completed", "suspect", formatSuspect(suspect), "vm", string(vm))
+		}
+	}
+	for _, c := range r.Crashes {
+		if t.ledger.Record(now, c) && t.verdicts.Add(now, c.RequestFingerprint) {
+			log.Info("request is refused: it crashes backend servers", "suspect", formatSuspect(c.RequestFingerprint),
+				"vm", string(vm), "last-server", string(c.Server))
+		}
+	}
+	t.verdicts.Merge(now, r.Verdicts)
+}
+
+// decide refuses the parts of prompts that are to blame, once all entry VMs have had the time to object: servers may have written
+// answers on the part at those that saw none of its crashes. A verdict is lifted if another part explains its crashes by now.
+func (t *blameTable) decide(now time.Time, pollWait time.Duration, log logr.Logger) {
+	watched := t.ledger.Watched(now)
+	since := make(map[uint64]time.Time, len(watched))
+	for _, part := range watched {
+		since[part] = now
+		if asked, ok := t.watchedSince[part]; ok {
+			since[part] = asked
+		}
+	}
+	t.watchedSince = since
+	if len(watched) == 0 {
+		return
+	}
+	blamed := t.ledger.BlamedParts(now)
+	for _, part := range blamed {
+		if now.Sub(since[part]) >= pollWait+objectionMargin && !t.verdicts.Has(part) {
+			t.verdicts.Add(now, part)
+			log.Info("part of prompts is refused: it crashes backend servers", "suspect", formatSuspect(part))
+		}
+	}
+	for _, part := range watched {
+		if t.verdicts.Has(part) && !slices.Contains(blamed, part) {
+			t.verdicts.Lift(now, part)
+			log.Info("verdict lifted: another part of prompts explains the crashes", "suspect", formatSuspect(part))
+		}
+	}
+}
+
+func (t *blameTable) view(now time.Time, term uint64) deck.BlameView {
+	return deck.BlameView{Term: term, Verdicts: t.verdicts.List(now), Watched: t.ledger.Watched(now)}
+}
+
+func formatSuspect(suspect uint64) string {
+	return strconv.FormatUint(suspect, 16)
+}
--- /dev/null
+++ b/internal/state/hub/crashingpart_test.go
@@ -0,0 +1,286 @@
+package hub_test
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/api/ingress"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/state/hub"
+)
+
+const (
+	simStep        = 20 * time.Millisecond
+	simContact     = 4 * time.Second // a VM that restarted, or whose leader changed, more recently may not know of all crashes yet
+	soundAfter     = 500 * time.Millisecond
+	maxLateCalls   = 3 // the rule of the users' pages
+	lateAfter      = 5 // crashes, and simContact
+	maxDenied      = 5 // sound calls, and one in maxDeniedShare, by the same rules
+	maxDeniedShare = 500
+	sharedPart     = 1
+	crashingPart   = 2
+)
+
+// A simClock is a clock that the simulation sets.
+type simClock struct{ now time.Time }
+
+func (c *simClock) Now() time.Time { return c.now }
+
+// A simCall is a call in flight on an engine.
+type simCall struct {
+	vm          int
+	fingerprint ingress.Fingerprint
+	parts       []uint64
+	crashes     bool
+	sound       bool      // the engine has written for long
+	begins      time.Time // of writing
+	ends        time.Time
+}
+
+type simEngine struct {
+	server  deck.Server
+	calls   []simCall
+	downTil time.Time
+}
+
+type simVM struct {
+	detector *ingress.PoisonDetector
+	nextPoll time.Time
+	waitsFor *hub.Publisher // that has the last report; nil if it was lost
+	started  time.Time
+}
+
+// A blameSim is a system without a network: entry VMs, the leader that they poll, and engines that some calls crash.
+type blameSim struct {
+	random        func(n int) int
+	clock         simClock
+	vms           []simVM
+	engines       []simEngine
+	pollInterval  time.Duration
+	leader        *hub.Publisher
+	log           *fakeLog
+	leaderChanged time.Time
+	calls         uint64
+
+	crashes     int // by the crashing part
+	fifthCrash  time.Time
+	lateCalls   int
+	deniedCalls int // sound calls that were refused
+	soundCalls  int
+}
+
+func (s *blameSim) chance(p float64) bool { return float64(s.random(1_000_000)) < p*1_000_000 }
+
+func (s *blameSim) electLeader() {
+	term := uint64(1)
+	if s.log != nil {
+		term = s.log.term + 1
+	}
+	s.log = &fakeLog{self: "a", leader: "a", term: term}
+	s.leader = hub.NewPublisher(hub.Options{Log: s.log, Monitor: s.log, Clock: &s.clock, Logger: logr.Discard()})
+	s.leaderChanged = s.clock.now
+}
+
+// poll gives a VM the answer to its last report and sends the next one; one in ten is lost on the way there or back.
+func (s *blameSim) poll(i int) {
+	vm := &s.vms[i]
+	vm.nextPoll = s.clock.now.Add(s.pollInterval)
+	r := deck.ViewRequest{VM: deck.VMName(strconv.Itoa(i))}
+	if vm.waitsFor == s.leader && !s.chance(0.05) {
+		vm.detector.Apply(s.clock.now, s.leader.View(context.Background(), r).Blame)
+	}
+	vm.waitsFor = nil
+	r.Blame = vm.detector.Report(s.clock.now)
+	if !s.chance(0.05) {
+		s.leader.View(context.Background(), r)
+		vm.waitsFor = s.leader
+	}
+}
+
+// send lets a VM handle a call.
+func (s *blameSim) send(c simCall) {
+	now := s.clock.now
+	vm := s.vms[c.vm]
+	refused := vm.detector.Refuses(now, c.fingerprint, c.parts)
+	if !c.crashes {
+		s.soundCalls++
+		if refused {
+			s.deniedCalls++
+		}
+	}
+	e := &s.engines[s.random(len(s.engines))]
+	if refused || now.Before(e.downTil) {
+		return
+	}
+	inTouch := now.Sub(vm.started) > simContact && now.Sub(s.leaderChanged) > simContact
+	if c.crashes && !s.fifthCrash.IsZero() && inTouch && now.Sub(s.fifthCrash) > simContact {
+		s.lateCalls++
+	}
+	c.begins = now.Add(time.Duration(20+s.random(200)) * time.Millisecond)
+	c.ends = c.begins.Add(time.Duration(100+s.random(3000)) * time.Millisecond)
+	e.calls = append(e.calls, c)
+}
+
+// crash ends an engine with all its calls; it comes back with a new start and mostly a new name.
+func (s *blameSim) crash(e *simEngine) {
+	now := s.clock.now
+	for _, c := range e.calls {
+		parts := c.parts
+		if c.sound {
+			parts = nil
+		}
+		s.vms[c.vm].detector.RecordCrash(now, c.fingerprint, e.server, parts, !now.Before(c.begins))
+	}
+	e.calls = nil
+	e.downTil = now.Add(3 * time.Second)
+	e.server.StartUnixMs = now.UnixMilli()
+	if s.chance(0.7) {
+		e.server.ID += "x"
+	}
+}
+
+func (s *blameSim) runEngines() {
+	now := s.clock.now
+	for i := range s.engines {
+		e := &s.engines[i]
+		crashed := false
+		kept := e.calls[:0]
+		for _, c := range e.calls {
+			crashed = crashed || c.crashes && !now.Before(c.begins)
+			if !now.Before(c.ends) && !crashed {
+				s.vms[c.vm].detector.RecordCompletion(now, c.fingerprint, c.parts)
+				continue
+			}
+			if !c.sound && !c.crashes && now.Sub(c.begins) > soundAfter {
+				c.sound = true
+				s.vms[c.vm].detector.RecordSound(now, c.parts)
+			}
+			kept = append(kept, c)
+		}
+		e.calls = kept
+		if crashed {
+			s.crashes++
+			if s.crashes == lateAfter {
+				s.fifthCrash = now
+			}
+			s.crash(e)
+		}
+	}
+}
+
+// newCall returns a call whose prompt has the shared part, one of some hundred subjects, few of which are frequent, and a session.
+func (s *blameSim) newCall(crashes bool) simCall {
+	s.calls++
+	subject := uint64(1000 + 300*math.Pow(float64(s.random(1000))/1000, 3))
+	c := simCall{vm: s.random(len(s.vms)), fingerprint: ingress.Fingerprint(1_000_000 + s.calls), crashes: crashes}
+	c.parts = []uint64{sharedPart, subject, 10_000 + s.calls/4}
+	if crashes {
+		c.parts[1] = crashingPart
+	}
+	return c
+}
+
+// Load pattern: requests that have one part of their prompts in common, which crashes each engine that begins to write on it, come
+// at any VM, among sound calls that share the other parts. Engines also fail together for other reasons, reports to the leader are
+// lost, the leader changes and VMs restart. Guards against calls that reach engines long after the part has crashed five, and against
+// sound calls that are refused for what they have in common with the others.
+func TestCrashingPartIsFoundAcrossVMs(t *testing.T) {
+	for _, tc := range []struct {
+		name                string
+		vms, engines        int
+		sound, crashing     float64 // calls per second
+		length              time.Duration
+		pollInterval        time.Duration
+		leaderEvery, rackAt float64 // chance per second
+	}{
+		{"small system", 8, 12, 100, 2.5, 60 * time.Second, 500 * time.Millisecond, 0.03, 0.05},
+		{"few crashing calls", 8, 12, 20, 0.1, 240 * time.Second, 500 * time.Millisecond, 0.01, 0.05},
+		{"large system", 300, 160, 400, 5, 30 * time.Second, 1250 * time.Millisecond, 0.05, 0.05},
+	} {
+		for seed := range simSeeds(t) {
+			t.Run(tc.name+"/"+strconv.FormatUint(seed, 10), func(t *testing.T) {
+				random := rand.New(rand.NewPCG(seed, 0))
+				s := newBlameSim(random.IntN, tc.vms, tc.engines, tc.pollInterval)
+				s.run(tc.length, tc.sound, tc.crashing, tc.leaderEvery, tc.rackAt)
+				if s.lateCalls > maxLateCalls {
+					t.Errorf("%d calls with the crashing part were sent late, after %d crashes", s.lateCalls, s.crashes)
+				}
+				if s.deniedCalls > maxDenied+s.soundCalls/maxDeniedShare {
+					t.Errorf("%d of %d sound calls were refused", s.deniedCalls, s.soundCalls)
+				}
+			})
+		}
+	}
+}
+
+// simSeeds returns the number of seeds for each system, from SIM_SEEDS.
+func simSeeds(t *testing.T) uint64 {
+	v := os.Getenv("SIM_SEEDS")
+	if v == "" {
+		return 3
+	}
+	n, err := strconv.ParseUint(v, 10, 32)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+func newBlameSim(random func(int) int, vms, engines int, pollInterval time.Duration) *blameSim {
+	s := &blameSim{random: random, pollInterval: pollInterval, clock: simClock{time.Unix(1000, 0)}}
+	s.electLeader()
+	start := s.clock.now
+	for range vms {
+		s.vms = append(s.vms, simVM{
+			detector: &ingress.PoisonDetector{}, nextPoll: start.Add(time.Duration(random(int(pollInterval)))),
+			started: start.Add(-time.Minute),
+		})
+	}
+	for i := range engines {
+		s.engines = append(s.engines, simEngine{server: deck.Server{ID: deck.BackendName("e" + strconv.Itoa(i))}})
+	}
+	return s
+}
+
+func (s *blameSim) run(length time.Duration, sound, crashing, leaderEvery, rackAt float64) {
+	end := s.clock.now.Add(length)
+	for step := simStep.Seconds(); s.clock.now.Before(end); s.clock.now = s.clock.now.Add(simStep) {
+		for n := sound * step; n > 0; n-- {
+			if s.chance(n) {
+				s.send(s.newCall(false))
+			}
+		}
+		if s.chance(crashing * step) {
+			c := s.newCall(true)
+			s.send(c)
+			if s.chance(0.3) {
+				s.send(c) // the caller repeats it
+			}
+		}
+		if s.chance(leaderEvery * step) {
+			s.electLeader()
+		}
+		if s.chance(rackAt * step) {
+			for range 3 {
+				s.crash(&s.engines[s.random(len(s.engines))])
+			}
+		}
+		if s.chance(0.05 * step) {
+			vm := &s.vms[s.random(len(s.vms))]
+			vm.detector, vm.waitsFor, vm.started = &ingress.PoisonDetector{}, nil, s.clock.now
+		}
+		s.runEngines()
+		for i := range s.vms {
+			if !s.clock.now.Before(s.vms[i].nextPoll) {
+				s.poll(i)
+			}
+		}
+	}
+}
--- a/internal/state/hub/direct_test.go
+++ b/internal/state/hub/direct_test.go
@@ -49,7 +49,7 @@
 				FirstStart: true,
 				Seeds:      func() []deck.VMName { return []deck.VMName{"a"} },
 				Report:     func(*deck.ViewRequest) {}, Config: func(deck.RoutingDocument) {}, Servers: func([]deck.Server) {},
-				VMs: func(int) {}, Calls: func([]deck.ServerCalls) {}, Crashes: func([]deck.Crash) {},
+				VMs: func(int) {}, Calls: func([]deck.ServerCalls) {}, Blame: func(deck.BlameView) {},
 			})
 			g.Go(func() error { return sub.Run(ctx) })
 			g.Go(func() error { return sub.RunDirect(ctx) })
--- a/internal/state/hub/hub_test.go
+++ b/internal/state/hub/hub_test.go
@@ -251,7 +251,7 @@
 			defer w.mu.Unlock()
 			w.servers = len(s)
 		},
-		VMs: func(int) {}, Calls: func([]deck.ServerCalls) {}, Crashes: func([]deck.Crash) {},
+		VMs: func(int) {}, Calls: func([]deck.ServerCalls) {}, Blame: func(deck.BlameView) {},
 	})
 	var g errgroup.Group
 	g.Go(func() error { return sub.Run(ctx) })
--- a/internal/state/hub/publisher.go
+++ b/internal/state/hub/publisher.go
@@ -23,10 +23,8 @@
 	// The list changes many times a second, and a VM that is answered at each change asks again at once.
 	listAnswerRate = 300.0
 
-	maxDocuments   = 16   // kept as bases of deltas
-	maxRemoved     = 4096 // removed servers kept for deltas of the list
-	maxCrashes     = 64   // every answer carries them all
-	crashRetention = 60 * time.Second
+	maxDocuments = 16   // kept as bases of deltas
+	maxRemoved   = 4096 // removed servers kept for deltas of the list
 )
 
 // Options configure a Publisher.
@@ -56,7 +54,7 @@
 	reports   map[deck.VMName]vmReport
 	listSent  map[deck.VMName]time.Time // when a VM was last sent a change of the list
 	calls     map[deck.BackendName]int  // calls in flight of all entry VMs
-	crashes   []crashReport
+	blame     blameTable
 	outliers  outlierDetector
 }
 
@@ -73,12 +71,6 @@
 	calls      []deck.ServerCalls
 }
 
-// A crashReport is a crash with the time of its report.
-type crashReport struct {
-	deck.Crash
-	receivedAt time.Time
-}
-
 var _ deck.ViewSource = (*Publisher)(nil)
 
 // NewPublisher returns a publisher without a document and without servers.
@@ -188,8 +180,10 @@
 
 // View implements deck.ViewSource.View.
 func (p *Publisher) View(ctx context.Context, r deck.ViewRequest) deck.ViewAnswer {
-	if _, leading := p.leads(); leading {
+	reportTerm := uint64(0)
+	if term, leading := p.leads(); leading {
 		p.recordReport(r)
+		reportTerm = term
 	}
 	end := time.NewTimer(r.MaxWait)
 	defer end.Stop()
@@ -198,16 +192,16 @@
 		status := p.o.Log.Status()
 		w := p.pending(r, term, leading, status)
 		if !leading || w.ready {
-			return p.buildAnswer(r, term, leading, status)
+			return p.buildAnswer(r, term, leading, status, reportTerm)
 		}
 		select {
 		case <-w.newConfig:
 		case <-w.newList:
 		case <-w.due:
 		case <-end.C:
-			return p.buildAnswer(r, term, leading, status)
+			return p.buildAnswer(r, term, leading, status, reportTerm)
 		case <-ctx.Done():
-			return p.buildAnswer(r, term, leading, status)
+			return p.buildAnswer(r, term, leading, status, reportTerm)
 		}
 	}
 }
@@ -290,12 +284,8 @@
 	for _, id := range r.BrokenConnections {
 		p.handleBrokenConnection(now, r.VM, id)
 	}
-	for _, c := range r.Crashes {
-		p.crashes = append(p.crashes, crashReport{c, now})
-	}
-	for len(p.crashes) > 0 && (len(p.crashes) > maxCrashes || now.Sub(p.crashes[0].receivedAt) > crashRetention) {
-		p.crashes = p.crashes[1:]
-	}
+	p.blame.record(now, r.VM, r.Blame, p.o.Logger)
+	p.blame.decide(now, pollWait(len(p.reports)), p.o.Logger)
 }
 
 // addCalls adds calls to the totals of all VMs, or subtracts them if sign is -1. The caller holds p.mu.
@@ -343,8 +333,10 @@
 	return p.calls[id]
 }
 
-// buildAnswer returns the answer to a request.
-func (p *Publisher) buildAnswer(r deck.ViewRequest, term uint64, leading bool, status deck.LogStatus) deck.ViewAnswer {
+// buildAnswer returns the answer to a request; reportTerm is the term in which its report was recorded, 0 if it was not.
+func (p *Publisher) buildAnswer(
+	r deck.ViewRequest, term uint64, leading bool, status deck.LogStatus, reportTerm uint64,
+) deck.ViewAnswer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	a := deck.ViewAnswer{IsLeader: leading, Leader: status.Leader.VM, EntryVMCount: len(p.reports)}
@@ -360,13 +352,11 @@
 		a.View = r.View
 	}
 	if leading {
+		a.Blame = p.blame.view(p.o.Clock.Now(), reportTerm)
 		for id, n := range p.calls {
 			a.CallsInFlight = append(a.CallsInFlight, deck.ServerCalls{Server: id, Calls: n})
 		}
 	}
-	for _, c := range p.crashes {
-		a.Crashes = append(a.Crashes, c.Crash)
-	}
 	return a
 }
 
--- a/internal/state/hub/subscriber.go
+++ b/internal/state/hub/subscriber.go
@@ -24,7 +24,7 @@
 	acceptStaleAfter = 1 * time.Second
 )
 
-// SubscriberOptions configure a Subscriber. Seeds, Report, Config, VMs, Calls and Crashes are called by Run only, Servers by Run
+// SubscriberOptions configure a Subscriber. Seeds, Report, Config, VMs, Calls and Blame are called by Run only, Servers by Run
 // and RunDirect.
 type SubscriberOptions struct {
 	Self       deck.VMName
@@ -40,7 +40,7 @@
 	Servers func([]deck.Server)        // takes the whole list after a change
 	VMs     func(int)                  // takes the number of entry VMs
 	Calls   func([]deck.ServerCalls)   // takes the calls of all entry VMs
-	Crashes func([]deck.Crash)         // takes the crashes that entry VMs reported
+	Blame   func(deck.BlameView)       // takes the requests that crash backend servers
 }
 
 // A Subscriber keeps an entry VM's routing document and list of backend servers up to date by long polls to the leader.
@@ -114,7 +114,12 @@
 func (s *Subscriber) pollWait() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return max(minPollWait, time.Duration(float64(s.entryVMs)/leaderRequestRate*float64(time.Second)))
+	return pollWait(s.entryVMs)
+}
+
+// pollWait returns how long the leader may hold each request of the given number of entry VMs.
+func pollWait(entryVMs int) time.Duration {
+	return max(minPollWait, time.Duration(float64(entryVMs)/leaderRequestRate*float64(time.Second)))
 }
 
 // nextTarget returns the next VM, in turn, of those that may know the leader; ok is false if there is none.
@@ -150,6 +155,9 @@
 		return
 	}
 	s.handleAnswer(to, a)
+	if a.IsLeader && wait > 0 {
+		s.o.Blame(a.Blame) // answers the report
+	}
 }
 
 // forgetLeader marks the leader as unknown if the given VM, which failed to answer or does not lead, was the leader.
@@ -186,7 +194,6 @@
 		s.installDocument(*a.Config)
 	}
 	s.o.VMs(a.EntryVMCount)
-	s.o.Crashes(a.Crashes)
 	s.applyServers(a)
 	s.o.Calls(a.CallsInFlight)
 }
