Check for crashing requests again before each offer

A call was checked when it arrived and not again: one that waited for an engine, or was sent again, reached the next engine although its request, or a part of its prompt, had been found to crash engines meanwhile.

TestWaitingCallWithCrashingPartIsRefused failed before (the second engine answered it) and passes now.

--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -126,6 +126,10 @@
 		if !ok {
 			return
 		}
+		if c.isPoison() { // found by other calls while this one waited
+			c.refusePoison()
+			return
+		}
 		switch c.offer(s) {
 		case answered:
 			return
--- a/internal/api/ingress/crashingpart_test.go
+++ b/internal/api/ingress/crashingpart_test.go
@@ -8,6 +8,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/api/ingress"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 )
 
 // Guards against requests that differ in all but one part of their prompts, which crashes each engine that begins to write, and that
@@ -45,3 +48,20 @@
 	}
 	is.True(crashes <= maxCrashes)
 }
+
+// Guards against a call that waits for an engine, and then reaches one, although the crashing part of its prompt was found meanwhile.
+func TestWaitingCallWithCrashingPartIsRefused(t *testing.T) {
+	is := is.New(t)
+	var h *harness
+	engine := newBackend(t, "b1", func(c net.Conn, r *http.Request) bool {
+		verdict := deck.Verdict{Suspect: ingress.PartFingerprint("crashing")}
+		h.handler.Poison.Apply(time.Now(), deck.BlameView{Term: 1, Verdicts: []deck.Verdict{verdict}})
+		return shed(c, r)
+	})
+	second := newBackend(t, "b2", answerWith("ok"))
+	h = newHarness(t, stream(false), engine)
+	h.setServers(engine, second)
+	res := h.callContext(t.Context(), t, http.MethodPost, "/p/x", "waits", "shared", "crashing", "own")
+	is.Equal(res.status, http.StatusUnprocessableEntity)
+	is.Equal(len(engine.requests())+len(second.requests()), 1)
+}
--- a/internal/api/ingress/poison.go
+++ b/internal/api/ingress/poison.go
@@ -197,11 +197,16 @@
 	}
 	out := make([]uint64, 0, len(parts)-1)
 	for _, part := range parts[:len(parts)-1] {
-		out = append(out, xxhash.Sum64String("part "+part.ID))
+		out = append(out, PartFingerprint(part.ID))
 	}
 	return out
 }
 
+// PartFingerprint returns the fingerprint of a part of a prompt, which differs from that of any request but for chance.
+func PartFingerprint(id string) uint64 {
+	return xxhash.Sum64String("part " + id)
+}
+
 // fingerprint returns a hash of the call's path and body.
 func (c *callRun) fingerprint() Fingerprint {
 	if c.hash == 0 {
