Try refused requests again, rarely and one at a time

A verdict that is wrong stood for as long as callers sent requests with the suspect: none could complete any more, and each refusal renewed it. The leader now lets one VM send one such request, two minutes after the verdict and then four times as long after each trial. If an engine writes on it the verdict is lifted; if it crashes, that costs one engine. A verdict whose evidence grows old is no longer taken for one that another part explains.

TestVerdictsAreTried fails without trials (the sound part is never served again; the crashing one never tried) and passes now; in 40 minutes a crashing part is sent three times at most.

--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -99,6 +99,7 @@
 	headReceived       bool            // the server of the last offer has sent the head of a stream
 	firstEvent         time.Time       // when the first event of the last stream came; zero if none did
 	maxGap             time.Duration   // the longest pause between two events
+	onTrial            bool            // let through to see whether the request, or a part of its prompt, still crashes servers
 	fallback           *bufferedAnswer // a server's error that is relayed if no other server succeeds
 }
 
@@ -142,7 +143,15 @@
 
 // isPoison reports whether the call, or a part of its prompt, crashes servers.
 func (c *callRun) isPoison() bool {
-	return c.h.Poison.Refuses(time.Now(), c.fingerprint(), c.parts)
+	if c.onTrial {
+		return c.possibleRuns > 0
+	}
+	refused, trial := c.h.Poison.Refuses(time.Now(), c.fingerprint(), c.parts)
+	if trial {
+		c.onTrial = true
+		c.h.Log.Info("call is let through although its like crashed servers", "request", string(c.call.ID))
+	}
+	return refused
 }
 
 // refusePoison refuses a call that crashes servers.
--- a/internal/api/ingress/poison.go
+++ b/internal/api/ingress/poison.go
@@ -22,6 +22,8 @@
 	// aloneAfter is how long after the last answer of a leader this VM judges parts of prompts by the crashes that it saw itself.
 	aloneAfter = 3 * time.Second
 
+	trialTime = 10 * time.Second // in which a request that the leader lets through may be sent
+
 	maxUnconfirmed  = 256  // crashes kept until the leader confirms them; the oldest are dropped beyond that
 	maxProofs       = 8192 // parts of which it is remembered that they are sound
 	maxSuspectParts = 16   // of one prompt
@@ -36,7 +38,8 @@
 	mu       sync.Mutex
 	ledger   blame.Ledger // of the crashes that this VM observed
 	verdicts blame.Verdicts
-	watched  map[uint64]bool // parts of which the leader wants to know whether a request with them completes
+	trials   map[uint64]time.Time // when the permission to send one request with a suspect ends
+	watched  map[uint64]bool      // parts of which the leader wants to know whether a request with them completes
 
 	proofs map[uint64]time.Time // when a part was last seen to be sound
 
@@ -123,20 +126,31 @@
 	delete(p.watched, suspect)
 }
 
-// Refuses reports whether a request must be refused, because it, or a part of its prompt, crashes servers.
-func (p *PoisonDetector) Refuses(now time.Time, f Fingerprint, parts []uint64) bool {
+// Refuses reports whether a request must be refused, because it, or a part of its prompt, crashes servers. trial says that the request
+// is let through once to see whether that still holds; it must not be sent again.
+func (p *PoisonDetector) Refuses(now time.Time, f Fingerprint, parts []uint64) (refused, trial bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.verdicts.Contains(now, uint64(f)) {
-		return true
-	}
 	alone := now.Sub(p.appliedAt) > aloneAfter
-	for _, part := range parts {
-		if p.verdicts.Contains(now, part) || alone && p.ledger.BlamesPart(part) && !p.isProven(now, part) {
-			return true
+	suspects := append([]uint64{uint64(f)}, parts...)
+	for i, suspect := range suspects {
+		known := p.verdicts.Contains(now, suspect)
+		if known && p.mayTry(now, suspect) {
+			trial = true
+			continue
+		}
+		if known || i > 0 && alone && p.ledger.BlamesPart(suspect) && !p.isProven(now, suspect) {
+			return true, false
 		}
 	}
-	return false
+	return false, trial
+}
+
+// mayTry uses up the permission to send one request with a suspect, and reports whether there was one.
+func (p *PoisonDetector) mayTry(now time.Time, suspect uint64) bool {
+	end, ok := p.trials[suspect]
+	delete(p.trials, suspect)
+	return ok && now.Before(end)
 }
 
 // Report returns what the leader has not confirmed yet. It is repeated until Apply is called.
@@ -175,6 +189,12 @@
 			p.clear(now, part)
 		}
 	}
+	if p.trials == nil {
+		p.trials = make(map[uint64]time.Time)
+	}
+	for _, suspect := range v.Trials {
+		p.trials[suspect] = now.Add(trialTime)
+	}
 	p.verdicts.Retain(p.reportedAt, v.Verdicts)
 	p.verdicts.Merge(now, p.withoutProven(now, v.Verdicts))
 }
--- a/internal/api/peer/viewwire.go
+++ b/internal/api/peer/viewwire.go
@@ -56,6 +56,7 @@
 	LeaderTerm uint64         `json:"leader-term,omitempty"`
 	Verdicts   []verdictJSON  `json:"verdicts,omitempty"`
 	Watched    []uint64       `json:"watched,omitempty"`
+	Trials     []uint64       `json:"trials,omitempty"`
 }
 
 type documentJSON struct {
@@ -131,7 +132,7 @@
 		Leading: a.IsLeader, Leader: string(a.Leader), Term: a.View.Term, Number: a.View.Revision, Whole: a.FullList,
 		VMs:     a.EntryVMCount,
 		Members: toStrings(a.Members), Gone: toStrings(a.RemovedServers), LeaderTerm: a.Blame.Term,
-		Verdicts: verdictsToWire(a.Blame.Verdicts), Watched: a.Blame.Watched,
+		Verdicts: verdictsToWire(a.Blame.Verdicts), Watched: a.Blame.Watched, Trials: a.Blame.Trials,
 		Calls: callsToWire(a.CallsInFlight),
 	}
 	if a.Config != nil {
@@ -148,7 +149,7 @@
 		IsLeader: w.Leading, Leader: deck.VMName(w.Leader), View: deck.ViewVersion{Term: w.Term, Revision: w.Number},
 		FullList: w.Whole, EntryVMCount: w.VMs, Members: fromStrings[deck.VMName](w.Members),
 		RemovedServers: fromStrings[deck.BackendName](w.Gone),
-		Blame:          deck.BlameView{Term: w.LeaderTerm, Verdicts: verdictsFromWire(w.Verdicts), Watched: w.Watched},
+		Blame:          deck.BlameView{Term: w.LeaderTerm, Verdicts: verdictsFromWire(w.Verdicts), Watched: w.Watched, Trials: w.Trials},
 		CallsInFlight:  callsFromWire(w.Calls),
 	}
 	if w.Config != nil {
--- a/internal/route/blame/verdicts.go
+++ b/internal/route/blame/verdicts.go
@@ -11,6 +11,13 @@
 const (
 	verdictTTL  = 10 * time.Minute // since requests with the suspect last came
 	maxVerdicts = 256              // those that were last needed longest ago are dropped beyond that
+
+	// A verdict that is wrong would stand as long as callers send requests with the suspect, since none can complete. One request is
+	// let through after firstTrial; each further trial, which costs a server if the verdict is right, waits trialFactor times as long.
+	firstTrial    = 2 * time.Minute
+	trialFactor   = 4
+	maxTrialSteps = 5               // after which the wait grows no more
+	trialWindow   = 5 * time.Second // a VM that is let to try has refused a request with the suspect in this time
 )
 
 // Verdicts are the suspects that are refused. The zero value is empty; it is not safe for concurrent use.
@@ -22,6 +29,8 @@
 type verdict struct {
 	since    time.Time
 	lastSeen time.Time // when a request with the suspect last came
+	trials   int       // that were allowed
+	triedAt  time.Time // when the last trial was allowed; zero if none was
 }
 
 // Add adds a verdict that was formed now; it reports whether it is new.
@@ -30,7 +39,8 @@
 	if !ok {
 		old.since = now
 	}
-	v.put(now, suspect, verdict{old.since, now})
+	old.lastSeen = now
+	v.put(now, suspect, old)
 	return !ok
 }
 
@@ -40,7 +50,8 @@
 	if !ok || now.Sub(old.lastSeen) > verdictTTL {
 		return false
 	}
-	v.bySuspect[suspect] = verdict{old.since, now}
+	old.lastSeen = now
+	v.bySuspect[suspect] = old
 	return true
 }
 
@@ -80,12 +91,40 @@
 		if lifted, ok := v.lifted[other.Suspect]; ok && !since.After(lifted) {
 			continue
 		}
-		if old, ok := v.bySuspect[other.Suspect]; ok {
-			lastSeen = later(lastSeen, old.lastSeen)
-			since = old.since
+		old, ok := v.bySuspect[other.Suspect]
+		if !ok {
+			old = verdict{since: since, trials: 1, triedAt: now} // there may have been a trial before
+		}
+		old.lastSeen = later(lastSeen, old.lastSeen)
+		v.put(now, other.Suspect, old)
+	}
+}
+
+// TakeTrials returns the suspects with which a VM may send one request. known are the verdicts that the VM reported.
+func (v *Verdicts) TakeTrials(now time.Time, known []deck.Verdict) []uint64 {
+	var trials []uint64
+	for _, other := range known {
+		old, ok := v.bySuspect[other.Suspect]
+		if !ok || other.Idle > trialWindow || now.Before(old.nextTrial()) {
+			continue
 		}
-		v.put(now, other.Suspect, verdict{since, lastSeen})
+		old.trials++
+		old.triedAt = now
+		v.bySuspect[other.Suspect] = old
+		trials = append(trials, other.Suspect)
+	}
+	return trials
+}
+
+func (e verdict) nextTrial() time.Time {
+	if e.trials == 0 {
+		return e.since.Add(firstTrial)
+	}
+	wait := firstTrial
+	for range min(e.trials, maxTrialSteps) {
+		wait *= trialFactor
 	}
+	return e.triedAt.Add(wait)
 }
 
 // Retain removes the verdicts formed before the given time that are not in the list.
--- a/internal/state/hub/blametable.go
+++ b/internal/state/hub/blametable.go
@@ -61,15 +61,20 @@
 		}
 	}
 	for _, part := range watched {
-		if t.verdicts.Has(part) && !slices.Contains(blamed, part) {
+		if t.verdicts.Has(part) && t.ledger.BlamesPart(part) && !slices.Contains(blamed, part) {
 			t.verdicts.Lift(now, part)
 			log.Info("verdict lifted: another part of prompts explains the crashes", "suspect", formatSuspect(part))
 		}
 	}
 }
 
-func (t *blameTable) view(now time.Time, term uint64) deck.BlameView {
-	return deck.BlameView{Term: term, Verdicts: t.verdicts.List(now), Watched: t.ledger.Watched(now)}
+// view returns the answer to a report; term is that in which it was recorded, 0 if it was not.
+func (t *blameTable) view(now time.Time, term uint64, r deck.BlameReport) deck.BlameView {
+	v := deck.BlameView{Term: term, Verdicts: t.verdicts.List(now), Watched: t.ledger.Watched(now)}
+	if term != 0 {
+		v.Trials = t.verdicts.TakeTrials(now, r.Verdicts)
+	}
+	return v
 }
 
 func formatSuspect(suspect uint64) string {
--- a/internal/state/hub/crashingpart_test.go
+++ b/internal/state/hub/crashingpart_test.go
@@ -53,7 +53,8 @@
 type simVM struct {
 	detector *ingress.PoisonDetector
 	nextPoll time.Time
-	waitsFor *hub.Publisher // that has the last report; nil if it was lost
+	waitsFor *hub.Publisher   // that has the last report; nil if it was lost
+	report   deck.BlameReport // the last
 	started  time.Time
 }
 
@@ -68,6 +69,7 @@
 	log           *fakeLog
 	leaderChanged time.Time
 	calls         uint64
+	lossless      bool // no report or answer is lost
 
 	crashes     int // by the crashing part
 	fifthCrash  time.Time
@@ -76,6 +78,8 @@
 	soundCalls  int
 }
 
+func (s *blameSim) loses() bool { return !s.lossless && s.chance(0.05) }
+
 func (s *blameSim) chance(p float64) bool { return float64(s.random(1_000_000)) < p*1_000_000 }
 
 func (s *blameSim) electLeader() {
@@ -88,17 +92,19 @@
 	s.leaderChanged = s.clock.now
 }
 
-// poll gives a VM the answer to its last report and sends the next one; one in ten is lost on the way there or back.
+// poll gives a VM the answer to its last report and sends the next one; one in ten is lost on the way there or back. The leader takes
+// the crashes at once and answers at the end.
 func (s *blameSim) poll(i int) {
 	vm := &s.vms[i]
 	vm.nextPoll = s.clock.now.Add(s.pollInterval)
 	r := deck.ViewRequest{VM: deck.VMName(strconv.Itoa(i))}
-	if vm.waitsFor == s.leader && !s.chance(0.05) {
+	if vm.waitsFor == s.leader && !s.loses() {
+		r.Blame.Verdicts = vm.report.Verdicts
 		vm.detector.Apply(s.clock.now, s.leader.View(context.Background(), r).Blame)
 	}
-	vm.waitsFor = nil
-	r.Blame = vm.detector.Report(s.clock.now)
-	if !s.chance(0.05) {
+	vm.waitsFor, vm.report = nil, vm.detector.Report(s.clock.now)
+	if !s.loses() {
+		r.Blame = deck.BlameReport{Crashes: vm.report.Crashes, Cleared: vm.report.Cleared}
 		s.leader.View(context.Background(), r)
 		vm.waitsFor = s.leader
 	}
@@ -108,7 +114,7 @@
 func (s *blameSim) send(c simCall) {
 	now := s.clock.now
 	vm := s.vms[c.vm]
-	refused := vm.detector.Refuses(now, c.fingerprint, c.parts)
+	refused, _ := vm.detector.Refuses(now, c.fingerprint, c.parts)
 	if !c.crashes {
 		s.soundCalls++
 		if refused {
@@ -277,10 +283,65 @@
 			vm.detector, vm.waitsFor, vm.started = &ingress.PoisonDetector{}, nil, s.clock.now
 		}
 		s.runEngines()
-		for i := range s.vms {
-			if !s.clock.now.Before(s.vms[i].nextPoll) {
-				s.poll(i)
+		s.pollDue()
+	}
+}
+
+// Guards against a wrong verdict that stands as long as callers send requests with the part, none of which can complete, and against
+// a right one that costs an engine after engine because it is tried too often.
+func TestVerdictsAreTried(t *testing.T) {
+	const (
+		length    = 40 * time.Minute
+		maxWait   = 3 * time.Minute // until a sound part is served again
+		maxTrials = maxLateCalls
+	)
+	for _, sound := range []bool{true, false} {
+		s := newBlameSim(rand.New(rand.NewPCG(1, 0)).IntN, 3, 1, 500*time.Millisecond)
+		s.lossless = true
+		blamedPart := []uint64{crashingPart}
+		for n := range 3 { // three crashes with different requests
+			server := deck.Server{ID: deck.BackendName("crashed-" + strconv.Itoa(n))}
+			s.vms[n].detector.RecordCrash(s.clock.now, ingress.Fingerprint(100+n), server, blamedPart, true)
+			s.pollAll(2 * time.Second)
+		}
+		start, sent := s.clock.now, 0
+		var servedAfter time.Duration
+		for s.clock.now.Sub(start) < length && servedAfter == 0 {
+			vm := s.vms[s.random(len(s.vms))].detector
+			refused, trial := vm.Refuses(s.clock.now, ingress.Fingerprint(1000+s.random(1_000_000)), blamedPart)
+			switch {
+			case refused:
+			case !trial && sound:
+				servedAfter = s.clock.now.Sub(start)
+			case sound:
+				vm.RecordSound(s.clock.now, blamedPart)
+			default:
+				sent++
+				server := deck.Server{ID: deck.BackendName("tried-" + strconv.Itoa(sent))}
+				vm.RecordCrash(s.clock.now, ingress.Fingerprint(5000+sent), server, blamedPart, true)
 			}
+			s.pollAll(500 * time.Millisecond)
+		}
+		if sound && (servedAfter < time.Minute || servedAfter > maxWait) {
+			t.Errorf("a sound part was served again after %v", servedAfter)
+		}
+		if !sound && (sent == 0 || sent > maxTrials) {
+			t.Errorf("a crashing part was sent %d times in %v", sent, length)
+		}
+	}
+}
+
+// pollAll lets all VMs poll for the given time.
+func (s *blameSim) pollAll(length time.Duration) {
+	for end := s.clock.now.Add(length); s.clock.now.Before(end); s.clock.now = s.clock.now.Add(simStep) {
+		s.pollDue()
+	}
+}
+
+func (s *blameSim) pollDue() {
+	for i := range s.vms {
+		if !s.clock.now.Before(s.vms[i].nextPoll) {
+			s.poll(i)
 		}
 	}
 }
--- a/internal/state/hub/publisher.go
+++ b/internal/state/hub/publisher.go
@@ -352,7 +352,7 @@
 		a.View = r.View
 	}
 	if leading {
-		a.Blame = p.blame.view(p.o.Clock.Now(), reportTerm)
+		a.Blame = p.blame.view(p.o.Clock.Now(), reportTerm, r.Blame)
 		for id, n := range p.calls {
 			a.CallsInFlight = append(a.CallsInFlight, deck.ServerCalls{Server: id, Calls: n})
 		}
