Blame parts of prompts for crashes on the inference API's path too

The same fault on the other serving path: suspects were known by the digest of the whole request there as well, in the VM's own table and in the replicated one. A VM that has seen a part to be sound serves it and objects to the verdict.

--- a/internal/api/caller/infer.go
+++ b/internal/api/caller/infer.go
@@ -51,6 +51,7 @@
 	return attempt.Request{
 		Info: deck.RequestInfo{
 			Digest:       requestDigest(r.URL.Path, adapter, body),
+			Parts:        wire.PromptParts(q.fields),
 			Caller:       callerID(r),
 			Model:        model.Name,
 			Adapter:      adapter,
--- a/internal/api/ingress/crashingpart_test.go
+++ b/internal/api/ingress/crashingpart_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/geraniumdeck/geraniumdeck/internal/api/ingress"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/blame"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 )
 
@@ -54,7 +54,7 @@
 	is := is.New(t)
 	var h *harness
 	engine := newBackend(t, "b1", func(c net.Conn, r *http.Request) bool {
-		verdict := deck.Verdict{Suspect: ingress.PartFingerprint("crashing")}
+		verdict := deck.Verdict{Suspect: blame.PartFingerprint("crashing")}
 		h.handler.Poison.Apply(time.Now(), deck.BlameView{Term: 1, Verdicts: []deck.Verdict{verdict}})
 		return shed(c, r)
 	})
--- a/internal/api/ingress/poison.go
+++ b/internal/api/ingress/poison.go
@@ -7,26 +7,17 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/geraniumdeck/geraniumdeck/internal/core/blame"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
-	"github.com/geraniumdeck/geraniumdeck/internal/route/blame"
 )
 
 const (
-	// provenTime is how long a part of a prompt is no suspect after a server wrote an answer on it for a call of this VM.
-	provenTime = 30 * time.Second
-
-	// suspiciousWriting is how long a request may have received events from a server that crashes and still be a suspect for the
-	// parts of its prompt: these crash a server when it begins to write. A longer answer proves that they don't.
-	suspiciousWriting = 500 * time.Millisecond
-
 	// aloneAfter is how long after the last answer of a leader this VM judges parts of prompts by the crashes that it saw itself.
 	aloneAfter = 3 * time.Second
 
 	trialTime = 10 * time.Second // in which a request that the leader lets through may be sent
 
-	maxUnconfirmed  = 256  // crashes kept until the leader confirms them; the oldest are dropped beyond that
-	maxProofs       = 8192 // parts of which it is remembered that they are sound
-	maxSuspectParts = 16   // of one prompt
+	maxUnconfirmed = 256 // crashes kept until the leader confirms them; the oldest are dropped beyond that
 )
 
 // A Fingerprint identifies a request by its path and body.
@@ -41,7 +32,7 @@
 	trials   map[uint64]time.Time // when the permission to send one request with a suspect ends
 	watched  map[uint64]bool      // parts of which the leader wants to know whether a request with them completes
 
-	proofs map[uint64]time.Time // when a part was last seen to be sound
+	proofs blame.Proofs
 
 	crashes    []observedCrash // that this VM observed, oldest first
 	confirmed  int             // the first of these, which the leader of the term has
@@ -64,7 +55,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c := deck.Crash{
-		RequestFingerprint: uint64(f), Server: s.ID, StartUnixMs: s.StartUnixMs, Parts: p.suspects(now, parts), Began: began,
+		RequestFingerprint: uint64(f), Server: s.ID, StartUnixMs: s.StartUnixMs, Parts: p.proofs.Unproven(now, parts), Began: began,
 	}
 	p.crashes = append(p.crashes, observedCrash{c, now})
 	if len(p.crashes) > maxUnconfirmed {
@@ -76,23 +67,6 @@
 	}
 }
 
-// suspects returns the parts that are not proven to be harmless.
-func (p *PoisonDetector) suspects(now time.Time, parts []uint64) []uint64 {
-	var suspects []uint64
-	for _, part := range parts[:min(len(parts), maxSuspectParts)] {
-		if !p.isProven(now, part) {
-			suspects = append(suspects, part)
-		}
-	}
-	return suspects
-}
-
-// isProven reports whether the part was seen to be sound of late.
-func (p *PoisonDetector) isProven(now time.Time, part uint64) bool {
-	proof, ok := p.proofs[part]
-	return ok && now.Sub(proof) <= provenTime
-}
-
 // RecordCompletion records that a request with the given parts of its prompt was answered in full.
 func (p *PoisonDetector) RecordCompletion(now time.Time, f Fingerprint, parts []uint64) {
 	p.RecordSound(now, parts)
@@ -108,10 +82,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, part := range parts {
-		if p.proofs == nil || len(p.proofs) >= maxProofs {
-			p.proofs = make(map[uint64]time.Time)
-		}
-		p.proofs[part] = now
+		p.proofs.Add(now, part)
 		if p.watched[part] || p.verdicts.Has(part) {
 			p.clear(now, part)
 		}
@@ -139,7 +110,7 @@
 			trial = true
 			continue
 		}
-		if known || i > 0 && alone && p.ledger.BlamesPart(suspect) && !p.isProven(now, suspect) {
+		if known || i > 0 && alone && p.ledger.BlamesPart(suspect) && !p.proofs.Contains(now, suspect) {
 			return true, false
 		}
 	}
@@ -160,7 +131,7 @@
 	r := deck.BlameReport{Verdicts: p.verdicts.List(now), Cleared: p.cleared[:len(p.cleared):len(p.cleared)]}
 	for _, c := range p.crashes[p.confirmed:] {
 		c.Age = now.Sub(c.at)
-		c.Parts = slices.DeleteFunc(slices.Clone(c.Parts), func(part uint64) bool { return p.proofs[part].After(c.at) })
+		c.Parts = slices.DeleteFunc(slices.Clone(c.Parts), func(part uint64) bool { return p.proofs.ContainsAfter(c.at, part) })
 		r.Crashes = append(r.Crashes, c.Crash)
 	}
 	p.reported, p.inReport, p.reportedAt = len(p.crashes), len(p.cleared), now
@@ -185,7 +156,7 @@
 	p.watched = make(map[uint64]bool, len(v.Watched))
 	for _, part := range v.Watched {
 		p.watched[part] = true
-		if p.isProven(now, part) {
+		if p.proofs.Contains(now, part) {
 			p.clear(now, part)
 		}
 	}
@@ -202,7 +173,7 @@
 // withoutProven returns the verdicts but for those that calls of this VM contradict, which it withdraws at the leader.
 func (p *PoisonDetector) withoutProven(now time.Time, verdicts []deck.Verdict) []deck.Verdict {
 	return slices.DeleteFunc(slices.Clone(verdicts), func(v deck.Verdict) bool {
-		proven := p.isProven(now, v.Suspect)
+		proven := p.proofs.Contains(now, v.Suspect)
 		if proven {
 			p.cleared = append(p.cleared, v.Suspect)
 		}
@@ -217,16 +188,11 @@
 	}
 	out := make([]uint64, 0, len(parts)-1)
 	for _, part := range parts[:len(parts)-1] {
-		out = append(out, PartFingerprint(part.ID))
+		out = append(out, blame.PartFingerprint(part.ID))
 	}
 	return out
 }
 
-// PartFingerprint returns the fingerprint of a part of a prompt, which differs from that of any request but for chance.
-func PartFingerprint(id string) uint64 {
-	return xxhash.Sum64String("part " + id)
-}
-
 // fingerprint returns a hash of the call's path and body.
 func (c *callRun) fingerprint() Fingerprint {
 	if c.hash == 0 {
@@ -241,7 +207,7 @@
 
 // suspectParts returns the parts of the call's prompt that may have crashed the server, which interrupted the call with the error.
 func (c *callRun) suspectParts(now time.Time, err error) []uint64 {
-	if !closedByServer(err) || !c.firstEvent.IsZero() && now.Sub(c.firstEvent) > suspiciousWriting {
+	if !closedByServer(err) || !c.firstEvent.IsZero() && now.Sub(c.firstEvent) > blame.SuspiciousWriting {
 		return nil
 	}
 	return c.parts
--- a/internal/api/ingress/relay.go
+++ b/internal/api/ingress/relay.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/backend/http1"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/blame"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	"github.com/geraniumdeck/geraniumdeck/internal/wire/eventstream"
 )
@@ -223,7 +224,7 @@
 			if c.firstEvent.IsZero() && events.fields {
 				c.firstEvent = now // the call occupies a slot from then on
 			}
-			if !sound && !c.firstEvent.IsZero() && now.Sub(c.firstEvent) > suspiciousWriting {
+			if !sound && !c.firstEvent.IsZero() && now.Sub(c.firstEvent) > blame.SuspiciousWriting {
 				sound = true
 				c.h.Poison.RecordSound(now, c.parts)
 			}
--- /dev/null
+++ b/internal/core/blame/ledger_test.go
@@ -0,0 +1,67 @@
+package blame
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+const (
+	guilty = 1
+	beside = 2
+)
+
+// TestStrongestSuspectExplainsCrashes guards against a refusal of a sound part of prompts that was in flight at several crashes which
+// another part caused, and against a second crashing part that is overlooked.
+func TestStrongestSuspectExplainsCrashes(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		crashes [][]uint64 // parts of the requests in flight, one request each; the server had begun to answer the first
+		blamed  []uint64
+	}{
+		{"one part", [][]uint64{{guilty}, {guilty}, {guilty}}, []uint64{guilty}},
+		{"too few crashes", [][]uint64{{guilty}, {guilty}}, nil},
+		{"in flight each time", [][]uint64{{guilty, beside}, {guilty, beside}, {guilty, beside}}, []uint64{guilty}},
+		{"in flight most times", [][]uint64{{guilty, beside}, {guilty, beside}, {guilty, beside}, {guilty}}, []uint64{guilty}},
+		{"a second part", [][]uint64{{guilty}, {guilty}, {guilty}, {guilty}, {beside}, {beside}, {beside}}, []uint64{guilty, beside}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			var l Ledger
+			now := time.Unix(1000, 0)
+			request := uint64(100)
+			for n, parts := range tc.crashes {
+				now = now.Add(time.Second)
+				for i, part := range parts {
+					request++
+					server := deck.BackendName(strconv.Itoa(n))
+					l.Record(now, deck.Crash{RequestFingerprint: request, Server: server, Parts: []uint64{part}, Began: i == 0})
+				}
+			}
+			is.Equal(l.BlamedParts(now), tc.blamed)
+			l.Clear(now, guilty)
+			for _, part := range l.BlamedParts(now) {
+				is.True(part != guilty)
+			}
+			is.Equal(l.BlamedParts(now.Add(2*partEvidenceTTL)), nil)
+		})
+	}
+}
+
+// TestIncarnationsCrashSeparately guards against crashes of a server that starts again under its name being counted as one.
+func TestIncarnationsCrashSeparately(t *testing.T) {
+	is := is.New(t)
+	var l Ledger
+	now := time.Unix(1000, 0)
+	blamed := false
+	for start := range int64(3) {
+		now = now.Add(time.Second)
+		blamed = l.Record(now, deck.Crash{RequestFingerprint: 100, Server: "e1", StartUnixMs: 1 + start})
+	}
+	is.True(blamed)
+	is.True(!l.Record(now.Add(2*requestEvidenceTTL), deck.Crash{RequestFingerprint: 100, Server: "e1", StartUnixMs: 9}))
+}
--- a/internal/core/deck/router.go
+++ b/internal/core/deck/router.go
@@ -7,8 +7,9 @@
 
 // A RequestInfo describes an inference request for routing decisions.
 type RequestInfo struct {
-	Digest       string // SHA-256 of the request's content, for poison-request detection
-	Caller       string // for fairness; empty for an anonymous caller
+	Digest       string   // SHA-256 of the request's content, for poison-request detection
+	Parts        []uint64 // fingerprints of the parts of the prompt that other requests may share, for the same
+	Caller       string   // for fairness; empty for an anonymous caller
 	Model        ModelName
 	Adapter      AdapterName // empty for none
 	Class        Class
--- a/internal/core/deck/service.go
+++ b/internal/core/deck/service.go
@@ -55,13 +55,27 @@
 	Finish(ctx context.Context, key string, answer ServiceAnswer) error
 }
 
-// A PoisonStore keeps the digests of requests that crash backend servers.
+// A CrashReport says that a request was running on a backend server process that crashed.
+type CrashReport struct {
+	Digest  string   // of the request
+	Parts   []uint64 // fingerprints of the parts of its prompt that may be to blame
+	Backend BackendName
+	BootID  string // distinguishes crashes, so that several reports of one count once; if empty, each counts as a separate crash
+	Alone   bool   // no other request in flight may have caused the crash
+}
+
+// A PoisonStore keeps the digests of requests, and the parts of prompts, that crash backend servers.
 type PoisonStore interface {
 	// IsRefused reports whether requests with the digest are refused.
 	IsRefused(digest string) bool
 
-	// ReportCrash records that the request was running on a backend server process that crashed. The boot ID distinguishes
-	// crashes, so that several reports of one crash count once; without a boot ID, each report counts as a separate crash. alone
-	// means that no other request in flight may have caused the crash.
-	ReportCrash(ctx context.Context, digest string, backend BackendName, bootID string, alone bool) error
+	// IsPartRefused reports whether requests with the part in their prompt are refused.
+	IsPartRefused(part uint64) bool
+
+	// ReportCrash records a crash.
+	ReportCrash(ctx context.Context, r CrashReport) error
+
+	// ReportSound records that a backend server has written an answer on a prompt with the part, so that earlier crashes are no
+	// evidence against it.
+	ReportSound(ctx context.Context, part uint64) error
 }
--- a/internal/measure/sim/fleet.go
+++ b/internal/measure/sim/fleet.go
@@ -208,7 +208,11 @@
 // IsRefused implements PoisonStore.IsRefused.
 func (emptyPoisonStore) IsRefused(string) bool { return false }
 
+func (emptyPoisonStore) IsPartRefused(uint64) bool { return false }
+
+func (emptyPoisonStore) ReportSound(context.Context, uint64) error { return nil }
+
 // ReportCrash implements PoisonStore.ReportCrash.
-func (emptyPoisonStore) ReportCrash(context.Context, string, deck.BackendName, string, bool) error {
+func (emptyPoisonStore) ReportCrash(context.Context, deck.CrashReport) error {
 	return nil
 }
--- a/internal/route/attempt/execution.go
+++ b/internal/route/attempt/execution.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/geraniumdeck/geraniumdeck/internal/core/blame"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 )
 
@@ -31,6 +32,7 @@
 	handledPreemption <-chan struct{} // preemption channel that was already handled
 	hedgeTimer        *time.Timer
 	crashReports      []chan struct{} // each is closed when its crash report is done
+	provenSound       bool            // a server has written for so long that the prompt does not crash it
 	sinkFailed        bool            // the sink returned an error
 	result            *Result
 }
@@ -53,6 +55,8 @@
 	version deck.VersionName
 	engine  deck.Engine
 	permit  *Permit
+
+	firstToken time.Time // when the attempt's first token came; zero if none did
 }
 
 // loop passes events to the lifecycle and performs its actions until the request ends.
@@ -69,6 +73,7 @@
 		case e := <-x.events:
 			if e.Kind == EventToken {
 				heartbeat.Reset(heartbeatInterval)
+				x.recordToken(e.Attempt)
 			}
 			x.recordStart(e)
 			x.step(e.Event)
@@ -158,6 +163,30 @@
 	x.sinkFailed = x.sinkFailed || x.sink.Token(a.Token) != nil
 }
 
+// recordToken notes that an attempt receives tokens; a server that goes on for long proves the prompt.
+func (x *execution) recordToken(attempt int) {
+	h := x.handles[attempt]
+	if h == nil {
+		return
+	}
+	if h.firstToken.IsZero() {
+		h.firstToken = x.runner.Clock.Now()
+	}
+	if !x.provenSound && x.isWritingLong(h) {
+		x.recordSound()
+	}
+}
+
+func (x *execution) recordSound() {
+	x.provenSound = true
+	x.runner.reportSound(x.runner.Parts.RecordSound(x.req.Info.Parts))
+}
+
+// isWritingLong reports whether the server of an attempt has written for so long that the prompt doesn't crash it.
+func (x *execution) isWritingLong(h *handle) bool {
+	return !h.firstToken.IsZero() && x.runner.Clock.Now().Sub(h.firstToken) > blame.SuspiciousWriting
+}
+
 func (x *execution) heartbeat() {
 	if err := x.sink.Heartbeat(); err != nil {
 		x.step(Event{Kind: EventDisconnected})
@@ -201,14 +230,17 @@
 	if h == nil || h.permit == nil || !h.permit.RecordCrash(a.BootID) {
 		return
 	}
-	isolated := h.permit.Isolated()
+	r := deck.CrashReport{Digest: x.req.Info.Digest, Backend: a.Backend, BootID: a.BootID, Alone: h.permit.Isolated()}
+	if !x.isWritingLong(h) {
+		r.Parts = x.runner.Parts.RecordCrash(x.req.Info, a.Backend, a.BootID)
+	}
 	reported := make(chan struct{})
 	x.crashReports = append(x.crashReports, reported)
 	x.runner.runInBackground(func() {
 		defer close(reported)
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), crashReportTimeout)
 		defer cancel()
-		_ = x.runner.Poison.ReportCrash(ctx, x.req.Info.Digest, a.Backend, a.BootID, isolated) // counts here even on error
+		_ = x.runner.Poison.ReportCrash(ctx, r) // counts here even on error
 	})
 }
 
@@ -229,6 +261,7 @@
 func (x *execution) finish(r Result) {
 	if r.Kind == Completed {
 		x.runner.Suspects.Clear(x.req.Info.Digest)
+		x.recordSound()
 	}
 	if r.Kind == Completed && x.sinkFailed {
 		r.Kind = Disconnected
--- a/internal/route/attempt/runner.go
+++ b/internal/route/attempt/runner.go
@@ -30,6 +30,7 @@
 	Clock      deck.Clock
 	Budget     *Budget
 	Suspects   *Suspects
+	Parts      *PromptParts
 	VM         deck.VMName
 	HedgeAfter time.Duration // wait for the first token before a hedge starts; 0 for the default
 
@@ -63,6 +64,7 @@
 		Clock:           clock,
 		Budget:          &Budget{Clock: clock},
 		Suspects:        &Suspects{Clock: clock},
+		Parts:           &PromptParts{Clock: clock},
 		VM:              vm,
 		backgroundSlots: make(chan struct{}, maxBackgroundCalls),
 	}
@@ -71,7 +73,7 @@
 // Run admits the request and delivers its answer to the sink. The caller counts as disconnected when ctx ends or the sink
 // returns an error.
 func (r *Runner) Run(ctx context.Context, req Request, sink Sink) Result {
-	if r.isPoison(req.Info.Digest) {
+	if r.isPoison(req.Info) {
 		return Result{Kind: Refused, Refusal: poisonRefusal(), NotRun: true}
 	}
 	adm, refusal := r.Router.Admit(ctx, req.Info)
@@ -108,9 +110,32 @@
 	_ = r.background.Wait()
 }
 
-// isPoison reports whether the digest belongs to a poison request.
-func (r *Runner) isPoison(digest string) bool {
-	return r.Poison.IsRefused(digest) || r.Suspects.IsRefused(digest)
+// isPoison reports whether the request, or a part of its prompt, crashes backend servers.
+func (r *Runner) isPoison(info deck.RequestInfo) bool {
+	if r.Poison.IsRefused(info.Digest) || r.Suspects.IsRefused(info.Digest) {
+		return true
+	}
+	for _, part := range info.Parts {
+		refused, objects := r.Parts.Judge(part, r.Poison.IsPartRefused(part))
+		if objects {
+			r.reportSound([]uint64{part})
+		}
+		if refused {
+			return true
+		}
+	}
+	return false
+}
+
+// reportSound tells the other VMs that the parts don't crash backend servers.
+func (r *Runner) reportSound(parts []uint64) {
+	for _, part := range parts {
+		r.runInBackground(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), crashReportTimeout)
+			defer cancel()
+			_ = r.Poison.ReportSound(ctx, part) // repeated as long as the part is refused
+		})
+	}
 }
 
 // runInBackground runs f in a goroutine that may outlive the request; at the limit it runs f in the calling goroutine.
@@ -134,5 +159,5 @@
 }
 
 func poisonRefusal() *deck.Refusal {
-	return &deck.Refusal{Kind: deck.RefusedPoison, Reason: "this request has crashed backend servers"}
+	return &deck.Refusal{Kind: deck.RefusedPoison, Reason: "this request, or a part of its prompt, has crashed backend servers"}
 }
--- a/internal/route/attempt/task.go
+++ b/internal/route/attempt/task.go
@@ -36,7 +36,7 @@
 		t.post(Event{Kind: EventUnavailable, Refusal: refusal})
 		return
 	}
-	if t.execution.runner.isPoison(t.digest()) {
+	if t.execution.runner.isPoison(t.execution.req.Info) {
 		t.post(Event{Kind: EventPoison, Refusal: poisonRefusal()})
 		return
 	}
--- a/internal/route/router/harness_test.go
+++ b/internal/route/router/harness_test.go
@@ -26,6 +26,10 @@
 	_ deck.PoisonStore = (*fakeSource)(nil)
 )
 
+func (*fakeSource) IsPartRefused(uint64) bool { return false }
+
+func (*fakeSource) ReportSound(context.Context, uint64) error { return nil }
+
 func (f *fakeSource) State() deck.State                             { return f.state }
 func (f *fakeSource) Changed() <-chan struct{}                      { return nil }
 func (f *fakeSource) Proven() bool                                  { return true }
@@ -34,7 +38,7 @@
 func (f *fakeSource) HasAdapter(b deck.BackendName, a deck.AdapterName) bool {
 	return slices.Contains(f.adapters[b], a)
 }
-func (f *fakeSource) ReportCrash(context.Context, string, deck.BackendName, string, bool) error {
+func (f *fakeSource) ReportCrash(context.Context, deck.CrashReport) error {
 	return nil
 }
 
--- a/internal/state/hub/blametable.go
+++ b/internal/state/hub/blametable.go
@@ -7,8 +7,8 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/geraniumdeck/geraniumdeck/internal/core/blame"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
-	"github.com/geraniumdeck/geraniumdeck/internal/route/blame"
 )
 
 // objectionMargin is added to the time in which each entry VM polls once: a round trip between regions.
--- a/internal/state/statemachine/client.go
+++ b/internal/state/statemachine/client.go
@@ -148,16 +148,25 @@
 	return c.cfg.IsRefused != nil && c.cfg.IsRefused(digest)
 }
 
+// IsPartRefused implements deck.PoisonStore.IsPartRefused.
+func (c *Client) IsPartRefused(part uint64) bool {
+	return c.IsRefused(partDigest(part))
+}
+
 // ReportCrash implements deck.PoisonStore.ReportCrash.
-func (c *Client) ReportCrash(
-	ctx context.Context, digest string, backend deck.BackendName, bootID string, alone bool,
-) error {
+func (c *Client) ReportCrash(ctx context.Context, r deck.CrashReport) error {
 	_, err := c.propose(ctx, command.ReportCrash{
-		Digest: digest, Backend: backend, BootID: bootID, ReportID: c.cfg.NewID(), OnlySuspect: alone,
+		Digest: r.Digest, Backend: r.Backend, BootID: r.BootID, ReportID: c.cfg.NewID(), OnlySuspect: r.Alone, Parts: r.Parts,
 	})
 	return err
 }
 
+// ReportSound implements deck.PoisonStore.ReportSound.
+func (c *Client) ReportSound(ctx context.Context, part uint64) error {
+	_, err := c.propose(ctx, command.ReportSound{Part: part})
+	return err
+}
+
 // Done returns a channel that is closed when Run returns.
 func (c *Client) Done() <-chan struct{} {
 	return c.done
--- a/internal/state/statemachine/client_test.go
+++ b/internal/state/statemachine/client_test.go
@@ -263,10 +263,10 @@
 		is.NoErr(c.Finish(t.Context(), "k", large))
 		is.Equal(c.Begin(t.Context(), "k", "d").Status, deck.ClaimUnknown)
 		for range 2 {
-			is.NoErr(c.ReportCrash(t.Context(), "p", "e", "boot", true))
+			is.NoErr(c.ReportCrash(t.Context(), deck.CrashReport{Digest: "p", Backend: "e", BootID: "boot", Alone: true}))
 		}
 		is.Equal(len(n.machines["b"].RefusedDigests()), 0)
-		is.NoErr(c.ReportCrash(t.Context(), "p", "e", "", false))
+		is.NoErr(c.ReportCrash(t.Context(), deck.CrashReport{Digest: "p", Backend: "e"}))
 		is.Equal(n.machines["b"].RefusedDigests()[0].Digest, "p")
 		is.Equal(n.forwardCount.Load(), int64(0))
 	})
--- a/internal/state/statemachine/machine.go
+++ b/internal/state/statemachine/machine.go
@@ -88,16 +88,24 @@
 		return command.Result{Recorded: err == nil, Reason: reasonText(err)}, nil
 	case command.ReportCrash:
 		changed := m.poison.recordCrash(m.now, index, c)
-		if !changed {
-			return command.Result{Recorded: true}, nil
-		}
-		digests := m.poison.refused(m.now)
-		return command.Result{Recorded: true}, func(o Observer) { o.OnPoisonChange(index, digests) }
+		changed = m.poison.recordPartCrash(m.now, index, c) || changed
+		return m.poisonResult(index, changed)
+	case command.ReportSound:
+		return m.poisonResult(index, m.poison.recordSound(m.now, index, c.Part))
 	default:
 		return command.Result{}, nil
 	}
 }
 
+// poisonResult returns the result of a report, and the notification if it changed the refused digests.
+func (m *Machine) poisonResult(index uint64, changed bool) (command.Result, func(Observer)) {
+	if !changed {
+		return command.Result{Recorded: true}, nil
+	}
+	digests := m.poison.refused(m.now)
+	return command.Result{Recorded: true}, func(o Observer) { o.OnPoisonChange(index, digests) }
+}
+
 // State returns the state that this replica has applied.
 func (m *Machine) State() deck.State {
 	m.mu.RLock()
--- a/internal/state/statemachine/poison.go
+++ b/internal/state/statemachine/poison.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
@@ -45,11 +46,12 @@
 // A poisonTable holds the crash histories of the requests that were in flight at crashes, by request digest.
 type poisonTable struct {
 	digests      map[string]*crashHistory
+	parts        map[uint64]*partHistory
 	changedIndex uint64 // log index of the last change of the refused digests
 }
 
 func newPoisonTable() poisonTable {
-	return poisonTable{digests: make(map[string]*crashHistory)}
+	return poisonTable{digests: make(map[string]*crashHistory), parts: make(map[uint64]*partHistory)}
 }
 
 // recordCrash adds a crash to the digest's history and reports whether the refused digests or the expiry of one changed.
@@ -116,7 +118,7 @@
 	return ha.expiresAt.Before(hb.expiresAt)
 }
 
-// refused returns the refused digests in ascending order.
+// refused returns the refused digests, those of parts of prompts included, in ascending order.
 func (p *poisonTable) refused(now time.Time) []RefusedDigest {
 	var digests []RefusedDigest
 	for _, d := range slices.Sorted(maps.Keys(p.digests)) {
@@ -124,5 +126,11 @@
 			digests = append(digests, RefusedDigest{Digest: d, ExpiresAt: h.expiresAt})
 		}
 	}
+	for part, h := range p.parts {
+		if h.refused() && now.Before(h.expiresAt) {
+			digests = append(digests, RefusedDigest{Digest: partDigest(part), ExpiresAt: h.expiresAt})
+		}
+	}
+	slices.SortFunc(digests, func(a, b RefusedDigest) int { return strings.Compare(a.Digest, b.Digest) })
 	return digests
 }
--- a/internal/state/statemachine/snapshot.go
+++ b/internal/state/statemachine/snapshot.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/geraniumdeck/geraniumdeck/internal/core/blame"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	"github.com/geraniumdeck/geraniumdeck/internal/wire/command"
 	"github.com/geraniumdeck/geraniumdeck/internal/wire/ticket"
@@ -27,6 +28,7 @@
 	Serial        uint64                 `json:"serial,omitempty"`
 	Poison        []poisonDocument       `json:"poison,omitempty"`
 	PoisonChanged uint64                 `json:"poison-changed,omitempty"`
+	PoisonParts   []poisonPartDocument   `json:"poison-parts,omitempty"`
 }
 
 type acceptedDocument struct {
@@ -64,6 +66,18 @@
 	Crashes []crashDocument `json:"crashes"`
 }
 
+type poisonPartDocument struct {
+	Part    uint64              `json:"part"`
+	UntilMS int64               `json:"until-ms"`
+	Crashes []partCrashDocument `json:"crashes"`
+}
+
+type partCrashDocument struct {
+	ID       string   `json:"id"`
+	AtMS     int64    `json:"at-ms"`
+	Requests []uint64 `json:"requests"`
+}
+
 type crashDocument struct {
 	Backend string `json:"backend"`
 	ID      string `json:"id"`
@@ -226,6 +240,14 @@
 		}
 		d.Poison = append(d.Poison, row)
 	}
+	for _, part := range slices.Sorted(maps.Keys(p.parts)) {
+		h := p.parts[part]
+		row := poisonPartDocument{Part: part, UntilMS: toUnixMillis(h.expiresAt)}
+		for _, c := range h.crashes {
+			row.Crashes = append(row.Crashes, partCrashDocument{c.id, toUnixMillis(c.At), c.Requests})
+		}
+		d.PoisonParts = append(d.PoisonParts, row)
+	}
 }
 
 func loadPoison(d snapshotDocument) poisonTable {
@@ -238,6 +260,13 @@
 		}
 		p.digests[row.Digest] = r
 	}
+	for _, row := range d.PoisonParts {
+		h := &partHistory{expiresAt: fromUnixMillis(row.UntilMS)}
+		for _, c := range row.Crashes {
+			h.crashes = append(h.crashes, partCrash{c.ID, blame.PartCrash{At: fromUnixMillis(c.AtMS), Requests: c.Requests}})
+		}
+		p.parts[row.Part] = h
+	}
 	return p
 }
 
--- a/internal/test/decktest/stores.go
+++ b/internal/test/decktest/stores.go
@@ -33,19 +33,12 @@
 type PoisonStore struct {
 	mu      sync.Mutex
 	refused map[string]bool
-	reports []CrashReport
+	reports []deck.CrashReport
+	sound   []uint64
 }
 
 var _ deck.PoisonStore = (*PoisonStore)(nil)
 
-// A CrashReport holds the arguments of one call of PoisonStore.ReportCrash.
-type CrashReport struct {
-	Digest  string
-	Backend deck.BackendName
-	BootID  string
-	Alone   bool
-}
-
 // Refuse makes Refused report true for the digest.
 func (s *PoisonStore) Refuse(digest string) {
 	s.mu.Lock()
@@ -63,18 +56,27 @@
 	return s.refused[digest]
 }
 
+// IsPartRefused implements deck.PoisonStore.IsPartRefused.
+func (*PoisonStore) IsPartRefused(uint64) bool { return false }
+
 // ReportCrash implements deck.PoisonStore.ReportCrash.
-func (s *PoisonStore) ReportCrash(
-	_ context.Context, digest string, backend deck.BackendName, bootID string, alone bool,
-) error {
+func (s *PoisonStore) ReportCrash(_ context.Context, r deck.CrashReport) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reports = append(s.reports, r)
+	return nil
+}
+
+// ReportSound implements deck.PoisonStore.ReportSound.
+func (s *PoisonStore) ReportSound(_ context.Context, part uint64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.reports = append(s.reports, CrashReport{digest, backend, bootID, alone})
+	s.sound = append(s.sound, part)
 	return nil
 }
 
 // CrashReports returns the crash reports so far, in order.
-func (s *PoisonStore) CrashReports() []CrashReport {
+func (s *PoisonStore) CrashReports() []deck.CrashReport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.reports
--- a/internal/wire/command/codec.go
+++ b/internal/wire/command/codec.go
@@ -45,7 +45,10 @@
 	case ReportCrash:
 		w.Value = mustMarshal(reportCrash{
 			Digest: c.Digest, Backend: string(c.Backend), BootID: c.BootID, ReportID: c.ReportID, OnlySuspect: c.OnlySuspect,
+			Parts: c.Parts,
 		})
+	case ReportSound:
+		w.Value = mustMarshal(reportSound{c.Part})
 	}
 	return mustMarshal(w)
 }
@@ -90,8 +93,12 @@
 		err := json.Unmarshal(w.Value, &v)
 		return ReportCrash{
 			Digest: v.Digest, Backend: deck.BackendName(v.Backend), BootID: v.BootID,
-			ReportID: v.ReportID, OnlySuspect: v.OnlySuspect,
+			ReportID: v.ReportID, OnlySuspect: v.OnlySuspect, Parts: v.Parts,
 		}, err
+	case ReportSound{}.Name():
+		var v reportSound
+		err := json.Unmarshal(w.Value, &v)
+		return ReportSound{v.Part}, err
 	case NoOp{}.Name():
 		return NoOp{}, nil
 	default:
--- a/internal/wire/command/command.go
+++ b/internal/wire/command/command.go
@@ -6,7 +6,7 @@
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 )
 
-// A Command is one of ApplyTicket, BeginCall, FinishCall, ReportCrash and NoOp. Each is idempotent: proposing it again
+// A Command is one of ApplyTicket, BeginCall, FinishCall, ReportCrash, ReportSound and NoOp. Each is idempotent: proposing it again
 // unchanged has no further effect.
 type Command interface {
 	// Name returns the command's name as it is written in the log.
@@ -37,9 +37,15 @@
 type ReportCrash struct {
 	Digest      string
 	Backend     deck.BackendName
-	BootID      string // of the crashed process; empty if unknown
-	ReportID    string // random ID, so that the crash counts once if BootID is empty
-	OnlySuspect bool   // no other suspect request was running there
+	BootID      string   // of the crashed process; empty if unknown
+	ReportID    string   // random ID, so that the crash counts once if BootID is empty
+	OnlySuspect bool     // no other suspect request was running there
+	Parts       []uint64 // fingerprints of the parts of its prompt that may be to blame
+}
+
+// A ReportSound records that a backend server wrote an answer on a prompt with the part.
+type ReportSound struct {
+	Part uint64
 }
 
 // A NoOp has no effect on the state.
@@ -63,6 +69,9 @@
 // Name implements Command.Name.
 func (ReportCrash) Name() string { return "report-crash" }
 
+// Name implements Command.Name.
+func (ReportSound) Name() string { return "report-sound" }
+
 // Name implements Command.Name.
 func (NoOp) Name() string { return "no-op" }
 
@@ -70,6 +79,6 @@
 type Result struct {
 	Ticket   deck.TicketAnswer // for ApplyTicket
 	Claim    deck.Claim        // for BeginCall
-	Recorded bool              // for FinishCall and ReportCrash
+	Recorded bool              // for FinishCall, ReportCrash and ReportSound
 	Reason   string            // why nothing was recorded
 }
--- a/internal/wire/command/wire.go
+++ b/internal/wire/command/wire.go
@@ -30,11 +30,16 @@
 }
 
 type reportCrash struct {
-	Digest      string `json:"digest"`
-	Backend     string `json:"backend"`
-	BootID      string `json:"boot-id,omitempty"`
-	ReportID    string `json:"report,omitempty"`
-	OnlySuspect bool   `json:"alone,omitempty"`
+	Digest      string   `json:"digest"`
+	Backend     string   `json:"backend"`
+	BootID      string   `json:"boot-id,omitempty"`
+	ReportID    string   `json:"report,omitempty"`
+	OnlySuspect bool     `json:"alone,omitempty"`
+	Parts       []uint64 `json:"parts,omitempty"`
+}
+
+type reportSound struct {
+	Part uint64 `json:"part"`
 }
 
 // An Answer is the wire form of a plain service's response.
--- a/internal/wire/engine/prompt.go
+++ b/internal/wire/engine/prompt.go
@@ -7,6 +7,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/blame"
 )
 
 // Prompts are hashed at each multiple of the block size, up to a length that covers common system prompts and documents.
@@ -42,6 +44,24 @@
 	return promptText(raw)
 }
 
+// PromptParts returns the fingerprints of the parts of a prompt that other requests may share: all messages, or elements of a list of
+// prompts, but the last. A prompt that PromptText can't read has none.
+func PromptParts(body map[string]json.RawMessage) []uint64 {
+	var parts []json.RawMessage
+	raw, ok := body["messages"]
+	if !ok {
+		raw = body["prompt"]
+	}
+	if err := json.Unmarshal(raw, &parts); err != nil || len(parts) < 2 {
+		return nil
+	}
+	fingerprints := make([]uint64, 0, len(parts)-1)
+	for _, part := range parts[:len(parts)-1] {
+		fingerprints = append(fingerprints, blame.PartFingerprint(contentText(part)))
+	}
+	return fingerprints
+}
+
 func messageText(raw json.RawMessage) (string, error) {
 	var messages []struct {
 		Role    string          `json:"role"`
