Give restarted entry VMs the verdicts with their first answer

A VM that searches for the leader got routes and servers with the leader's first answer, and what crashes servers only with the next, half a second later; calls could reach engines in between. The first answer's verdicts count now, without confirming a report that it is not the answer to. The leader judges the crashes anew only when they change. Five complaints of the linter are mended.

--- a/internal/api/ingress/brokenoff_test.go
+++ b/internal/api/ingress/brokenoff_test.go
@@ -94,7 +94,7 @@
 	}))
 	c, err := net.Dial("tcp", h.server.Listener.Addr().String())
 	is.NoErr(err)
-	defer c.Close()
+	defer func() { _ = c.Close() }()
 	is.NoErr(c.SetDeadline(time.Now().Add(5 * time.Second)))
 	_, err = io.WriteString(c, "POST /p/x HTTP/1.0\r\nHost: a.example\r\nCall-Id: id-1\r\nCall-Deadline-Ms: 4000\r\n\r\n")
 	is.NoErr(err)
--- a/internal/api/ingress/poison.go
+++ b/internal/api/ingress/poison.go
@@ -138,13 +138,15 @@
 	return r
 }
 
-// Apply takes over what the leader answered to the last report. A new leader is told of all crashes again.
+// Apply takes over what the leader answered to the last report. A new leader is told of all crashes again. With a Term of 0 the answer
+// is not to the last report, so that only its verdicts count.
 func (p *PoisonDetector) Apply(now time.Time, v deck.BlameView) {
-	if v.Term == 0 {
-		return // the leader did not take the report
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if v.Term == 0 {
+		p.verdicts.Merge(now, p.withoutProven(now, v.Verdicts))
+		return
+	}
 	p.appliedAt = now
 	p.confirmed = p.reported
 	if v.Term != p.term {
--- a/internal/backend/engine/unframed_test.go
+++ b/internal/backend/engine/unframed_test.go
@@ -14,7 +14,7 @@
 	if err != nil {
 		return
 	}
-	defer c.Close()
+	defer func() { _ = c.Close() }()
 	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nBoot-ID: b1\r\nConnection: close\r\nContent-Type: "+contentType+"\r\n\r\n"+body)
 }
 
--- a/internal/backend/service/unframed_test.go
+++ b/internal/backend/service/unframed_test.go
@@ -18,7 +18,7 @@
 		if err != nil {
 			return
 		}
-		defer conn.Close()
+		defer func() { _ = conn.Close() }()
 		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Type: %s\r\n\r\n%s", contentType, body)
 	}
 }
--- a/internal/core/blame/ledger.go
+++ b/internal/core/blame/ledger.go
@@ -21,7 +21,8 @@
 	byPart  map[uint64][]*crash  // those that interrupted requests with the part
 	cleared map[uint64]time.Time // suspects that completed; earlier crashes are no evidence against them
 	watched []uint64             // see Watched
-	changed bool                 // since watched was made
+	blamed  []uint64             // see BlamedParts
+	changed bool                 // since watched and blamed were made
 }
 
 // An incarnation is one start of a backend server, which may start again under its name.
@@ -75,17 +76,7 @@
 // Watched returns the parts that are at most one crash short of blame, in ascending order: a completion of a request with one clears
 // it.
 func (l *Ledger) Watched(now time.Time) []uint64 {
-	l.expire(now)
-	if !l.changed {
-		return l.watched
-	}
-	l.changed, l.watched = false, nil
-	for part, crashes := range l.byPart {
-		if len(crashes) >= minWatchedCrashes && separateCrashes(l.evidence(part, nil)) >= minWatchedCrashes {
-			l.watched = append(l.watched, part)
-		}
-	}
-	slices.Sort(l.watched)
+	l.judge(now)
 	return l.watched
 }
 
@@ -94,30 +85,50 @@
 	return IsPartBlamed(l.evidence(part, nil))
 }
 
-// BlamedParts returns the parts that explain the crashes best, in no particular order: the strongest suspect first, then those that
-// are to blame for the crashes that are left.
+// BlamedParts returns the parts that explain the crashes best, the strongest suspect first, then those that are to
+// blame for the crashes that are left.
 func (l *Ledger) BlamedParts(now time.Time) []uint64 {
-	suspects := slices.Clone(l.Watched(now))
-	strength := make(map[uint64][3]int, len(suspects))
-	for _, part := range suspects {
-		strength[part] = partStrength(l.evidence(part, nil))
+	l.judge(now)
+	return l.blamed
+}
+
+// judge brings watched and blamed up to date.
+func (l *Ledger) judge(now time.Time) {
+	l.expire(now)
+	if !l.changed {
+		return
 	}
-	slices.SortStableFunc(suspects, func(a, b uint64) int {
-		sa, sb := strength[a], strength[b]
-		return slices.Compare(sb[:], sa[:])
-	})
-	var blamed []uint64
+	l.changed, l.watched, l.blamed = false, nil, nil
+	for part, crashes := range l.byPart {
+		if len(crashes) >= minWatchedCrashes && separateCrashes(l.evidence(part, nil)) >= minWatchedCrashes {
+			l.watched = append(l.watched, part)
+		}
+	}
+	slices.Sort(l.watched)
 	explained := make(map[*crash]bool)
-	for _, part := range suspects {
+	for _, part := range l.byStrength(l.watched) {
 		if !IsPartBlamed(l.evidence(part, explained)) {
 			continue
 		}
-		blamed = append(blamed, part)
+		l.blamed = append(l.blamed, part)
 		for _, c := range l.byPart[part] {
 			explained[c] = true
 		}
 	}
-	return blamed
+}
+
+// byStrength returns the parts in the order of the evidence against them, the strongest first.
+func (l *Ledger) byStrength(parts []uint64) []uint64 {
+	strength := make(map[uint64][3]int, len(parts))
+	for _, part := range parts {
+		strength[part] = partStrength(l.evidence(part, nil))
+	}
+	sorted := slices.Clone(parts)
+	slices.SortStableFunc(sorted, func(a, b uint64) int {
+		sa, sb := strength[a], strength[b]
+		return slices.Compare(sb[:], sa[:])
+	})
+	return sorted
 }
 
 func (l *Ledger) blamesRequest(now time.Time, fingerprint uint64) bool {
--- a/internal/state/hub/subscriber.go
+++ b/internal/state/hub/subscriber.go
@@ -155,9 +155,13 @@
 		return
 	}
 	s.handleAnswer(to, a)
-	if a.IsLeader && wait > 0 {
-		s.o.Blame(a.Blame) // answers the report
+	if !a.IsLeader {
+		return
+	}
+	if wait == 0 {
+		a.Blame.Term = 0 // the request had no report
 	}
+	s.o.Blame(a.Blame)
 }
 
 // forgetLeader marks the leader as unknown if the given VM, which failed to answer or does not lead, was the leader.
--- a/internal/wire/command/codec.go
+++ b/internal/wire/command/codec.go
@@ -48,7 +48,7 @@
 			Parts: c.Parts,
 		})
 	case ReportSound:
-		w.Value = mustMarshal(reportSound{c.Part})
+		w.Value = mustMarshal(reportSound(c))
 	}
 	return mustMarshal(w)
 }
@@ -98,7 +98,7 @@
 	case ReportSound{}.Name():
 		var v reportSound
 		err := json.Unmarshal(w.Value, &v)
-		return ReportSound{v.Part}, err
+		return ReportSound(v), err
 	case NoOp{}.Name():
 		return NoOp{}, nil
 	default:
