--- a/internal/api/ingress/poison.go
+++ b/internal/api/ingress/poison.go
@@ -148,9 +148,13 @@
 		return
 	}
 	p.appliedAt = now
+	known := p.confirmed // only to the leader before, if the term is new
 	p.confirmed = p.reported
 	if v.Term != p.term {
-		p.term, p.confirmed = v.Term, 0
+		p.term = v.Term
+		if known > 0 {
+			p.confirmed = 0
+		}
 	}
 	p.reported = p.confirmed
 	p.cleared = p.cleared[p.inReport:]
