Keep proofs of shared parts, and suspects behind many other parts

A prompt with many parts could push out the proofs of the parts that all share, and a crashing part behind sixteen others was never a suspect. Proofs are now kept in two generations, and proven parts don't count among those that are reported.

--- a/internal/core/blame/proofs.go
+++ b/internal/core/blame/proofs.go
@@ -10,39 +10,47 @@
 	// parts of its prompt: these crash a server when it begins to write. A longer answer proves that they don't.
 	SuspiciousWriting = 500 * time.Millisecond
 
-	maxProofs       = 8192 // parts of which it is remembered that they are sound
-	maxSuspectParts = 16   // of one prompt
+	maxProofs       = 8192 // parts that are remembered before those of an earlier time are forgotten
+	maxSuspectParts = 64   // of one prompt
 )
 
 // Proofs remember which parts of prompts servers have written answers on. The zero value is empty; it is not safe for concurrent use.
 type Proofs struct {
-	at map[uint64]time.Time // by part
+	recent, earlier map[uint64]time.Time // by part
 }
 
 // Add records that a server has written an answer on a prompt with the part, for longer than SuspiciousWriting or to its end.
 func (p *Proofs) Add(now time.Time, part uint64) {
-	if p.at == nil || len(p.at) >= maxProofs {
-		p.at = make(map[uint64]time.Time)
+	if p.recent == nil || len(p.recent) >= maxProofs {
+		p.recent, p.earlier = make(map[uint64]time.Time), p.recent
 	}
-	p.at[part] = now
+	p.recent[part] = now
 }
 
 // Contains reports whether the part was seen to be sound of late.
 func (p *Proofs) Contains(now time.Time, part uint64) bool {
-	proof, ok := p.at[part]
-	return ok && now.Sub(proof) <= provenTime
+	at, ok := p.last(part)
+	return ok && now.Sub(at) <= provenTime
 }
 
 // ContainsAfter reports whether the part was seen to be sound after the given time.
 func (p *Proofs) ContainsAfter(t time.Time, part uint64) bool {
-	return p.at[part].After(t)
+	at, ok := p.last(part)
+	return ok && at.After(t)
 }
 
-// Unproven returns the parts that are not seen to be sound of late.
+func (p *Proofs) last(part uint64) (at time.Time, ok bool) {
+	if at, ok = p.recent[part]; !ok {
+		at, ok = p.earlier[part]
+	}
+	return at, ok
+}
+
+// Unproven returns the parts that are not seen to be sound of late, maxSuspectParts at most.
 func (p *Proofs) Unproven(now time.Time, parts []uint64) []uint64 {
 	var unproven []uint64
-	for _, part := range parts[:min(len(parts), maxSuspectParts)] {
-		if !p.Contains(now, part) {
+	for _, part := range parts {
+		if len(unproven) < maxSuspectParts && !p.Contains(now, part) {
 			unproven = append(unproven, part)
 		}
 	}
