Refuse an expired part of prompts again at its next crash

The replicated table forgot a part together with its refusal, ten minutes after its last crash, so that the next three requests with it crashed engines again. Its crashes are kept for an hour longer: one is enough then.

TestExpiredPartIsRefusedAtItsNextCrash failed before and passes now.

--- a/internal/state/statemachine/part.go
+++ b/internal/state/statemachine/part.go
@@ -9,8 +9,13 @@
 	"github.com/geraniumdeck/geraniumdeck/internal/wire/command"
 )
 
-// maxPoisonParts is how many parts of prompts the table holds; the one that expires first is removed beyond that.
-const maxPoisonParts = 4096
+const (
+	// maxPoisonParts is how many parts of prompts the table holds; the one that expires first is removed beyond that.
+	maxPoisonParts = 4096
+
+	// partRetention is how long the crashes with a part are kept after it is no longer refused: the next crash refuses it again.
+	partRetention = time.Hour
+)
 
 // A partHistory holds the crashes at which requests with a part of a prompt were in flight.
 type partHistory struct {
@@ -51,7 +56,7 @@
 // expiry of one changed.
 func (p *poisonTable) recordPartCrash(now time.Time, index uint64, c command.ReportCrash) (changed bool) {
 	for part, h := range p.parts {
-		if !now.Before(h.expiresAt) {
+		if !now.Before(h.expiresAt.Add(partRetention)) {
 			delete(p.parts, part)
 		}
 	}
--- a/internal/state/statemachine/part_test.go
+++ b/internal/state/statemachine/part_test.go
@@ -62,3 +62,26 @@
 		})
 	}
 }
+
+// Guards against a crashing part that costs as many engines as at first each time its refusal expires.
+func TestExpiredPartIsRefusedAtItsNextCrash(t *testing.T) {
+	is := is.New(t)
+	h := newHarness()
+	crash := func(digest string) {
+		h.now = h.now.Add(time.Second)
+		h.apply(command.ReportCrash{Digest: digest, Backend: deck.BackendName("e-" + digest), BootID: "b1", Parts: []uint64{7}})
+	}
+	for _, digest := range []string{"a", "b", "c"} {
+		is.Equal(len(h.m.RefusedDigests()), 0)
+		crash(digest)
+	}
+	is.Equal(len(h.m.RefusedDigests()), 1)
+	h.now = h.now.Add(2 * PoisonTTL)
+	h.apply(command.NoOp{})
+	is.Equal(len(h.m.RefusedDigests()), 0)
+	crash("d")
+	is.Equal(len(h.m.RefusedDigests()), 1)
+	h.now = h.now.Add(2 * partRetention)
+	crash("e")
+	is.Equal(len(h.m.RefusedDigests()), 0) // forgotten
+}
