--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -141,30 +141,6 @@
 	}
 }
 
-// isPoison reports whether the call, or a part of its prompt, crashes servers.
-func (c *callRun) isPoison() bool {
-	if c.onTrial {
-		return c.possibleRuns > 0
-	}
-	refused, trial := c.h.Poison.Refuses(time.Now(), c.fingerprint(), c.parts)
-	if trial {
-		c.onTrial = true
-		c.h.Log.Info("call is let through although its like crashed servers", "request", string(c.call.ID))
-	}
-	return refused
-}
-
-// refusePoison refuses a call that crashes servers.
-func (c *callRun) refusePoison() {
-	if c.possibleRuns > 0 {
-		c.fail()
-		return
-	}
-	const reason = "the request or a part of its prompt has crashed several servers"
-	c.recordEnd(http.StatusUnprocessableEntity, reason)
-	writeError(c.w, errorResponse{http.StatusUnprocessableEntity, 0, reason})
-}
-
 // choose returns the next server to try and waits for one if need be. It returns false if there is none; the caller has been
 // answered then.
 func (c *callRun) choose() (deck.Server, bool) {
@@ -416,16 +392,6 @@
 	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
 }
 
-// recordPossibleCrash counts an interrupted call as a possible crash of the server. It is called for any error but errNoAnswer
-// after the call was sent, and for any stream error, also if the stall timer aborted the stream. Calls with neither a body nor
-// parts of a prompt are left out, because unrelated ones often have the same fingerprint.
-func (c *callRun) recordPossibleCrash(now time.Time, s deck.Server, err error) {
-	c.logSuspect(s)
-	if len(c.body) > 0 || len(c.parts) > 0 {
-		c.h.Poison.RecordCrash(now, c.fingerprint(), s, c.suspectParts(now, err), c.headReceived)
-	}
-}
-
 // retryResult returns tryAnother if a call that may have run may be sent to another server, and else failed.
 func (c *callRun) retryResult() offerResult {
 	if c.route.Repeatable() && c.possibleRuns < c.route.MaxAttempts {
--- a/internal/api/ingress/poison.go
+++ b/internal/api/ingress/poison.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/geraniumdeck/geraniumdeck/internal/core/blame"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 )
@@ -28,20 +26,23 @@
 type PoisonDetector struct {
 	mu       sync.Mutex
 	ledger   blame.Ledger // of the crashes that this VM observed
+	proofs   blame.Proofs
 	verdicts blame.Verdicts
 	trials   map[uint64]time.Time // when the permission to send one request with a suspect ends
-	watched  map[uint64]bool      // parts of which the leader wants to know whether a request with them completes
-
-	proofs blame.Proofs
-
-	crashes    []observedCrash // that this VM observed, oldest first
-	confirmed  int             // the first of these, which the leader of the term has
-	reported   int             // the first of these, which the last report carried as well
-	term       uint64
-	reportedAt time.Time // of the last report
-	appliedAt  time.Time // of the last answer of a leader
-	cleared    []uint64  // suspects with which a request completed since the last confirmed report
-	inReport   int       // the first of these, which the last report carried
+	watched  map[uint64]bool      // parts of which the leader wants to know whether they are sound
+
+	term       uint64    // of the leader that answered last
+	appliedAt  time.Time // when that answer came
+	reportedAt time.Time // when the last report was made
+
+	// Observed crashes, oldest first. The leader of the term has the first ones, their number being confirmed; the last report
+	// carried those up to reported.
+	crashes             []observedCrash
+	confirmed, reported int
+
+	// Suspects that are sound. The last report carried the first ones, their number being clearedReported.
+	cleared         []uint64
+	clearedReported int
 }
 
 type observedCrash struct {
@@ -93,8 +94,15 @@
 func (p *PoisonDetector) clear(now time.Time, suspect uint64) {
 	p.verdicts.Lift(now, suspect)
 	p.ledger.Clear(now, suspect)
-	p.cleared = append(p.cleared, suspect)
 	delete(p.watched, suspect)
+	p.withdraw(suspect)
+}
+
+// withdraw adds a suspect to those of which the leader is told that they are sound.
+func (p *PoisonDetector) withdraw(suspect uint64) {
+	if !slices.Contains(p.cleared, suspect) {
+		p.cleared = append(p.cleared, suspect)
+	}
 }
 
 // Refuses reports whether a request must be refused, because it, or a part of its prompt, crashes servers. trial says that the request
@@ -134,7 +142,7 @@
 		c.Parts = slices.DeleteFunc(slices.Clone(c.Parts), func(part uint64) bool { return p.proofs.ContainsAfter(c.at, part) })
 		r.Crashes = append(r.Crashes, c.Crash)
 	}
-	p.reported, p.inReport, p.reportedAt = len(p.crashes), len(p.cleared), now
+	p.reported, p.clearedReported, p.reportedAt = len(p.crashes), len(p.cleared), now
 	return r
 }
 
@@ -157,8 +165,8 @@
 		}
 	}
 	p.reported = p.confirmed
-	p.cleared = p.cleared[p.inReport:]
-	p.inReport = 0
+	p.cleared = p.cleared[p.clearedReported:]
+	p.clearedReported = 0
 	p.watched = make(map[uint64]bool, len(v.Watched))
 	for _, part := range v.Watched {
 		p.watched[part] = true
@@ -181,40 +189,8 @@
 	return slices.DeleteFunc(slices.Clone(verdicts), func(v deck.Verdict) bool {
 		proven := p.proofs.Contains(now, v.Suspect)
 		if proven {
-			p.cleared = append(p.cleared, v.Suspect)
+			p.withdraw(v.Suspect)
 		}
 		return proven
 	})
 }
-
-// partFingerprints returns the fingerprints of the parts of a prompt that requests share: all but the last.
-func partFingerprints(parts []deck.PromptPart) []uint64 {
-	if len(parts) < 2 {
-		return nil
-	}
-	out := make([]uint64, 0, len(parts)-1)
-	for _, part := range parts[:len(parts)-1] {
-		out = append(out, blame.PartFingerprint(part.ID))
-	}
-	return out
-}
-
-// fingerprint returns a hash of the call's path and body.
-func (c *callRun) fingerprint() Fingerprint {
-	if c.hash == 0 {
-		var d xxhash.Digest
-		d.Reset()
-		_, _ = d.WriteString(c.r.RequestURI) // hashing never fails
-		_, _ = d.Write(c.body)
-		c.hash = Fingerprint(d.Sum64())
-	}
-	return c.hash
-}
-
-// suspectParts returns the parts of the call's prompt that may have crashed the server, which interrupted the call with the error.
-func (c *callRun) suspectParts(now time.Time, err error) []uint64 {
-	if !closedByServer(err) || !c.firstEvent.IsZero() && now.Sub(c.firstEvent) > blame.SuspiciousWriting {
-		return nil
-	}
-	return c.parts
-}
--- a/internal/api/ingress/record.go
+++ b/internal/api/ingress/record.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
@@ -73,14 +72,3 @@
 	}, extra...)
 	c.h.Log.Info("offer failed", fields...)
 }
-
-// logSuspect logs what an interrupted call may have crashed the server with.
-func (c *callRun) logSuspect(s deck.Server) {
-	parts := make([]string, 0, len(c.call.Parts))
-	for _, p := range c.call.Parts {
-		parts = append(parts, p.ID)
-	}
-	c.h.Log.Info("call suspected of a crash", "request", string(c.call.ID), "server", string(s.ID),
-		"fingerprint", strconv.FormatUint(uint64(c.fingerprint()), 16), "prompt-parts", parts, "head-received", c.headReceived,
-		"events", c.events, "elapsed-ms", time.Since(c.start).Milliseconds())
-}
--- /dev/null
+++ b/internal/api/ingress/suspect.go
@@ -0,0 +1,89 @@
+package ingress
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/blame"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// isPoison reports whether the call, or a part of its prompt, crashes servers.
+func (c *callRun) isPoison() bool {
+	if c.onTrial {
+		return c.possibleRuns > 0
+	}
+	refused, trial := c.h.Poison.Refuses(time.Now(), c.fingerprint(), c.parts)
+	if trial {
+		c.onTrial = true
+		c.h.Log.Info("call is let through although its like crashed servers", "request", string(c.call.ID))
+	}
+	return refused
+}
+
+// refusePoison refuses a call that crashes servers.
+func (c *callRun) refusePoison() {
+	if c.possibleRuns > 0 {
+		c.fail()
+		return
+	}
+	const reason = "the request or a part of its prompt has crashed several servers"
+	c.recordEnd(http.StatusUnprocessableEntity, reason)
+	writeError(c.w, errorResponse{http.StatusUnprocessableEntity, 0, reason})
+}
+
+// recordPossibleCrash counts an interrupted call as a possible crash of the server. It is called for any error but errNoAnswer
+// after the call was sent, and for any stream error, also if the stall timer aborted the stream. Calls with neither a body nor
+// parts of a prompt are left out, because unrelated ones often have the same fingerprint.
+func (c *callRun) recordPossibleCrash(now time.Time, s deck.Server, err error) {
+	c.logSuspect(s)
+	if len(c.body) > 0 || len(c.parts) > 0 {
+		c.h.Poison.RecordCrash(now, c.fingerprint(), s, c.suspectParts(now, err), c.headReceived)
+	}
+}
+
+// logSuspect logs what an interrupted call may have crashed the server with.
+func (c *callRun) logSuspect(s deck.Server) {
+	parts := make([]string, 0, len(c.call.Parts))
+	for _, p := range c.call.Parts {
+		parts = append(parts, p.ID)
+	}
+	c.h.Log.Info("call suspected of a crash", "request", string(c.call.ID), "server", string(s.ID),
+		"fingerprint", strconv.FormatUint(uint64(c.fingerprint()), 16), "prompt-parts", parts, "head-received", c.headReceived,
+		"events", c.events, "elapsed-ms", time.Since(c.start).Milliseconds())
+}
+
+// partFingerprints returns the fingerprints of the parts of a prompt that requests share: all but the last.
+func partFingerprints(parts []deck.PromptPart) []uint64 {
+	if len(parts) < 2 {
+		return nil
+	}
+	out := make([]uint64, 0, len(parts)-1)
+	for _, part := range parts[:len(parts)-1] {
+		out = append(out, blame.PartFingerprint(part.ID))
+	}
+	return out
+}
+
+// fingerprint returns a hash of the call's path and body.
+func (c *callRun) fingerprint() Fingerprint {
+	if c.hash == 0 {
+		var d xxhash.Digest
+		d.Reset()
+		_, _ = d.WriteString(c.r.RequestURI) // hashing never fails
+		_, _ = d.Write(c.body)
+		c.hash = Fingerprint(d.Sum64())
+	}
+	return c.hash
+}
+
+// suspectParts returns the parts of the call's prompt that may have crashed the server, which interrupted the call with the error.
+func (c *callRun) suspectParts(now time.Time, err error) []uint64 {
+	if !closedByServer(err) || !c.firstEvent.IsZero() && now.Sub(c.firstEvent) > blame.SuspiciousWriting {
+		return nil
+	}
+	return c.parts
+}
