Tell calls without a body apart by their prompts

Calls without a body but with a prompt in their headers are suspects since the parts of prompts count, and all had the fingerprint of their path: three crashes would have refused every such call.

TestCallsWithoutBodyAreToldApartByTheirPrompts failed before (422) and passes now.

--- a/internal/api/ingress/crashingpart_test.go
+++ b/internal/api/ingress/crashingpart_test.go
@@ -49,6 +49,24 @@
 	is.True(crashes <= maxCrashes)
 }
 
+// Guards against a refusal of sound calls without a body that share only their path with some that crashed servers.
+func TestCallsWithoutBodyAreToldApartByTheirPrompts(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, stream(false))
+	crash := func(c net.Conn, r *http.Request) bool {
+		reply(c, r, "200 OK", streamHead, "")
+		return false
+	}
+	for i := range 3 {
+		h.setServers(newBackend(t, "crash-"+itoa(i), crash))
+		is.True(h.callContext(t.Context(), t, http.MethodPost, "/p/x", "", "shared", "bad-"+itoa(i), "own-"+itoa(i)).err != nil)
+	}
+	h.setServers(newBackend(t, "sound", func(c net.Conn, r *http.Request) bool {
+		return reply(c, r, "200 OK", streamHead, chunk(events(1, 2))+"0\r\n\r\n")
+	}))
+	is.Equal(h.callContext(t.Context(), t, http.MethodPost, "/p/x", "", "other", "sound", "own").status, http.StatusOK)
+}
+
 // Guards against a call that waits for an engine, and then reaches one, although the crashing part of its prompt was found meanwhile.
 func TestWaitingCallWithCrashingPartIsRefused(t *testing.T) {
 	is := is.New(t)
--- a/internal/api/ingress/suspect.go
+++ b/internal/api/ingress/suspect.go
@@ -68,13 +68,16 @@
 	return out
 }
 
-// fingerprint returns a hash of the call's path and body.
+// fingerprint returns a hash of the call's path and body, or without a body of the path and the parts of its prompt.
 func (c *callRun) fingerprint() Fingerprint {
 	if c.hash == 0 {
 		var d xxhash.Digest
 		d.Reset()
 		_, _ = d.WriteString(c.r.RequestURI) // hashing never fails
 		_, _ = d.Write(c.body)
+		for i := 0; len(c.body) == 0 && i < len(c.call.Parts); i++ {
+			_, _ = d.WriteString(" " + c.call.Parts[i].ID)
+		}
 		c.hash = Fingerprint(d.Sum64())
 	}
 	return c.hash
