Leave a part out of a crash if the repeated report does

A report is repeated until the leader confirms it, without the parts that were seen to be sound since. The leader then still counted the crash against such a part, with no request.

TestRepeatedReportWithoutPart failed before and passes now.

--- a/internal/core/blame/ledger.go
+++ b/internal/core/blame/ledger.go
@@ -155,7 +155,9 @@
 				e.Began = e.Began || r.began
 			}
 		}
-		crashes = append(crashes, e)
+		if len(e.Requests) > 0 {
+			crashes = append(crashes, e)
+		}
 	}
 	return crashes
 }
--- a/internal/core/blame/ledger_test.go
+++ b/internal/core/blame/ledger_test.go
@@ -52,6 +52,24 @@
 	}
 }
 
+// TestRepeatedReportWithoutPart guards against a part that counts at a crash although the repeated report of the crash leaves it out,
+// because a server has written on it meanwhile.
+func TestRepeatedReportWithoutPart(t *testing.T) {
+	is := is.New(t)
+	var l Ledger
+	now := time.Unix(1000, 0)
+	for n := range 3 {
+		now = now.Add(time.Second)
+		c := deck.Crash{RequestFingerprint: uint64(100 + n), Server: deck.BackendName(strconv.Itoa(n)), Parts: []uint64{beside}}
+		l.Record(now, c)
+		if n == 0 {
+			c.Parts = nil
+			l.Record(now, c)
+		}
+	}
+	is.Equal(l.BlamedParts(now), nil)
+}
+
 // TestIncarnationsCrashSeparately guards against crashes of a server that starts again under its name being counted as one.
 func TestIncarnationsCrashSeparately(t *testing.T) {
 	is := is.New(t)
