Take only framed answers as proof that a part of prompts is sound

An answer that ended with its connection may have been cut off by the crash that its prompt caused, between two events, and counted as proof of the prompt's parts.

TestOnlyFramedAnswersProveAPart failed before and passes now.

--- a/internal/api/ingress/crashingpart_test.go
+++ b/internal/api/ingress/crashingpart_test.go
@@ -49,6 +49,28 @@
 	is.True(crashes <= maxCrashes)
 }
 
+// Guards against a verdict that an answer contradicts which may have ended with a crash, and against one that stands although a server
+// has answered in full.
+func TestOnlyFramedAnswersProveAPart(t *testing.T) {
+	for _, tc := range []struct {
+		head, body string
+		status     int
+	}{
+		{unframed + eventStream, events(1, 2), http.StatusUnprocessableEntity},
+		{streamHead, chunk(events(1, 2)) + "0\r\n\r\n", http.StatusOK},
+	} {
+		is := is.New(t)
+		h := newHarness(t, stream(false), newBackend(t, "b1", func(c net.Conn, r *http.Request) bool {
+			return reply(c, r, "200 OK", tc.head, tc.body) && tc.head == streamHead
+		}))
+		is.NoErr(h.callContext(t.Context(), t, http.MethodPost, "/p/x", "first", "shared", "subject", "own-1").err)
+		verdict := deck.Verdict{Suspect: blame.PartFingerprint("subject")}
+		h.handler.Poison.Apply(time.Now(), deck.BlameView{Term: 1, Verdicts: []deck.Verdict{verdict}})
+		second := h.callContext(t.Context(), t, http.MethodPost, "/p/x", "second", "shared", "subject", "own-2")
+		is.Equal(second.status, tc.status)
+	}
+}
+
 // Guards against a refusal of sound calls without a body that share only their path with some that crashed servers.
 func TestCallsWithoutBodyAreToldApartByTheirPrompts(t *testing.T) {
 	is := is.New(t)
--- a/internal/api/ingress/relay.go
+++ b/internal/api/ingress/relay.go
@@ -132,7 +132,7 @@
 		return tryAnother
 	}
 	if a.status < http.StatusMultipleChoices {
-		c.h.Poison.RecordCompletion(now, c.fingerprint(), c.parts)
+		c.recordCompletion(now)
 	}
 	c.recordEnd(a.status, "answered")
 	a.write(c.w)
@@ -253,7 +253,7 @@
 			if !c.firstEvent.IsZero() {
 				c.h.Balancer.RecordSlotTime(c.service, now.Sub(c.firstEvent))
 			}
-			c.h.Poison.RecordCompletion(now, c.fingerprint(), c.parts)
+			c.recordCompletion(now)
 			c.recordEnd(http.StatusOK, "answered")
 			return answered
 		default:
--- a/internal/api/ingress/suspect.go
+++ b/internal/api/ingress/suspect.go
@@ -45,6 +45,14 @@
 	}
 }
 
+// recordCompletion records that the call's answer is complete. One that ended with its connection may have been cut off by a crash, so
+// it proves nothing.
+func (c *callRun) recordCompletion(now time.Time) {
+	if c.framing != framedByConnection {
+		c.h.Poison.RecordCompletion(now, c.fingerprint(), c.parts)
+	}
+}
+
 // logSuspect logs what an interrupted call may have crashed the server with.
 func (c *callRun) logSuspect(s deck.Server) {
 	parts := make([]string, 0, len(c.call.Parts))
