Forget what crashes servers with the term in which it was reported

A control VM that led again published the verdicts of its earlier term, those included that had been lifted under the leader between. Entry VMs tell each new leader what they know, so the table begins empty in each term; a report whose term has passed while it was held is not confirmed.

TestVerdictsOfEarlierTermsAreForgotten failed before and passes now.

--- a/internal/state/hub/crashingpart_test.go
+++ b/internal/state/hub/crashingpart_test.go
@@ -331,6 +331,20 @@
 	}
 }
 
+// Guards against a verdict that was lifted under another leader and comes back when this VM leads again.
+func TestVerdictsOfEarlierTermsAreForgotten(t *testing.T) {
+	p, log := newPublisher("a", "a")
+	request := deck.ViewRequest{VM: "e", Blame: deck.BlameReport{Verdicts: []deck.Verdict{{Suspect: crashingPart}}}}
+	if n := len(p.View(t.Context(), request).Blame.Verdicts); n != 1 {
+		t.Fatalf("%d verdicts after the report of one", n)
+	}
+	log.set("b", 2)
+	log.set("a", 3)
+	if v := p.View(t.Context(), deck.ViewRequest{VM: "e"}).Blame; len(v.Verdicts) != 0 || v.Term != 3 {
+		t.Errorf("%d verdicts in term %d, reported in another one", len(v.Verdicts), v.Term)
+	}
+}
+
 // pollAll lets all VMs poll for the given time.
 func (s *blameSim) pollAll(length time.Duration) {
 	for end := s.clock.now.Add(length); s.clock.now.Before(end); s.clock.now = s.clock.now.Add(simStep) {
--- a/internal/state/hub/publisher.go
+++ b/internal/state/hub/publisher.go
@@ -55,6 +55,7 @@
 	listSent  map[deck.VMName]time.Time // when a VM was last sent a change of the list
 	calls     map[deck.BackendName]int  // calls in flight of all entry VMs
 	blame     blameTable
+	blameTerm uint64 // term of the reports in blame
 	outliers  outlierDetector
 }
 
@@ -182,7 +183,7 @@
 func (p *Publisher) View(ctx context.Context, r deck.ViewRequest) deck.ViewAnswer {
 	reportTerm := uint64(0)
 	if term, leading := p.leads(); leading {
-		p.recordReport(r)
+		p.recordReport(r, term)
 		reportTerm = term
 	}
 	end := time.NewTimer(r.MaxWait)
@@ -261,7 +262,7 @@
 }
 
 // recordReport records the calls, answers, broken connections and crashes that an entry VM reports.
-func (p *Publisher) recordReport(r deck.ViewRequest) {
+func (p *Publisher) recordReport(r deck.ViewRequest, term uint64) {
 	if p.o.Report != nil {
 		p.o.Report(r)
 	}
@@ -284,6 +285,9 @@
 	for _, id := range r.BrokenConnections {
 		p.handleBrokenConnection(now, r.VM, id)
 	}
+	if term != p.blameTerm {
+		p.blame, p.blameTerm = blameTable{}, term // entry VMs tell each new leader all, also what changed under another one
+	}
 	p.blame.record(now, r.VM, r.Blame, p.o.Logger)
 	p.blame.decide(now, pollWait(len(p.reports)), p.o.Logger)
 }
@@ -352,6 +356,9 @@
 		a.View = r.View
 	}
 	if leading {
+		if reportTerm != p.blameTerm {
+			reportTerm = 0 // another leader's term has passed since, and the report is forgotten
+		}
 		a.Blame = p.blame.view(p.o.Clock.Now(), reportTerm, r.Blame)
 		for id, n := range p.calls {
 			a.CallsInFlight = append(a.CallsInFlight, deck.ServerCalls{Server: id, Calls: n})
