Form an expired verdict again

A part of prompts whose verdict had expired, after ten minutes without a request with it, would have crashed engine after engine when it came back: the leader took the expired verdict for one in force and formed no other. Found by reading the change once more.

TestExpiredVerdictIsFormedAgain fails if expired verdicts count, as they did, and passes now.

--- a/internal/api/ingress/poison.go
+++ b/internal/api/ingress/poison.go
@@ -73,7 +73,7 @@
 	p.RecordSound(now, parts)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.verdicts.Has(uint64(f)) {
+	if p.verdicts.Has(now, uint64(f)) {
 		p.clear(now, uint64(f))
 	}
 }
@@ -84,7 +84,7 @@
 	defer p.mu.Unlock()
 	for _, part := range parts {
 		p.proofs.Add(now, part)
-		if p.watched[part] || p.verdicts.Has(part) {
+		if p.watched[part] || p.verdicts.Has(now, part) {
 			p.clear(now, part)
 		}
 	}
--- a/internal/core/blame/verdicts.go
+++ b/internal/core/blame/verdicts.go
@@ -35,30 +35,31 @@
 
 // Add adds a verdict that was formed now; it reports whether it is new.
 func (v *Verdicts) Add(now time.Time, suspect uint64) bool {
-	old, ok := v.bySuspect[suspect]
-	if !ok {
-		old.since = now
+	known := v.Has(now, suspect)
+	old := v.bySuspect[suspect]
+	if !known {
+		old = verdict{since: now}
 	}
 	old.lastSeen = now
 	v.put(now, suspect, old)
-	return !ok
+	return !known
 }
 
 // Contains reports whether the suspect is refused, and counts the question as a request with it.
 func (v *Verdicts) Contains(now time.Time, suspect uint64) bool {
-	old, ok := v.bySuspect[suspect]
-	if !ok || now.Sub(old.lastSeen) > verdictTTL {
+	if !v.Has(now, suspect) {
 		return false
 	}
+	old := v.bySuspect[suspect]
 	old.lastSeen = now
 	v.bySuspect[suspect] = old
 	return true
 }
 
-// Has reports whether the suspect is refused, or was until its verdict expired.
-func (v *Verdicts) Has(suspect uint64) bool {
-	_, ok := v.bySuspect[suspect]
-	return ok
+// Has reports whether the suspect is refused.
+func (v *Verdicts) Has(now time.Time, suspect uint64) bool {
+	old, ok := v.bySuspect[suspect]
+	return ok && now.Sub(old.lastSeen) <= verdictTTL
 }
 
 // Lift removes a verdict, since a request with the suspect completed; it reports whether there was one.
--- a/internal/state/hub/blametable.go
+++ b/internal/state/hub/blametable.go
@@ -55,13 +55,13 @@
 	}
 	blamed := t.ledger.BlamedParts(now)
 	for _, part := range blamed {
-		if now.Sub(since[part]) >= pollWait+objectionMargin && !t.verdicts.Has(part) {
+		if now.Sub(since[part]) >= pollWait+objectionMargin && !t.verdicts.Has(now, part) {
 			t.verdicts.Add(now, part)
 			log.Info("part of prompts is refused: it crashes backend servers", "suspect", formatSuspect(part))
 		}
 	}
 	for _, part := range watched {
-		if t.verdicts.Has(part) && t.ledger.BlamesPart(part) && !slices.Contains(blamed, part) {
+		if t.verdicts.Has(now, part) && t.ledger.BlamesPart(part) && !slices.Contains(blamed, part) {
 			t.verdicts.Lift(now, part)
 			log.Info("verdict lifted: another part of prompts explains the crashes", "suspect", formatSuspect(part))
 		}
