Log what backend servers say about the requests that they take

Answers, refusals, liveness checks and reports of both serving paths now pass Server-Leaving and Retry-After beside a refusal to core/restraint, which logs each change. Nothing decides by it yet.

--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -415,6 +415,9 @@
 	if answer.HasLoad {
 		c.h.Balancer.RecordLoad(now, s.ID, answer.Load)
 	}
+	if answer.Verdict != deck.AnswerOtherCall && answer.Verdict != deck.AnswerOtherServer {
+		c.h.Restraints.ObserveNotice(now, s.ID, s.Incarnation(), answer.Notice)
+	}
 	switch answer.Verdict {
 	case deck.AnswerComplete:
 		return c.relay(s, ex)
--- a/internal/api/ingress/handler.go
+++ b/internal/api/ingress/handler.go
@@ -14,6 +14,7 @@
 
 	"github.com/geraniumdeck/geraniumdeck/internal/backend/http1"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/restraint"
 	"github.com/geraniumdeck/geraniumdeck/internal/route/balance"
 	"github.com/geraniumdeck/geraniumdeck/internal/route/table"
 )
@@ -34,14 +35,18 @@
 
 // A Handler serves callers; all fields but Log, OnCallEnd, ViewAge and MinStall are required.
 type Handler struct {
-	Codec     deck.CallCodec
-	Client    *http1.Client
-	Balancer  *balance.Balancer
-	Budget    *balance.RetryBudget
-	Placer    deck.Placer
-	Demand    *DemandCounter
-	Poison    *PoisonDetector
-	Random    deck.Rand
+	Codec    deck.CallCodec
+	Client   *http1.Client
+	Balancer *balance.Balancer
+	Budget   *balance.RetryBudget
+	Placer   deck.Placer
+	Demand   *DemandCounter
+	Poison   *PoisonDetector
+	Random   deck.Rand
+
+	// Restraints keeps what backend servers say about the requests that they take.
+	Restraints *restraint.Table
+
 	Log       logr.Logger
 	OnCallEnd func(CallRecord) // called at the end of each call; nil for none
 
--- a/internal/api/ingress/harness_test.go
+++ b/internal/api/ingress/harness_test.go
@@ -20,8 +20,10 @@
 	"github.com/geraniumdeck/geraniumdeck/internal/api/ingress"
 	"github.com/geraniumdeck/geraniumdeck/internal/backend/http1"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/restraint"
 	"github.com/geraniumdeck/geraniumdeck/internal/route/balance"
 	"github.com/geraniumdeck/geraniumdeck/internal/route/table"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/notice"
 )
 
 // A backend is a fake backend server whose connections are scripted.
@@ -137,7 +139,7 @@
 	h := &harness{balancer: balancer, placer: &fakePlacer{}}
 	h.handler = &ingress.Handler{
 		Codec: testCodec{}, Balancer: balancer, Budget: budget, Placer: h.placer, Demand: &ingress.DemandCounter{},
-		Poison: &ingress.PoisonDetector{}, Random: zeroRand{}, Log: logr.Discard(),
+		Poison: &ingress.PoisonDetector{}, Random: zeroRand{}, Log: logr.Discard(), Restraints: &restraint.Table{},
 		Client: &http1.Client{
 			Dial: func(ctx context.Context, addr string) (net.Conn, error) {
 				return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
@@ -233,11 +235,13 @@
 	slowdown, err := strconv.ParseFloat(resp.Header.Get("Pace"), 64)
 	h.Server = deck.BackendName(resp.Header.Get("Server-Name"))
 	h.Load = deck.ServerLoad{Slots: 8, Slowdown: slowdown}
-	return h, err == nil
+	h.HasLoad = err == nil
+	h.Notice = notice.FromHeader(resp.StatusCode, resp.Header)
+	return h, true
 }
 
 func (testCodec) ReadAnswer(c deck.Call, resp *http.Response) deck.Answer {
-	a := deck.Answer{Verdict: deck.AnswerComplete}
+	a := deck.Answer{Verdict: deck.AnswerComplete, Notice: notice.FromHeader(resp.StatusCode, resp.Header)}
 	switch {
 	case resp.Header.Get("Not-Run") != "":
 		a.Verdict = deck.AnswerNotRun
--- a/internal/api/ingress/probe.go
+++ b/internal/api/ingress/probe.go
@@ -78,6 +78,9 @@
 		c.h.Balancer.RecordIdentityMismatch(now, s.ID)
 		return true
 	}
-	c.h.Balancer.RecordLoad(now, s.ID, health.Load)
-	return true
+	c.h.Restraints.ObserveNotice(now, s.ID, s.Incarnation(), health.Notice)
+	if health.HasLoad {
+		c.h.Balancer.RecordLoad(now, s.ID, health.Load)
+	}
+	return health.HasLoad
 }
--- a/internal/api/ingress/suspect.go
+++ b/internal/api/ingress/suspect.go
@@ -39,8 +39,9 @@
 // after the call was sent, and for any stream error, also if the stall timer aborted the stream. Calls with neither a body nor
 // parts of a prompt are left out, because unrelated ones often have the same fingerprint.
 func (c *callRun) recordPossibleCrash(now time.Time, s deck.Server, err error) {
-	c.logSuspect(s)
-	if len(c.body) > 0 || len(c.parts) > 0 {
+	counted := len(c.body) > 0 || len(c.parts) > 0
+	c.logSuspect(s, counted)
+	if counted {
 		c.h.Poison.RecordCrash(now, c.fingerprint(), s, c.suspectParts(now, err), c.headReceived)
 	}
 }
@@ -53,15 +54,15 @@
 	}
 }
 
-// logSuspect logs what an interrupted call may have crashed the server with.
-func (c *callRun) logSuspect(s deck.Server) {
+// logSuspect logs what an interrupted call may have crashed the server with, and whether that counts as evidence.
+func (c *callRun) logSuspect(s deck.Server, counted bool) {
 	parts := make([]string, 0, len(c.call.Parts))
 	for _, p := range c.call.Parts {
 		parts = append(parts, p.ID)
 	}
 	c.h.Log.Info("call suspected of a crash", "request", string(c.call.ID), "server", string(s.ID),
 		"fingerprint", strconv.FormatUint(uint64(c.fingerprint()), 16), "prompt-parts", parts, "head-received", c.headReceived,
-		"events", c.events, "elapsed-ms", time.Since(c.start).Milliseconds())
+		"events", c.events, "elapsed-ms", time.Since(c.start).Milliseconds(), "counted", counted)
 }
 
 // partFingerprints returns the fingerprints of the parts of a prompt that requests share: all but the last.
--- a/internal/backend/engine/client.go
+++ b/internal/backend/engine/client.go
@@ -16,6 +16,7 @@
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	wire "github.com/geraniumdeck/geraniumdeck/internal/wire/engine"
 	"github.com/geraniumdeck/geraniumdeck/internal/wire/eventstream"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/notice"
 )
 
 // stallTimeout is four times the interval at which an engine sends keep-alive comments.
@@ -32,6 +33,9 @@
 	address string
 	pool    *pool
 	bootID  atomic.Pointer[string] // the most recent boot ID in a response; nil before the first
+
+	name    deck.BackendName    // of the engine, for notices
+	notices deck.NoticeObserver // nil if nobody observes them
 }
 
 var _ deck.Engine = (*Client)(nil)
@@ -44,6 +48,12 @@
 	return &Client{address: address, pool: &pool{dial: dial, clock: clock}}
 }
 
+// ReportNotices passes what the engine of the given name says about the requests that it takes to o. It must be called before the
+// first request.
+func (c *Client) ReportNotices(name deck.BackendName, o deck.NoticeObserver) {
+	c.name, c.notices = name, o
+}
+
 // Close closes idle connections; running streams continue.
 func (c *Client) Close() {
 	c.pool.closeIdle()
@@ -72,7 +82,7 @@
 		cancel(nil)
 		return nil, err
 	}
-	bootID := c.recordBootID(resp)
+	bootID := c.recordResponse(resp)
 	if !isStream(resp) {
 		err := responseError(resp, bootID)
 		_ = resp.Body.Close()
@@ -162,12 +172,15 @@
 	return ""
 }
 
-// recordBootID stores the boot ID of a response and returns it; it is empty if the response has none.
-func (c *Client) recordBootID(resp *http.Response) string {
+// recordResponse records the boot ID and the notice of a response and returns the boot ID; it is empty if the response has none.
+func (c *Client) recordResponse(resp *http.Response) string {
 	bootID := resp.Header.Get(wire.HeaderBootID)
 	if bootID != "" {
 		c.bootID.Store(&bootID)
 	}
+	if c.notices != nil {
+		c.notices.ObserveNotice(c.pool.clock.Now(), c.name, bootID, notice.FromHeader(resp.StatusCode, resp.Header))
+	}
 	return bootID
 }
 
--- a/internal/command/node/entry.go
+++ b/internal/command/node/entry.go
@@ -14,6 +14,7 @@
 	"github.com/geraniumdeck/geraniumdeck/internal/backend/http1"
 	"github.com/geraniumdeck/geraniumdeck/internal/command/part"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/restraint"
 	"github.com/geraniumdeck/geraniumdeck/internal/route/balance"
 	"github.com/geraniumdeck/geraniumdeck/internal/route/table"
 	settings "github.com/geraniumdeck/geraniumdeck/internal/settings/node"
@@ -76,6 +77,7 @@
 	e.handler = &ingress.Handler{
 		Codec: platform.Codec{}, Client: e.client, Balancer: e.balancer, Budget: e.budget, Placer: fleet,
 		Demand: &ingress.DemandCounter{}, Poison: &ingress.PoisonDetector{}, Random: newRand(), Log: n.log, OnCallEnd: recorder.record,
+		Restraints: &restraint.Table{Log: n.log},
 	}
 	e.subscriber = hub.NewSubscriber(hub.SubscriberOptions{
 		Self: s.PeerName(), DataCentre: s.DataCentre, Seeds: n.seeds, FirstStart: s.FirstStart, Client: fleet,
--- a/internal/command/process/engines.go
+++ b/internal/command/process/engines.go
@@ -10,7 +10,8 @@
 
 // engineClients keeps one client for each engine address, which holds the pool of connections to that engine.
 type engineClients struct {
-	clock deck.Clock
+	clock   deck.Clock
+	notices deck.NoticeObserver
 
 	mu        sync.Mutex
 	byAddress map[string]*client.Client
@@ -26,6 +27,7 @@
 	c, ok := e.byAddress[b.Address]
 	if !ok {
 		c = client.New(b.Address, e.clock, nil)
+		c.ReportNotices(b.Name, e.notices)
 		e.byAddress[b.Address] = c
 	}
 	return c
--- a/internal/command/process/placement.go
+++ b/internal/command/process/placement.go
@@ -11,6 +11,7 @@
 	"github.com/geraniumdeck/geraniumdeck/internal/command/part"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/kernel"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/restraint"
 	"github.com/geraniumdeck/geraniumdeck/internal/place/execute"
 	"github.com/geraniumdeck/geraniumdeck/internal/platform/vmlist"
 	"github.com/geraniumdeck/geraniumdeck/internal/platform/weightstore"
@@ -25,7 +26,8 @@
 	if err != nil {
 		return err
 	}
-	e := &engineClients{clock: d.clock}
+	restraints := &restraint.Table{Log: d.log}
+	e := &engineClients{clock: d.clock, notices: restraints}
 	pub := feed.NewGlobalPublisher(d.feedConfig(), residencyPrefix+string(d.vm.DataCentre))
 	sh := &shareRenewer{deps: d, lease: l, client: peer.PoolClient{HTTP: d.client}}
 	col := execute.NewCollector(d.clock)
--- a/internal/core/deck/call.go
+++ b/internal/core/deck/call.go
@@ -41,6 +41,7 @@
 	Verdict AnswerVerdict
 	Load    ServerLoad
 	HasLoad bool
+	Notice  ServerNotice
 }
 
 // A ServerLoad is the load that a backend server reported in a response.
@@ -62,16 +63,17 @@
 	// ReadAnswer classifies the head of a response to the call.
 	ReadAnswer(c Call, resp *http.Response) Answer
 
-	// ReadHealth parses an engine's response to a liveness check; ok is false if resp is the response to another request or
-	// contains no load.
+	// ReadHealth parses an engine's response to a liveness check; ok is false if resp is the response to another request.
 	ReadHealth(resp *http.Response) (h ServerHealth, ok bool)
 }
 
 // A ServerHealth is what an engine reports in its response to a liveness check. It leaves out whether the engine reports
 // itself as healthy, since that may be wrong.
 type ServerHealth struct {
-	Server BackendName // empty if not reported
-	Load   ServerLoad
+	Server  BackendName // empty if not reported
+	Load    ServerLoad
+	HasLoad bool
+	Notice  ServerNotice
 }
 
 // An Offer describes one attempt to run a call at a backend server.
--- a/internal/core/deck/server.go
+++ b/internal/core/deck/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -26,6 +27,11 @@
 	Ejected     bool // ejected, because it recently broke connections of several entry VMs
 }
 
+// Incarnation returns a text that tells the server apart from an earlier one with its ID.
+func (s Server) Incarnation() string {
+	return s.Address + " " + strconv.FormatInt(s.StartUnixMs, 10)
+}
+
 // Holds reports whether the server holds the model and, unless it is empty, the adapter.
 func (s Server) Holds(m ModelName, a AdapterName) bool {
 	for _, h := range s.Models {
--- /dev/null
+++ b/internal/wire/notice/header.go
@@ -0,0 +1,41 @@
+package notice
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// Headers of answers. HeaderRetryAfter counts only beside a refusal.
+const (
+	HeaderLeaving    = "Server-Leaving" // 1 if the server stops soon
+	HeaderRetryAfter = "Retry-After"    // seconds, with or without fractions
+)
+
+const (
+	leavingValue = "1"
+
+	// maxPause bounds the pause that a server can ask for, so that a mistake of its does not remove it for good.
+	maxPause = time.Hour
+)
+
+// FromHeader returns the notice in the header of an answer with the given status. Values that can't be parsed say nothing.
+func FromHeader(status int, h http.Header) deck.ServerNotice {
+	n := deck.ServerNotice{Leaving: strings.TrimSpace(h.Get(HeaderLeaving)) == leavingValue}
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		n.Pause = parsePause(h.Get(HeaderRetryAfter))
+	}
+	return n
+}
+
+func parsePause(v string) time.Duration {
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(v), 64)
+	if err != nil || math.IsNaN(seconds) || seconds <= 0 {
+		return 0
+	}
+	return time.Duration(min(seconds, maxPause.Seconds()) * float64(time.Second))
+}
