--- /dev/null
+++ b/internal/api/ingress/contentless_test.go
@@ -0,0 +1,77 @@
+package ingress_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+const maxLateRepeats = 3 // of a request that has ended three engines, by the users' rules
+
+// TestRequestWithoutContentThatCrashesServersIsRefused guards against a request that has neither a body nor parts of a prompt and
+// crashes engine after engine, at any VM, because nothing is held against it. Sound calls of other callers with the same path, and of
+// the same caller with other paths, must be served.
+func TestRequestWithoutContentThatCrashesServersIsRefused(t *testing.T) {
+	routes := []deck.Route{
+		{Name: "lookup", Prefix: "/lookup/", Kind: deck.CallIdempotent, MaxAttempts: 2},
+		{Name: "stream", Prefix: "/stream/", Kind: deck.CallStream},
+	}
+	for _, path := range []string{"/lookup/7", "/stream/7?page=3"} {
+		t.Run(path, func(t *testing.T) {
+			runFleet(t, 3, 6, routes, func(t *testing.T, f *fleet) {
+				is := is.New(t)
+				crashing := fleetCall{method: http.MethodGet, path: path, caller: "10.0.0.1", header: []string{"Crash", "1"}}
+				for _, e := range f.engines {
+					e.answer = func(w http.ResponseWriter, r *http.Request) {
+						if r.Header.Get("Crash") != "" {
+							f.crash(e)
+							panic(http.ErrAbortHandler)
+						}
+						_, _ = w.Write([]byte("answer"))
+					}
+				}
+				last, served, sound := 0, 0, 0
+				for n := range 40 {
+					last = f.send(n%len(f.vms), crashing).Code
+					for _, c := range []fleetCall{
+						{method: http.MethodGet, path: path, caller: "10.0.0.2"},
+						{method: http.MethodGet, path: "/lookup/8", caller: "10.0.0.1"},
+					} {
+						sound++
+						if f.send((n+1)%len(f.vms), c).Code == http.StatusOK {
+							served++
+						}
+					}
+					time.Sleep(500 * time.Millisecond)
+				}
+				is.Equal(last, http.StatusUnprocessableEntity)
+				is.True(served >= sound*9/10)
+				if late := lateCrashes(f); late > maxLateRepeats {
+					t.Errorf("%d engines crashed later than %v after the third", late, contactTime)
+				}
+			})
+		})
+	}
+}
+
+// lateCrashes returns the number of crashes later than contactTime after the third.
+func lateCrashes(f *fleet) int {
+	var all []time.Time
+	for _, e := range f.engines {
+		e.mu.Lock()
+		all = append(all, e.crashes...)
+		e.mu.Unlock()
+	}
+	sortTimes(all)
+	late := 0
+	for i, at := range all {
+		if i >= 3 && at.Sub(all[2]) > contactTime {
+			late++
+		}
+	}
+	return late
+}
--- /dev/null
+++ b/internal/api/ingress/restraint_test.go
@@ -0,0 +1,193 @@
+package ingress_test
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+const (
+	noticeMargin    = 500 * time.Millisecond // of the users' rules, after an answer
+	drainTime       = 4 * time.Second        // of the users' rules
+	maxInPause      = 2                      // requests of a VM in a pause, by the users' rules
+	callGap         = 20 * time.Millisecond  // between the calls of a test, over all VMs
+	maxRefusalDelay = 50 * time.Millisecond  // of a refusal that needs no wait
+)
+
+var plainRoutes = []deck.Route{{Name: "plain", Prefix: "/", Kind: deck.CallIdempotent, MaxAttempts: 2}}
+
+var plainCall = fleetCall{method: http.MethodPost, path: "/x", body: "body", caller: "10.0.0.1"}
+
+// withHeader answers 200 with a header.
+func withHeader(name, value string) func(http.ResponseWriter, *http.Request) {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(name, value)
+		_, _ = io.WriteString(w, "answer") // fails if the VM has disconnected
+	}
+}
+
+// refuseFor refuses each call and asks for a pause.
+func refuseFor(seconds string) func(http.ResponseWriter, *http.Request) {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Not-Run", "1")
+		w.Header().Set("Retry-After", seconds)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// afterLeaving returns how many requests reached the engine from a VM later than drainTime after it told the VM that it leaves.
+func (e *fleetEngine) afterLeaving() int {
+	told := make(map[string]time.Time)
+	late := 0
+	for _, r := range e.seen() {
+		if at, ok := told[r.vm]; ok && r.at.Sub(at) > drainTime {
+			late++
+		}
+		if _, ok := told[r.vm]; !ok && r.header.Get("Server-Leaving") == "1" {
+			told[r.vm] = r.answered
+		}
+	}
+	return late
+}
+
+// inPauses returns the most requests that reached the engine from one VM in a pause that it had asked that VM for.
+func (e *fleetEngine) inPauses() int {
+	most := 0
+	requests := e.seen()
+	for _, refusal := range requests {
+		seconds, err := strconv.ParseFloat(refusal.header.Get("Retry-After"), 64)
+		if err != nil {
+			continue
+		}
+		end := refusal.answered.Add(time.Duration(seconds * float64(time.Second)))
+		n := 0
+		for _, r := range requests {
+			if r.vm == refusal.vm && r.at.After(refusal.answered.Add(noticeMargin)) && r.at.Before(end) {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// firstPauseEnd returns when the first engine's pause of the given length ends.
+func (f *fleet) firstPauseEnd(pause time.Duration) time.Time {
+	var first time.Time
+	for _, e := range f.engines {
+		requests := e.seen()
+		end := requests[len(requests)-1].answered.Add(pause)
+		if first.IsZero() || end.Before(first) {
+			first = end
+		}
+	}
+	return first
+}
+
+// TestServerThatSaysThatItLeavesGetsNoCalls guards against calls to a server that says in its answers that it leaves, while the
+// platform's list shows it as ready, drops it for a moment or shows it again, and once it no longer says so.
+func TestServerThatSaysThatItLeavesGetsNoCalls(t *testing.T) {
+	refuse := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Not-Run", "1")
+		w.Header().Set("Server-Leaving", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	for _, tc := range []struct {
+		name      string
+		answer    func(http.ResponseWriter, *http.Request)
+		meanwhile func(f *fleet, e *fleetEngine)
+	}{
+		{"answers", withHeader("Server-Leaving", "1"), func(*fleet, *fleetEngine) {}},
+		{"refusals", refuse, func(*fleet, *fleetEngine) {}},
+		{"missing from one list", withHeader("Server-Leaving", "1"), func(f *fleet, e *fleetEngine) {
+			all := f.engines
+			f.engines = all[1:]
+			f.publishServers()
+			time.Sleep(time.Second)
+			f.engines = all
+			f.publishServers()
+		}},
+		{"says it no more", withHeader("Server-Leaving", "1"), func(_ *fleet, e *fleetEngine) { e.setAnswer(nil) }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			runFleet(t, 3, 4, plainRoutes, func(t *testing.T, f *fleet) {
+				is := is.New(t)
+				e := f.engines[0]
+				f.sendEvery(callGap, 2*time.Second, plainCall)
+				e.setAnswer(tc.answer)
+				f.sendEvery(callGap, 3*time.Second, plainCall)
+				tc.meanwhile(f, e)
+				statuses := f.sendEvery(callGap, 12*time.Second, plainCall)
+				is.Equal(e.afterLeaving(), 0)
+				is.Equal(statuses, map[int]int{http.StatusOK: int(12 * time.Second / callGap)})
+			})
+		})
+	}
+}
+
+// TestNewIncarnationOfALeavingServerGetsCalls guards against a server that is avoided for good because it left under its name once.
+func TestNewIncarnationOfALeavingServerGetsCalls(t *testing.T) {
+	runFleet(t, 2, 1, plainRoutes, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		e := f.engines[0]
+		e.setAnswer(withHeader("Server-Leaving", "1"))
+		f.sendEvery(callGap, time.Second, plainCall)
+		is.Equal(f.send(0, plainCall).Code, http.StatusServiceUnavailable)
+		e.setAnswer(nil)
+		f.crash(e)
+		time.Sleep(5 * time.Second)
+		is.Equal(f.send(0, plainCall).Code, http.StatusOK)
+		is.Equal(f.send(1, plainCall).Code, http.StatusOK)
+	})
+}
+
+// TestServerGetsNoCallsInThePauseThatItAskedFor guards against repeats at a server that refuses calls and says for how long.
+func TestServerGetsNoCallsInThePauseThatItAskedFor(t *testing.T) {
+	for _, seconds := range []string{"3", "1.5"} {
+		t.Run(seconds, func(t *testing.T) {
+			runFleet(t, 3, 4, plainRoutes, func(t *testing.T, f *fleet) {
+				is := is.New(t)
+				e := f.engines[0]
+				e.setAnswer(refuseFor(seconds))
+				statuses := f.sendEvery(callGap, 10*time.Second, plainCall)
+				is.True(e.inPauses() <= maxInPause)
+				is.Equal(statuses, map[int]int{http.StatusOK: int(10 * time.Second / callGap)})
+				e.setAnswer(nil)
+				time.Sleep(3 * time.Second)
+				before := len(e.seen())
+				f.sendEvery(callGap, time.Second, plainCall)
+				is.True(len(e.seen()) > before) // the server is used again
+			})
+		})
+	}
+}
+
+// TestCallsAreRefusedAtOnceWhileAllServersPause guards against calls that wait although no server takes any, and against a time to
+// come back at which none does yet.
+func TestCallsAreRefusedAtOnceWhileAllServersPause(t *testing.T) {
+	runFleet(t, 1, 2, plainRoutes, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		for _, e := range f.engines {
+			e.setAnswer(refuseFor("3"))
+		}
+		f.sendEvery(callGap, 200*time.Millisecond, plainCall)
+		start := time.Now()
+		w := f.send(0, plainCall)
+		is.Equal(w.Code, http.StatusServiceUnavailable)
+		is.True(time.Since(start) <= maxRefusalDelay)
+		retry, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
+		is.NoErr(err)
+		is.True(!time.Now().Add(time.Duration(retry * float64(time.Second))).Before(f.firstPauseEnd(3 * time.Second)))
+		for _, e := range f.engines {
+			e.setAnswer(nil)
+		}
+		time.Sleep(time.Duration(retry * float64(time.Second)))
+		is.Equal(f.send(0, plainCall).Code, http.StatusOK)
+	})
+}
--- a/internal/command/node/entry.go
+++ b/internal/command/node/entry.go
@@ -82,8 +82,8 @@
 	e.subscriber = hub.NewSubscriber(hub.SubscriberOptions{
 		Self: s.PeerName(), DataCentre: s.DataCentre, Seeds: n.seeds, FirstStart: s.FirstStart, Client: fleet,
 		List:   platform.ServerList{Address: s.Platform.Address, HTTP: fleet.HTTP, Log: n.log},
-		Logger: n.log, Report: e.fillReport, Config: e.applyConfig, Servers: e.setServers, VMs: e.setVMs,
-		Blame: e.applyBlame, Calls: e.recordCalls,
+		Logger: n.log, Report: e.handler.FillReport, Config: e.applyConfig, Servers: e.setServers, VMs: e.setVMs,
+		Blame: e.handler.ApplyBlame, Calls: e.handler.ApplyCalls,
 	})
 	e.handler.ViewAge = e.subscriber.Age
 	readyMux := http.NewServeMux()
@@ -144,24 +144,6 @@
 	e.serversReceived.Store(true)
 }
 
-// fillReport adds demand, running adapters, calls in flight, crashes and connection events to a request to the control
-// leader.
-func (e *entryVM) fillReport(r *deck.ViewRequest) {
-	r.Demand = e.handler.Demand.Take()
-	r.AdaptersInUse = e.handler.Demand.AdaptersInUse()
-	r.CallsInFlight = e.balancer.ReportInFlight()
-	r.Blame = e.handler.Poison.Report(time.Now())
-	r.BrokenConnections, r.Answered = e.balancer.TakeConnectionEvents()
-}
-
-func (e *entryVM) recordCalls(calls []deck.ServerCalls) {
-	e.balancer.RecordInFlightTotals(time.Now(), calls)
-}
-
-func (e *entryVM) applyBlame(v deck.BlameView) {
-	e.handler.Poison.Apply(time.Now(), v)
-}
-
 // prune closes pooled connections that have been idle too long or lead to servers that are no longer listed.
 func (e *entryVM) prune(ctx context.Context) error {
 	deck.Every(ctx, pruneInterval, func(context.Context) { e.client.CloseIdle(e.balancer.HasAddress) })
