Hold crashes against requests without a body or prompt

Callers saw engine after engine end under one GET that came again and again, and 502 each time. A call with neither a body nor parts of a prompt was left out as evidence, because unrelated calls often share a path: nothing was ever held against it. Such a call now counts with what its repetitions have in common (caller, method, target) as a part of a prompt does: three separate crashes, different attempts that were alone with it, no completion seen by any VM. Calls of other callers with the same path, and of the same caller with other paths, are served.

--- a/internal/api/ingress/handler.go
+++ b/internal/api/ingress/handler.go
@@ -135,6 +135,9 @@
 		h: h, w: w, r: r, route: route, call: call, body: body, parts: partFingerprints(call.Parts), start: start, deadline: start.Add(limit),
 		version: t.Config().Version, service: table.PickService(route, h.Random.Float64()),
 	}
+	if len(body) == 0 && len(call.Parts) == 0 {
+		c.repetition = repetitionFingerprint(r)
+	}
 	ctx, cancelDeadline := context.WithDeadlineCause(r.Context(), c.deadline, errDeadline)
 	ctx, cancel := context.WithCancelCause(ctx)
 	stop := h.ending.notify(func() { cancel(errStopping) })
--- a/internal/api/ingress/suspect.go
+++ b/internal/api/ingress/suspect.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -16,7 +17,7 @@
 	if c.onTrial {
 		return c.possibleRuns > 0
 	}
-	refused, trial := c.h.Poison.Refuses(time.Now(), c.fingerprint(), c.parts)
+	refused, trial := c.h.Poison.Refuses(time.Now(), c.fingerprint(), c.withRepetition(c.parts))
 	if trial {
 		c.onTrial = true
 		c.h.Log.Info("call is let through although its like crashed servers", "request", string(c.call.ID))
@@ -36,33 +37,47 @@
 }
 
 // recordPossibleCrash counts an interrupted call as a possible crash of the server. It is called for any error but errNoAnswer
-// after the call was sent, and for any stream error, also if the stall timer aborted the stream. Calls with neither a body nor
-// parts of a prompt are left out, because unrelated ones often have the same fingerprint.
+// after the call was sent, and for any stream error, also if the stall timer aborted the stream.
 func (c *callRun) recordPossibleCrash(now time.Time, s deck.Server, err error) {
-	counted := len(c.body) > 0 || len(c.parts) > 0
-	c.logSuspect(s, counted)
-	if counted {
-		c.h.Poison.RecordCrash(now, c.fingerprint(), s, c.suspectParts(now, err), c.headReceived)
+	c.logSuspect(s)
+	c.h.Poison.RecordCrash(now, c.fingerprint(), s, c.withRepetition(c.suspectParts(now, err)), c.headReceived)
+}
+
+// withRepetition adds what the call has in common with its repetitions to parts of its prompt.
+func (c *callRun) withRepetition(parts []uint64) []uint64 {
+	if c.repetition == 0 {
+		return parts
+	}
+	return append(parts[:len(parts):len(parts)], c.repetition)
+}
+
+// repetitionFingerprint returns the fingerprint of what all repetitions of a request without content have in common: caller, method
+// and target. Other callers' requests of the same target may be sound.
+func repetitionFingerprint(r *http.Request) uint64 {
+	caller, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		caller = r.RemoteAddr
 	}
+	return blame.PartFingerprint(caller + " " + r.Method + " " + r.Host + r.RequestURI)
 }
 
 // recordCompletion records that the call's answer is complete. One that ended with its connection may have been cut off by a crash, so
 // it proves nothing.
 func (c *callRun) recordCompletion(now time.Time) {
 	if c.framing != framedByConnection {
-		c.h.Poison.RecordCompletion(now, c.fingerprint(), c.parts)
+		c.h.Poison.RecordCompletion(now, c.fingerprint(), c.withRepetition(c.parts))
 	}
 }
 
-// logSuspect logs what an interrupted call may have crashed the server with, and whether that counts as evidence.
-func (c *callRun) logSuspect(s deck.Server, counted bool) {
+// logSuspect logs what an interrupted call may have crashed the server with.
+func (c *callRun) logSuspect(s deck.Server) {
 	parts := make([]string, 0, len(c.call.Parts))
 	for _, p := range c.call.Parts {
 		parts = append(parts, p.ID)
 	}
 	c.h.Log.Info("call suspected of a crash", "request", string(c.call.ID), "server", string(s.ID),
 		"fingerprint", strconv.FormatUint(uint64(c.fingerprint()), 16), "prompt-parts", parts, "head-received", c.headReceived,
-		"events", c.events, "elapsed-ms", time.Since(c.start).Milliseconds(), "counted", counted)
+		"events", c.events, "elapsed-ms", time.Since(c.start).Milliseconds(), "repetition", strconv.FormatUint(c.repetition, 16))
 }
 
 // partFingerprints returns the fingerprints of the parts of a prompt that requests share: all but the last.
@@ -77,7 +92,8 @@
 	return out
 }
 
-// fingerprint returns a hash of the call's path and body, or without a body of the path and the parts of its prompt.
+// fingerprint returns a hash of the call's path and body, or without a body of the path and the parts of its prompt. A call without any
+// content has one of its own, since unrelated calls often have the same path.
 func (c *callRun) fingerprint() Fingerprint {
 	if c.hash == 0 {
 		var d xxhash.Digest
@@ -87,6 +103,9 @@
 		for i := 0; len(c.body) == 0 && i < len(c.call.Parts); i++ {
 			_, _ = d.WriteString(" " + c.call.Parts[i].ID)
 		}
+		if c.repetition != 0 {
+			_, _ = d.WriteString(" " + string(c.call.ID) + c.start.String())
+		}
 		c.hash = Fingerprint(d.Sum64())
 	}
 	return c.hash
