Count crashes within answers that are buffered or large

A request that crashed each engine after the head of its answer, on a route without a stream, was sent to engine after engine: an answer that broke off within its body was retried or failed without being counted as a possible crash.

The case "after the head of the answer" of TestRequestWithoutContentThatCrashesServersIsRefused failed before (502 for the 40th call) and passes.

--- a/internal/api/ingress/contentless_test.go
+++ b/internal/api/ingress/contentless_test.go
@@ -20,14 +20,23 @@
 		{Name: "lookup", Prefix: "/lookup/", Kind: deck.CallIdempotent, MaxAttempts: 2},
 		{Name: "stream", Prefix: "/stream/", Kind: deck.CallStream},
 	}
-	for _, path := range []string{"/lookup/7", "/stream/7?page=3"} {
-		t.Run(path, func(t *testing.T) {
+	for _, tc := range []struct{ name, path, begun string }{
+		{"lookup", "/lookup/7", ""},
+		{"stream", "/stream/7?page=3", ""},
+		{"after the head of the answer", "/lookup/7", "begun"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
 			runFleet(t, 3, 6, routes, func(t *testing.T, f *fleet) {
 				is := is.New(t)
-				crashing := fleetCall{method: http.MethodGet, path: path, caller: "10.0.0.1", header: []string{"Crash", "1"}}
+				crashing := fleetCall{method: http.MethodGet, path: tc.path, caller: "10.0.0.1", header: []string{"Crash", "1"}}
 				for _, e := range f.engines {
 					e.answer = func(w http.ResponseWriter, r *http.Request) {
 						if r.Header.Get("Crash") != "" {
+							if tc.begun != "" {
+								w.Header().Set("Content-Length", "100")
+								_, _ = w.Write([]byte(tc.begun))
+								_ = http.NewResponseController(w).Flush()
+							}
 							f.crash(e)
 							panic(http.ErrAbortHandler)
 						}
@@ -38,7 +47,7 @@
 				for n := range 40 {
 					last = f.send(n%len(f.vms), crashing).Code
 					for _, c := range []fleetCall{
-						{method: http.MethodGet, path: path, caller: "10.0.0.2"},
+						{method: http.MethodGet, path: tc.path, caller: "10.0.0.2"},
 						{method: http.MethodGet, path: "/lookup/8", caller: "10.0.0.1"},
 					} {
 						sound++
--- a/internal/api/ingress/relay.go
+++ b/internal/api/ingress/relay.go
@@ -118,6 +118,7 @@
 		c.logFailedOffer(s, "answer interrupted: "+err.Error())
 		if c.ctx.Err() == nil {
 			c.h.Balancer.RecordResult(now, s.ID, true)
+			c.recordPossibleCrash(now, s, err)
 		}
 		return c.retryResult()
 	}
@@ -146,8 +147,9 @@
 	writeHead(c.w, ex.Response.StatusCode, ex.Response.Header, ex.Response.ContentLength)
 	_, err := c.w.Write(head)
 	var end tailWriter
+	body := &errorKeeper{reader: ex.Response.Body}
 	if err == nil {
-		_, err = io.Copy(c.w, io.TeeReader(ex.Response.Body, &end))
+		_, err = io.Copy(c.w, io.TeeReader(body, &end))
 	}
 	if err == nil && eventstream.IsBrokenOff(ex.Response.Header, append(head, end.last...)) {
 		err = io.ErrUnexpectedEOF
@@ -155,6 +157,9 @@
 	if err != nil {
 		ex.Abort()
 		c.logFailedOffer(s, "answer interrupted: "+err.Error())
+		if body.err != nil && c.ctx.Err() == nil {
+			c.recordPossibleCrash(time.Now(), s, body.err)
+		}
 		return failed
 	}
 	ex.Release()
@@ -162,6 +167,21 @@
 	return answered
 }
 
+// An errorKeeper keeps the error with which reading ended, which io.Copy does not tell from one of writing.
+type errorKeeper struct {
+	reader io.Reader
+	err    error // nil at the end of the data
+}
+
+// Read implements io.Reader.Read.
+func (k *errorKeeper) Read(p []byte) (int, error) {
+	n, err := k.reader.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		k.err = err
+	}
+	return n, err
+}
+
 // abortAnswer aborts the connection, so that the caller does not take a partial answer for a complete one. An answer to HTTP/1.0 ends
 // with its connection, which must therefore be reset instead of closed.
 func abortAnswer(w http.ResponseWriter, r *http.Request) {
--- a/internal/api/ingress/suspect.go
+++ b/internal/api/ingress/suspect.go
@@ -37,7 +37,7 @@
 }
 
 // recordPossibleCrash counts an interrupted call as a possible crash of the server. It is called for any error but errNoAnswer
-// after the call was sent, and for any stream error, also if the stall timer aborted the stream.
+// after the call was sent, and for any error within an answer, also if the stall timer aborted the stream.
 func (c *callRun) recordPossibleCrash(now time.Time, s deck.Server, err error) {
 	c.logSuspect(s)
 	c.h.Poison.RecordCrash(now, c.fingerprint(), s, c.withRepetition(c.suspectParts(now, err)), c.headReceived)
