Send nothing more to backend servers that say that they leave

Callers' requests reached an engine that had said in its answers that it leaves, until the platform's list showed it and the change had come to the VM through the leader. Server-Leaving was not read. A VM now heeds it from the first answer, refusal or liveness check that has it, for the incarnation that said so: also if the list shows that as ready, leaves it out for a moment, or the server says it no more. A new incarnation under the same name is used.

--- a/internal/api/ingress/fleet_test.go
+++ b/internal/api/ingress/fleet_test.go
@@ -135,13 +135,14 @@
 }
 
 func (f *fleet) startVM(name string, routes []deck.Route) *fleetVM {
-	balancer := balance.NewBalancer(func(deck.DataCentre) balance.Distance { return balance.SameDataCentre }, zeroRand{})
+	restraints := &restraint.Table{}
+	balancer := balance.NewBalancer(func(deck.DataCentre) balance.Distance { return balance.SameDataCentre }, zeroRand{}, restraints)
 	budget := &balance.RetryBudget{}
 	budget.SetLimits(10*time.Second, 0.2, 20)
 	vm := &fleetVM{name: name}
 	vm.handler = &ingress.Handler{
 		Codec: vmCodec{vm: name}, Balancer: balancer, Budget: budget, Placer: &fakePlacer{}, Demand: &ingress.DemandCounter{},
-		Poison: &ingress.PoisonDetector{}, Random: zeroRand{}, Log: logr.Discard(), Restraints: &restraint.Table{},
+		Poison: &ingress.PoisonDetector{}, Random: zeroRand{}, Log: logr.Discard(), Restraints: restraints,
 		Client: &http1.Client{
 			Dial:        func(ctx context.Context, addr string) (net.Conn, error) { return f.net.Dial(ctx, "tcp", addr) },
 			DialTimeout: time.Second, IdleTimeout: time.Minute,
--- a/internal/api/ingress/harness_test.go
+++ b/internal/api/ingress/harness_test.go
@@ -133,13 +133,14 @@
 
 func newHarness(t *testing.T, routes []deck.Route, backends ...*backend) *harness {
 	t.Helper()
-	balancer := balance.NewBalancer(func(deck.DataCentre) balance.Distance { return balance.SameDataCentre }, zeroRand{})
+	restraints := &restraint.Table{}
+	balancer := balance.NewBalancer(func(deck.DataCentre) balance.Distance { return balance.SameDataCentre }, zeroRand{}, restraints)
 	budget := &balance.RetryBudget{}
 	budget.SetLimits(10*time.Second, 0.2, 20)
 	h := &harness{balancer: balancer, placer: &fakePlacer{}}
 	h.handler = &ingress.Handler{
 		Codec: testCodec{}, Balancer: balancer, Budget: budget, Placer: h.placer, Demand: &ingress.DemandCounter{},
-		Poison: &ingress.PoisonDetector{}, Random: zeroRand{}, Log: logr.Discard(), Restraints: &restraint.Table{},
+		Poison: &ingress.PoisonDetector{}, Random: zeroRand{}, Log: logr.Discard(), Restraints: restraints,
 		Client: &http1.Client{
 			Dial: func(ctx context.Context, addr string) (net.Conn, error) {
 				return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
--- a/internal/command/node/entry.go
+++ b/internal/command/node/entry.go
@@ -62,7 +62,10 @@
 }
 
 func addEntry(n *Node, s settings.Settings) error {
-	e := &entryVM{node: n, settings: s, budget: &balance.RetryBudget{}, balancer: balance.NewBalancer(distanceFrom(s), newRand())}
+	restraints := &restraint.Table{Log: n.log}
+	e := &entryVM{
+		node: n, settings: s, budget: &balance.RetryBudget{}, balancer: balance.NewBalancer(distanceFrom(s), newRand(), restraints),
+	}
 	e.setBudget(1)
 	e.client = &http1.Client{
 		Dial:        func(ctx context.Context, addr string) (net.Conn, error) { return dial(ctx, "tcp", addr) },
@@ -77,7 +80,7 @@
 	e.handler = &ingress.Handler{
 		Codec: platform.Codec{}, Client: e.client, Balancer: e.balancer, Budget: e.budget, Placer: fleet,
 		Demand: &ingress.DemandCounter{}, Poison: &ingress.PoisonDetector{}, Random: newRand(), Log: n.log, OnCallEnd: recorder.record,
-		Restraints: &restraint.Table{Log: n.log},
+		Restraints: restraints,
 	}
 	e.subscriber = hub.NewSubscriber(hub.SubscriberOptions{
 		Self: s.PeerName(), DataCentre: s.DataCentre, Seeds: n.seeds, FirstStart: s.FirstStart, Client: fleet,
--- a/internal/core/restraint/table.go
+++ b/internal/core/restraint/table.go
@@ -9,6 +9,13 @@
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 )
 
+const (
+	// forgetAfter is how long a notice is kept without another one of its server, which may have ended.
+	forgetAfter = 30 * time.Minute
+
+	pruneAt = 1024 // servers from which those to be forgotten are looked for
+)
+
 // A Table keeps the notices of backend servers. Its zero value is empty and logs nothing.
 type Table struct {
 	Log logr.Logger // takes a line for each change; must be set before use
@@ -19,11 +26,17 @@
 
 // A server is what one incarnation of a backend server has said.
 type server struct {
-	incarnation string
+	incarnation string // empty if unknown
+	heardAt     time.Time
 	leaving     bool
 	pausedUntil time.Time
 }
 
+// A Restraint says what keeps requests from a backend server. The zero value is none.
+type Restraint struct {
+	Leaving bool // no more requests to this incarnation
+}
+
 var _ deck.NoticeObserver = (*Table)(nil)
 
 // ObserveNotice implements deck.NoticeObserver.ObserveNotice.
@@ -31,16 +44,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.servers[name]
-	if s == nil || s.incarnation != incarnation {
+	if s == nil || !s.is(incarnation) {
 		if n == (deck.ServerNotice{}) {
 			return
 		}
-		if t.servers == nil {
-			t.servers = make(map[deck.BackendName]*server)
-		}
-		s = &server{incarnation: incarnation}
-		t.servers[name] = s
+		s = t.add(now, name, incarnation)
 	}
+	s.heardAt = now
 	if n.Leaving && !s.leaving {
 		s.leaving = true
 		t.Log.Info("backend server says that it is leaving", "server", string(name), "incarnation", incarnation)
@@ -53,3 +63,36 @@
 		s.pausedUntil = now.Add(n.Pause)
 	}
 }
+
+// Restraint returns what keeps requests from the given incarnation of a server, or from the last known one if it is empty.
+func (t *Table) Restraint(name deck.BackendName, incarnation string) Restraint {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[name]
+	if s == nil || !s.is(incarnation) {
+		return Restraint{}
+	}
+	return Restraint{Leaving: s.leaving}
+}
+
+// add returns a new entry for a server. The caller holds the lock.
+func (t *Table) add(now time.Time, name deck.BackendName, incarnation string) *server {
+	if t.servers == nil {
+		t.servers = make(map[deck.BackendName]*server)
+	}
+	if len(t.servers) >= pruneAt {
+		for other, s := range t.servers {
+			if now.Sub(s.heardAt) > forgetAfter {
+				delete(t.servers, other)
+			}
+		}
+	}
+	s := &server{incarnation: incarnation}
+	t.servers[name] = s
+	return s
+}
+
+// is reports whether the entry may be of the incarnation.
+func (s *server) is(incarnation string) bool {
+	return s.incarnation == incarnation || s.incarnation == "" || incarnation == ""
+}
--- a/internal/route/balance/balance_test.go
+++ b/internal/route/balance/balance_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/restraint"
 	"github.com/geraniumdeck/geraniumdeck/internal/route/balance"
 )
 
@@ -17,7 +18,7 @@
 func sameDataCentre(deck.DataCentre) balance.Distance { return balance.SameDataCentre }
 
 func newBalancer(seed uint64, distance func(deck.DataCentre) balance.Distance, servers ...deck.Server) *balance.Balancer {
-	b := balance.NewBalancer(distance, rand.New(rand.NewPCG(seed, 0)))
+	b := balance.NewBalancer(distance, rand.New(rand.NewPCG(seed, 0)), &restraint.Table{})
 	b.SetServers(now, servers)
 	return b
 }
--- a/internal/route/balance/balancer.go
+++ b/internal/route/balance/balancer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/restraint"
 )
 
 // A Distance is the network distance between a data centre and this VM's.
@@ -21,8 +22,9 @@
 
 // A Balancer holds one entry VM's view of the backend servers and picks servers for calls. It is safe for concurrent use.
 type Balancer struct {
-	distance func(deck.DataCentre) Distance
-	random   deck.Rand
+	distance   func(deck.DataCentre) Distance
+	random     deck.Rand
+	restraints *restraint.Table
 
 	mu           sync.Mutex
 	servers      map[deck.BackendName]*serverState
@@ -40,8 +42,9 @@
 // A serverState is a listed backend server with this VM's observations of it.
 type serverState struct {
 	deck.Server
-	distance Distance
-	inFlight int // this VM's calls that have not ended
+	incarnation string
+	distance    Distance
+	inFlight    int // this VM's calls that have not ended
 
 	load           deck.ServerLoad
 	loadAt         time.Time // when the load was recorded; zero if there is none
@@ -66,10 +69,10 @@
 	adapter deck.AdapterName
 }
 
-// NewBalancer returns a Balancer without servers.
-func NewBalancer(distance func(deck.DataCentre) Distance, random deck.Rand) *Balancer {
+// NewBalancer returns a Balancer without servers, which obeys the restraints in the table.
+func NewBalancer(distance func(deck.DataCentre) Distance, random deck.Rand, restraints *restraint.Table) *Balancer {
 	return &Balancer{
-		distance: distance, random: random, servers: make(map[deck.BackendName]*serverState),
+		distance: distance, random: random, restraints: restraints, servers: make(map[deck.BackendName]*serverState),
 		slotTime:        make(map[deck.ServiceName]*slotTimeEstimate),
 		brokeConnection: make(map[deck.BackendName]bool), answered: make(map[deck.BackendName]bool),
 	}
@@ -84,7 +87,7 @@
 	for _, listed := range list {
 		s := b.servers[listed.ID]
 		if s == nil || s.Address != listed.Address || s.StartUnixMs != listed.StartUnixMs {
-			s = &serverState{distance: b.distance(listed.DataCentre)}
+			s = &serverState{distance: b.distance(listed.DataCentre), incarnation: listed.Incarnation()}
 		}
 		if s.Ejected && !listed.Ejected {
 			s.downUntil = now.Add(time.Duration(b.random.Float64() * float64(returnJitter)))
--- a/internal/route/balance/pick.go
+++ b/internal/route/balance/pick.go
@@ -87,7 +87,7 @@
 	var usable [OtherRegion + 1][]*serverState
 	slotTime := b.meanSlotTime(req.Service)
 	for _, s := range b.byService[req.Service] {
-		result := s.eligibility(now, req, slotTime)
+		result := b.eligibility(now, s, req, slotTime)
 		if result == Chosen {
 			usable[s.distance] = append(usable[s.distance], s)
 		} else {
@@ -130,10 +130,11 @@
 	return list[:n]
 }
 
-// eligibility returns Chosen if the server can run the call, otherwise the reason why it can't.
-func (s *serverState) eligibility(now time.Time, req Requirements, slotTime time.Duration) PickResult {
+// eligibility returns Chosen if the server can run the call, otherwise the reason why it can't. The caller holds the lock.
+func (b *Balancer) eligibility(now time.Time, s *serverState, req Requirements, slotTime time.Duration) PickResult {
+	r := b.restraints.Restraint(s.ID, s.incarnation)
 	switch {
-	case s.Draining || s.Ejected || req.Tried[s.ID] || req.Among != nil && !req.Among[s.ID] || now.Before(s.downUntil):
+	case s.Draining || r.Leaving || s.Ejected || req.Tried[s.ID] || req.Among != nil && !req.Among[s.ID] || now.Before(s.downUntil):
 		return NoServer
 	case req.Model != "" && !s.holds(now, req.Model, ""):
 		return ModelAbsent
@@ -167,7 +168,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.servers[id]
-	return s != nil && s.eligibility(now, req, b.meanSlotTime(req.Service)) == Chosen && s.load.Slowdown < maxSlowdown
+	return s != nil && b.eligibility(now, s, req, b.meanSlotTime(req.Service)) == Chosen && s.load.Slowdown < maxSlowdown
 }
 
 // meanSlotTime returns how long recent calls of the service occupied a slot, 0 if unknown. The caller holds the lock.
