Tell the leader which backend servers say that they leave

What one VM had heard from a leaving engine, the others and a restarted VM learnt only from the platform's list or from the engine itself, and the engine's models were placed elsewhere only once the list showed it. VMs now report leaving servers that the list shows as ready with each poll; the leader publishes them as draining and plans without them. It also heeds an engine's own report (state draining, or Server-Leaving beside it), which it read but did not use. Repeated reports serve new leaders; a new incarnation under the same name is used again.

--- a/internal/api/ingress/fleet_test.go
+++ b/internal/api/ingress/fleet_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -43,9 +44,11 @@
 	leader  *hub.Publisher
 	log     *leaderLog
 	engines []*fleetEngine
-	mu      sync.Mutex // guards the engines' entries in the list
+	mu      sync.Mutex // guards the engines' entries in the list and leaving
 	vms     []*fleetVM
 	calls   atomic.Int64
+
+	leaving map[string]string // servers that the VMs have reported as leaving in their last reports, by VM
 }
 
 // A leaderLog is the replicated log as the VM sees it that leads.
@@ -60,6 +63,27 @@
 	return deck.LogStatus{Self: deck.ReplicaID{VM: "leader"}, Leader: deck.ReplicaID{VM: "leader"}}
 }
 
+// recordReport is called with each report of a VM.
+func (f *fleet) recordReport(r deck.ViewRequest) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var names []string
+	for _, l := range r.Leaving {
+		names = append(names, string(l.Server)+" "+l.Incarnation)
+	}
+	if f.leaving == nil {
+		f.leaving = make(map[string]string)
+	}
+	f.leaving[string(r.VM)] = strings.Join(names, ", ")
+}
+
+// reportedLeaving returns the servers that the VM has reported as leaving in its last report.
+func (f *fleet) reportedLeaving(vm string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leaving[vm]
+}
+
 // RequestView implements deck.ViewClient.RequestView.
 func (f *fleet) RequestView(ctx context.Context, _ deck.VMName, r deck.ViewRequest) (deck.ViewAnswer, error) {
 	return f.leader.View(ctx, r), nil
@@ -99,6 +123,7 @@
 		f := &fleet{ctx: ctx, log: &leaderLog{}}
 		f.leader = hub.NewPublisher(hub.Options{
 			Log: f.log, Monitor: f.log, Clock: deck.SystemClock{}, Logger: logr.Discard(), MaxLeadershipAge: time.Second,
+			Report: f.recordReport,
 		})
 		for i := range engines {
 			id := deck.BackendName("e" + strconv.Itoa(i))
--- a/internal/api/ingress/report.go
+++ b/internal/api/ingress/report.go
@@ -6,13 +6,14 @@
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 )
 
-// FillReport adds demand, adapters in use, calls in flight, crashes and connection events to a request to the control leader.
+// FillReport adds demand, adapters in use, calls in flight, crashes, connection events and leaving servers to a request to the control leader.
 func (h *Handler) FillReport(r *deck.ViewRequest) {
 	r.Demand = h.Demand.Take()
 	r.AdaptersInUse = h.Demand.AdaptersInUse()
 	r.CallsInFlight = h.Balancer.ReportInFlight()
 	r.Blame = h.Poison.Report(time.Now())
 	r.BrokenConnections, r.Answered = h.Balancer.TakeConnectionEvents()
+	r.Leaving = h.Balancer.UnlistedLeaving()
 }
 
 // ApplyCalls takes over the calls in flight of all entry VMs.
--- a/internal/api/ingress/restraint_test.go
+++ b/internal/api/ingress/restraint_test.go
@@ -131,6 +131,26 @@
 	}
 }
 
+// TestVMsTellTheLeaderWhichServersLeave guards against a leader that hears of a leaving server once, or from one VM only, and against
+// reports on servers that the list shows as draining.
+func TestVMsTellTheLeaderWhichServersLeave(t *testing.T) {
+	runFleet(t, 2, 2, plainRoutes, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		e := f.engines[0]
+		e.setAnswer(withHeader("Server-Leaving", "1"))
+		f.sendEvery(callGap, time.Second, plainCall)
+		for range 3 {
+			time.Sleep(time.Second)
+			is.Equal(f.reportedLeaving("vm0"), "e0 "+e.server.Incarnation())
+			is.Equal(f.reportedLeaving("vm1"), "e0 "+e.server.Incarnation())
+		}
+		e.server.Draining = true
+		f.publishServers()
+		time.Sleep(2 * time.Second)
+		is.Equal(f.reportedLeaving("vm0"), "")
+	})
+}
+
 // TestNewIncarnationOfALeavingServerGetsCalls guards against a server that is avoided for good because it left under its name once.
 func TestNewIncarnationOfALeavingServerGetsCalls(t *testing.T) {
 	runFleet(t, 2, 1, plainRoutes, func(t *testing.T, f *fleet) {
--- a/internal/api/peer/viewwire.go
+++ b/internal/api/peer/viewwire.go
@@ -24,6 +24,13 @@
 	Cleared    []uint64         `json:"cleared,omitempty"`
 	Broke      []string         `json:"broke,omitempty"`
 	Answered   []string         `json:"answered,omitempty"`
+
+	Leaving []leavingServerJSON `json:"leaving,omitempty"`
+}
+
+type leavingServerJSON struct {
+	Server      string `json:"server"`
+	Incarnation string `json:"incarnation"`
 }
 
 type callDemandJSON struct {
@@ -96,6 +103,9 @@
 			string(d.Service), string(d.Model), d.Tokens, d.Streams, d.LateStreams,
 		})
 	}
+	for _, l := range r.Leaving {
+		w.Leaving = append(w.Leaving, leavingServerJSON{string(l.Server), l.Incarnation})
+	}
 	for _, a := range r.AdaptersInUse {
 		w.Running = append(w.Running, adapterUseJSON{string(a.Server), string(a.Model), string(a.Adapter)})
 	}
@@ -118,6 +128,9 @@
 			Streams: d.Streams, LateStreams: d.Late,
 		})
 	}
+	for _, l := range w.Leaving {
+		r.Leaving = append(r.Leaving, deck.LeavingServer{Server: deck.BackendName(l.Server), Incarnation: l.Incarnation})
+	}
 	for _, a := range w.Running {
 		r.AdaptersInUse = append(r.AdaptersInUse, deck.AdapterUse{
 			Server:     deck.BackendName(a.Server),
--- a/internal/core/deck/servernotice.go
+++ b/internal/core/deck/servernotice.go
@@ -8,6 +8,12 @@
 	Pause   time.Duration // for which it takes no requests from this VM; 0 for none
 }
 
+// A LeavingServer is one incarnation of a backend server that has said that it leaves.
+type LeavingServer struct {
+	Server      BackendName
+	Incarnation string
+}
+
 // A NoticeObserver receives what backend servers say about the requests that they take.
 type NoticeObserver interface {
 	// ObserveNotice takes a notice in an answer of the given incarnation of a server, and its time of arrival.
--- a/internal/core/deck/view.go
+++ b/internal/core/deck/view.go
@@ -23,8 +23,9 @@
 	AdaptersInUse     []AdapterUse  // adapters that calls of this VM use now
 	CallsInFlight     []ServerCalls // calls of this VM that are in flight now
 	Blame             BlameReport
-	BrokenConnections []BackendName // servers that broke connections since the last report
-	Answered          []BackendName // servers that sent a complete answer since the last report
+	BrokenConnections []BackendName   // servers that broke connections since the last report
+	Answered          []BackendName   // servers that sent a complete answer since the last report
+	Leaving           []LeavingServer // servers that said that they leave, although the list shows them as ready
 }
 
 // A ServerCalls is the number of calls in flight at a backend server.
--- a/internal/place/order/actions.go
+++ b/internal/place/order/actions.go
@@ -59,6 +59,9 @@
 	if err == nil && st.StartUnixMs != 0 && server.StartUnixMs != 0 && st.StartUnixMs != server.StartUnixMs {
 		return st, errRestarted
 	}
+	if err == nil && st.Draining {
+		c.restraints.ObserveNotice(time.Now(), server.ID, server.Incarnation(), deck.ServerNotice{Leaving: true})
+	}
 	return st, err
 }
 
--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/restraint"
 	"github.com/geraniumdeck/geraniumdeck/internal/place/assign"
 )
 
@@ -56,9 +57,10 @@
 
 // A Controller plans placements and sends orders to engines while its replica leads.
 type Controller struct {
-	opts  Options
-	done  chan struct{}
-	group *errgroup.Group
+	opts       Options
+	done       chan struct{}
+	group      *errgroup.Group
+	restraints *restraint.Table // what servers have said to any VM about the requests that they take
 
 	mu           sync.Mutex
 	term         uint64    // 0 while the replica does not lead
@@ -84,7 +86,7 @@
 // NewController returns a controller; call Run to start it.
 func NewController(opts Options) *Controller {
 	return &Controller{
-		opts: opts, done: make(chan struct{}), engines: make(map[deck.BackendName]*engine),
+		opts: opts, done: make(chan struct{}), restraints: &restraint.Table{Log: opts.Log}, engines: make(map[deck.BackendName]*engine),
 		estimators: make(map[deck.ServiceName]*demandEstimator), storeBuckets: make(map[deck.ServiceName]*tokenBucket),
 		storeStarts: make(map[deck.ServiceName]*tokenBucket),
 		placing:     make(map[adapterKey]chan struct{}), tooLarge: make(map[deck.ModelName]bool),
@@ -167,6 +169,9 @@
 	if c.hasList && len(list) > len(c.servers) {
 		c.listGrewAt = now
 	}
+	for i, s := range list {
+		list[i].Draining = s.Draining || c.restraints.Restraint(s.ID, s.Incarnation()).Leaving
+	}
 	c.servers, c.hasList = list, true
 	seen := make(map[deck.BackendName]bool, len(list))
 	for _, s := range list {
@@ -207,7 +212,7 @@
 	c.opts.Publish(term, list)
 }
 
-// RecordReport records the demand and the adapters in use that an entry VM reports.
+// RecordReport records the demand, the adapters in use and the leaving servers that an entry VM reports.
 func (c *Controller) RecordReport(r deck.ViewRequest) {
 	now := time.Now()
 	c.mu.Lock()
@@ -216,6 +221,9 @@
 		c.estimatorOf(d.Service).recordDemand(now, d.Model, float64(d.Tokens))
 		c.estimatorOf(d.Service).recordStreams(now, d.Streams, d.LateStreams)
 	}
+	for _, l := range r.Leaving {
+		c.restraints.ObserveNotice(now, l.Server, l.Incarnation, deck.ServerNotice{Leaving: true})
+	}
 	for _, use := range r.AdaptersInUse {
 		e := c.engines[use.Server]
 		if e == nil {
--- a/internal/route/balance/balancer.go
+++ b/internal/route/balance/balancer.go
@@ -210,6 +210,19 @@
 	b.brokeConnection[id] = true
 }
 
+// UnlistedLeaving returns the servers that have said that they leave, although the list shows them as ready.
+func (b *Balancer) UnlistedLeaving() []deck.LeavingServer {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []deck.LeavingServer
+	for id, s := range b.servers {
+		if !s.Draining && b.restraints.Restraint(id, s.incarnation).Leaving {
+			out = append(out, deck.LeavingServer{Server: id, Incarnation: s.incarnation})
+		}
+	}
+	return out
+}
+
 // TakeConnectionEvents returns the servers that broke a connection and completed no answer after it, and the servers that
 // completed an answer, both since its last call.
 func (b *Balancer) TakeConnectionEvents() (brokeConnection, answered []deck.BackendName) {
