Send backend servers nothing in a pause that they asked for

An engine that refuses a request with 503 and says with Retry-After for how long it wants none got the next one from the same VM 100 ms later, and repeats of refused requests went round all engines. A VM now leaves such an engine alone until the time is over, for the incarnation that asked. If no other server can run a call, it is refused at once, with the time at which the first of them takes calls again instead of a fixed one.

--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -183,11 +183,18 @@
 			waited = time.Since(c.start)
 		}
 		return c.readyIn > 0 && waited < c.readyIn+c.route.LatencyTarget/2 && c.readyIn < c.maxLoadingWait()
+	case balance.Restrained:
+		return c.h.Balancer.RestrainedUntil(now, c.requirements).Sub(c.start) < c.maxAdmissionWait()
 	default:
-		return waited < time.Duration(admissionWaitShare*float64(c.route.LatencyTarget))
+		return waited < c.maxAdmissionWait()
 	}
 }
 
+// maxAdmissionWait returns how long a call waits for a free slot before it is refused.
+func (c *callRun) maxAdmissionWait() time.Duration {
+	return time.Duration(admissionWaitShare * float64(c.route.LatencyTarget))
+}
+
 // maxLoadingWait returns the expected loading time of a model or adapter below which a call waits for it; otherwise the caller is
 // asked to retry.
 func (c *callRun) maxLoadingWait() time.Duration {
@@ -216,13 +223,13 @@
 		c.fail()
 		return
 	}
+	now := time.Now()
 	retry := fullRetryAfter
 	switch result {
 	case balance.AllFull:
-		now := time.Now()
 		retry = c.h.refusalRate.recordRefusal(now, c.deadline.Sub(now))
-	case balance.NoServer:
-		retry = noServerRetryAfter
+	case balance.NoServer, balance.Restrained:
+		retry = c.untilUnrestrained(now, noServerRetryAfter)
 	case balance.ModelAbsent, balance.AdapterAbsent:
 		retry = loadingRetryAfter
 		if c.readyIn > 0 {
@@ -232,6 +239,17 @@
 	c.refuseNotRun(retry, result.String())
 }
 
+// untilUnrestrained returns the time until a server takes calls again if all that could run the call take none for a while, otherwise
+// the given delay.
+func (c *callRun) untilUnrestrained(now time.Time, otherwise time.Duration) time.Duration {
+	req := c.requirements
+	req.Tried = nil
+	if _, result := c.h.Balancer.Pick(now, req); result != balance.Restrained {
+		return otherwise
+	}
+	return max(0, c.h.Balancer.RestrainedUntil(now, req).Sub(now))
+}
+
 // refuseNotRun answers that the call has not run, with a jittered retry delay.
 func (c *callRun) refuseNotRun(retry time.Duration, reason string) {
 	retry += time.Duration(c.h.Random.Float64() * retryJitterShare * float64(retry))
@@ -252,7 +270,7 @@
 		c.recordEnd(c.fallback.status, "server error relayed")
 		c.fallback.write(c.w)
 	case c.possibleRuns == 0:
-		c.refuseNotRun(fullRetryAfter, "no server took the call in time")
+		c.refuseNotRun(c.untilUnrestrained(time.Now(), fullRetryAfter), "no server took the call in time")
 	case errors.Is(context.Cause(c.ctx), errStopping):
 		c.recordEnd(http.StatusGatewayTimeout, "this VM stops")
 		writeError(c.w, errorResponse{http.StatusGatewayTimeout, 0, "the server had not finished when this VM stopped"})
--- a/internal/core/restraint/table.go
+++ b/internal/core/restraint/table.go
@@ -34,7 +34,13 @@
 
 // A Restraint says what keeps requests from a backend server. The zero value is none.
 type Restraint struct {
-	Leaving bool // no more requests to this incarnation
+	Leaving bool      // no more requests to this incarnation
+	Until   time.Time // no request before that time; zero if there may be one now
+}
+
+// IsZero reports whether nothing keeps requests from the server.
+func (r Restraint) IsZero() bool {
+	return !r.Leaving && r.Until.IsZero()
 }
 
 var _ deck.NoticeObserver = (*Table)(nil)
@@ -65,14 +71,18 @@
 }
 
 // Restraint returns what keeps requests from the given incarnation of a server, or from the last known one if it is empty.
-func (t *Table) Restraint(name deck.BackendName, incarnation string) Restraint {
+func (t *Table) Restraint(now time.Time, name deck.BackendName, incarnation string) Restraint {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.servers[name]
 	if s == nil || !s.is(incarnation) {
 		return Restraint{}
 	}
-	return Restraint{Leaving: s.leaving}
+	r := Restraint{Leaving: s.leaving}
+	if now.Before(s.pausedUntil) {
+		r.Until = s.pausedUntil
+	}
+	return r
 }
 
 // add returns a new entry for a server. The caller holds the lock.
--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -170,7 +170,7 @@
 		c.listGrewAt = now
 	}
 	for i, s := range list {
-		list[i].Draining = s.Draining || c.restraints.Restraint(s.ID, s.Incarnation()).Leaving
+		list[i].Draining = s.Draining || c.restraints.Restraint(now, s.ID, s.Incarnation()).Leaving
 	}
 	c.servers, c.hasList = list, true
 	seen := make(map[deck.BackendName]bool, len(list))
--- a/internal/route/balance/balancer.go
+++ b/internal/route/balance/balancer.go
@@ -211,12 +211,12 @@
 }
 
 // UnlistedLeaving returns the servers that have said that they leave, although the list shows them as ready.
-func (b *Balancer) UnlistedLeaving() []deck.LeavingServer {
+func (b *Balancer) UnlistedLeaving(now time.Time) []deck.LeavingServer {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var out []deck.LeavingServer
 	for id, s := range b.servers {
-		if !s.Draining && b.restraints.Restraint(id, s.incarnation).Leaving {
+		if !s.Draining && b.restraints.Restraint(now, id, s.incarnation).Leaving {
 			out = append(out, deck.LeavingServer{Server: id, Incarnation: s.incarnation})
 		}
 	}
--- a/internal/route/balance/pick.go
+++ b/internal/route/balance/pick.go
@@ -69,13 +69,14 @@
 	Chosen        PickResult = iota
 	NoServer                 // no usable server of the service is known
 	ModelAbsent              // no usable server holds the model
+	Restrained               // every usable server that holds the model takes no calls for a while, see RestrainedUntil
 	AdapterAbsent            // usable servers hold the model, none of them the adapter
 	AllFull                  // every server that could otherwise run the call is full
 )
 
 // String returns the name of the result as used in logs.
 func (s PickResult) String() string {
-	return [...]string{"chosen", "no-server", "model-absent", "adapter-absent", "all-full"}[s]
+	return [...]string{"chosen", "no-server", "model-absent", "restrained", "adapter-absent", "all-full"}[s]
 }
 
 // Pick returns the server with the lowest cost among random samples of each distance. The second result is Chosen, or the
@@ -132,12 +133,14 @@
 
 // eligibility returns Chosen if the server can run the call, otherwise the reason why it can't. The caller holds the lock.
 func (b *Balancer) eligibility(now time.Time, s *serverState, req Requirements, slotTime time.Duration) PickResult {
-	r := b.restraints.Restraint(s.ID, s.incarnation)
+	r := b.restraints.Restraint(now, s.ID, s.incarnation)
 	switch {
 	case s.Draining || r.Leaving || s.Ejected || req.Tried[s.ID] || req.Among != nil && !req.Among[s.ID] || now.Before(s.downUntil):
 		return NoServer
 	case req.Model != "" && !s.holds(now, req.Model, ""):
 		return ModelAbsent
+	case !r.Until.IsZero():
+		return Restrained
 	case req.Model != "" && req.Adapter != "" && !s.holds(now, req.Model, req.Adapter):
 		return AdapterAbsent
 	case now.Before(s.fullUntil) || s.full(now, req, slotTime):
@@ -147,6 +150,25 @@
 	}
 }
 
+// RestrainedUntil returns when the first server that could otherwise run the call takes calls again; zero if none is restrained. Servers
+// that the call has been sent to count as well.
+func (b *Balancer) RestrainedUntil(now time.Time, req Requirements) time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	req.Tried = nil
+	var first time.Time
+	for _, s := range b.byService[req.Service] {
+		if b.eligibility(now, s, req, 0) != Restrained {
+			continue
+		}
+		until := b.restraints.Restraint(now, s.ID, s.incarnation).Until
+		if first.IsZero() || until.Before(first) {
+			first = until
+		}
+	}
+	return first
+}
+
 // maxSlowdown is the slowdown from which an engine counts as slowed by other work on its VM: stream events are then late as
 // soon as a prefill runs between them.
 const maxSlowdown = 1.5
