Send engines no orders in a pause that they asked for

The control leader sent orders and read reports again after 0.15 to 0.5 s, whatever an engine that refused one had asked for. It now heeds the same notices as the entry VMs, through the same table.

--- a/internal/command/node/control.go
+++ b/internal/command/node/control.go
@@ -12,6 +12,7 @@
 	"github.com/geraniumdeck/geraniumdeck/internal/api/peer"
 	"github.com/geraniumdeck/geraniumdeck/internal/command/part"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/restraint"
 	"github.com/geraniumdeck/geraniumdeck/internal/place/order"
 	settings "github.com/geraniumdeck/geraniumdeck/internal/settings/node"
 	"github.com/geraniumdeck/geraniumdeck/internal/state/disk"
@@ -60,10 +61,11 @@
 		return err
 	}
 	fleet := peer.ControlClient{HTTP: client, DataCentre: s.DataCentre, Leader: c.leader}
+	restraints := &restraint.Table{Log: n.log}
 	c.orders = order.NewController(order.Options{
 		Self: s.PeerName(), Monitor: c.replica, Clock: deck.BootClock{}, MaxLeadershipAge: maxLeadershipAge,
 		HandoverDelay: s.Bounds.Lease, EnginesCheckFencing: s.Bounds.EnginesCheckFencing,
-		Engines: platform.Engines{HTTP: client},
+		Engines: platform.Engines{HTTP: client, Notices: restraints}, Restraints: restraints,
 		Servers: platform.ServerList{Address: s.Platform.Address, HTTP: client, Log: n.log},
 		Config:  c.config.Load, Publish: func(term uint64, list []deck.Server) { c.publisher.SetServers(term, list) },
 		CallsInFlight: func(id deck.BackendName) int { return c.publisher.Calls(id) }, Log: n.log,
--- a/internal/place/order/actions.go
+++ b/internal/place/order/actions.go
@@ -23,6 +23,9 @@
 // platform's list shows it after a short delay.
 var errRestarted = errors.New("engine has restarted")
 
+// errPaused is returned for a report that was not requested, because the engine wants no requests for a while.
+var errPaused = errors.New("engine has asked for a pause")
+
 // refresh reads an engine's report, after which orders can be sent to it.
 func (c *Controller) refresh(ctx context.Context, e *engine) {
 	defer func() {
@@ -53,6 +56,9 @@
 	c.mu.Lock()
 	server := e.server
 	c.mu.Unlock()
+	if !c.pausedUntil(server).IsZero() {
+		return deck.EngineState{}, errPaused
+	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	st, err := c.opts.Engines.Report(ctx, server)
@@ -60,11 +66,16 @@
 		return st, errRestarted
 	}
 	if err == nil && st.Draining {
-		c.restraints.ObserveNotice(time.Now(), server.ID, server.Incarnation(), deck.ServerNotice{Leaving: true})
+		c.opts.Restraints.ObserveNotice(time.Now(), server.ID, server.Incarnation(), deck.ServerNotice{Leaving: true})
 	}
 	return st, err
 }
 
+// pausedUntil returns when the engine takes requests again; zero if it takes them now.
+func (c *Controller) pausedUntil(s deck.Server) time.Time {
+	return c.opts.Restraints.Restraint(time.Now(), s.ID, s.Incarnation()).Until
+}
+
 // sendOrder sends one order, if this VM may still send any, and updates the engine from the outcome.
 func (c *Controller) sendOrder(ctx context.Context, e *engine, o deck.ModelOrder) deck.OrderOutcome {
 	token, ok := c.fencingToken()
@@ -73,6 +84,11 @@
 	}
 	spec, _ := c.spec(e.service)
 	c.mu.Lock()
+	if until := c.pausedUntil(e.server); !until.IsZero() {
+		e.retryAt = until
+		c.mu.Unlock()
+		return deck.OrderConflict
+	}
 	if !o.Unload && !e.fits(spec, o) {
 		e.synced = false
 		e.retryAt = time.Now().Add(retryDelay)
--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -52,15 +52,15 @@
 	Config              func() *deck.RoutingConfig // nil before the first configuration
 	Publish             func(term uint64, list []deck.Server)
 	CallsInFlight       func(deck.BackendName) int // at a server, of all entry VMs
+	Restraints          *restraint.Table           // what servers have said to any VM about the requests that they take
 	Log                 logr.Logger
 }
 
 // A Controller plans placements and sends orders to engines while its replica leads.
 type Controller struct {
-	opts       Options
-	done       chan struct{}
-	group      *errgroup.Group
-	restraints *restraint.Table // what servers have said to any VM about the requests that they take
+	opts  Options
+	done  chan struct{}
+	group *errgroup.Group
 
 	mu           sync.Mutex
 	term         uint64    // 0 while the replica does not lead
@@ -86,7 +86,7 @@
 // NewController returns a controller; call Run to start it.
 func NewController(opts Options) *Controller {
 	return &Controller{
-		opts: opts, done: make(chan struct{}), restraints: &restraint.Table{Log: opts.Log}, engines: make(map[deck.BackendName]*engine),
+		opts: opts, done: make(chan struct{}), engines: make(map[deck.BackendName]*engine),
 		estimators: make(map[deck.ServiceName]*demandEstimator), storeBuckets: make(map[deck.ServiceName]*tokenBucket),
 		storeStarts: make(map[deck.ServiceName]*tokenBucket),
 		placing:     make(map[adapterKey]chan struct{}), tooLarge: make(map[deck.ModelName]bool),
@@ -170,7 +170,7 @@
 		c.listGrewAt = now
 	}
 	for i, s := range list {
-		list[i].Draining = s.Draining || c.restraints.Restraint(now, s.ID, s.Incarnation()).Leaving
+		list[i].Draining = s.Draining || c.opts.Restraints.Restraint(now, s.ID, s.Incarnation()).Leaving
 	}
 	c.servers, c.hasList = list, true
 	seen := make(map[deck.BackendName]bool, len(list))
@@ -222,7 +222,7 @@
 		c.estimatorOf(d.Service).recordStreams(now, d.Streams, d.LateStreams)
 	}
 	for _, l := range r.Leaving {
-		c.restraints.ObserveNotice(now, l.Server, l.Incarnation, deck.ServerNotice{Leaving: true})
+		c.opts.Restraints.ObserveNotice(now, l.Server, l.Incarnation, deck.ServerNotice{Leaving: true})
 	}
 	for _, use := range r.AdaptersInUse {
 		e := c.engines[use.Server]
--- a/internal/place/order/fake_test.go
+++ b/internal/place/order/fake_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/restraint"
 )
 
 // A fakePlatform implements the replicated log's watch, the server list and engines, and checks every order.
@@ -27,6 +28,8 @@
 	published  []deck.Server // last published to the entry VMs
 	orderCount int
 	loadStarts []time.Time // when engines accepted orders to load a model
+	restraints restraint.Table
+	inPause    int // orders and requests for reports to an engine that wants none
 }
 
 // A fakeEngine is an engine of a fakePlatform.
@@ -41,6 +44,8 @@
 	requestTime    time.Duration  // how long running requests take to end
 	busyUntil      time.Time
 	lastHolder     deck.VMName
+	pause          time.Duration // that it asks for when it refuses a request; 0 if it refuses none
+	pausedUntil    time.Time
 	fencingToken   uint64
 }
 
@@ -95,7 +100,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := p.engines[s.ID]
-	if e.unresponsive {
+	if p.refuses(e) || e.unresponsive {
 		return deck.EngineState{}, errNoAnswer
 	}
 	e.finishDue()
@@ -105,6 +110,21 @@
 	return deck.EngineState{Models: e.held(), Busy: e.loading != "" || e.unloading != "", OrdersAccepted: e.ordersAccepted}, nil
 }
 
+// refuses reports whether the engine refuses the request, which it may do with a pause. The caller holds the lock.
+func (p *fakePlatform) refuses(e *fakeEngine) bool {
+	now := time.Now()
+	if now.Before(e.pausedUntil) {
+		p.inPause++
+		return true
+	}
+	if e.pause == 0 {
+		return false
+	}
+	e.pausedUntil = now.Add(e.pause)
+	p.restraints.ObserveNotice(now, e.server.ID, e.server.Incarnation(), deck.ServerNotice{Pause: e.pause})
+	return true
+}
+
 func (e *fakeEngine) finishDue() {
 	if time.Now().Before(e.busyUntil) {
 		return
@@ -121,7 +141,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.orderCount++
-	if p.engines[s.ID].unresponsive {
+	if p.refuses(p.engines[s.ID]) || p.engines[s.ID].unresponsive {
 		return deck.OrderUnknown, errNoAnswer
 	}
 	if p.random.Float64() >= p.lossRate {
--- a/internal/place/order/leaving_test.go
+++ b/internal/place/order/leaving_test.go
@@ -55,3 +55,20 @@
 		is.Equal(p.copies(model(0)), 1)
 	})
 }
+
+// TestEngineGetsNoOrdersInThePauseThatItAskedFor guards against orders and requests for reports to an engine that refuses them and
+// says for how long.
+func TestEngineGetsNoOrdersInThePauseThatItAskedFor(t *testing.T) {
+	is := is.New(t)
+	p := newFakePlatform(t, testSpec(4), 2, 1)
+	p.engines["a"].pause = 3 * time.Second
+	runController(t, p, func(*Controller) {
+		<-time.After(15 * time.Second)
+		p.locked(func() {
+			is.Equal(p.inPause, 0)
+			p.engines["a"].pause = 0
+		})
+		<-time.After(15 * time.Second)
+		is.Equal(p.copies(model(3)), 1) // the other engine has room for three
+	})
+}
