Heed leaving servers on the inference API's path too

The same fault on the other path: what an engine or an instance of a plain service says in its answers was not read, so it got requests until the platform's list or an engine's report showed it. The router, calls to plain services and a stream that would reconnect to the engine whose connection fell silent now ask the same table. An engine's reports count as draining once any answer of that process has said so, which moves its models. Answers of plain services don't tell their incarnation: such an instance is used again once nothing listens at its address, or two minutes after it last said that it leaves.

--- a/internal/api/caller/calls.go
+++ b/internal/api/caller/calls.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -28,12 +29,17 @@
 	h.runner.Budget.RecordRequest()
 	answer := deck.ServiceAnswer{Outcome: deck.OutcomeNotRun, Reason: "the service has no instance"}
 	mayHaveRun := false
-	for n, b := range h.instances(t.service) {
-		if n > 0 && !h.runner.Budget.TryTake() {
+	sent := 0
+	for _, b := range h.instances(t.service) {
+		if !h.takesCalls(b) {
+			continue
+		}
+		if sent > 0 && !h.runner.Budget.TryTake() {
 			break
 		}
+		sent++
 		ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
-		answer = h.Services.Call(ctx, b.Address, call)
+		answer = h.callInstance(ctx, b, call)
 		cancel()
 		if answer.Outcome == deck.OutcomeDone || r.Context().Err() != nil {
 			break
@@ -43,7 +49,7 @@
 	if mayHaveRun && answer.Outcome == deck.OutcomeNotRun {
 		answer.Outcome = deck.OutcomeUnknown
 	}
-	writeAnswer(w, answer)
+	writeAnswer(w, h.withRetryAfter(answer, t.service))
 }
 
 // serveAtMostOnce sends a call that must not run twice. It claims the idempotency key, sends the call and records the outcome,
@@ -78,12 +84,15 @@
 	defer cancel()
 	answer := deck.ServiceAnswer{Outcome: deck.OutcomeNotRun, Reason: "the service has no instance"}
 	for _, b := range h.instances(t.service) {
-		answer = h.Services.Call(ctx, b.Address, call)
+		if !h.takesCalls(b) {
+			continue
+		}
+		answer = h.callInstance(ctx, b, call)
 		if answer.Outcome != deck.OutcomeNotRun {
 			break
 		}
 	}
-	return answer
+	return h.withRetryAfter(answer, t.service)
 }
 
 func (h *Handler) claimKey(ctx context.Context, recordKey, digest string) deck.Claim {
@@ -113,34 +122,6 @@
 	return a
 }
 
-// instances returns the instances of a service that accept new calls, those of this VM's data centre first. Within each group
-// the first one changes round-robin.
-func (h *Handler) instances(v deck.Service) []deck.BackendServer {
-	state := h.State.State()
-	var local, remote []deck.BackendServer
-	for _, name := range v.Backends {
-		b, ok := state.BackendServer(name)
-		if !ok || b.Kind != deck.ServiceBackend || b.Leaving || h.Leaving != nil && h.Leaving(name) {
-			continue
-		}
-		if b.DataCentre == h.DataCentre {
-			local = append(local, b)
-			continue
-		}
-		remote = append(remote, b)
-	}
-	rotation := h.rotation.Add(1)
-	return append(rotated(local, rotation), rotated(remote, rotation)...)
-}
-
-func rotated(list []deck.BackendServer, rotation uint64) []deck.BackendServer {
-	if len(list) == 0 {
-		return nil
-	}
-	i := int(rotation % uint64(len(list)))
-	return append(list[i:len(list):len(list)], list[:i]...)
-}
-
 // callDigest returns a digest of a call and its credentials, so that a recorded answer is replayed only to the caller who made
 // the call.
 func callDigest(r *http.Request, t target, call deck.ServiceCall) string {
@@ -184,7 +165,7 @@
 func writeAnswer(w http.ResponseWriter, a deck.ServiceAnswer) {
 	switch a.Outcome {
 	case deck.OutcomeNotRun:
-		notRunProblem(http.StatusServiceUnavailable, "not-run", a.Reason, defaultRetryAfter).write(w)
+		notRunProblem(http.StatusServiceUnavailable, "not-run", a.Reason, cmp.Or(a.RetryAfter, defaultRetryAfter)).write(w)
 		return
 	case deck.OutcomeUnknown:
 		(&problem{status: http.StatusBadGateway, code: "outcome-unknown", message: a.Reason}).write(w)
--- a/internal/api/caller/calls_test.go
+++ b/internal/api/caller/calls_test.go
@@ -40,6 +40,8 @@
 	}
 }
 
+func (s *fakeService) HasEnded(context.Context, string) bool { return false }
+
 func book(h http.Handler, key, body string) *httptest.ResponseRecorder {
 	r := httptest.NewRequest(http.MethodPost, "/portal/bookings", strings.NewReader(body))
 	r.Header.Set("Idempotency-Key", key)
--- a/internal/api/caller/drain.go
+++ b/internal/api/caller/drain.go
@@ -64,7 +64,7 @@
 	select {
 	case <-h.inFlight.startDraining():
 		h.runner.Wait()
-		return nil
+		return h.checks.Wait()
 	case <-ctx.Done():
 		return errors.Wrap(context.Cause(ctx), "drain the callers' listener: requests are still in flight")
 	}
--- a/internal/api/caller/handler.go
+++ b/internal/api/caller/handler.go
@@ -5,7 +5,10 @@
 	"sync"
 	"sync/atomic"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/restraint"
 	"github.com/geraniumdeck/geraniumdeck/internal/route/attempt"
 	wire "github.com/geraniumdeck/geraniumdeck/internal/wire/engine"
 )
@@ -29,12 +32,16 @@
 	MaxStreams   int                         // limit of requests in flight; 0 for the default
 	MaxBodyBytes int64                       // limit of a request's body in bytes; 0 for the default
 	Recorder     deck.RequestRecorder        // receives a summary of each finished request; may be nil
+	Restraints   *restraint.Table            // what backend servers say about the requests that they take; nil for an empty one
 
 	once     sync.Once
 	mux      *http.ServeMux
 	runner   *attempt.Runner
 	inFlight inFlightRequests
 	rotation atomic.Uint64 // round-robin counter of the service instances
+
+	endChecks endChecks
+	checks    errgroup.Group // running checks whether a leaving instance has ended
 }
 
 var _ http.Handler = (*Handler)(nil)
@@ -46,7 +53,11 @@
 }
 
 func (h *Handler) init() {
+	if h.Restraints == nil {
+		h.Restraints = &restraint.Table{}
+	}
 	h.runner = attempt.NewRunner(h.Router, h.Engine, h.Poison, h.Clock, h.VM)
+	h.runner.Restraints = h.Restraints
 	h.inFlight.limit = h.MaxStreams
 	if h.inFlight.limit == 0 {
 		h.inFlight.limit = defaultMaxStreams
--- /dev/null
+++ b/internal/api/caller/restraint_test.go
@@ -0,0 +1,108 @@
+package caller
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+// saying sets a header and lets the server answer as usual.
+func saying(name, value string) func(http.ResponseWriter, *http.Request) bool {
+	return func(w http.ResponseWriter, _ *http.Request) bool {
+		w.Header().Set(name, value)
+		return false
+	}
+}
+
+// TestServerThatSaysThatItLeavesGetsNoRequests guards against requests to an engine or an instance of a service that says in its
+// answers that it leaves, and once it no longer says so.
+func TestServerThatSaysThatItLeavesGetsNoRequests(t *testing.T) {
+	for _, tc := range []struct {
+		name               string
+		engines, instances int
+		call               fleetCall
+	}{
+		{"engine", 3, 0, fleetCall{}},
+		{"service", 0, 3, fleetCall{method: http.MethodGet, path: "/portal/x"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			runFleet(t, 3, tc.engines, tc.instances, func(t *testing.T, f *fleet) {
+				is := is.New(t)
+				s := f.servers[0]
+				f.sendEvery(2*time.Second, tc.call)
+				s.setRespond(saying("Server-Leaving", "1"))
+				f.sendEvery(3*time.Second, tc.call)
+				s.setRespond(nil)
+				statuses := f.sendEvery(12*time.Second, tc.call)
+				is.Equal(s.afterLeaving(), 0)
+				is.Equal(statuses, map[int]int{http.StatusOK: int(12 * time.Second / fleetCallGap)})
+			})
+		})
+	}
+}
+
+// TestRestartedServerGetsRequestsAgain guards against a server that is avoided for good because it left under its name once.
+func TestRestartedServerGetsRequestsAgain(t *testing.T) {
+	for _, tc := range []struct {
+		name               string
+		engines, instances int
+		call               fleetCall
+	}{
+		{"engine", 2, 0, fleetCall{}},
+		{"service", 0, 2, fleetCall{method: http.MethodGet, path: "/portal/x"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			runFleet(t, 2, tc.engines, tc.instances, func(t *testing.T, f *fleet) {
+				is := is.New(t)
+				s := f.servers[0]
+				s.setRespond(saying("Server-Leaving", "1"))
+				f.sendEvery(2*time.Second, tc.call)
+				var end time.Time
+				f.group.Go(func() error {
+					f.restart(s, time.Second)
+					s.setRespond(nil)
+					end = time.Now()
+					for _, vm := range f.vms {
+						vm.router.ObserveReport(deck.EngineReport{Backend: "e0", BootID: "b2"}, end)
+					}
+					return nil
+				})
+				f.sendEvery(4*time.Second, tc.call)
+				requests := s.seen()
+				is.True(requests[len(requests)-1].at.After(end))
+			})
+		})
+	}
+}
+
+// TestStreamOfLeavingServerContinuesElsewhere guards against a new request to a leaving engine when the connection of a stream that
+// it was sending falls silent.
+func TestStreamOfLeavingServerContinuesElsewhere(t *testing.T) {
+	runFleet(t, 1, 2, 0, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		for _, s := range f.servers {
+			s.setRespond(func(w http.ResponseWriter, r *http.Request) bool {
+				if r.Header.Get("Last-Event-ID") != "" {
+					return false
+				}
+				w.Header().Set("Server-Leaving", "1")
+				w.Header().Set("Content-Type", "text/event-stream")
+				_, _ = w.Write([]byte("id: 0\ndata: " + chunk(0) + "\n\n"))
+				_ = http.NewResponseController(w).Flush()
+				f.other(s).setRespond(nil)
+				if sendKeepAlives(w, r, 5*time.Second) {
+					<-r.Context().Done()
+				}
+				return true
+			})
+		}
+		is.Equal(strings.ReplaceAll(f.send(0, fleetCall{}).Body.String(), ": running\n\n", ""), completeStream())
+		is.Equal(len(f.servers[0].seen()), 1)
+		is.Equal(len(f.servers[1].seen()), 1)
+	})
+}
--- a/internal/backend/engine/call.go
+++ b/internal/backend/engine/call.go
@@ -85,7 +85,11 @@
 	if err := c.getJSON(ctx, c.pool.pooled(), wire.PathReport, &w); err != nil {
 		return deck.EngineReport{}, err
 	}
-	return w.EngineReport()
+	r, err := w.EngineReport()
+	if said := c.leaving.Load(); said != nil && *said == r.BootID {
+		r.Draining = true
+	}
+	return r, err
 }
 
 // failureOutcome returns OutcomeNotRun for errors that prove that the engine did not run the operation, and OutcomeUnknown
--- a/internal/backend/engine/client.go
+++ b/internal/backend/engine/client.go
@@ -34,8 +34,9 @@
 	pool    *pool
 	bootID  atomic.Pointer[string] // the most recent boot ID in a response; nil before the first
 
-	name    deck.BackendName    // of the engine, for notices
-	notices deck.NoticeObserver // nil if nobody observes them
+	leaving atomic.Pointer[string] // the boot ID with which the engine has said that it leaves; nil if it has not
+	name    deck.BackendName       // of the engine, for notices
+	notices deck.NoticeObserver    // nil if nobody observes them
 }
 
 var _ deck.Engine = (*Client)(nil)
@@ -178,8 +179,12 @@
 	if bootID != "" {
 		c.bootID.Store(&bootID)
 	}
+	n := notice.FromHeader(resp.StatusCode, resp.Header)
+	if n.Leaving {
+		c.leaving.Store(&bootID)
+	}
 	if c.notices != nil {
-		c.notices.ObserveNotice(c.pool.clock.Now(), c.name, bootID, notice.FromHeader(resp.StatusCode, resp.Header))
+		c.notices.ObserveNotice(c.pool.clock.Now(), c.name, bootID, n)
 	}
 	return bootID
 }
--- a/internal/backend/service/client.go
+++ b/internal/backend/service/client.go
@@ -10,12 +10,14 @@
 	"net/url"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	"github.com/geraniumdeck/geraniumdeck/internal/wire/eventstream"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/notice"
 )
 
 // Limits of connections and responses.
@@ -37,6 +39,7 @@
 
 // A Client calls plain services and implements deck.ServiceClient.
 type Client struct {
+	dial     DialFunc
 	unpooled *http.Transport // opens a new connection for each call
 	pooled   *http.Transport
 }
@@ -50,6 +53,7 @@
 	}
 	dial = withDialTimeout(dial)
 	return &Client{
+		dial: dial,
 		unpooled: &http.Transport{
 			DialContext:        dial,
 			DisableCompression: true,
@@ -78,6 +82,16 @@
 	c.pooled.CloseIdleConnections()
 }
 
+// HasEnded implements deck.ServiceClient.HasEnded.
+func (c *Client) HasEnded(ctx context.Context, address string) bool {
+	conn, err := c.dial(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close() // nothing was sent
+	return false
+}
+
 // Call implements deck.ServiceClient.Call.
 func (c *Client) Call(ctx context.Context, address string, call deck.ServiceCall) deck.ServiceAnswer {
 	var connected atomic.Bool
@@ -94,7 +108,9 @@
 		return deck.ServiceAnswer{Outcome: failureOutcome(connected.Load()), Reason: err.Error()}
 	}
 	defer resp.Body.Close()
-	return readResponse(resp)
+	answer := readResponse(resp)
+	answer.Notice = notice.FromHeader(resp.StatusCode, resp.Header)
+	return answer
 }
 
 // transport returns a transport that never sends the call twice. net/http may retry a request that it sent on a pooled
--- a/internal/command/process/placement.go
+++ b/internal/command/process/placement.go
@@ -11,7 +11,6 @@
 	"github.com/geraniumdeck/geraniumdeck/internal/command/part"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/kernel"
-	"github.com/geraniumdeck/geraniumdeck/internal/core/restraint"
 	"github.com/geraniumdeck/geraniumdeck/internal/place/execute"
 	"github.com/geraniumdeck/geraniumdeck/internal/platform/vmlist"
 	"github.com/geraniumdeck/geraniumdeck/internal/platform/weightstore"
@@ -26,8 +25,7 @@
 	if err != nil {
 		return err
 	}
-	restraints := &restraint.Table{Log: d.log}
-	e := &engineClients{clock: d.clock, notices: restraints}
+	e := &engineClients{clock: d.clock, notices: d.restraints}
 	pub := feed.NewGlobalPublisher(d.feedConfig(), residencyPrefix+string(d.vm.DataCentre))
 	sh := &shareRenewer{deps: d, lease: l, client: peer.PoolClient{HTTP: d.client}}
 	col := execute.NewCollector(d.clock)
--- a/internal/command/process/process.go
+++ b/internal/command/process/process.go
@@ -10,6 +10,7 @@
 	"github.com/geraniumdeck/geraniumdeck/internal/command/part"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/kernel"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/restraint"
 	settings "github.com/geraniumdeck/geraniumdeck/internal/settings/yaml"
 	"github.com/geraniumdeck/geraniumdeck/internal/state/feed"
 )
@@ -33,6 +34,8 @@
 	control  *control // nil on a VM without the role control
 	kernel   *kernel.Kernel
 	peerMux  *http.ServeMux
+
+	restraints *restraint.Table // what backend servers say about the requests that they take
 }
 
 // New assembles the process of a VM. Its listeners are bound when New returns.
@@ -52,7 +55,7 @@
 func newDeps(s settings.Settings, vm settings.VM, log logr.Logger, k *kernel.Kernel) *deps {
 	return &deps{
 		settings: s, vm: vm, self: newPeer(vm), peers: newPeers(s), clock: deck.SystemClock{}, log: log,
-		kernel: k, peerMux: http.NewServeMux(),
+		kernel: k, peerMux: http.NewServeMux(), restraints: &restraint.Table{Log: log},
 	}
 }
 
--- a/internal/command/process/serving.go
+++ b/internal/command/process/serving.go
@@ -45,13 +45,14 @@
 	}
 	r := router.New(router.Config{
 		DataCentre: d.vm.DataCentre, Regions: regions(d.settings), Clock: d.clock, Rand: rand.New(part.NewSource()),
-		State: d.store, Residency: res, Poison: commands, Health: health.DefaultPolicy(),
+		State: d.store, Residency: res, Poison: commands, Health: health.DefaultPolicy(), Restraints: d.restraints,
 	})
 	reporter := &demandReporter{deps: d, residency: res, next: recorder, client: peer.DemandClient{HTTP: d.client}}
 	h := &caller.Handler{
 		Router: r, Engine: eng.Engine, State: d.store, Residency: res, Services: service.New(nil), Idempotency: commands,
 		Poison: commands, Clock: d.clock, VM: d.vm.Name, DataCentre: d.vm.DataCentre,
 		MaxStreams: d.settings.Limits.MaxStreams, MaxBodyBytes: d.settings.Limits.MaxBodyBytes, Recorder: reporter,
+		Restraints: d.restraints,
 	}
 	w := watch.New(watch.Config{
 		VM: d.vm.Name, Clock: d.clock, State: d.store, Residency: res, Client: eng.Engine, Sink: r,
--- a/internal/core/deck/service.go
+++ b/internal/core/deck/service.go
@@ -1,6 +1,9 @@
 package deck
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // A ServiceCall is a caller's call to a plain service.
 type ServiceCall struct {
@@ -19,12 +22,19 @@
 	Headers map[string]string
 	Body    []byte
 	Reason  string // for outcomes other than OutcomeDone
+	Notice  ServerNotice
+
+	// RetryAfter is when the call may be sent again, for OutcomeNotRun; 0 if unknown.
+	RetryAfter time.Duration
 }
 
 // A ServiceClient sends calls to plain service instances.
 type ServiceClient interface {
 	// Call sends the call to the given address exactly once and returns its outcome.
 	Call(ctx context.Context, address string, call ServiceCall) ServiceAnswer
+
+	// HasEnded reports whether nothing listens at the address. It opens a connection and sends nothing.
+	HasEnded(ctx context.Context, address string) bool
 }
 
 // A ClaimStatus is the state of a key's idempotency record.
--- a/internal/core/restraint/table.go
+++ b/internal/core/restraint/table.go
@@ -13,6 +13,9 @@
 	// forgetAfter is how long a notice is kept without another one of its server, which may have ended.
 	forgetAfter = 30 * time.Minute
 
+	// unknownLeavingTime is how long a server that does not tell its incarnation counts as leaving after it last said so.
+	unknownLeavingTime = 2 * time.Minute
+
 	pruneAt = 1024 // servers from which those to be forgotten are looked for
 )
 
@@ -29,6 +32,7 @@
 	incarnation string // empty if unknown
 	heardAt     time.Time
 	leaving     bool
+	leavingAt   time.Time // when it last said so
 	pausedUntil time.Time
 }
 
@@ -57,6 +61,9 @@
 		s = t.add(now, name, incarnation)
 	}
 	s.heardAt = now
+	if n.Leaving {
+		s.leavingAt = now
+	}
 	if n.Leaving && !s.leaving {
 		s.leaving = true
 		t.Log.Info("backend server says that it is leaving", "server", string(name), "incarnation", incarnation)
@@ -78,13 +85,20 @@
 	if s == nil || !s.is(incarnation) {
 		return Restraint{}
 	}
-	r := Restraint{Leaving: s.leaving}
+	r := Restraint{Leaving: s.leaving && (s.incarnation != "" || now.Sub(s.leavingAt) < unknownLeavingTime)}
 	if now.Before(s.pausedUntil) {
 		r.Until = s.pausedUntil
 	}
 	return r
 }
 
+// Forget drops what the server has said, because its process has ended.
+func (t *Table) Forget(name deck.BackendName) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.servers, name)
+}
+
 // add returns a new entry for a server. The caller holds the lock.
 func (t *Table) add(now time.Time, name deck.BackendName, incarnation string) *server {
 	if t.servers == nil {
--- a/internal/route/attempt/lifecycle.go
+++ b/internal/route/attempt/lifecycle.go
@@ -43,6 +43,7 @@
 	BootID  string            // for EventAccepted
 	Token   deck.Token        // for EventToken
 	Err     *deck.EngineError // for EventFailed
+	Closed  bool              // for EventFailed: the backend server takes no further requests
 	Refusal *deck.Refusal     // for EventUnavailable and EventPoison
 }
 
@@ -232,7 +233,7 @@
 		l.failures++
 	}
 	noOtherActive := len(l.attempts) == 0
-	reconnect := noOtherActive && a.spec.Reconnect == "" && isConnectionError(e.Err.Kind) && !l.exhausted(e.At)
+	reconnect := noOtherActive && a.spec.Reconnect == "" && isConnectionError(e.Err.Kind) && !e.Closed && !l.exhausted(e.At)
 	acts := failureObservations(a, e.Err.Kind, reconnect)
 	if e.Err.Kind == deck.EngineCrashed {
 		bootID := firstNonEmpty(a.bootID, e.Err.BootID)
--- a/internal/route/attempt/runner.go
+++ b/internal/route/attempt/runner.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/restraint"
 )
 
 // Intervals and timeouts of a running request.
@@ -31,6 +32,7 @@
 	Budget     *Budget
 	Suspects   *Suspects
 	Parts      *PromptParts
+	Restraints *restraint.Table // what backend servers say about the requests that they take
 	VM         deck.VMName
 	HedgeAfter time.Duration // wait for the first token before a hedge starts; 0 for the default
 
@@ -56,7 +58,9 @@
 }
 
 // NewRunner returns a runner with its own retry budget and suspects.
-func NewRunner(router deck.Router, engine func(deck.BackendServer) deck.Engine, poison deck.PoisonStore, clock deck.Clock, vm deck.VMName) *Runner {
+func NewRunner(
+	router deck.Router, engine func(deck.BackendServer) deck.Engine, poison deck.PoisonStore, clock deck.Clock, vm deck.VMName,
+) *Runner {
 	return &Runner{
 		Router:          router,
 		Engine:          engine,
@@ -65,6 +69,7 @@
 		Budget:          &Budget{Clock: clock},
 		Suspects:        &Suspects{Clock: clock},
 		Parts:           &PromptParts{Clock: clock},
+		Restraints:      &restraint.Table{},
 		VM:              vm,
 		backgroundSlots: make(chan struct{}, maxBackgroundCalls),
 	}
--- a/internal/route/attempt/task.go
+++ b/internal/route/attempt/task.go
@@ -133,7 +133,7 @@
 	}
 	stream, err := engine.Generate(t.ctx, t.generationRequest(version))
 	if err != nil {
-		t.postFailure(err)
+		t.postFailure(server.Name, err)
 		return
 	}
 	defer func() { _ = stream.Close() }()
@@ -144,14 +144,14 @@
 	if !t.post(Event{Kind: EventAccepted, BootID: bootID}) {
 		return
 	}
-	t.receive(stream)
+	t.receive(server.Name, stream)
 }
 
-func (t *task) receive(stream deck.TokenStream) {
+func (t *task) receive(server deck.BackendName, stream deck.TokenStream) {
 	for {
 		token, err := stream.Next(t.ctx)
 		if err != nil {
-			t.postFailure(err)
+			t.postFailure(server, err)
 			return
 		}
 		if !t.post(Event{Kind: EventToken, Token: token}) || token.Last {
@@ -184,7 +184,7 @@
 	}
 }
 
-func (t *task) postFailure(err error) {
+func (t *task) postFailure(server deck.BackendName, err error) {
 	if t.ctx.Err() != nil {
 		return // the loop ended the attempt
 	}
@@ -192,7 +192,8 @@
 	if !errors.As(err, &e) {
 		e = &deck.EngineError{Kind: deck.EngineFailed, Err: err}
 	}
-	t.post(Event{Kind: EventFailed, Err: e})
+	r := t.execution.runner
+	t.post(Event{Kind: EventFailed, Err: e, Closed: !r.Restraints.Restraint(r.Clock.Now(), server, "").IsZero()})
 }
 
 // post sends an event to the loop; it returns false if the attempt was abandoned.
--- a/internal/route/router/config.go
+++ b/internal/route/router/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/restraint"
 	"github.com/geraniumdeck/geraniumdeck/internal/route/choose"
 	"github.com/geraniumdeck/geraniumdeck/internal/route/health"
 )
@@ -15,7 +16,8 @@
 	State      deck.StateSource
 	Residency  deck.Residency
 	Poison     deck.PoisonStore
-	Health     health.Policy // zero for health.DefaultPolicy
+	Health     health.Policy    // zero for health.DefaultPolicy
+	Restraints *restraint.Table // what servers say about the requests that they take; nil for an empty one
 }
 
 // distance returns how far a data centre is from this VM; one without a known region counts as choose.OtherRegion.
--- a/internal/route/router/core.go
+++ b/internal/route/router/core.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/restraint"
 	"github.com/geraniumdeck/geraniumdeck/internal/route/admit"
 	"github.com/geraniumdeck/geraniumdeck/internal/route/choose"
 	"github.com/geraniumdeck/geraniumdeck/internal/route/health"
@@ -37,6 +38,9 @@
 	if cfg.Health == (health.Policy{}) {
 		cfg.Health = health.DefaultPolicy()
 	}
+	if cfg.Restraints == nil {
+		cfg.Restraints = &restraint.Table{}
+	}
 	return &Core{
 		cfg:         cfg,
 		servers:     make(map[deck.BackendName]*server),
@@ -158,7 +162,7 @@
 	req.reserved = nil
 	now := c.cfg.Clock.Now()
 	b, ok = c.cfg.State.State().BackendServer(a.server.name)
-	if !ok || c.leaving.Contains(b, now) {
+	if !ok || c.isLeaving(b, now) {
 		c.endAttempt(a)
 		return deck.BackendServer{}, false
 	}
@@ -166,6 +170,20 @@
 	return b, true
 }
 
+// isLeaving reports whether the backend server is leaving, by any source. The caller holds the lock.
+func (c *Core) isLeaving(b deck.BackendServer, now time.Time) bool {
+	return c.leaving.Contains(b, now) || c.restraint(b.Name, now).Leaving
+}
+
+// restraint returns what keeps requests from the present incarnation of a server. The caller holds the lock.
+func (c *Core) restraint(name deck.BackendName, now time.Time) restraint.Restraint {
+	bootID := ""
+	if s := c.servers[name]; s != nil {
+		bootID = s.bootID
+	}
+	return c.cfg.Restraints.Restraint(now, name, bootID)
+}
+
 // Release removes the request from the router and ends its attempts; further calls have no effect.
 func (c *Core) Release(req *Request) {
 	c.mu.Lock()
