Avoid instances of plain services that the platform's list shows as leaving

The callers' handler has a check for instances that leave by the platform's list, but the process never set it: such an instance got calls until a ticket said that it leaves. Found by looking for the cause of DRAIN on the inference API's path.

--- a/internal/api/caller/fleet_test.go
+++ b/internal/api/caller/fleet_test.go
@@ -169,7 +169,7 @@
 	vm.handler = &Handler{
 		Router: r, Engine: func(b deck.BackendServer) deck.Engine { return clients[b.Name] }, State: state, Residency: f.replica,
 		Services: service.New(service.DialFunc(f.net.Dial)), Idempotency: &decktest.IdempotencyStore{}, Poison: &f.poison,
-		Clock: clock, VM: deck.VMName(name), DataCentre: "here", Restraints: restraints,
+		Clock: clock, VM: deck.VMName(name), DataCentre: "here", Restraints: restraints, Leaving: r.IsListedAsLeaving,
 	}
 	ctx, vm.stop = context.WithCancel(ctx)
 	r.Start(ctx, &f.group)
--- a/internal/api/caller/restraint_test.go
+++ b/internal/api/caller/restraint_test.go
@@ -106,3 +106,14 @@
 		is.Equal(len(f.servers[1].seen()), 1)
 	})
 }
+
+// TestInstanceThatIsListedAsLeavingGetsNoCalls guards against calls to an instance of a service that the platform's list shows as
+// leaving.
+func TestInstanceThatIsListedAsLeavingGetsNoCalls(t *testing.T) {
+	runFleet(t, 1, 0, 2, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.vms[0].router.ObserveVMs([]deck.VMStatus{{VM: "s0", Leaving: true}})
+		f.sendEvery(time.Second, fleetCall{method: http.MethodGet, path: "/portal/x"})
+		is.Equal(len(f.servers[0].seen()), 0)
+	})
+}
--- a/internal/route/router/observe.go
+++ b/internal/route/router/observe.go
@@ -142,6 +142,13 @@
 	c.prefixHints.Observe(b, ev)
 }
 
+// IsListedAsLeaving reports whether the platform's list shows the backend server as leaving.
+func (c *Core) IsListedAsLeaving(name deck.BackendName) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leaving.Contains(deck.BackendServer{Name: name}, c.cfg.Clock.Now())
+}
+
 // ObserveVMs records the platform's list of VMs.
 func (c *Core) ObserveVMs(rows []deck.VMStatus) {
 	c.mu.Lock()
