Keep to pauses on the inference API's path too

The same fault on the other path: an engine that refused a request with 503 and Retry-After counted as one that had failed, got the next request after 0.5 s, and the caller got 502 in the end; an instance of a plain service that refused was tried with the next call. A refusal with a pause proves that the request did not run, so another engine is tried without a charge. While all pause, requests are refused at once with the time at which the first one takes some.

--- a/internal/api/caller/fleet_test.go
+++ b/internal/api/caller/fleet_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,6 +29,8 @@
 	drainTime    = 4 * time.Second        // of the users' rules
 	noticeMargin = 500 * time.Millisecond // of the users' rules, after an answer
 	maxInPause   = 2                      // requests of a VM in a pause, by the users' rules
+
+	maxRefusalDelay = 50 * time.Millisecond // of a refusal that needs no wait
 )
 
 // A fleet is several entry VMs of the inference API in front of the same backend servers: engines that hold the model m, and
@@ -38,6 +41,7 @@
 	servers []*fleetServer
 	replica fleetReplicas
 	poison  sharedPoison
+	calls   atomic.Int64 // with an idempotency key
 	group   errgroup.Group
 }
 
@@ -287,7 +291,7 @@
 
 // A fleetCall is a call of a caller: a chat completion if the path is empty.
 type fleetCall struct {
-	method, path, key string
+	method, path, key string   // the key gets a number of its own in each call
 	header            []string // names and values in turn
 }
 
@@ -300,7 +304,7 @@
 	r := httptest.NewRequest(method, path, strings.NewReader(body))
 	r.Header.Set("Sent-By", "vm"+strconv.Itoa(vm))
 	if c.key != "" {
-		r.Header.Set("Idempotency-Key", c.key)
+		r.Header.Set("Idempotency-Key", c.key+strconv.FormatInt(f.calls.Add(1), 10))
 	}
 	for i := 0; i+1 < len(c.header); i += 2 {
 		r.Header.Set(c.header[i], c.header[i+1])
--- a/internal/api/caller/restraint_test.go
+++ b/internal/api/caller/restraint_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -117,3 +118,58 @@
 		is.Equal(len(f.servers[0].seen()), 0)
 	})
 }
+
+// refuseFor refuses each request and asks for a pause.
+func refuseFor(seconds string) func(http.ResponseWriter, *http.Request) bool {
+	return func(w http.ResponseWriter, _ *http.Request) bool {
+		w.Header().Set("Retry-After", seconds)
+		w.Header().Set("Not-Run", "true") // of plain services
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	}
+}
+
+// TestServerGetsNoRequestsInThePauseThatItAskedFor guards against repeats at an engine or an instance that refuses requests and says
+// for how long, and against requests that wait while all of them pause.
+func TestServerGetsNoRequestsInThePauseThatItAskedFor(t *testing.T) {
+	for _, tc := range []struct {
+		name               string
+		engines, instances int
+		call               fleetCall
+		refused            int
+	}{
+		{"engine", 3, 0, fleetCall{}, http.StatusTooManyRequests},
+		{"service", 0, 3, fleetCall{method: http.MethodGet, path: "/portal/x"}, http.StatusServiceUnavailable},
+		{
+			"service at most once", 0, 3, fleetCall{method: http.MethodPost, path: "/portal/bookings", key: "k"},
+			http.StatusServiceUnavailable,
+		},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			runFleet(t, 3, tc.engines, tc.instances, func(t *testing.T, f *fleet) {
+				is := is.New(t)
+				f.servers[0].setRespond(refuseFor("3"))
+				statuses := f.sendEvery(10*time.Second, tc.call)
+				is.True(f.servers[0].inPauses() <= maxInPause)
+				is.Equal(statuses, map[int]int{http.StatusOK: int(10 * time.Second / fleetCallGap)})
+				for _, s := range f.servers {
+					s.setRespond(refuseFor("3"))
+				}
+				f.sendEvery(4*time.Second, tc.call)
+				start := time.Now()
+				w := f.send(0, tc.call)
+				is.Equal(w.Code, tc.refused)
+				is.Equal(w.Header().Get("Not-Run"), "true")
+				is.True(time.Since(start) <= maxRefusalDelay)
+				retry, err := strconv.Atoi(w.Header().Get("Retry-After"))
+				is.NoErr(err)
+				for _, s := range f.servers {
+					is.True(s.inPauses() <= maxInPause)
+					s.setRespond(nil)
+				}
+				time.Sleep(time.Duration(retry) * time.Second)
+				is.Equal(f.send(0, tc.call).Code, http.StatusOK)
+			})
+		})
+	}
+}
--- a/internal/backend/engine/client.go
+++ b/internal/backend/engine/client.go
@@ -210,6 +210,8 @@
 		e.Kind = deck.EngineNotLoaded
 	case isRejection(resp.StatusCode):
 		e.Kind = deck.EngineRejected
+	case notice.FromHeader(resp.StatusCode, resp.Header).Pause > 0:
+		e.Kind = deck.EngineRefused
 	}
 	return e
 }
--- a/internal/command/process/serving.go
+++ b/internal/command/process/serving.go
@@ -56,6 +56,7 @@
 	}
 	w := watch.New(watch.Config{
 		VM: d.vm.Name, Clock: d.clock, State: d.store, Residency: res, Client: eng.Engine, Sink: r,
+		Restraints: d.restraints,
 	})
 	return errors.Join(
 		d.kernel.Add(nameRouter, part.NewRunner(part.RunInGroup(r.Start))),
--- a/internal/core/deck/engineerror.go
+++ b/internal/core/deck/engineerror.go
@@ -15,11 +15,12 @@
 	EngineDraining                           // the engine refused because it is draining; nothing ran
 	EngineRejected                           // the engine refused the request's content; nothing ran
 	EngineNotLoaded                          // the engine does not hold the model or adapter; nothing ran
+	EngineRefused                            // the engine takes no requests for a while; nothing ran
 )
 
 // String returns the kind's name as used in logs.
 func (k EngineErrorKind) String() string {
-	names := [...]string{"failed", "unreachable", "stalled", "broken", "crashed", "draining", "rejected", "not-loaded"}
+	names := [...]string{"failed", "unreachable", "stalled", "broken", "crashed", "draining", "rejected", "not-loaded", "refused"}
 	if k < 0 || int(k) >= len(names) {
 		return "invalid"
 	}
--- a/internal/route/attempt/result.go
+++ b/internal/route/attempt/result.go
@@ -35,7 +35,7 @@
 // provenNotRun reports whether the error proves that the engine did not run the attempt.
 func provenNotRun(k deck.EngineErrorKind) bool {
 	switch k {
-	case deck.EngineUnreachable, deck.EngineDraining, deck.EngineRejected, deck.EngineNotLoaded:
+	case deck.EngineUnreachable, deck.EngineDraining, deck.EngineRejected, deck.EngineNotLoaded, deck.EngineRefused:
 		return true
 	default:
 		return false
@@ -60,10 +60,10 @@
 	return append(acts, observe(a, endObservation(k), 0))
 }
 
-// endObservation returns the observation that ends a failed attempt. A rejected request does not count as a server failure.
+// endObservation returns the observation that ends a failed attempt. A rejected or refused request does not count as a server failure.
 func endObservation(k deck.EngineErrorKind) deck.ObservationKind {
 	switch k {
-	case deck.EngineStalled, deck.EngineRejected:
+	case deck.EngineStalled, deck.EngineRejected, deck.EngineRefused:
 		return deck.ObservedCancel
 	case deck.EngineCrashed:
 		return deck.ObservedCrash
--- a/internal/route/router/core.go
+++ b/internal/route/router/core.go
@@ -84,7 +84,7 @@
 		return newRefusal(deck.RefusedOverload, "deadline has passed", 0)
 	}
 	if len(c.candidates(req, now)) == 0 {
-		return newRefusal(deck.RefusedNoBackend, "no reachable backend server holds the model", noBackendRetryAfter)
+		return c.noCandidateRefusal(req.info.Model, now)
 	}
 	return nil
 }
@@ -128,7 +128,7 @@
 	req.avoid = avoid
 	req.waitStart = now
 	if len(c.candidates(req, now)) == 0 {
-		req.endWait(newRefusal(deck.RefusedNoBackend, "no reachable backend server holds the model", noBackendRetryAfter))
+		req.endWait(c.noCandidateRefusal(req.info.Model, now))
 		return
 	}
 	c.queue(req.info.Model).RemoveRunning(req.info.Caller)
@@ -150,8 +150,8 @@
 	}
 }
 
-// TakeReserved returns the reserved server after notify was called with nil; ok is false if none is reserved or the server is
-// leaving.
+// TakeReserved returns the reserved server after notify was called with nil; ok is false if none is reserved or the server
+// takes no requests any more.
 func (c *Core) TakeReserved(req *Request) (b deck.BackendServer, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -162,7 +162,7 @@
 	req.reserved = nil
 	now := c.cfg.Clock.Now()
 	b, ok = c.cfg.State.State().BackendServer(a.server.name)
-	if !ok || c.isLeaving(b, now) {
+	if !ok || c.isLeaving(b, now) || !c.restraint(b.Name, now).IsZero() {
 		c.endAttempt(a)
 		return deck.BackendServer{}, false
 	}
--- a/internal/route/router/refuse.go
+++ b/internal/route/router/refuse.go
@@ -20,6 +20,21 @@
 	return &deck.Refusal{Kind: k, Reason: reason, RetryAfter: retry}
 }
 
+// noCandidateRefusal returns the refusal of a request for a model that no server may run now.
+func (c *Core) noCandidateRefusal(m deck.ModelName, now time.Time) *deck.Refusal {
+	var first time.Time // when the first server that holds the model takes requests again
+	for _, r := range c.cfg.Residency.Replicas(m) {
+		until := c.restraint(r.Backend, now).Until
+		if r.Ready && !until.IsZero() && (first.IsZero() || until.Before(first)) {
+			first = until
+		}
+	}
+	if first.IsZero() {
+		return newRefusal(deck.RefusedNoBackend, "no reachable backend server holds the model", noBackendRetryAfter)
+	}
+	return newRefusal(deck.RefusedOverload, "the backend servers that hold the model take no requests for a while", first.Sub(now))
+}
+
 // queueRefusal returns the refusal of a request that must not be queued, because it would miss its deadline or the queues are
 // full, or nil. A request that has been admitted before is never refused.
 func (c *Core) queueRefusal(req *Request, q *admit.Queue, now time.Time) *deck.Refusal {
--- a/internal/route/watch/poller.go
+++ b/internal/route/watch/poller.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/restraint"
 	"github.com/geraniumdeck/geraniumdeck/internal/route/choose"
 	"github.com/geraniumdeck/geraniumdeck/internal/route/router"
 )
@@ -41,6 +42,8 @@
 	Residency deck.Residency
 	Client    func(deck.BackendServer) deck.Engine
 	Sink      Sink
+
+	Restraints *restraint.Table // what engines say about the requests that they take; nil for an empty one
 }
 
 // A Poller polls a subset of the engines, with the polls spread evenly over the interval.
@@ -54,6 +57,9 @@
 
 // New returns a Poller that does not poll until it is started.
 func New(cfg Config) *Poller {
+	if cfg.Restraints == nil {
+		cfg.Restraints = &restraint.Table{}
+	}
 	return &Poller{
 		cfg:       cfg,
 		polling:   make(map[deck.BackendName]bool),
@@ -123,9 +129,12 @@
 	return out
 }
 
-// poll fetches a report and the cache events since the last poll. Errors are ignored, since the next poll fetches what this
+// poll fetches a report and the cache events since the last poll, unless the engine has asked for a pause. Errors are ignored, since the next poll fetches what this
 // one missed.
 func (p *Poller) poll(ctx context.Context, b deck.BackendServer) {
+	if !p.cfg.Restraints.Restraint(p.cfg.Clock.Now(), b.Name, "").Until.IsZero() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	e := p.cfg.Client(b)
