Refuse calls to plain services that crash instance after instance

On the inference API's path nothing counted the crashes of plain services' instances: a call that came again, with or without a body, ended one after the other. A refused call answers 422, and its idempotency key is released; answers on record are replayed.

--- a/internal/api/caller/calls.go
+++ b/internal/api/caller/calls.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/route/attempt"
 )
 
 // Limits of calls to plain services. A call that may run only once continues after its caller disconnects, so that its outcome
@@ -30,7 +31,16 @@
 	answer := deck.ServiceAnswer{Outcome: deck.OutcomeNotRun, Reason: "the service has no instance"}
 	mayHaveRun := false
 	sent := 0
+	suspect := h.runner.NewServiceCall(callerID(r) + " " + callDigest(r, t, call))
 	for _, b := range h.instances(t.service) {
+		if suspect.IsRefused() {
+			answer = deck.ServiceAnswer{Outcome: deck.OutcomeNotRun, Reason: crashingCallReason}
+			if !mayHaveRun {
+				crashingCallProblem().write(w)
+				return
+			}
+			break
+		}
 		if !h.takesCalls(b) {
 			continue
 		}
@@ -39,7 +49,7 @@
 		}
 		sent++
 		ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
-		answer = h.callInstance(ctx, b, call)
+		answer = h.callInstance(ctx, b, call, suspect)
 		cancel()
 		if answer.Outcome == deck.OutcomeDone || r.Context().Err() != nil {
 			break
@@ -61,6 +71,7 @@
 		return
 	}
 	recordKey := string(t.service.Name) + "/" + key
+	suspect := h.runner.NewServiceCall(callerID(r) + " " + callDigest(r, t, call))
 	call.IdempotencyKey = key
 	claim := h.claimKey(r.Context(), recordKey, callDigest(r, t, call))
 	if problem := claimProblem(claim.Status); problem != nil {
@@ -72,14 +83,21 @@
 		writeAnswer(w, claim.Answer)
 		return
 	}
-	answer := h.callOnce(r.Context(), t, call)
+	if suspect.IsRefused() {
+		h.recordOutcome(r.Context(), recordKey, deck.ServiceAnswer{Outcome: deck.OutcomeNotRun, Reason: crashingCallReason})
+		crashingCallProblem().write(w)
+		return
+	}
+	answer := h.callOnce(r.Context(), t, call, suspect)
 	h.recordOutcome(r.Context(), recordKey, answer)
 	writeAnswer(w, answer)
 }
 
 // callOnce tries the instances in turn until one may have run the call. It goes on to the next instance only if the answer
 // proves that the previous one did not run the call.
-func (h *Handler) callOnce(ctx context.Context, t target, call deck.ServiceCall) deck.ServiceAnswer {
+func (h *Handler) callOnce(
+	ctx context.Context, t target, call deck.ServiceCall, suspect attempt.ServiceCall,
+) deck.ServiceAnswer {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
 	answer := deck.ServiceAnswer{Outcome: deck.OutcomeNotRun, Reason: "the service has no instance"}
@@ -87,7 +105,7 @@
 		if !h.takesCalls(b) {
 			continue
 		}
-		answer = h.callInstance(ctx, b, call)
+		answer = h.callInstance(ctx, b, call, suspect)
 		if answer.Outcome != deck.OutcomeNotRun {
 			break
 		}
@@ -122,6 +140,13 @@
 	return a
 }
 
+const crashingCallReason = "repetitions of this call have crashed several instances of the service"
+
+// crashingCallProblem returns the refusal of a call whose repetitions have crashed instances.
+func crashingCallProblem() *problem {
+	return notRunProblem(http.StatusUnprocessableEntity, "poison_request", crashingCallReason, 0)
+}
+
 // callDigest returns a digest of a call and its credentials, so that a recorded answer is replayed only to the caller who made
 // the call.
 func callDigest(r *http.Request, t target, call deck.ServiceCall) string {
--- a/internal/api/caller/calls_test.go
+++ b/internal/api/caller/calls_test.go
@@ -61,7 +61,7 @@
 		var vms []*Handler
 		for range 2 {
 			vms = append(vms, &Handler{
-				State: decktest.StateSource{Current: testState}, Services: s, Idempotency: store, Clock: deck.SystemClock{},
+				State: decktest.StateSource{Current: testState}, Poison: &decktest.PoisonStore{}, Services: s, Idempotency: store, Clock: deck.SystemClock{},
 			})
 		}
 		nested, owner := false, make(map[string]string)
@@ -151,7 +151,7 @@
 				var got []string
 				for range 2 {
 					h := &Handler{
-						State: decktest.StateSource{Current: testState}, Services: client, Idempotency: store,
+						State: decktest.StateSource{Current: testState}, Poison: &decktest.PoisonStore{}, Services: client, Idempotency: store,
 						Clock: deck.SystemClock{}, DataCentre: "here",
 					}
 					got = append(got, statusAndText(book(h, "k", "forklift").Result()))
@@ -202,7 +202,7 @@
 		{"/", "k", "404 not_found"},
 	} {
 		h := &Handler{
-			State:    decktest.StateSource{Current: testState},
+			State: decktest.StateSource{Current: testState}, Poison: &decktest.PoisonStore{},
 			Services: &fakeService{fault: func() string { return "" }, onRun: func(string) {}, runs: make(map[string]int)},
 			Clock:    deck.SystemClock{},
 		}
@@ -223,7 +223,7 @@
 	is := is.New(t)
 	none := func(string) {}
 	h := &Handler{
-		State:       decktest.StateSource{Current: testState},
+		State: decktest.StateSource{Current: testState}, Poison: &decktest.PoisonStore{},
 		Services:    &fakeService{fault: func() string { return "" }, onRun: none, runs: make(map[string]int)},
 		Idempotency: &decktest.IdempotencyStore{},
 		Clock:       deck.SystemClock{},
--- a/internal/api/caller/instances.go
+++ b/internal/api/caller/instances.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/route/attempt"
 )
 
 // endCheckInterval is the time between two checks whether a leaving instance has ended. It is shorter than most restarts take.
@@ -75,10 +77,19 @@
 	return r.IsZero()
 }
 
-// callInstance sends a call to an instance and records what it says about the calls that it takes.
-func (h *Handler) callInstance(ctx context.Context, b deck.BackendServer, call deck.ServiceCall) deck.ServiceAnswer {
+// callInstance sends a call to an instance, and records what it says about the calls that it takes and whether the call may have
+// crashed it.
+func (h *Handler) callInstance(
+	ctx context.Context, b deck.BackendServer, call deck.ServiceCall, suspect attempt.ServiceCall,
+) deck.ServiceAnswer {
 	answer := h.Services.Call(ctx, b.Address, call)
 	h.Restraints.ObserveNotice(h.Clock.Now(), b.Name, "", answer.Notice)
+	switch {
+	case answer.Interrupted:
+		suspect.RecordInterruption(ctx, b.Name)
+	case answer.Outcome == deck.OutcomeDone && answer.Status < http.StatusInternalServerError:
+		suspect.RecordCompletion()
+	}
 	return answer
 }
 
--- a/internal/backend/service/client.go
+++ b/internal/backend/service/client.go
@@ -105,7 +105,9 @@
 	// RoundTrip, unlike http.Client, does not follow redirects, which would send the call again.
 	resp, err := c.transport(call).RoundTrip(req)
 	if err != nil {
-		return deck.ServiceAnswer{Outcome: failureOutcome(connected.Load()), Reason: err.Error()}
+		return deck.ServiceAnswer{
+			Outcome: failureOutcome(connected.Load()), Reason: err.Error(), Interrupted: connected.Load() && isClosedByPeer(err),
+		}
 	}
 	defer resp.Body.Close()
 	answer := readResponse(resp)
@@ -130,6 +132,11 @@
 	return deck.OutcomeNotRun
 }
 
+// isClosedByPeer reports whether the instance closed or reset the connection; a network partition shows as a timeout instead.
+func isClosedByPeer(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+}
+
 func newRequest(ctx context.Context, address string, call deck.ServiceCall) (*http.Request, error) {
 	u := url.URL{Scheme: "http", Host: address, Path: call.Path, RawQuery: call.Query}
 	req, err := http.NewRequestWithContext(ctx, call.Method, u.String(), bytes.NewReader(call.Body))
@@ -157,7 +164,7 @@
 		return deck.ServiceAnswer{Outcome: deck.OutcomeNotRun, Reason: "the service refused: " + truncate(body)}
 	}
 	if err != nil {
-		return deck.ServiceAnswer{Reason: errors.Wrap(err, "answer").Error()}
+		return deck.ServiceAnswer{Reason: errors.Wrap(err, "answer").Error(), Interrupted: isClosedByPeer(err)}
 	}
 	if len(body) > maxResponseBytes {
 		return deck.ServiceAnswer{Reason: "the answer exceeds 8 MiB"}
--- a/internal/core/deck/service.go
+++ b/internal/core/deck/service.go
@@ -24,6 +24,9 @@
 	Reason  string // for outcomes other than OutcomeDone
 	Notice  ServerNotice
 
+	// Interrupted says that the instance closed the connection before its answer was complete, for OutcomeUnknown.
+	Interrupted bool
+
 	// RetryAfter is when the call may be sent again, for OutcomeNotRun; 0 if unknown.
 	RetryAfter time.Duration
 }
