Log the limits that backend servers name

Server-Limit is read with the other notices on both serving paths, and each change of it is logged. Nothing decides by it yet.

--- a/internal/core/deck/servernotice.go
+++ b/internal/core/deck/servernotice.go
@@ -6,6 +6,8 @@
 type ServerNotice struct {
 	Leaving bool          // the server stops soon and takes no new requests
 	Pause   time.Duration // for which it takes no requests from this VM; 0 for none
+	Limited bool
+	Limit   float64 // requests a second that it takes from all VMs together, if Limited
 }
 
 // A LeavingServer is one incarnation of a backend server that has said that it leaves.
--- a/internal/core/restraint/table.go
+++ b/internal/core/restraint/table.go
@@ -34,6 +34,8 @@
 	leaving     bool
 	leavingAt   time.Time // when it last said so
 	pausedUntil time.Time
+	limited     bool
+	limit       float64 // requests a second, if limited
 }
 
 // A Restraint says what keeps requests from a backend server. The zero value is none.
@@ -75,6 +77,17 @@
 		}
 		s.pausedUntil = now.Add(n.Pause)
 	}
+	t.observeLimit(name, s, n)
+}
+
+// observeLimit records the limit that a server names in an answer, or that it names none any more. The caller holds the lock.
+func (t *Table) observeLimit(name deck.BackendName, s *server, n deck.ServerNotice) {
+	if n.Limited == s.limited && n.Limit == s.limit {
+		return
+	}
+	t.Log.Info("limit of a backend server changed", "server", string(name), "incarnation", s.incarnation, "limited", n.Limited,
+		"limit", n.Limit, "before", s.limit)
+	s.limited, s.limit = n.Limited, n.Limit
 }
 
 // Restraint returns what keeps requests from the given incarnation of a server, or from the last known one if it is empty.
--- a/internal/wire/notice/header.go
+++ b/internal/wire/notice/header.go
@@ -14,6 +14,7 @@
 const (
 	HeaderLeaving    = "Server-Leaving" // 1 if the server stops soon
 	HeaderRetryAfter = "Retry-After"    // seconds, with or without fractions
+	HeaderLimit      = "Server-Limit"   // requests a second that the server takes from all VMs together
 )
 
 const (
@@ -29,9 +30,18 @@
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		n.Pause = parsePause(h.Get(HeaderRetryAfter))
 	}
+	n.Limit, n.Limited = parseLimit(h.Get(HeaderLimit))
 	return n
 }
 
+func parseLimit(v string) (limit float64, ok bool) {
+	limit, err := strconv.ParseFloat(strings.TrimSpace(v), 64)
+	if err != nil || math.IsNaN(limit) || math.IsInf(limit, 0) || limit < 0 {
+		return 0, false
+	}
+	return limit, true
+}
+
 func parsePause(v string) time.Duration {
 	seconds, err := strconv.ParseFloat(strings.TrimSpace(v), 64)
 	if err != nil || math.IsNaN(seconds) || seconds <= 0 {
--- a/internal/wire/notice/header_test.go
+++ b/internal/wire/notice/header_test.go
@@ -30,6 +30,11 @@
 		{"date", 503, map[string]string{"Retry-After": "Fri, 04 Dec 2026 21:00:00 GMT"}, deck.ServerNotice{}},
 		{"negative", 503, map[string]string{"Retry-After": "-3"}, deck.ServerNotice{}},
 		{"no number", 503, map[string]string{"Retry-After": "NaN"}, deck.ServerNotice{}},
+		{"limit", 200, map[string]string{"Server-Limit": "2.8"}, deck.ServerNotice{Limited: true, Limit: 2.8}},
+		{"limit of nothing", 200, map[string]string{"Server-Limit": "0"}, deck.ServerNotice{Limited: true}},
+		{"negative limit", 200, map[string]string{"Server-Limit": "-1"}, deck.ServerNotice{}},
+		{"no limit", 200, map[string]string{"Server-Limit": "Inf"}, deck.ServerNotice{}},
+		{"no number as limit", 200, map[string]string{"Server-Limit": "many"}, deck.ServerNotice{}},
 		{"endless", 503, map[string]string{"Retry-After": "Inf"}, deck.ServerNotice{Pause: time.Hour}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
