--- /dev/null
+++ b/internal/api/ingress/limit_test.go
@@ -0,0 +1,161 @@
+package ingress_test
+
+import (
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	limitWindow = 4 * time.Second // of the users' rule
+	limitFactor = 1.5
+	limitSlack  = 5.0
+)
+
+// mostOverLimit returns by how many requests the engine got more than the limit allows, at most in any window of limitWindow that
+// begins at the given time or later. Counted are those of VMs that it had told noticeMargin before. A negative number is within the
+// limit.
+func (e *fleetEngine) mostOverLimit(limit float64, from time.Time) float64 {
+	told := make(map[string]time.Time)
+	var counted []time.Time
+	for _, r := range e.seen() {
+		if at, ok := told[r.vm]; ok && r.at.Sub(at) >= noticeMargin && !r.at.Before(from) {
+			counted = append(counted, r.at)
+		}
+		if _, ok := told[r.vm]; !ok && r.header.Get("Server-Limit") != "" {
+			told[r.vm] = r.answered
+		}
+	}
+	slices.SortFunc(counted, time.Time.Compare)
+	most := 0
+	for i, at := range counted {
+		n := 1
+		for _, later := range counted[i+1:] {
+			if later.Sub(at) > limitWindow {
+				break
+			}
+			n++
+		}
+		most = max(most, n)
+	}
+	return float64(most) - limitFactor*limitWindow.Seconds()*limit - limitSlack
+}
+
+// rate returns the requests a second that the engine got in the given time, which ends now.
+func (e *fleetEngine) rate(length time.Duration) float64 {
+	n := 0
+	for _, r := range e.seen() {
+		if time.Since(r.at) <= length {
+			n++
+		}
+	}
+	return float64(n) / length.Seconds()
+}
+
+// TestLimitOfAServerHoldsOverAllVMs guards against more requests than a server says that it takes from all VMs together, each of which
+// keeps to the whole limit or to none, and against a server that is hardly used because its limit is divided by VMs that need nothing.
+func TestLimitOfAServerHoldsOverAllVMs(t *testing.T) {
+	const (
+		settle = 6 * time.Second // contactTime, and the first shares
+		length = 20 * time.Second
+	)
+	for _, tc := range []struct {
+		name                  string
+		vms, engines, limited int
+		value                 string
+		limit                 float64
+		callGap               time.Duration
+		senders               int     // VMs that have callers; 0 for all
+		minShare              float64 // of the limit that the limited engines get
+	}{
+		{"one of four", 3, 4, 1, "3", 3, 20 * time.Millisecond, 0, 0.7},
+		{"fraction of a request", 3, 4, 1, "0.4", 0.4, 20 * time.Millisecond, 0, 0.5},
+		{"nothing", 3, 4, 1, "0", 0, 20 * time.Millisecond, 0, 0},
+		{"far more than comes", 3, 4, 1, "1000", 1000, 20 * time.Millisecond, 0, 0},
+		{"all", 3, 4, 4, "8", 8, 10 * time.Millisecond, 0, 0.7},
+		{"many VMs", 60, 6, 1, "3", 3, 10 * time.Millisecond, 0, 0.5},
+		{"one VM of many has callers", 30, 4, 4, "4", 4, 20 * time.Millisecond, 1, 0.7},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			runFleet(t, tc.vms, tc.engines, plainRoutes, func(t *testing.T, f *fleet) {
+				is := is.New(t)
+				for _, e := range f.engines[:tc.limited] {
+					e.setAnswer(withHeader("Server-Limit", tc.value))
+				}
+				if tc.senders > 0 {
+					f.vms = f.vms[:tc.senders]
+				}
+				start := time.Now()
+				f.sendEvery(tc.callGap, settle, plainCall)
+				statuses := f.sendEvery(tc.callGap, length, plainCall)
+				for i, e := range f.engines[:tc.limited] {
+					if over := e.mostOverLimit(tc.limit, start.Add(contactTime)); over > 0 {
+						t.Errorf("engine %d got %.0f requests more than allowed", i, over)
+					}
+					if rate := e.rate(length); rate < tc.minShare*tc.limit {
+						t.Errorf("engine %d got %.2f requests a second of %v", i, rate, tc.limit)
+					}
+				}
+				if tc.limited < tc.engines {
+					is.Equal(statuses, map[int]int{http.StatusOK: int(length / tc.callGap)})
+				}
+			})
+		})
+	}
+}
+
+// TestServerWithoutALimitAnyMoreIsUsed guards against VMs that keep to a limit that their server no longer names.
+func TestServerWithoutALimitAnyMoreIsUsed(t *testing.T) {
+	runFleet(t, 8, 2, plainRoutes, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		e := f.engines[0]
+		e.setAnswer(withHeader("Server-Limit", "1"))
+		f.sendEvery(callGap, 12*time.Second, plainCall)
+		is.True(e.rate(4*time.Second) <= 3)
+		e.setAnswer(nil)
+		f.sendEvery(callGap, 12*time.Second, plainCall)
+		is.True(e.rate(2*time.Second) >= 15) // about half of the calls
+	})
+}
+
+// TestLimitChanges guards against VMs that keep to an earlier limit of a server.
+func TestLimitChanges(t *testing.T) {
+	runFleet(t, 3, 2, plainRoutes, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		e := f.engines[0]
+		e.setAnswer(withHeader("Server-Limit", "12"))
+		f.sendEvery(callGap, 10*time.Second, plainCall)
+		is.True(e.rate(4*time.Second) >= 8)
+		e.setAnswer(withHeader("Server-Limit", "2"))
+		f.sendEvery(callGap, contactTime, plainCall)
+		changed := time.Now()
+		f.sendEvery(callGap, 12*time.Second, plainCall)
+		is.True(e.mostOverLimit(2, changed) <= 0)
+	})
+}
+
+// TestCallsAreRefusedAtOnceBeyondAllLimits guards against calls that wait although no server takes more, and against a time to come
+// back that says nothing about when one will.
+func TestCallsAreRefusedAtOnceBeyondAllLimits(t *testing.T) {
+	runFleet(t, 2, 2, plainRoutes, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		for _, e := range f.engines {
+			e.setAnswer(withHeader("Server-Limit", "2"))
+		}
+		f.sendEvery(callGap, 8*time.Second, plainCall)
+		refused := 0
+		for range 20 {
+			start := time.Now()
+			w := f.send(0, plainCall)
+			if w.Code == http.StatusServiceUnavailable {
+				refused++
+				is.True(time.Since(start) <= maxRefusalDelay)
+				is.True(w.Header().Get("Retry-After") != "")
+			}
+		}
+		is.True(refused >= 15)
+	})
+}
