Log when a server is listed as draining, on the leader and on entry VMs

No log tells where the time went: reading the list, publishing it, or the way to the entry VM. Both ends now log the revision of the list, and the leader a list that it reads slowly.

--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -150,11 +150,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
+	started := time.Now()
 	list, err := c.opts.Servers.ListServers(ctx)
 	if err != nil {
 		c.opts.Log.Info("failed to read the platform's list of backend servers", "reason", err.Error())
 		return
 	}
+	if taken := time.Since(started); taken > listPeriod {
+		c.opts.Log.Info("reading the platform's list of backend servers was slow", "taken-ms", taken.Milliseconds())
+	}
 	c.mu.Lock()
 	if c.term == term {
 		c.applyList(list)
--- a/internal/state/hub/publisher.go
+++ b/internal/state/hub/publisher.go
@@ -154,6 +154,9 @@
 		if ok && (old.Equal(s) || old.SameModels(s) && now.Sub(old.changedAt) < minAdapterInterval) {
 			continue
 		}
+		if s.Draining && !old.Draining {
+			p.o.Logger.Info("backend server is listed as draining", "server", string(s.ID), "revision", revision)
+		}
 		p.servers[s.ID] = serverEntry{s, revision, now}
 		delete(p.removed, s.ID)
 		changed = true
--- a/internal/state/hub/subscriber.go
+++ b/internal/state/hub/subscriber.go
@@ -247,6 +247,9 @@
 		s.servers = make(map[deck.BackendName]deck.Server, len(a.Servers))
 	}
 	for _, server := range a.Servers {
+		if server.Draining && !s.servers[server.ID].Draining {
+			s.o.Logger.Info("backend server is listed as draining", "server", string(server.ID), "revision", a.View.Revision)
+		}
 		s.servers[server.ID] = server
 	}
 	for _, id := range a.RemovedServers {
