Keep to the limits that backend servers name, over all VMs

VMs that have heard a limit now send within it only. The leader of the replicated log divides it: a VM asks for a permit for one request and is told when it may ask again, so that all that need some take turns; permits of VMs that need none go to the others. Where the limit is large for the number of VMs, half of it is divided equally and used without asking. A new leader starts with empty buckets. While nobody grants permits, VMs take turns by the time of day, to half of the limit. A limited server is not probed. It is used again without a limit once it answers a later request without one, and a new incarnation has none. What no server takes is refused at once, with the time at which there will be room. Both serving paths, engines and plain services, use the same table.

--- a/internal/api/caller/calls.go
+++ b/internal/api/caller/calls.go
@@ -41,7 +41,7 @@
 			}
 			break
 		}
-		if !h.takesCalls(b) {
+		if !h.takesCalls(r.Context(), b) {
 			continue
 		}
 		if sent > 0 && !h.runner.Budget.TryTake() {
@@ -102,7 +102,7 @@
 	defer cancel()
 	answer := deck.ServiceAnswer{Outcome: deck.OutcomeNotRun, Reason: "the service has no instance"}
 	for _, b := range h.instances(t.service) {
-		if !h.takesCalls(b) {
+		if !h.takesCalls(ctx, b) {
 			continue
 		}
 		answer = h.callInstance(ctx, b, call, suspect)
--- a/internal/api/caller/fleet_test.go
+++ b/internal/api/caller/fleet_test.go
@@ -29,6 +29,10 @@
 	drainTime    = 4 * time.Second        // of the users' rules
 	noticeMargin = 500 * time.Millisecond // of the users' rules, after an answer
 	maxInPause   = 2                      // requests of a VM in a pause, by the users' rules
+	contactTime  = 4 * time.Second        // of the users' rules: how long news may take
+	limitWindow  = 4 * time.Second        // of the users' rule on limits
+	limitFactor  = 1.5
+	limitSlack   = 5.0
 
 	maxRefusalDelay = 50 * time.Millisecond // of a refusal that needs no wait
 )
@@ -41,6 +45,8 @@
 	servers []*fleetServer
 	replica fleetReplicas
 	poison  sharedPoison
+	permits restraint.SharedPermits
+	size    int          // number of VMs
 	calls   atomic.Int64 // with an idempotency key
 	group   errgroup.Group
 }
@@ -78,6 +84,13 @@
 func (r fleetReplicas) Replicas(deck.ModelName) []deck.ModelReplica      { return r }
 func (fleetReplicas) HasAdapter(deck.BackendName, deck.AdapterName) bool { return true }
 
+// A leadingReplica leads the replicated log.
+type leadingReplica struct{}
+
+func (leadingReplica) Health(context.Context) ([]deck.ReplicaHealth, error) { return nil, nil }
+
+func (leadingReplica) LeaderTerm(time.Time, time.Duration) (term uint64, ok bool) { return 1, true }
+
 // A sharedPoison is a poison store that all VMs share. It refuses a part after three crashes without a proof.
 type sharedPoison struct {
 	mu      sync.Mutex
@@ -118,7 +131,10 @@
 func runFleet(t *testing.T, vms, engines, instances int, test func(t *testing.T, f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		f := &fleet{}
+		f := &fleet{size: vms}
+		f.permits = restraint.SharedPermits{
+			Monitor: leadingReplica{}, Clock: deck.SystemClock{}, MaxLeadershipAge: time.Second, VMs: func() int { return vms },
+		}
 		ticket := deck.Ticket{Models: []deck.Model{{Name: "m", Active: "v1", Versions: []deck.ModelVersion{{Name: "v1"}}}}}
 		portal := deck.Service{
 			Name: "portal", Prefix: "/portal",
@@ -156,7 +172,8 @@
 }
 
 func (f *fleet) startVM(ctx context.Context, name string, ticket deck.Ticket) *fleetVM {
-	restraints := &restraint.Table{}
+	restraints := &restraint.Table{Self: deck.VMName(name), Permits: &f.permits}
+	restraints.SetVMs(time.Now(), f.size)
 	clock := deck.SystemClock{}
 	state := decktest.StateSource{Current: deck.State{}.WithTicket(ticket, 1)}
 	clients := make(map[deck.BackendName]deck.Engine)
--- a/internal/api/caller/instances.go
+++ b/internal/api/caller/instances.go
@@ -61,9 +61,9 @@
 	return append(list[i:len(list):len(list)], list[:i]...)
 }
 
-// takesCalls reports whether an instance takes a call now, by what it has said itself. Answers of plain services don't tell the
+// takesCalls reports whether an instance takes one more call now, by what it has said itself. Answers of plain services don't tell the
 // incarnation, so a leaving instance is avoided until nothing listens at its address any more.
-func (h *Handler) takesCalls(b deck.BackendServer) bool {
+func (h *Handler) takesCalls(ctx context.Context, b deck.BackendServer) bool {
 	now := h.Clock.Now()
 	r := h.Restraints.Restraint(now, b.Name, "")
 	if r.Leaving && h.endChecks.due(now, b.Name) {
@@ -74,7 +74,7 @@
 			return nil
 		})
 	}
-	return r.IsZero()
+	return r.Allows() && h.Restraints.Admit(ctx, b.Name, "")
 }
 
 // callInstance sends a call to an instance, and records what it says about the calls that it takes and whether the call may have
@@ -82,7 +82,12 @@
 func (h *Handler) callInstance(
 	ctx context.Context, b deck.BackendServer, call deck.ServiceCall, suspect attempt.ServiceCall,
 ) deck.ServiceAnswer {
+	sentAt := h.Clock.Now()
 	answer := h.Services.Call(ctx, b.Address, call)
+	answer.Notice.SentAt = sentAt
+	if answer.Outcome == deck.OutcomeUnknown {
+		answer.Notice.SentAt = time.Time{} // there was no answer
+	}
 	h.Restraints.ObserveNotice(h.Clock.Now(), b.Name, "", answer.Notice)
 	switch {
 	case answer.Interrupted:
@@ -93,8 +98,8 @@
 	return answer
 }
 
-// withRetryAfter adds to the answer to a call that did not run when the first instance takes calls again, if all of them have asked
-// for a pause.
+// withRetryAfter adds to the answer to a call that did not run when the first instance takes calls again, if none takes one
+// now.
 func (h *Handler) withRetryAfter(answer deck.ServiceAnswer, v deck.Service) deck.ServiceAnswer {
 	if answer.Outcome != deck.OutcomeNotRun {
 		return answer
@@ -103,7 +108,7 @@
 	var first time.Time
 	for _, b := range h.instances(v) {
 		r := h.Restraints.Restraint(now, b.Name, "")
-		if r.IsZero() {
+		if r.Allows() {
 			return answer
 		}
 		if !r.Leaving && (first.IsZero() || r.Until.Before(first)) {
@@ -112,7 +117,7 @@
 	}
 	if !first.IsZero() {
 		answer.RetryAfter = first.Sub(now)
-		answer.Reason = "all instances have asked for a pause"
+		answer.Reason = "no instance takes a call now"
 	}
 	return answer
 }
--- a/internal/api/caller/restraint_test.go
+++ b/internal/api/caller/restraint_test.go
@@ -173,3 +173,75 @@
 		})
 	}
 }
+
+// overLimit returns by how many requests the server got more than its limit allows, at most in any window of limitWindow that begins
+// at the given time or later. Counted are those of VMs that it had told noticeMargin before.
+func (s *fleetServer) overLimit(limit float64, from time.Time) float64 {
+	told := make(map[string]time.Time)
+	var counted []time.Time
+	for _, r := range s.seen() {
+		at, ok := told[r.vm]
+		if ok && r.at.Sub(at) >= noticeMargin && !r.at.Before(from) {
+			counted = append(counted, r.at)
+		}
+		if !ok && r.header.Get("Server-Limit") != "" {
+			told[r.vm] = r.answered
+		}
+	}
+	most := 0
+	for i, at := range counted {
+		n := 0
+		for _, later := range counted[i:] {
+			if later.Sub(at) <= limitWindow {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return float64(most) - limitFactor*limitWindow.Seconds()*limit - limitSlack
+}
+
+// TestLimitOfAServerHoldsOverAllVMs guards against more requests than an engine or an instance says that it takes from all VMs
+// together, and against one that is hardly used.
+func TestLimitOfAServerHoldsOverAllVMs(t *testing.T) {
+	const (
+		settle   = 6 * time.Second
+		length   = 20 * time.Second
+		minShare = 0.7 // of the limit
+	)
+	for _, tc := range []struct {
+		name               string
+		engines, instances int
+		limited            int
+		call               fleetCall
+	}{
+		{"one engine", 3, 0, 1, fleetCall{}},
+		{"all engines", 3, 0, 3, fleetCall{}},
+		{"one instance", 0, 3, 1, fleetCall{method: http.MethodGet, path: "/portal/x"}},
+		{"all instances", 0, 3, 3, fleetCall{method: http.MethodGet, path: "/portal/x"}},
+		{"instances, at most once", 0, 3, 3, fleetCall{method: http.MethodPost, path: "/portal/bookings", key: "k"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			runFleet(t, 3, tc.engines, tc.instances, func(t *testing.T, f *fleet) {
+				is := is.New(t)
+				const limit = 4
+				for _, s := range f.servers[:tc.limited] {
+					s.setRespond(saying("Server-Limit", strconv.Itoa(limit)))
+				}
+				start := time.Now()
+				f.sendEvery(settle, tc.call)
+				statuses := f.sendEvery(length, tc.call)
+				served := 0
+				for _, s := range f.servers[:tc.limited] {
+					is.True(s.overLimit(limit, start.Add(contactTime)) <= 0)
+					served += len(s.seen())
+				}
+				is.True(float64(served) >= minShare*limit*float64(tc.limited)*length.Seconds())
+				if tc.limited < len(f.servers) {
+					is.Equal(statuses, map[int]int{http.StatusOK: int(length / fleetCallGap)})
+				}
+				is.Equal(statuses[http.StatusBadGateway], 0)
+			})
+		})
+	}
+}
--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -156,7 +156,10 @@
 			s, result = c.pickProbed(s)
 		}
 		if result == balance.Chosen {
-			return s, true
+			if c.h.Restraints.Admit(c.ctx, s.ID, s.Incarnation()) {
+				return s, true
+			}
+			continue // the balancer avoids the server for a while
 		}
 		if !c.prepareWait(now, result) {
 			c.refuseWithoutServer(result)
@@ -435,6 +438,9 @@
 		c.h.Balancer.RecordLoad(now, s.ID, answer.Load)
 	}
 	if answer.Verdict != deck.AnswerOtherCall && answer.Verdict != deck.AnswerOtherServer {
+		if answer.Verdict == deck.AnswerComplete || answer.Verdict == deck.AnswerNotRun {
+			answer.Notice.SentAt = c.sentAt
+		}
 		c.h.Restraints.ObserveNotice(now, s.ID, s.Incarnation(), answer.Notice)
 	}
 	switch answer.Verdict {
--- a/internal/api/ingress/fleet_test.go
+++ b/internal/api/ingress/fleet_test.go
@@ -48,6 +48,10 @@
 	vms     []*fleetVM
 	calls   atomic.Int64
 
+	permits  *restraint.SharedPermits
+	noLeader atomic.Bool  // nobody grants permits
+	asked    atomic.Int64 // requests for permits
+
 	leaving map[string]string // servers that the VMs have reported as leaving in their last reports, by VM
 }
 
@@ -89,6 +93,15 @@
 	return f.leader.View(ctx, r), nil
 }
 
+// TakePermit implements deck.PermitSource.TakePermit.
+func (f *fleet) TakePermit(ctx context.Context, r deck.PermitRequest) (deck.PermitAnswer, error) {
+	if f.noLeader.Load() {
+		return deck.PermitAnswer{}, restraint.ErrNotLeading
+	}
+	f.asked.Add(1)
+	return f.permits.TakePermit(ctx, r)
+}
+
 // A fleetVM is one start of an entry VM.
 type fleetVM struct {
 	name    string
@@ -125,6 +138,9 @@
 			Log: f.log, Monitor: f.log, Clock: deck.SystemClock{}, Logger: logr.Discard(), MaxLeadershipAge: time.Second,
 			Report: f.recordReport,
 		})
+		f.permits = &restraint.SharedPermits{
+			Monitor: f.log, Clock: deck.SystemClock{}, MaxLeadershipAge: time.Second, VMs: f.leader.EntryVMs,
+		}
 		for i := range engines {
 			id := deck.BackendName("e" + strconv.Itoa(i))
 			e := &fleetEngine{server: deck.Server{ID: id, Service: "svc", Address: string(id) + ":80", Slots: 8, StartUnixMs: 1}}
@@ -160,7 +176,7 @@
 }
 
 func (f *fleet) startVM(name string, routes []deck.Route) *fleetVM {
-	restraints := &restraint.Table{}
+	restraints := &restraint.Table{Self: deck.VMName(name), Permits: f}
 	balancer := balance.NewBalancer(func(deck.DataCentre) balance.Distance { return balance.SameDataCentre }, zeroRand{}, restraints)
 	budget := &balance.RetryBudget{}
 	budget.SetLimits(10*time.Second, 0.2, 20)
@@ -176,7 +192,11 @@
 	vm.handler.SetRoutes(table.New(fleetConfig(routes)))
 	s := hub.NewSubscriber(hub.SubscriberOptions{
 		Self: deck.VMName(name), Seeds: func() []deck.VMName { return []deck.VMName{"leader"} }, Client: f, Logger: logr.Discard(),
-		Report: vm.handler.FillReport, Config: func(deck.RoutingDocument) {}, VMs: balancer.SetEntryVMs,
+		Report: vm.handler.FillReport, Config: func(deck.RoutingDocument) {},
+		VMs: func(n int) {
+			balancer.SetEntryVMs(n)
+			restraints.SetVMs(time.Now(), n)
+		},
 		Servers: func(list []deck.Server) { balancer.SetServers(time.Now(), list) },
 		Calls:   vm.handler.ApplyCalls, Blame: vm.handler.ApplyBlame,
 	})
--- a/internal/api/ingress/probe.go
+++ b/internal/api/ingress/probe.go
@@ -34,7 +34,11 @@
 	req.Among = make(map[deck.BackendName]bool)
 	s := first
 	for range maxProbes {
-		sameRegion, loadAge := c.h.Balancer.ProbeInfo(time.Now(), s.ID)
+		now := time.Now()
+		if c.h.Restraints.Restraint(now, s.ID, s.Incarnation()).Limited {
+			return s, balance.Chosen // a probe would count against its limit
+		}
+		sameRegion, loadAge := c.h.Balancer.ProbeInfo(now, s.ID)
 		if !sameRegion || loadAge > maxLoadAge && !c.probe(s) || c.h.Balancer.IsSuitable(time.Now(), s.ID, c.requirements) {
 			return s, balance.Chosen
 		}
--- a/internal/backend/engine/call.go
+++ b/internal/backend/engine/call.go
@@ -146,7 +146,7 @@
 		return nil, classify(ctx, err, c.lastBootID())
 	}
 	defer resp.Body.Close()
-	bootID := c.recordResponse(resp)
+	bootID := c.recordResponse(resp, time.Time{})
 	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusNoContent {
 		return nil, responseError(resp, bootID)
 	}
--- a/internal/backend/engine/client.go
+++ b/internal/backend/engine/client.go
@@ -76,6 +76,7 @@
 		cancel(nil)
 		return nil, err
 	}
+	sentAt := c.pool.clock.Now()
 	resp, err := c.transport(g.NewConn).RoundTrip(req)
 	stall.stop()
 	if err != nil {
@@ -83,7 +84,7 @@
 		cancel(nil)
 		return nil, err
 	}
-	bootID := c.recordResponse(resp)
+	bootID := c.recordResponse(resp, sentAt)
 	if !isStream(resp) {
 		err := responseError(resp, bootID)
 		_ = resp.Body.Close()
@@ -173,13 +174,15 @@
 	return ""
 }
 
-// recordResponse records the boot ID and the notice of a response and returns the boot ID; it is empty if the response has none.
-func (c *Client) recordResponse(resp *http.Response) string {
+// recordResponse records the boot ID and the notice of a response and returns the boot ID; it is empty if the response has none. sentAt
+// is deck.ServerNotice.SentAt.
+func (c *Client) recordResponse(resp *http.Response, sentAt time.Time) string {
 	bootID := resp.Header.Get(wire.HeaderBootID)
 	if bootID != "" {
 		c.bootID.Store(&bootID)
 	}
 	n := notice.FromHeader(resp.StatusCode, resp.Header)
+	n.SentAt = sentAt
 	if n.Leaving {
 		c.leaving.Store(&bootID)
 	}
--- a/internal/command/node/control.go
+++ b/internal/command/node/control.go
@@ -83,6 +83,9 @@
 	peerMux := http.NewServeMux()
 	peer.RegisterReplica(peerMux, c.replica, answers)
 	peer.RegisterControlAPI(peerMux, peer.ControlAPI{Views: c.publisher, Joins: c, Places: c.orders, Routing: store})
+	peer.RegisterPermits(peerMux, &restraint.SharedPermits{
+		Monitor: c.replica, Clock: deck.BootClock{}, MaxLeadershipAge: maxLeadershipAge, VMs: c.publisher.EntryVMs,
+	})
 	operatorMux := http.NewServeMux()
 	platform.RegisterOperator(operatorMux, store)
 	return errors.Join(
--- a/internal/command/node/entry.go
+++ b/internal/command/node/entry.go
@@ -52,6 +52,7 @@
 	handler    *ingress.Handler
 	client     *http1.Client
 	balancer   *balance.Balancer
+	restraints *restraint.Table
 	budget     *balance.RetryBudget
 	subscriber *hub.Subscriber
 	server     *http.Server
@@ -62,10 +63,10 @@
 }
 
 func addEntry(n *Node, s settings.Settings) error {
-	restraints := &restraint.Table{Log: n.log}
 	e := &entryVM{
-		node: n, settings: s, budget: &balance.RetryBudget{}, balancer: balance.NewBalancer(distanceFrom(s), newRand(), restraints),
+		node: n, settings: s, budget: &balance.RetryBudget{}, restraints: &restraint.Table{Log: n.log, Self: s.PeerName()},
 	}
+	e.balancer = balance.NewBalancer(distanceFrom(s), newRand(), e.restraints)
 	e.setBudget(1)
 	e.client = &http1.Client{
 		Dial:        func(ctx context.Context, addr string) (net.Conn, error) { return dial(ctx, "tcp", addr) },
@@ -73,6 +74,7 @@
 		IdleTimeout: serverIdleTimeout,
 	}
 	fleet := peer.ControlClient{HTTP: newPeerClient(), DataCentre: s.DataCentre, Leader: e.leader}
+	e.restraints.Permits = fleet
 	recorder, err := newCallMetrics(n.metrics.Meter())
 	if err != nil {
 		return err
@@ -80,7 +82,7 @@
 	e.handler = &ingress.Handler{
 		Codec: platform.Codec{}, Client: e.client, Balancer: e.balancer, Budget: e.budget, Placer: fleet,
 		Demand: &ingress.DemandCounter{}, Poison: &ingress.PoisonDetector{}, Random: newRand(), Log: n.log, OnCallEnd: recorder.record,
-		Restraints: restraints,
+		Restraints: e.restraints,
 	}
 	e.subscriber = hub.NewSubscriber(hub.SubscriberOptions{
 		Self: s.PeerName(), DataCentre: s.DataCentre, Seeds: n.seeds, FirstStart: s.FirstStart, Client: fleet,
@@ -125,10 +127,11 @@
 		bounds.RetrySlack*retryBudgetShare/float64(max(1, vms)))
 }
 
-// setVMs sets the number of entry VMs that share the retry budget and the backend servers.
+// setVMs sets the number of entry VMs that share the retry budget, the backend servers and their limits.
 func (e *entryVM) setVMs(vms int) {
 	e.setBudget(vms)
 	e.balancer.SetEntryVMs(vms)
+	e.restraints.SetVMs(time.Now(), vms)
 }
 
 func (e *entryVM) applyConfig(doc deck.RoutingDocument) {
--- a/internal/command/process/placement.go
+++ b/internal/command/process/placement.go
@@ -44,6 +44,7 @@
 	}))
 	if d.control != nil {
 		d.pools().Register(d.peerMux)
+		peer.RegisterPermits(d.peerMux, d.sharedPermits())
 	}
 	r := &residencyView{store: d.store, dataCentres: slices.Sorted(maps.Keys(regions(d.settings)))}
 	return errors.Join(
--- a/internal/command/process/process.go
+++ b/internal/command/process/process.go
@@ -55,7 +55,7 @@
 func newDeps(s settings.Settings, vm settings.VM, log logr.Logger, k *kernel.Kernel) *deps {
 	return &deps{
 		settings: s, vm: vm, self: newPeer(vm), peers: newPeers(s), clock: deck.SystemClock{}, log: log,
-		kernel: k, peerMux: http.NewServeMux(), restraints: &restraint.Table{Log: log},
+		kernel: k, peerMux: http.NewServeMux(), restraints: &restraint.Table{Log: log, Self: vm.Name},
 	}
 }
 
--- a/internal/command/process/serving.go
+++ b/internal/command/process/serving.go
@@ -43,6 +43,8 @@
 	if err != nil {
 		return err
 	}
+	d.restraints.Permits = &permitClient{deps: d}
+	d.restraints.SetVMs(d.clock.Now(), d.entryVMs())
 	r := router.New(router.Config{
 		DataCentre: d.vm.DataCentre, Regions: regions(d.settings), Clock: d.clock, Rand: rand.New(part.NewSource()),
 		State: d.store, Residency: res, Poison: commands, Health: health.DefaultPolicy(), Restraints: d.restraints,
--- a/internal/core/deck/servernotice.go
+++ b/internal/core/deck/servernotice.go
@@ -8,6 +8,10 @@
 	Pause   time.Duration // for which it takes no requests from this VM; 0 for none
 	Limited bool
 	Limit   float64 // requests a second that it takes from all VMs together, if Limited
+
+	// SentAt is when the request was sent that the answer is to. Zero for an answer that says nothing if it names no limit, such as one
+	// to a liveness check.
+	SentAt time.Time
 }
 
 // A LeavingServer is one incarnation of a backend server that has said that it leaves.
--- /dev/null
+++ b/internal/core/restraint/admit.go
@@ -0,0 +1,141 @@
+package restraint
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+)
+
+const (
+	// permitTimeout covers a round trip between regions; a request that waits for a permit has a caller who waits.
+	permitTimeout = 200 * time.Millisecond
+
+	// retryPermits is how long a VM waits before it asks again after nobody could grant a permit.
+	retryPermits = 500 * time.Millisecond
+
+	// slotTime is the longest time for which a VM may use its turn while nobody grants permits.
+	slotTime = time.Second
+
+	// vmCountTime is how long the largest number of VMs counts; a new leader hears of them one by one.
+	vmCountTime = 10 * time.Second
+)
+
+// A vmCount is the number of VMs that share the limits of backend servers. The zero value knows none.
+type vmCount struct {
+	count int
+	at    time.Time
+}
+
+// SetVMs sets the number of entry VMs that share the limits of backend servers.
+func (t *Table) SetVMs(now time.Time, n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if n >= t.vms.count || now.Sub(t.vms.at) > vmCountTime {
+		t.vms = vmCount{n, now}
+	}
+}
+
+// Admit reports whether a request may be sent to the given incarnation of a server within the limit that it has named. It asks for a
+// permit if need be, for permitTimeout at most. If it returns false, the server is restrained for a while.
+func (t *Table) Admit(ctx context.Context, name deck.BackendName, incarnation string) bool {
+	now := time.Now()
+	t.mu.Lock()
+	s := t.servers[name]
+	if s == nil || !s.is(incarnation) || !s.limited {
+		t.mu.Unlock()
+		return true
+	}
+	if t.takeOwn(now, s) {
+		t.mu.Unlock()
+		return true
+	}
+	if now.Before(s.askAfter) {
+		t.mu.Unlock()
+		return false
+	}
+	s.askAfter = now.Add(permitTimeout) // until there is an answer, one request asks
+	r := deck.PermitRequest{
+		VM: t.Self, Server: name, Incarnation: s.incarnation, Limit: s.limit, Age: now.Sub(s.limitHeardAt),
+	}
+	t.mu.Unlock()
+	answer, err := t.ask(ctx, r)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now = time.Now()
+	if err != nil {
+		answer = t.ownTurn(now, name, s)
+	}
+	s.askAfter = now.Add(answer.Wait)
+	return answer.Granted
+}
+
+func (t *Table) ask(ctx context.Context, r deck.PermitRequest) (deck.PermitAnswer, error) {
+	if t.Permits == nil {
+		return deck.PermitAnswer{}, ErrNotLeading
+	}
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	return t.Permits.TakePermit(ctx, r)
+}
+
+// takeOwn takes a request from this VM's own part of a limit. The caller holds the lock.
+func (t *Table) takeOwn(now time.Time, s *server) bool {
+	rate := t.ownRate(s)
+	if rate == 0 {
+		return false
+	}
+	s.own.refill(now, rate)
+	return s.own.take()
+}
+
+// ownRate returns the rate of this VM's own part of a limit; 0 without one. The caller holds the lock.
+func (t *Table) ownRate(s *server) float64 {
+	if t.vms.count == 0 {
+		return 0
+	}
+	return ownRate(s.limit, t.vms.count)
+}
+
+// limitedUntil returns when a request may be sent to a server within its limit, or a permit asked for; zero if now. The caller holds
+// the lock.
+func (t *Table) limitedUntil(now time.Time, s *server) time.Time {
+	if !s.limited || !now.Before(s.askAfter) {
+		return time.Time{}
+	}
+	rate := t.ownRate(s)
+	if rate == 0 {
+		return s.askAfter
+	}
+	s.own.refill(now, rate)
+	next := now.Add(s.own.untilNext(rate))
+	switch {
+	case !next.After(now):
+		return time.Time{}
+	case next.Before(s.askAfter):
+		return next
+	default:
+		return s.askAfter
+	}
+}
+
+// ownTurn divides a limit while nobody grants permits: each VM that has no part of its own has a turn now and then, by the time of day,
+// in which it may send one request. The turns add up to ownShare of the limit, since some VMs may still get permits. The caller holds
+// the lock.
+func (t *Table) ownTurn(now time.Time, name deck.BackendName, s *server) deck.PermitAnswer {
+	if t.vms.count == 0 || t.ownRate(s) > 0 {
+		return deck.PermitAnswer{Wait: retryPermits}
+	}
+	period := time.Duration(float64(t.vms.count) / (ownShare * max(minRate, s.limit)) * float64(time.Second))
+	const steps = 1 << 16
+	phase := time.Duration(float64(xxhash.Sum64String(string(t.Self)+" "+string(name))%steps) / steps * float64(period))
+	elapsed := time.Duration(now.UnixNano()) + phase
+	turn := int64(elapsed / period)
+	if elapsed%period < min(slotTime, period) && turn != s.lastTurn {
+		s.lastTurn = turn
+		return deck.PermitAnswer{Granted: true, Wait: min(retryPermits, period-elapsed%period)}
+	}
+	return deck.PermitAnswer{Wait: min(retryPermits, period-elapsed%period)}
+}
--- a/internal/core/restraint/table.go
+++ b/internal/core/restraint/table.go
@@ -19,12 +19,16 @@
 	pruneAt = 1024 // servers from which those to be forgotten are looked for
 )
 
-// A Table keeps the notices of backend servers. Its zero value is empty and logs nothing.
+// A Table keeps the notices of backend servers. Its zero value is empty, logs nothing and gets no permits. Its exported fields must be
+// set before use.
 type Table struct {
-	Log logr.Logger // takes a line for each change; must be set before use
+	Log     logr.Logger       // takes a line for each change
+	Self    deck.VMName       // this VM
+	Permits deck.PermitSource // divides the limits of servers; nil for none
 
 	mu      sync.Mutex
 	servers map[deck.BackendName]*server
+	vms     vmCount
 }
 
 // A server is what one incarnation of a backend server has said.
@@ -34,18 +38,24 @@
 	leaving     bool
 	leavingAt   time.Time // when it last said so
 	pausedUntil time.Time
-	limited     bool
-	limit       float64 // requests a second, if limited
+
+	limited      bool
+	limit        float64 // requests a second, if limited
+	limitHeardAt time.Time
+	own          tokenBucket // this VM's own part of the limit
+	askAfter     time.Time   // no permit is asked for before
+	lastTurn     int64       // number of the last turn that was used while nobody granted permits
 }
 
 // A Restraint says what keeps requests from a backend server. The zero value is none.
 type Restraint struct {
 	Leaving bool      // no more requests to this incarnation
 	Until   time.Time // no request before that time; zero if there may be one now
+	Limited bool      // each request needs Table.Admit
 }
 
-// IsZero reports whether nothing keeps requests from the server.
-func (r Restraint) IsZero() bool {
+// Allows reports whether a request may be sent now, to a limited server once it is admitted.
+func (r Restraint) Allows() bool {
 	return !r.Leaving && r.Until.IsZero()
 }
 
@@ -57,7 +67,7 @@
 	defer t.mu.Unlock()
 	s := t.servers[name]
 	if s == nil || !s.is(incarnation) {
-		if n == (deck.ServerNotice{}) {
+		if !n.Leaving && n.Pause == 0 && !n.Limited {
 			return
 		}
 		s = t.add(now, name, incarnation)
@@ -77,11 +87,17 @@
 		}
 		s.pausedUntil = now.Add(n.Pause)
 	}
-	t.observeLimit(name, s, n)
+	t.observeLimit(now, name, s, n)
 }
 
-// observeLimit records the limit that a server names in an answer, or that it names none any more. The caller holds the lock.
-func (t *Table) observeLimit(name deck.BackendName, s *server, n deck.ServerNotice) {
+// observeLimit records the limit that a server names in an answer, or that it names none any more: in the answer to a request that was
+// sent after it last did. The caller holds the lock.
+func (t *Table) observeLimit(now time.Time, name deck.BackendName, s *server, n deck.ServerNotice) {
+	if n.Limited {
+		s.limitHeardAt = now
+	} else if !n.SentAt.After(s.limitHeardAt) {
+		return
+	}
 	if n.Limited == s.limited && n.Limit == s.limit {
 		return
 	}
@@ -99,7 +115,8 @@
 		return Restraint{}
 	}
 	r := Restraint{Leaving: s.leaving && (s.incarnation != "" || now.Sub(s.leavingAt) < unknownLeavingTime)}
-	if now.Before(s.pausedUntil) {
+	r.Limited, r.Until = s.limited, t.limitedUntil(now, s)
+	if now.Before(s.pausedUntil) && s.pausedUntil.After(r.Until) {
 		r.Until = s.pausedUntil
 	}
 	return r
--- a/internal/route/attempt/task.go
+++ b/internal/route/attempt/task.go
@@ -78,6 +78,13 @@
 		if refusal != nil {
 			return server, nil, refusal
 		}
+		if t.spec.Reconnect == "" && !t.execution.runner.Restraints.Admit(t.ctx, server.Name, "") {
+			t.reportUnused(server)
+			if t.ctx.Err() != nil {
+				return server, nil, &deck.Refusal{Kind: deck.RefusedOverload, Reason: "caller has gone"}
+			}
+			continue // the router avoids the server for a while
+		}
 		if permit, ok := t.execution.runner.Suspects.TryAcquire(t.digest(), server.Name); ok {
 			return server, permit, nil
 		}
@@ -193,7 +200,8 @@
 		e = &deck.EngineError{Kind: deck.EngineFailed, Err: err}
 	}
 	r := t.execution.runner
-	t.post(Event{Kind: EventFailed, Err: e, Closed: !r.Restraints.Restraint(r.Clock.Now(), server, "").IsZero()})
+	restraint := r.Restraints.Restraint(r.Clock.Now(), server, "")
+	t.post(Event{Kind: EventFailed, Err: e, Closed: !restraint.Allows() || restraint.Limited})
 }
 
 // post sends an event to the loop; it returns false if the attempt was abandoned.
--- a/internal/route/router/core.go
+++ b/internal/route/router/core.go
@@ -162,7 +162,7 @@
 	req.reserved = nil
 	now := c.cfg.Clock.Now()
 	b, ok = c.cfg.State.State().BackendServer(a.server.name)
-	if !ok || c.isLeaving(b, now) || !c.restraint(b.Name, now).IsZero() {
+	if !ok || c.isLeaving(b, now) || !c.restraint(b.Name, now).Allows() {
 		c.endAttempt(a)
 		return deck.BackendServer{}, false
 	}
--- a/internal/route/router/select.go
+++ b/internal/route/router/select.go
@@ -100,7 +100,7 @@
 				continue
 			}
 			b, ok := st.BackendServer(r.Backend)
-			if !ok || b.Kind != deck.EngineBackend || c.isLeaving(b, now) || !c.restraint(b.Name, now).IsZero() {
+			if !ok || b.Kind != deck.EngineBackend || c.isLeaving(b, now) || !c.restraint(b.Name, now).Allows() {
 				continue
 			}
 			if cand, ok := c.candidate(req, b, now); ok {
--- a/internal/state/hub/publisher.go
+++ b/internal/state/hub/publisher.go
@@ -333,6 +333,13 @@
 	return float64(ejected) / float64(max(1, all))
 }
 
+// EntryVMs returns the number of entry VMs that poll this VM.
+func (p *Publisher) EntryVMs() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.reports)
+}
+
 // Calls returns the number of calls in flight at a server, summed over the last reports of all entry VMs.
 func (p *Publisher) Calls(id deck.BackendName) int {
 	p.mu.Lock()
