Test what restarted VMs do about leaving, pausing and limited servers

A restarted VM is told by the first answer; the others send nothing to a leaving server meanwhile, and the limit holds over all of them, without the allowance that the rule makes for a restart.

--- a/internal/api/ingress/fleet_test.go
+++ b/internal/api/ingress/fleet_test.go
@@ -289,6 +289,13 @@
 	return append([]engineRequest(nil), e.requests...)
 }
 
+// forget forgets the requests that the engine got so far.
+func (e *fleetEngine) forget() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.requests = nil
+}
+
 // A vmCodec is the testCodec of a VM that names itself to the engines.
 type vmCodec struct {
 	testCodec
--- a/internal/api/ingress/restraint_test.go
+++ b/internal/api/ingress/restraint_test.go
@@ -211,3 +211,37 @@
 		is.Equal(f.send(0, plainCall).Code, http.StatusOK)
 	})
 }
+
+// TestRestartedVMsHeedNotices guards against calls of a VM that has forgotten with its restart what a server said, once the server has
+// said it again, and against calls of the other VMs.
+func TestRestartedVMsHeedNotices(t *testing.T) {
+	const others = 2 // VMs that don't restart
+	for _, tc := range []struct {
+		name   string
+		answer func(http.ResponseWriter, *http.Request)
+		check  func(is *is.I, e *fleetEngine)
+	}{
+		{"leaving", withHeader("Server-Leaving", "1"), func(is *is.I, e *fleetEngine) {
+			is.Equal(e.afterLeaving(), 0)
+			is.Equal(len(e.seen()), 1) // by which the restarted VM is told
+		}},
+		{"pause", refuseFor("3"), func(is *is.I, e *fleetEngine) { is.True(e.inPauses() <= maxInPause) }},
+		{"limit", withHeader("Server-Limit", "3"), func(is *is.I, e *fleetEngine) {
+			is.True(e.mostOverLimit(3, time.Time{}) <= 0)
+			is.True(e.rate(8*time.Second) >= 2)
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			runFleet(t, 1+others, 4, plainRoutes, func(t *testing.T, f *fleet) {
+				is := is.New(t)
+				e := f.engines[0]
+				e.setAnswer(tc.answer)
+				f.sendEvery(callGap, 3*time.Second, plainCall)
+				f.restartVM(0, plainRoutes)
+				e.forget()
+				f.sendEvery(callGap, 12*time.Second, plainCall)
+				tc.check(is, e)
+			})
+		})
+	}
+}
