Let no shorter pause end a longer one

Calls reached a server in a pause that it had asked for: it refused several calls of one VM that were in flight together, some for 3 s and some for 0.6 s, and the last answer counted. Answers may also overtake each other, so the end that is latest counts now.

TestShorterPauseDoesNotEndALongerOne failed before (more than two calls of a VM in a pause) and passes.

--- a/internal/api/ingress/restraint_test.go
+++ b/internal/api/ingress/restraint_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -212,6 +213,26 @@
 	})
 }
 
+// TestShorterPauseDoesNotEndALongerOne guards against calls in a pause that a server asked for, because it has asked for a shorter one
+// in an answer that came later.
+func TestShorterPauseDoesNotEndALongerOne(t *testing.T) {
+	runFleet(t, 3, 1, plainRoutes, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		e := f.engines[0]
+		var refusals atomic.Int64
+		e.setAnswer(func(w http.ResponseWriter, r *http.Request) {
+			seconds := "3"
+			if refusals.Add(1)%3 == 0 {
+				seconds = "0.6"
+			}
+			time.Sleep(100 * time.Millisecond)
+			refuseFor(seconds)(w, r)
+		})
+		f.sendEvery(5*time.Millisecond, 10*time.Second, plainCall) // several are at the engine when it asks for its first pause
+		is.True(e.inPauses() <= maxInPause)
+	})
+}
+
 // TestRestartedVMsHeedNotices guards against calls of a VM that has forgotten with its restart what a server said, once the server has
 // said it again, and against calls of the other VMs.
 func TestRestartedVMsHeedNotices(t *testing.T) {
--- a/internal/core/restraint/table.go
+++ b/internal/core/restraint/table.go
@@ -85,7 +85,9 @@
 			t.Log.Info("backend server asks for a pause", "server", string(name), "incarnation", incarnation,
 				"pause-ms", n.Pause.Milliseconds())
 		}
-		s.pausedUntil = now.Add(n.Pause)
+		if until := now.Add(n.Pause); until.After(s.pausedUntil) {
+			s.pausedUntil = until // answers may overtake each other, so a shorter pause does not end a longer one
+		}
 	}
 	t.observeLimit(now, name, s, n)
 }
