Take no answer without an ID on a kept connection as proof

Report of another operator: a faulty engine wrote an earlier refusal once more on a kept connection. Here, callers of routes that run at most once were told 503 'not run' for calls that ran, or such a call ran at two servers, whenever the copy bore no ID: a refusal needed none, on whatever connection it came. On a connection that has carried other calls, an answer without the ID of the call is now skipped, and the server's own answer is awaited and delivered; if the next one has none either, the call counts as one that may have run. On a new connection nothing can be a copy.

--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -319,11 +319,36 @@
 	defer cancel(nil)
 	stopWatch := c.watchAnswer(ctx, cancel)
 	ex, err := c.h.Client.Do(ctx, s.Address, c.backendRequest(s, remaining))
+	var answer deck.Answer
+	if err == nil {
+		answer, err = c.readAnswer(ctx, s, ex)
+	}
 	stopWatch()
 	if err != nil {
 		return c.handleSendError(s, err)
 	}
-	return c.handleAnswer(ctx, s, ex)
+	return c.handleAnswer(s, ex, answer)
+}
+
+// readAnswer returns the answer to the call. On a connection that has carried other calls, it skips one answer that lacks the call's ID,
+// since that may be a copy of an earlier one; if the next one lacks it too, the answer proves nothing.
+func (c *callRun) readAnswer(ctx context.Context, s deck.Server, ex *http1.Exchange) (deck.Answer, error) {
+	answer := c.h.Codec.ReadAnswer(c.call, ex.Response)
+	if !ex.Reused || answer.Identified {
+		return answer, nil
+	}
+	if !ex.Response.Close {
+		c.logFailedOffer(s, "skipped an answer without the ID of the call")
+		if err := ex.SkipResponse(ctx, &http.Request{Method: c.r.Method}); err != nil {
+			ex.Abort()
+			return deck.Answer{}, &http1.SendError{MaybeSent: true, Err: err}
+		}
+		answer = c.h.Codec.ReadAnswer(c.call, ex.Response)
+	}
+	if !answer.Identified {
+		answer.Verdict = deck.AnswerOtherCall
+	}
+	return answer, nil
 }
 
 // watchAnswer cancels the offer if no answer arrives in time and another server can take the call. Without one, the server may be
@@ -423,17 +448,8 @@
 }
 
 // handleAnswer acts on the head of an answer.
-func (c *callRun) handleAnswer(ctx context.Context, s deck.Server, ex *http1.Exchange) offerResult {
+func (c *callRun) handleAnswer(s deck.Server, ex *http1.Exchange, answer deck.Answer) offerResult {
 	now := time.Now()
-	answer := c.h.Codec.ReadAnswer(c.call, ex.Response)
-	if answer.Verdict == deck.AnswerOtherCall && ex.Reused {
-		c.logFailedOffer(s, "skipped a late answer to another request")
-		if err := ex.SkipResponse(ctx, &http.Request{Method: c.r.Method}); err != nil {
-			ex.Abort()
-			return c.handleSendError(s, &http1.SendError{MaybeSent: true, Err: err})
-		}
-		answer = c.h.Codec.ReadAnswer(c.call, ex.Response)
-	}
 	if answer.HasLoad {
 		c.h.Balancer.RecordLoad(now, s.ID, answer.Load)
 	}
--- a/internal/api/ingress/harness_test.go
+++ b/internal/api/ingress/harness_test.go
@@ -242,7 +242,10 @@
 }
 
 func (testCodec) ReadAnswer(c deck.Call, resp *http.Response) deck.Answer {
-	a := deck.Answer{Verdict: deck.AnswerComplete, Notice: notice.FromHeader(resp.StatusCode, resp.Header)}
+	a := deck.Answer{
+		Verdict: deck.AnswerComplete, Identified: resp.Header.Get("Call-Id") == string(c.ID),
+		Notice: notice.FromHeader(resp.StatusCode, resp.Header),
+	}
 	switch {
 	case resp.Header.Get("Not-Run") != "":
 		a.Verdict = deck.AnswerNotRun
--- a/internal/core/deck/call.go
+++ b/internal/core/deck/call.go
@@ -38,10 +38,11 @@
 
 // An Answer is the information in the head of a backend server's response.
 type Answer struct {
-	Verdict AnswerVerdict
-	Load    ServerLoad
-	HasLoad bool
-	Notice  ServerNotice
+	Verdict    AnswerVerdict
+	Identified bool // the answer repeats the ID of the call
+	Load       ServerLoad
+	HasLoad    bool
+	Notice     ServerNotice
 }
 
 // A ServerLoad is the load that a backend server reported in a response.
