Tell engines' answers apart by the IDs of their requests

Report of another operator, on the inference API's path: a copy of an earlier answer or refusal that an engine writes as the next request arrives on a kept connection was taken for the answer to that request. The next caller got another one's answer, or a request that ran counted as not run and was sent elsewhere. Nothing in an engine's response named its request. Engines now repeat Request-ID; a response on a reused connection that does not is dropped as if the connection had been closed, and connections to engines that repeat no IDs are not reused.

--- a/internal/backend/engine/call.go
+++ b/internal/backend/engine/call.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"time"
@@ -30,7 +31,7 @@
 func (c *Client) CacheEvents(ctx context.Context, after uint64) (deck.CacheEvents, error) {
 	var w wire.CacheEvents
 	path := wire.PathCacheEvents + "?after=" + strconv.FormatUint(after, 10)
-	if err := c.getJSON(ctx, c.pool.pooled(), path, &w); err != nil {
+	if err := c.getJSON(ctx, c.transport(false), path, &w); err != nil {
 		return deck.CacheEvents{}, err
 	}
 	return w.CacheEvents(), nil
@@ -39,24 +40,24 @@
 // Cancel implements deck.Engine.Cancel. Cancelling is idempotent, so a failed request is retried once on a new connection.
 func (c *Client) Cancel(ctx context.Context, id deck.RequestID) error {
 	body := encode(wire.Cancel{RequestID: string(id)})
-	_, err := c.do(ctx, c.pool.pooled(), c.newPost(wire.PathCancel, body), unaryTimeout, wire.MaxJSONBytes)
+	_, err := c.do(ctx, c.transport(false), c.newPost(wire.PathCancel, body), unaryTimeout, wire.MaxJSONBytes)
 	if err == nil || ctx.Err() != nil {
 		return err
 	}
-	_, err = c.do(ctx, c.pool.unpooled(), c.newPost(wire.PathCancel, body), unaryTimeout, wire.MaxJSONBytes)
+	_, err = c.do(ctx, c.transport(true), c.newPost(wire.PathCancel, body), unaryTimeout, wire.MaxJSONBytes)
 	return err
 }
 
 // ExportKV implements deck.Engine.ExportKV.
 func (c *Client) ExportKV(ctx context.Context, id deck.RequestID) ([]byte, error) {
 	r := unaryRequest{method: http.MethodGet, path: kvPath(id), framed: true}
-	return c.do(ctx, c.pool.pooled(), r, kvTimeout, wire.MaxKVBytes)
+	return c.do(ctx, c.transport(false), r, kvTimeout, wire.MaxKVBytes)
 }
 
 // ImportKV implements deck.Engine.ImportKV.
 func (c *Client) ImportKV(ctx context.Context, id deck.RequestID, kv []byte) error {
 	r := unaryRequest{method: http.MethodPost, path: kvPath(id), body: kv, contentType: "application/octet-stream"}
-	_, err := c.do(ctx, c.pool.pooled(), r, kvTimeout, wire.MaxJSONBytes)
+	_, err := c.do(ctx, c.transport(false), r, kvTimeout, wire.MaxJSONBytes)
 	return err
 }
 
@@ -65,7 +66,7 @@
 func (c *Client) SendOperation(ctx context.Context, op deck.Operation) deck.OperationResult {
 	r := c.newPost(wire.PathOperations, encode(wire.NewOperation(op)))
 	r.noRetry = true
-	data, err := c.do(ctx, c.pool.unpooled(), r, unaryTimeout, wire.MaxJSONBytes)
+	data, err := c.do(ctx, c.transport(true), r, unaryTimeout, wire.MaxJSONBytes)
 	if err != nil {
 		return deck.OperationResult{Outcome: failureOutcome(err), Reason: err.Error()}
 	}
@@ -82,7 +83,7 @@
 // Report implements deck.Engine.Report.
 func (c *Client) Report(ctx context.Context) (deck.EngineReport, error) {
 	var w wire.Report
-	if err := c.getJSON(ctx, c.pool.pooled(), wire.PathReport, &w); err != nil {
+	if err := c.getJSON(ctx, c.transport(false), wire.PathReport, &w); err != nil {
 		return deck.EngineReport{}, err
 	}
 	r, err := w.EngineReport()
@@ -131,10 +132,14 @@
 func (c *Client) do(ctx context.Context, t *http.Transport, r unaryRequest, timeout time.Duration, limit int64) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	reused := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused = info.Reused }})
 	req, err := http.NewRequestWithContext(ctx, r.method, c.url(r.path), bytes.NewReader(r.body))
 	if err != nil {
 		return nil, err
 	}
+	id := c.nextID()
+	req.Header.Set(wire.HeaderRequestID, id)
 	if r.contentType != "" {
 		req.Header.Set("Content-Type", r.contentType)
 	}
@@ -146,6 +151,9 @@
 		return nil, classify(ctx, err, c.lastBootID())
 	}
 	defer resp.Body.Close()
+	if err := c.checkIdentity(resp, id, reused); err != nil {
+		return nil, err
+	}
 	bootID := c.recordResponse(resp, time.Time{})
 	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusNoContent {
 		return nil, responseError(resp, bootID)
--- a/internal/backend/engine/client.go
+++ b/internal/backend/engine/client.go
@@ -34,6 +34,9 @@
 	pool    *pool
 	bootID  atomic.Pointer[string] // the most recent boot ID in a response; nil before the first
 
+	anonymous atomic.Bool   // the last response did not repeat the ID of its request
+	requests  atomic.Uint64 // that got an ID of the client's
+
 	leaving atomic.Pointer[string] // the boot ID with which the engine has said that it leaves; nil if it has not
 	name    deck.BackendName       // of the engine, for notices
 	notices deck.NoticeObserver    // nil if nobody observes them
@@ -84,6 +87,11 @@
 		cancel(nil)
 		return nil, err
 	}
+	if err := c.checkIdentity(resp, string(g.ID), reused); err != nil {
+		_ = resp.Body.Close()
+		cancel(nil)
+		return nil, err
+	}
 	bootID := c.recordResponse(resp, sentAt)
 	if !isStream(resp) {
 		err := responseError(resp, bootID)
@@ -129,13 +137,6 @@
 	return req, nil
 }
 
-func (c *Client) transport(unpooled bool) *http.Transport {
-	if unpooled {
-		return c.pool.unpooled()
-	}
-	return c.pool.pooled()
-}
-
 func (c *Client) url(path string) string {
 	return "http://" + c.address + path
 }
--- a/internal/backend/engine/client_test.go
+++ b/internal/backend/engine/client_test.go
@@ -37,6 +37,7 @@
 			// net/http's server detects a closed connection only after it has read the request body.
 			data, _ := io.ReadAll(req.Body)
 			req.Body = io.NopCloser(bytes.NewReader(data))
+			w.Header().Set("Request-ID", req.Header.Get("Request-ID"))
 			h(w, req)
 		})}
 		l := r.net.Listen(address)
--- /dev/null
+++ b/internal/backend/engine/identity.go
@@ -0,0 +1,38 @@
+package engine
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	wire "github.com/geraniumdeck/geraniumdeck/internal/wire/engine"
+)
+
+// errUnidentified means that a response on a reused connection may be a copy of an earlier one.
+var errUnidentified = errors.New("the response on a reused connection does not repeat the ID of the request")
+
+// transport returns the transport of the next request. Connections to an engine that does not repeat the IDs of requests are not reused,
+// since nothing would tell the response to a request from a copy of an earlier one.
+func (c *Client) transport(unpooled bool) *http.Transport {
+	if unpooled || c.anonymous.Load() {
+		return c.pool.unpooled()
+	}
+	return c.pool.pooled()
+}
+
+// checkIdentity returns an error if the response is not known to be the one to the request with the ID.
+func (c *Client) checkIdentity(resp *http.Response, id string, reused bool) error {
+	identified := resp.Header.Get(wire.HeaderRequestID) == id
+	c.anonymous.Store(!identified)
+	if identified || !reused {
+		return nil
+	}
+	return &deck.EngineError{Kind: deck.EngineConnClosed, Err: errUnidentified}
+}
+
+// nextID returns an ID for a request that has none of its own.
+func (c *Client) nextID() string {
+	return "call-" + strconv.FormatUint(c.requests.Add(1), 10)
+}
--- a/internal/emulate/engine/engine.go
+++ b/internal/emulate/engine/engine.go
@@ -121,7 +121,10 @@
 	mux.HandleFunc("POST "+wire.PathKVPrefix+"{id}", e.importKV)
 	mux.HandleFunc("POST /emulate/faults", e.setFaults)
 	mux.HandleFunc("GET /emulate/status", e.status)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(wire.HeaderRequestID, r.Header.Get(wire.HeaderRequestID))
+		mux.ServeHTTP(w, r)
+	})
 }
 
 // Overcommits returns the number of operations that left more memory in use than the engine has.
--- a/internal/wire/engine/protocol.go
+++ b/internal/wire/engine/protocol.go
@@ -13,7 +13,8 @@
 	PathKVPrefix        = "/engine/kv/"
 )
 
-// Headers of requests to an engine; HeaderLastEventID carries the offset of the last token already delivered.
+// Headers of requests to an engine; HeaderLastEventID carries the offset of the last token already delivered. An engine repeats
+// HeaderRequestID in its response; connections to one that does not are not reused.
 const (
 	HeaderRequestID    = "Request-ID"
 	HeaderPriority     = "Priority"
