Open a new connection for each call to a plain service

Their answers name no call, so nothing can tell a copy from the answer; calls that may be repeated now use a new connection each, as those that run at most once did already. It costs them one round trip.

TestCopyOfAnEarlierAnswer failed before (the second call got the first one's answer) and passes.

--- a/internal/api/caller/calls_test.go
+++ b/internal/api/caller/calls_test.go
@@ -143,7 +143,6 @@
 					}
 				}
 				client := service.New(f.net.Dial)
-				defer client.Close()
 				store := &decktest.IdempotencyStore{
 					FailBegin:  func(string) bool { return tc.beginFails },
 					FailFinish: func(string) bool { return tc.finishFails },
--- a/internal/backend/service/client.go
+++ b/internal/backend/service/client.go
@@ -22,10 +22,8 @@
 
 // Limits of connections and responses.
 const (
-	dialTimeout            = 2 * time.Second
-	idleTimeout            = 10 * time.Second
-	maxIdleConnsPerAddress = 16
-	maxResponseBytes       = 8 << 20
+	dialTimeout      = 2 * time.Second
+	maxResponseBytes = 8 << 20
 )
 
 // Headers of calls to plain services and of their responses.
@@ -39,9 +37,8 @@
 
 // A Client calls plain services and implements deck.ServiceClient.
 type Client struct {
-	dial     DialFunc
-	unpooled *http.Transport // opens a new connection for each call
-	pooled   *http.Transport
+	dial      DialFunc
+	transport *http.Transport
 }
 
 var _ deck.ServiceClient = (*Client)(nil)
@@ -54,17 +51,9 @@
 	dial = withDialTimeout(dial)
 	return &Client{
 		dial: dial,
-		unpooled: &http.Transport{
-			DialContext:        dial,
-			DisableCompression: true,
-			DisableKeepAlives:  true,
-		},
-		pooled: &http.Transport{
-			DialContext:         dial,
-			DisableCompression:  true,
-			IdleConnTimeout:     idleTimeout,
-			MaxIdleConnsPerHost: maxIdleConnsPerAddress,
-		},
+		// Answers don't name their calls, so on a connection that has carried other calls a copy of an earlier answer could be taken for
+		// the one to the next call. net/http may also send a call again whose connection the instance had closed.
+		transport: &http.Transport{DialContext: dial, DisableCompression: true, DisableKeepAlives: true},
 	}
 }
 
@@ -77,11 +66,6 @@
 	}
 }
 
-// Close closes idle connections.
-func (c *Client) Close() {
-	c.pooled.CloseIdleConnections()
-}
-
 // HasEnded implements deck.ServiceClient.HasEnded.
 func (c *Client) HasEnded(ctx context.Context, address string) bool {
 	conn, err := c.dial(ctx, "tcp", address)
@@ -103,7 +87,7 @@
 		return deck.ServiceAnswer{Outcome: deck.OutcomeNotRun, Reason: err.Error()}
 	}
 	// RoundTrip, unlike http.Client, does not follow redirects, which would send the call again.
-	resp, err := c.transport(call).RoundTrip(req)
+	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
 		return deck.ServiceAnswer{
 			Outcome: failureOutcome(connected.Load()), Reason: err.Error(), Interrupted: connected.Load() && isClosedByPeer(err),
@@ -115,15 +99,6 @@
 	return answer
 }
 
-// transport returns a transport that never sends the call twice. net/http may retry a request that it sent on a pooled
-// connection that the server had closed, so a call with an idempotency key uses a new connection.
-func (c *Client) transport(call deck.ServiceCall) *http.Transport {
-	if call.IdempotencyKey != "" {
-		return c.unpooled
-	}
-	return c.pooled
-}
-
 // failureOutcome returns the outcome of a call without a response: without a connection nothing was sent.
 func failureOutcome(connected bool) deck.Outcome {
 	if connected {
--- a/internal/backend/service/client_test.go
+++ b/internal/backend/service/client_test.go
@@ -102,7 +102,7 @@
 	})
 }
 
-// TestNoRetry guards against net/http retrying a call by itself: a first call leaves a pooled connection, and the server
+// TestNoRetry guards against net/http retrying a call by itself, as it may on a reused connection: after a first call, the server
 // closes any connection on which the second call arrives.
 func TestNoRetry(t *testing.T) {
 	for _, key := range []string{"", "k2"} {
@@ -123,6 +123,33 @@
 	}
 }
 
+// TestCopyOfAnEarlierAnswer guards against a copy of an earlier answer that an instance writes on a kept connection as the next call
+// arrives there; nothing in an answer names its call.
+func TestCopyOfAnEarlierAnswer(t *testing.T) {
+	h := func(w http.ResponseWriter, r *http.Request) {
+		if r.Close {
+			_, _ = io.WriteString(w, r.URL.Query().Get("of"))
+			return
+		}
+		conn, buf, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		for _, of := range []string{"1", r.URL.Query().Get("of")} {
+			_, _ = buf.WriteString("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + of)
+		}
+		_ = buf.Flush()
+		_ = conn.Close()
+	}
+	withService(t, h, func(t *testing.T, c *Client, _ *atomic.Int32) {
+		is := is.New(t)
+		for _, of := range []string{"1", "2"} {
+			a := c.Call(t.Context(), address, deck.ServiceCall{Method: http.MethodGet, Path: "/lookup", Query: "of=" + of})
+			is.Equal(string(a.Body), of)
+		}
+	})
+}
+
 // TestContent guards against a call or a response that is changed in transit.
 func TestContent(t *testing.T) {
 	var got *http.Request
@@ -161,7 +188,6 @@
 		go func() { _ = server.Serve(l) }()
 		c := New(network.Dial)
 		t.Cleanup(func() {
-			c.Close()
 			_ = server.Close()
 			synctest.Wait()
 		})
