--- a/internal/api/ingress/poison.go
+++ b/internal/api/ingress/poison.go
@@ -98,7 +98,7 @@
 	p.withdraw(suspect)
 }
 
-// withdraw adds a suspect to those of which the leader is told that they are sound.
+// withdraw reports a suspect to the leader as sound.
 func (p *PoisonDetector) withdraw(suspect uint64) {
 	if !slices.Contains(p.cleared, suspect) {
 		p.cleared = append(p.cleared, suspect)
@@ -146,7 +146,7 @@
 	return r
 }
 
-// Apply takes over what the leader answered to the last report. A new leader is told of all crashes again. With a Term of 0 the answer
+// Apply takes over what the leader answered to the last report. All crashes are reported again to a new leader. With a Term of 0 the answer
 // is not to the last report, so that only its verdicts count.
 func (p *PoisonDetector) Apply(now time.Time, v deck.BlameView) {
 	p.mu.Lock()
--- a/internal/api/ingress/suspect.go
+++ b/internal/api/ingress/suspect.go
@@ -20,7 +20,7 @@
 	refused, trial := c.h.Poison.Refuses(time.Now(), c.fingerprint(), c.withRepetition(c.parts))
 	if trial {
 		c.onTrial = true
-		c.h.Log.Info("call is let through although its like crashed servers", "request", string(c.call.ID))
+		c.h.Log.Info("call is tried although calls with the same content crashed servers", "request", string(c.call.ID))
 	}
 	return refused
 }
--- a/internal/core/blame/proofs.go
+++ b/internal/core/blame/proofs.go
@@ -27,7 +27,7 @@
 	p.recent[part] = now
 }
 
-// Contains reports whether the part was seen to be sound of late.
+// Contains reports whether the part was seen to be sound within provenTime.
 func (p *Proofs) Contains(now time.Time, part uint64) bool {
 	at, ok := p.last(part)
 	return ok && now.Sub(at) <= provenTime
@@ -46,7 +46,7 @@
 	return at, ok
 }
 
-// Unproven returns the parts that are not seen to be sound of late, maxSuspectParts at most.
+// Unproven returns the parts that are not seen to be sound within provenTime, maxSuspectParts at most.
 func (p *Proofs) Unproven(now time.Time, parts []uint64) []uint64 {
 	var unproven []uint64
 	for _, part := range parts {
--- a/internal/place/order/actions.go
+++ b/internal/place/order/actions.go
@@ -221,7 +221,7 @@
 	return outcome
 }
 
-// awaitStoreStart waits until a load from the weight store may begin; it returns false if the service is gone or ctx ends.
+// awaitStoreStart waits until a load from the weight store may begin; it returns false if the service is no longer configured or ctx ends.
 func (c *Controller) awaitStoreStart(ctx context.Context, s deck.ServiceName) bool {
 	for {
 		spec, ok := c.spec(s)
--- a/internal/place/order/adapters.go
+++ b/internal/place/order/adapters.go
@@ -123,7 +123,7 @@
 const missTokens = 500
 
 // maxLoadOverrun is how late a load may be before its end is no longer estimated: it waits for running requests, or the engine
-// is gone.
+// has ended.
 const maxLoadOverrun = 500 * time.Millisecond
 
 // recordMiss records the demand of a call for a model that no engine holds.
--- a/internal/route/attempt/promptparts.go
+++ b/internal/route/attempt/promptparts.go
@@ -59,7 +59,7 @@
 }
 
 // Judge reports whether requests with the part are refused. others says that the VMs have found it to crash backend servers; if this
-// one has seen it to be sound of late, objects tells the caller to report that.
+// one has seen it to be sound recently, objects tells the caller to report that.
 func (p *PromptParts) Judge(part uint64, others bool) (refused, objects bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
