Encode whole lists of backend servers once, and one message at a time

On the large fleet entry VMs heard of leaving servers late, or not at all, after the control leader had changed: each of 294 VMs needs the whole list from a new leader at once, and encoding it for each of them left the goroutines that confirm the leadership without time, so that the next leader followed seconds later.

A whole list is now encoded once for all VMs, and messages of entry VMs are decoded and encoded one at a time.

--- a/internal/api/peer/control.go
+++ b/internal/api/peer/control.go
@@ -45,6 +45,8 @@
 	Joins   JoinHandler
 	Places  PlaceHandler
 	Routing deck.RoutingStore
+
+	views *viewEncoder
 }
 
 // minCompressBytes is the minimum size of responses that are compressed. A list of many servers shrinks to a sixth.
@@ -93,6 +95,7 @@
 
 // RegisterControlAPI registers the handlers of POST /peer/view, /peer/join, /peer/place and /peer/routing.
 func RegisterControlAPI(mux *http.ServeMux, a ControlAPI) {
+	a.views = &viewEncoder{}
 	mux.HandleFunc("POST "+viewPath, a.serveView)
 	mux.HandleFunc("POST "+joinPath, a.serveJoin)
 	mux.HandleFunc("POST "+placePath, a.servePlace)
@@ -101,16 +104,15 @@
 
 func (a ControlAPI) serveView(w http.ResponseWriter, r *http.Request) {
 	var req viewRequestJSON
-	if !readJSON(w, r, &req) {
+	body, ok := readBody(w, r)
+	if !ok || !a.views.decode(func() bool { return parseJSON(w, body, &req) }) {
 		return
 	}
-	data := mustMarshal(viewAnswerToWire(a.Views.View(r.Context(), viewRequestFromWire(req))))
-	if len(data) < minCompressBytes {
-		writeJSON(w, data)
-		return
+	data, compressed := a.views.encode(a.Views.View(r.Context(), viewRequestFromWire(req)))
+	if compressed {
+		w.Header().Set("Content-Encoding", zstdEncoding)
 	}
-	w.Header().Set("Content-Encoding", zstdEncoding)
-	writeJSON(w, zstdEncoder.EncodeAll(data, nil))
+	writeJSON(w, data)
 }
 
 func (a ControlAPI) serveJoin(w http.ResponseWriter, r *http.Request) {
@@ -162,11 +164,23 @@
 }
 
 func readJSON(w http.ResponseWriter, r *http.Request, v any) bool {
+	body, ok := readBody(w, r)
+	return ok && parseJSON(w, body, v)
+}
+
+// readBody returns the body of a request; ok is false if the request has been answered with an error.
+func readBody(w http.ResponseWriter, r *http.Request) (body []byte, ok bool) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxControlRequestBytes))
-	if err == nil {
-		err = json.Unmarshal(body, v)
-	}
 	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return nil, false
+	}
+	return body, true
+}
+
+// parseJSON decodes the body of a request; it returns false if the request has been answered with an error.
+func parseJSON(w http.ResponseWriter, body []byte, v any) bool {
+	if err := json.Unmarshal(body, v); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return false
 	}
--- a/internal/api/peer/viewwire.go
+++ b/internal/api/peer/viewwire.go
@@ -151,12 +151,18 @@
 	if a.Config != nil {
 		w.Config = &documentJSON{a.Config.Version, a.Config.BaseVersion, a.Config.Data}
 	}
-	for _, s := range a.Servers {
-		w.Servers = append(w.Servers, serverToWire(s))
-	}
+	w.Servers = serversToWire(a.Servers)
 	return w
 }
 
+func serversToWire(servers []deck.Server) []serverJSON {
+	var out []serverJSON
+	for _, s := range servers {
+		out = append(out, serverToWire(s))
+	}
+	return out
+}
+
 func viewAnswerFromWire(w viewAnswerJSON) deck.ViewAnswer {
 	a := deck.ViewAnswer{
 		IsLeader: w.Leading, Leader: deck.VMName(w.Leader), View: deck.ViewVersion{Term: w.Term, Revision: w.Number},
--- a/internal/core/deck/view.go
+++ b/internal/core/deck/view.go
@@ -59,6 +59,7 @@
 	FullList       bool // Servers replaces the whole list
 	Servers        []Server
 	RemovedServers []BackendName // servers removed from the list
+	ListSerial     uint64        // of the list within the process that answers, which never reuses one; not sent
 	EntryVMCount   int           // number of entry VMs that poll the leader
 	CallsInFlight  []ServerCalls // in flight, summed over the last reports of all entry VMs
 	Blame          BlameView
--- a/internal/state/hub/publisher.go
+++ b/internal/state/hub/publisher.go
@@ -49,6 +49,7 @@
 	packed    map[uint64]*deck.PackedDocument // newest document, by the version that the receiver has
 	term      uint64                          // term of the leader that the list is of
 	revision  uint64                          // number of the last change of the list in this term
+	serial    uint64                          // number of the last change of the list in any term
 	servers   map[deck.BackendName]serverEntry
 	removed   map[deck.BackendName]uint64 // removed servers, with the revision of the removal
 	reports   map[deck.VMName]vmReport
@@ -138,6 +139,7 @@
 	next := p.revision + 1
 	if p.applyList(list, next) {
 		p.revision = next
+		p.serial++
 		notify(&p.newList)
 	}
 }
@@ -315,6 +317,7 @@
 	p.o.Logger.Info("backend server ejected: it broke connections of several entry VMs", "server", string(id))
 	s.Ejected = true
 	p.revision++
+	p.serial++
 	p.servers[id] = serverEntry{s.Server, p.revision, now}
 	notify(&p.newList)
 }
@@ -382,6 +385,7 @@
 func (p *Publisher) addServers(a *deck.ViewAnswer, r deck.ViewRequest) {
 	a.View = deck.ViewVersion{Term: p.term, Revision: p.revision}
 	a.FullList = p.needsWholeList(r)
+	a.ListSerial = p.serial
 	if !a.FullList && r.View.Revision == p.revision {
 		return
 	}
