Reuse no connections to backend servers that leave out IDs

Once a server has sent one such answer, it gets each call on a new connection, where a refusal needs no ID as proof.

TestRefusalsWithoutIDs fails without the change (504 for the fourth call) and passes: only the first call is in doubt.

--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -334,6 +334,9 @@
 // since that may be a copy of an earlier one; if the next one lacks it too, the answer proves nothing.
 func (c *callRun) readAnswer(ctx context.Context, s deck.Server, ex *http1.Exchange) (deck.Answer, error) {
 	answer := c.h.Codec.ReadAnswer(c.call, ex.Response)
+	if !answer.Identified {
+		c.h.Balancer.RecordAnonymous(s.ID)
+	}
 	if !ex.Reused || answer.Identified {
 		return answer, nil
 	}
@@ -393,7 +396,7 @@
 	c.h.Codec.SetHeaders(header, o)
 	r := &http1.Request{
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body,
-		ContentLength: c.r.ContentLength,
+		ContentLength: c.r.ContentLength, NewConn: c.h.Balancer.IsAnonymous(s.ID),
 	}
 	if !c.route.Repeatable() {
 		r.MaxIdleTime = nonRepeatableMaxIdle
--- a/internal/api/ingress/repeatedrefusal_test.go
+++ b/internal/api/ingress/repeatedrefusal_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -69,3 +70,24 @@
 		}
 	}
 }
+
+// TestRefusalsWithoutIDs guards against calls that wait for an answer, or count as ones that may have run, at a server whose refusals
+// never bear an ID: only the first one on a kept connection is in doubt.
+func TestRefusalsWithoutIDs(t *testing.T) {
+	runFleet(t, 1, 1, []deck.Route{{Name: "once", Prefix: "/"}}, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		statuses := []int{f.send(0, plainCall).Code}
+		f.engines[0].setAnswer(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Del("Call-Id")
+			w.Header().Set("Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+		for range 3 {
+			statuses = append(statuses, f.send(0, plainCall).Code)
+			time.Sleep(300 * time.Millisecond) // the server counts as full for less, and the connection may be reused for longer
+		}
+		is.Equal(statuses, []int{
+			http.StatusOK, http.StatusGatewayTimeout, http.StatusServiceUnavailable, http.StatusServiceUnavailable,
+		})
+	})
+}
--- a/internal/backend/http1/client.go
+++ b/internal/backend/http1/client.go
@@ -24,6 +24,7 @@
 	Body          []byte
 	ContentLength int64         // -1 sends the body chunked, 0 means no body
 	MaxIdleTime   time.Duration // longest idle time of a pooled connection for the request; 0 for no limit but Client.IdleTimeout
+	NewConn       bool          // sends the request on a new connection
 }
 
 // A SendError is a failure to send a request or to receive the head of its response.
@@ -59,7 +60,7 @@
 
 // Do sends the request once and returns when the head of the response has been read. Its error is a *SendError.
 func (c *Client) Do(ctx context.Context, addr string, r *Request) (*Exchange, error) {
-	cn, reused, err := c.getConn(ctx, addr, r.MaxIdleTime)
+	cn, reused, err := c.getConn(ctx, addr, r)
 	if err != nil {
 		return nil, &SendError{Err: err}
 	}
@@ -145,10 +146,12 @@
 	b.WriteString("0\r\n\r\n")
 }
 
-// getConn returns an idle connection that has been idle for at most maxIdleTime (0 for no limit), or else dials a new one.
-func (c *Client) getConn(ctx context.Context, addr string, maxIdleTime time.Duration) (cn *conn, reused bool, err error) {
-	if cn := c.takeIdle(addr, maxIdleTime); cn != nil {
-		return cn, true, nil
+// getConn returns an idle connection that the request may use, or else dials a new one.
+func (c *Client) getConn(ctx context.Context, addr string, r *Request) (cn *conn, reused bool, err error) {
+	if !r.NewConn {
+		if cn := c.takeIdle(addr, r.MaxIdleTime); cn != nil {
+			return cn, true, nil
+		}
 	}
 	dctx, cancel := context.WithTimeout(ctx, c.DialTimeout)
 	defer cancel()
--- a/internal/route/balance/balancer.go
+++ b/internal/route/balance/balancer.go
@@ -54,6 +54,7 @@
 
 	inFlightReported int // this VM's calls in its last report to the control leader
 
+	anonymous    bool // it has sent an answer without the ID of its call
 	downUntil    time.Time
 	backoff      time.Duration // the last one; 0 after a success
 	fullUntil    time.Time
@@ -244,6 +245,20 @@
 	b.update(id, func(s *serverState) { s.downUntil = now.Add(mismatchBackoff) })
 }
 
+// RecordAnonymous records that the server has sent an answer without the ID of its call.
+func (b *Balancer) RecordAnonymous(id deck.BackendName) {
+	b.update(id, func(s *serverState) { s.anonymous = true })
+}
+
+// IsAnonymous reports whether the server has sent an answer without the ID of its call. On a reused connection, nothing tells such an
+// answer from a copy of an earlier one.
+func (b *Balancer) IsAnonymous(id deck.BackendName) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.servers[id]
+	return s != nil && s.anonymous
+}
+
 // RecordAbsent records that the engine does not hold the model, or the adapter unless it is empty.
 func (b *Balancer) RecordAbsent(now time.Time, id deck.BackendName, m deck.ModelName, a deck.AdapterName) {
 	b.update(id, func(s *serverState) {
