Place the models of limited engines elsewhere too

The placement divided the work over all engines alike, and an engine that is hardly used even looked like the best place for more copies.

The control leader, which grants the permits, now plans with the limits that bind: what an engine takes in tokens a second, against the work of the average engine, is its speed. Its work is divided by that, so that its models count as overloaded and get copies elsewhere, and it gets no further copies itself. Entry VMs report how many calls the tokens are for. Without limits the plans are the same.

--- a/internal/api/ingress/demand.go
+++ b/internal/api/ingress/demand.go
@@ -27,7 +27,9 @@
 func (d *DemandCounter) RecordCall(s deck.ServiceName, c deck.Call) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.model(s, c.Model).Tokens += max(1, c.PromptTokens+int(expectedOutputShare*float64(c.MaxTokens)))
+	demand := d.model(s, c.Model)
+	demand.Calls++
+	demand.Tokens += max(1, c.PromptTokens+int(expectedOutputShare*float64(c.MaxTokens)))
 }
 
 // RecordStream counts a stream that has ended, and whether it was late.
--- a/internal/api/peer/viewwire.go
+++ b/internal/api/peer/viewwire.go
@@ -37,6 +37,7 @@
 	Service string `json:"service"`
 	Model   string `json:"model"`
 	Tokens  int    `json:"tokens"`
+	Calls   int    `json:"calls,omitempty"`
 
 	Streams int `json:"streams,omitempty"`
 	Late    int `json:"late,omitempty"`
@@ -100,7 +101,7 @@
 	}
 	for _, d := range r.Demand {
 		w.Demand = append(w.Demand, callDemandJSON{
-			string(d.Service), string(d.Model), d.Tokens, d.Streams, d.LateStreams,
+			string(d.Service), string(d.Model), d.Tokens, d.Calls, d.Streams, d.LateStreams,
 		})
 	}
 	for _, l := range r.Leaving {
@@ -125,7 +126,7 @@
 	for _, d := range w.Demand {
 		r.Demand = append(r.Demand, deck.CallDemand{
 			Service: deck.ServiceName(d.Service), Model: deck.ModelName(d.Model), Tokens: d.Tokens,
-			Streams: d.Streams, LateStreams: d.Late,
+			Calls: d.Calls, Streams: d.Streams, LateStreams: d.Late,
 		})
 	}
 	for _, l := range w.Leaving {
--- a/internal/command/node/control.go
+++ b/internal/command/node/control.go
@@ -62,10 +62,15 @@
 	}
 	fleet := peer.ControlClient{HTTP: client, DataCentre: s.DataCentre, Leader: c.leader}
 	restraints := &restraint.Table{Log: n.log}
+	permits := &restraint.SharedPermits{
+		Monitor: c.replica, Clock: deck.BootClock{}, MaxLeadershipAge: maxLeadershipAge,
+		VMs: func() int { return c.publisher.EntryVMs() },
+	}
 	c.orders = order.NewController(order.Options{
 		Self: s.PeerName(), Monitor: c.replica, Clock: deck.BootClock{}, MaxLeadershipAge: maxLeadershipAge,
 		HandoverDelay: s.Bounds.Lease, EnginesCheckFencing: s.Bounds.EnginesCheckFencing,
 		Engines: platform.Engines{HTTP: client, Notices: restraints}, Restraints: restraints,
+		Limit:   func(s deck.Server) (float64, bool) { return permits.Limit(s.ID, s.Incarnation()) },
 		Servers: platform.ServerList{Address: s.Platform.Address, HTTP: client, Log: n.log},
 		Config:  c.config.Load, Publish: func(term uint64, list []deck.Server) { c.publisher.SetServers(term, list) },
 		CallsInFlight: func(id deck.BackendName) int { return c.publisher.Calls(id) }, Log: n.log,
@@ -83,9 +88,7 @@
 	peerMux := http.NewServeMux()
 	peer.RegisterReplica(peerMux, c.replica, answers)
 	peer.RegisterControlAPI(peerMux, peer.ControlAPI{Views: c.publisher, Joins: c, Places: c.orders, Routing: store})
-	peer.RegisterPermits(peerMux, &restraint.SharedPermits{
-		Monitor: c.replica, Clock: deck.BootClock{}, MaxLeadershipAge: maxLeadershipAge, VMs: c.publisher.EntryVMs,
-	})
+	peer.RegisterPermits(peerMux, permits)
 	operatorMux := http.NewServeMux()
 	platform.RegisterOperator(operatorMux, store)
 	return errors.Join(
--- a/internal/core/deck/view.go
+++ b/internal/core/deck/view.go
@@ -44,6 +44,7 @@
 type CallDemand struct {
 	Service     ServiceName
 	Model       ModelName
+	Calls       int // that have arrived
 	Tokens      int // that engines are expected to read and generate for the calls
 	Streams     int // that ended
 	LateStreams int // of these, with a first event or a gap between events that exceeded its target
--- a/internal/core/restraint/sharedpermits.go
+++ b/internal/core/restraint/sharedpermits.go
@@ -26,6 +26,22 @@
 
 var _ deck.PermitSource = (*SharedPermits)(nil)
 
+// limitTime is how long a limit counts since a VM last heard it and needed a permit.
+const limitTime = 10 * time.Second
+
+// Limit returns the limit of an incarnation of a server in requests a second, as VMs that need permits have heard it; ok is false if there
+// is none.
+func (p *SharedPermits) Limit(name deck.BackendName, incarnation string) (limit float64, ok bool) {
+	now := p.Clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.permits.servers[name]
+	if s == nil || s.incarnation != incarnation || now.Sub(s.heardAt) > limitTime {
+		return 0, false
+	}
+	return s.limit, true
+}
+
 // TakePermit implements deck.PermitSource.TakePermit.
 func (p *SharedPermits) TakePermit(_ context.Context, r deck.PermitRequest) (deck.PermitAnswer, error) {
 	now := p.Clock.Now()
--- a/internal/place/assign/assign_test.go
+++ b/internal/place/assign/assign_test.go
@@ -297,3 +297,18 @@
 	is.True(len(actions) > 0)
 	is.Equal(actions[0].Engine, deck.BackendName("idle"))
 }
+
+// Load pattern: an engine takes far fewer calls than the others and is the only one with a busy model. Guards against a plan that takes
+// its share of the work for that of any engine, and against further copies of other models there.
+func TestSlowEngineIsRelieved(t *testing.T) {
+	for _, speed := range []float64{1, 0.2} {
+		is := is.New(t)
+		s := spec(4)
+		engines := []assign.Engine{engine("a", 0), engine("b", 1), engine("c", 2), engine("d", 3)}
+		engines[0].Speed = speed
+		demand := assign.Demand{name(0): 1000, name(1): 1000, name(2): 1000, name(3): 1000}
+		settled := settle(t, s, engines, estimate(demand))
+		is.True(copies(settled)[name(0)] >= 2)
+		is.Equal(len(settled[0].Models) == 1, speed < 1)
+	}
+}
--- a/internal/place/assign/distribution.go
+++ b/internal/place/assign/distribution.go
@@ -24,7 +24,8 @@
 	models  []deck.ModelName // with demand and holders, in a fixed order
 	holders map[deck.ModelName][]deck.BackendName
 	share   map[assignment]float64
-	work    map[deck.BackendName]float64
+	work    map[deck.BackendName]float64 // divided by the engine's speed
+	speed   map[deck.BackendName]float64
 }
 
 // An assignment is a copy of a model on an engine.
@@ -36,12 +37,13 @@
 func newDistribution(engines []Engine, demand Demand) *distribution {
 	s := &distribution{
 		demand: demand, holders: make(map[deck.ModelName][]deck.BackendName), share: make(map[assignment]float64),
-		work: make(map[deck.BackendName]float64, len(engines)),
+		work: make(map[deck.BackendName]float64, len(engines)), speed: make(map[deck.BackendName]float64, len(engines)),
 	}
 	for _, d := range demand {
 		s.total += d
 	}
 	for _, e := range engines {
+		s.speed[e.ID] = e.speed()
 		for m := range e.Models {
 			s.addHolder(m, e.ID)
 		}
@@ -71,7 +73,7 @@
 
 // removeCopy removes a holder and divides its demand among the model's other holders.
 func (s *distribution) removeCopy(m deck.ModelName, e deck.BackendName) {
-	s.work[e] -= s.share[assignment{m, e}]
+	s.work[e] -= s.share[assignment{m, e}] / s.speed[e]
 	delete(s.share, assignment{m, e})
 	s.holders[m] = slices.DeleteFunc(s.holders[m], func(h deck.BackendName) bool { return h == e })
 	s.splitDemand(m)
@@ -93,26 +95,27 @@
 		return
 	}
 	for _, e := range holders {
-		s.work[e] -= s.share[assignment{m, e}]
+		s.work[e] -= s.share[assignment{m, e}] / s.speed[e]
 	}
 	slices.SortFunc(holders, func(a, b deck.BackendName) int {
 		return cmp.Or(cmp.Compare(s.work[a], s.work[b]), cmp.Compare(a, b))
 	})
 	level := s.waterLevel(holders, s.demand[m])
 	for _, e := range holders {
-		share := max(0, level-s.work[e])
-		s.share[assignment{m, e}] = share
-		s.work[e] += share
+		work := max(0, level-s.work[e])
+		s.share[assignment{m, e}] = work * s.speed[e]
+		s.work[e] += work
 	}
 }
 
 // waterLevel returns the level up to which the demand fills the engines, which are ordered by their other work.
 func (s *distribution) waterLevel(holders []deck.BackendName, demand float64) float64 {
-	sum := demand
+	sum, speed := demand, 0.0
 	level := 0.0
 	for i, e := range holders {
-		sum += s.work[e]
-		level = sum / float64(i+1)
+		sum += s.work[e] * s.speed[e]
+		speed += s.speed[e]
+		level = sum / speed
 		if i+1 == len(holders) || level <= s.work[holders[i+1]] {
 			break
 		}
--- a/internal/place/assign/planner.go
+++ b/internal/place/assign/planner.go
@@ -11,6 +11,7 @@
 	ID                deck.BackendName
 	DataCentre        deck.DataCentre
 	Available         bool                       // it can take an order
+	Speed             float64                    // share of other engines' work that it can do in the same time; 0 stands for 1
 	Models            map[deck.ModelName]bool    // held
 	Loading           deck.ModelName             // empty for none
 	Unloading         bool                       // an unload waits for running requests to end
@@ -20,6 +21,14 @@
 	Cached            map[deck.ModelName]bool    // can be loaded from the engine's memory or disk, without the weight store
 }
 
+// speed returns the engine's speed.
+func (e Engine) speed() float64 {
+	if e.Speed == 0 {
+		return 1
+	}
+	return e.Speed
+}
+
 // An Action changes the models of an engine.
 type Action struct {
 	Engine    deck.BackendName
@@ -202,6 +211,9 @@
 	}
 }
 
+// minCopySpeed is the speed from which a further copy of a model on an engine relieves the others.
+const minCopySpeed = 0.5
+
 // placeCopy adds the action for a further copy of the model at the candidate of the least cost, if there is one.
 func (p *planner) placeCopy(m deck.EngineModel, candidate candidateFunc) bool {
 	var best Action
@@ -210,6 +222,9 @@
 		if !e.Available || p.planned[e.ID] || e.Models[m.Name] || !e.Cached[m.Name] && p.storeLoads <= 0 {
 			continue
 		}
+		if e.speed() < minCopySpeed && p.copies[m.Name] > 0 {
+			continue
+		}
 		a, cost, ok := candidate(e, m)
 		if ok && (!found || cost < bestCost) {
 			best, bestCost, found = a, cost, true
--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -54,6 +54,10 @@
 	CallsInFlight       func(deck.BackendName) int // at a server, of all entry VMs
 	Restraints          *restraint.Table           // what servers have said to any VM about the requests that they take
 	Log                 logr.Logger
+
+	// Limit returns how many requests a second a server takes from all VMs together; ok is false if it has named no limit that they
+	// need. A nil Limit stands for none.
+	Limit func(deck.Server) (limit float64, ok bool)
 }
 
 // A Controller plans placements and sends orders to engines while its replica leads.
@@ -223,6 +227,7 @@
 	defer c.mu.Unlock()
 	for _, d := range r.Demand {
 		c.estimatorOf(d.Service).recordDemand(now, d.Model, float64(d.Tokens))
+		c.estimatorOf(d.Service).recordCalls(now, d.Calls, d.Tokens)
 		c.estimatorOf(d.Service).recordStreams(now, d.Streams, d.LateStreams)
 	}
 	for _, l := range r.Leaving {
@@ -298,6 +303,7 @@
 		}
 		engines = append(engines, e.snapshot(*s.Engine, now))
 	}
+	c.setSpeeds(engines, demand, d.tokensPerCall())
 	c.logTooLarge(s)
 	if demand.IsZero() && now.Sub(c.listGrewAt) < listLag {
 		return // models that seem to have no copy may be on engines that the list does not show yet
@@ -310,6 +316,26 @@
 	}
 }
 
+// minSpeed is the speed of an engine that takes hardly any requests.
+const minSpeed = 0.01
+
+// setSpeeds sets how much of the average engine's work the engines can take that have named limits, given the mean number of tokens of
+// a call; the caller holds the lock.
+func (c *Controller) setSpeeds(engines []assign.Engine, demand assign.DemandEstimate, tokensPerCall float64) {
+	total := 0.0
+	for _, d := range demand.Current {
+		total += d
+	}
+	if c.opts.Limit == nil || total == 0 || tokensPerCall == 0 {
+		return
+	}
+	for i, e := range engines {
+		if limit, ok := c.opts.Limit(c.engines[e.ID].server); ok {
+			engines[i].Speed = min(1, max(minSpeed, limit*tokensPerCall*float64(len(engines))/total))
+		}
+	}
+}
+
 // utilisation returns the calls at the service's engines divided by their request slots; the caller holds the lock.
 func (c *Controller) utilisation(s deck.ServiceName) float64 {
 	calls, slots := 0, 0
--- a/internal/place/order/controller_test.go
+++ b/internal/place/order/controller_test.go
@@ -38,7 +38,7 @@
 			Self: "self", Monitor: p, Clock: deck.SystemClock{}, MaxLeadershipAge: time.Second,
 			HandoverDelay: 3 * time.Second, EnginesCheckFencing: !p.unfenced,
 			Engines: p, Servers: p, Config: p.config, Publish: p.publish, CallsInFlight: func(deck.BackendName) int { return 0 },
-			Log: logr.Discard(), Restraints: &p.restraints,
+			Log: logr.Discard(), Restraints: &p.restraints, Limit: p.limit,
 		})
 		var g errgroup.Group
 		g.Go(func() error { return c.Run(ctx) })
--- a/internal/place/order/demand.go
+++ b/internal/place/order/demand.go
@@ -16,6 +16,25 @@
 
 	streams, lateStreams float64 // recent, decaying
 	streamsAt            time.Time
+
+	calls, callTokens float64 // recent, decaying
+	callsAt           time.Time
+}
+
+// recordCalls records calls and the tokens that engines are expected to read and generate for them.
+func (d *demandEstimator) recordCalls(now time.Time, calls, tokens int) {
+	w := deck.Decay(now.Sub(d.callsAt), fallTimeConstant)
+	d.calls = w*d.calls + float64(calls)
+	d.callTokens = w*d.callTokens + float64(tokens)
+	d.callsAt = now
+}
+
+// tokensPerCall returns the mean number of tokens of a recent call; 0 if there was none.
+func (d *demandEstimator) tokensPerCall() float64 {
+	if d.calls == 0 {
+		return 0
+	}
+	return d.callTokens / d.calls
 }
 
 // priorStreams is how many streams in time are added to the recent ones, so that a few late ones don't count as crowding.
--- a/internal/place/order/fake_test.go
+++ b/internal/place/order/fake_test.go
@@ -30,6 +30,8 @@
 	loadStarts []time.Time // when engines accepted orders to load a model
 	restraints restraint.Table
 	inPause    int // orders and requests for reports to an engine that wants none
+
+	limits map[deck.BackendName]float64 // that engines name
 }
 
 // A fakeEngine is an engine of a fakePlatform.
@@ -70,6 +72,14 @@
 	return &deck.RoutingConfig{Version: 1, Services: []deck.RoutedService{{Name: "llm", Engine: &p.spec}}}
 }
 
+// limit returns the limit that an engine names.
+func (p *fakePlatform) limit(s deck.Server) (limit float64, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	limit, ok = p.limits[s.ID]
+	return limit, ok
+}
+
 // ListServers implements deck.ServerList.
 func (p *fakePlatform) ListServers(context.Context) ([]deck.Server, error) {
 	p.mu.Lock()
