Load adapters elsewhere if only limited engines hold them

A call for an adapter that only an engine with a limit held was refused beyond that limit, although other engines held its model: the control leader answered that the adapter was there already. It now looks for an engine without a limit, loads the adapter there, and falls back to the limited one only if there is none; one with a limit also comes last when an adapter is loaded first.

TestAdapterOfLimitedEngineIsLoadedElsewhere failed before and passes.

--- a/internal/place/order/adapters.go
+++ b/internal/place/order/adapters.go
@@ -37,8 +37,9 @@
 	if !ok {
 		return deck.Placement{}, errors.Newf("no engines in service %q", s)
 	}
-	if p, ok := c.findHolder(from, s, m, a); ok {
-		return p, nil
+	holder, ok := c.findHolder(from, s, m, a)
+	if ok && (a == "" || !c.isLimited(holder.Server)) {
+		return holder, nil
 	}
 	if a == "" {
 		c.recordMiss(s, m)
@@ -50,7 +51,24 @@
 		return p, nil
 	}
 	defer c.endPlacement(key)
-	return c.placeAdapter(ctx, spec, from, key), nil
+	return c.placeAdapter(ctx, spec, from, key, holder), nil
+}
+
+// isLimited reports whether the engine has named a limit that entry VMs need.
+func (c *Controller) isLimited(id deck.BackendName) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e := c.engines[id]
+	return e != nil && c.limited(e)
+}
+
+// limited is isLimited for an engine of the list; the caller holds the lock.
+func (c *Controller) limited(e *engine) bool {
+	if c.opts.Limit == nil {
+		return false
+	}
+	_, ok := c.opts.Limit(e.server)
+	return ok
 }
 
 func (c *Controller) spec(s deck.ServiceName) (deck.EngineSpec, bool) {
@@ -90,7 +108,7 @@
 	delete(c.placing, key)
 }
 
-// findHolder returns an engine that already holds the model and adapter, preferably in the callers' data centre.
+// findHolder returns an engine that already holds the model and adapter, preferably one without a limit, in the callers' data centre.
 func (c *Controller) findHolder(
 	from deck.DataCentre, s deck.ServiceName, m deck.ModelName, a deck.AdapterName,
 ) (deck.Placement, bool) {
@@ -105,7 +123,7 @@
 		if _, ok := adapters[a]; a != "" && !ok {
 			continue
 		}
-		if best == nil || e.server.DataCentre == from {
+		if best == nil || !c.limited(e) && (c.limited(best) || e.server.DataCentre == from) {
 			best = e
 		}
 	}
@@ -160,14 +178,14 @@
 	return p
 }
 
-// placeAdapter loads the adapter on an engine that holds its model.
+// placeAdapter loads the adapter on an engine that holds its model. If an engine holds it already, only one without a limit would help.
 func (c *Controller) placeAdapter(
-	ctx context.Context, spec deck.EngineSpec, from deck.DataCentre, key adapterKey,
+	ctx context.Context, spec deck.EngineSpec, from deck.DataCentre, key adapterKey, holder deck.Placement,
 ) deck.Placement {
 	tried := make(map[*engine]bool)
 	for range maxAdapterAttempts {
 		e, ok := c.selectAdapterEngine(spec, from, key, tried)
-		if !ok {
+		if !ok || holder.Server != "" && c.isLimited(e.id) {
 			break
 		}
 		tried[e] = true
@@ -176,10 +194,13 @@
 			return deck.Placement{Server: e.id}
 		}
 	}
+	if holder.Server != "" {
+		return holder
+	}
 	return c.estimateReady(spec, key.service, key.model)
 }
 
-// selectAdapterEngine returns the engine not yet tried that has the least cost, by used adapter slots, eviction and distance.
+// selectAdapterEngine returns the engine not yet tried that has the least cost, by used adapter slots, eviction, distance and limits.
 func (c *Controller) selectAdapterEngine(
 	spec deck.EngineSpec, from deck.DataCentre, key adapterKey, tried map[*engine]bool,
 ) (best *engine, ok bool) {
@@ -201,6 +222,9 @@
 		if e.server.DataCentre != from {
 			cost += remoteAdapterCost
 		}
+		if c.limited(e) {
+			cost += limitedAdapterCost
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
@@ -220,6 +244,9 @@
 const (
 	evictAdapterCost  = 4.0
 	remoteAdapterCost = 3.0
+
+	// limitedAdapterCost is more than that of any other engine, since an engine with a limit may take hardly any calls.
+	limitedAdapterCost = 1000.0
 )
 
 // lruAdapter returns the least recently used adapter, if it has been unused for minAdapterIdle.
--- a/internal/place/order/limited_test.go
+++ b/internal/place/order/limited_test.go
@@ -1,6 +1,7 @@
 package order
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -48,3 +49,30 @@
 		})
 	}
 }
+
+// TestAdapterOfLimitedEngineIsLoadedElsewhere guards against calls for an adapter that are refused, because the only engine that holds it
+// takes no more of them, although others hold its model.
+func TestAdapterOfLimitedEngineIsLoadedElsewhere(t *testing.T) {
+	is := is.New(t)
+	p := newFakePlatform(t, testSpec(1), 2, 1)
+	runController(t, p, func(c *Controller) {
+		for range 40 {
+			reportDemand(c, 0, 10_000)
+			<-time.After(500 * time.Millisecond)
+		}
+		is.Equal(p.copies(model(0)), 2)
+		place := func() deck.BackendName {
+			placement, err := c.PlaceFor(context.Background(), "", "llm", model(0), "a1")
+			is.NoErr(err)
+			return placement.Server
+		}
+		first := place()
+		is.True(first != "")
+		is.Equal(place(), first)
+		p.locked(func() { p.limits = map[deck.BackendName]float64{first: 2} })
+		second := place()
+		is.True(second != "" && second != first)
+		p.locked(func() { p.limits[second] = 2 })
+		is.True(place() != "") // an engine with a limit takes some calls
+	})
+}
