Take Retry-After beside 429 for the caller's pause, not the server's

A service whose instances told one caller with 429 and Retry-After to come back later was refused to all callers, for as long as that one had to wait: the pause counted for every call of the VM to the instance. Only a refusal with 503 is the server's own, as the users' pages say. Found by reading the table of notices for what a plain service may mean by them.

--- a/internal/api/caller/restraint_test.go
+++ b/internal/api/caller/restraint_test.go
@@ -174,6 +174,28 @@
 	}
 }
 
+// TestRefusalOfOneCallerPausesNoServer guards against a service that no caller reaches because its instances have told one of them to
+// come back later.
+func TestRefusalOfOneCallerPausesNoServer(t *testing.T) {
+	runFleet(t, 2, 0, 2, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		for _, s := range f.servers {
+			s.setRespond(func(w http.ResponseWriter, r *http.Request) bool {
+				if r.Header.Get("Authorization") != "busy" {
+					return false
+				}
+				w.Header().Set("Retry-After", "30")
+				w.WriteHeader(http.StatusTooManyRequests)
+				return true
+			})
+		}
+		busy := fleetCall{method: http.MethodGet, path: "/portal/x", header: []string{"Authorization", "busy"}}
+		is.Equal(f.sendEvery(time.Second, busy), map[int]int{http.StatusTooManyRequests: int(time.Second / fleetCallGap)})
+		statuses := f.sendEvery(time.Second, fleetCall{method: http.MethodGet, path: "/portal/x"})
+		is.Equal(statuses, map[int]int{http.StatusOK: int(time.Second / fleetCallGap)})
+	})
+}
+
 // overLimit returns by how many requests the server got more than its limit allows, at most in any window of limitWindow that begins
 // at the given time or later. Counted are those of VMs that it had told noticeMargin before.
 func (s *fleetServer) overLimit(limit float64, from time.Time) float64 {
--- a/internal/api/ingress/restraint_test.go
+++ b/internal/api/ingress/restraint_test.go
@@ -213,6 +213,29 @@
 	})
 }
 
+// TestRefusalOfOneCallerPausesNoServer guards against servers that no caller reaches because they have told one of them to come back
+// later.
+func TestRefusalOfOneCallerPausesNoServer(t *testing.T) {
+	runFleet(t, 2, 2, plainRoutes, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		for _, e := range f.engines {
+			e.setAnswer(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path != "/busy" {
+					return
+				}
+				w.Header().Set("Not-Run", "1")
+				w.Header().Set("Retry-After", "30")
+				w.WriteHeader(http.StatusTooManyRequests)
+			})
+		}
+		busy := plainCall
+		busy.path = "/busy"
+		is.Equal(f.sendEvery(callGap, time.Second, busy), map[int]int{http.StatusServiceUnavailable: int(time.Second / callGap)})
+		time.Sleep(time.Second)
+		is.Equal(f.sendEvery(callGap, time.Second, plainCall), map[int]int{http.StatusOK: int(time.Second / callGap)})
+	})
+}
+
 // TestShorterPauseDoesNotEndALongerOne guards against calls in a pause that a server asked for, because it has asked for a shorter one
 // in an answer that came later.
 func TestShorterPauseDoesNotEndALongerOne(t *testing.T) {
--- a/internal/wire/notice/header.go
+++ b/internal/wire/notice/header.go
@@ -10,7 +10,7 @@
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 )
 
-// Headers of answers. HeaderRetryAfter counts only beside a refusal.
+// Headers of answers. HeaderRetryAfter counts only beside status 503.
 const (
 	HeaderLeaving    = "Server-Leaving" // 1 if the server stops soon
 	HeaderRetryAfter = "Retry-After"    // seconds, with or without fractions
@@ -24,10 +24,11 @@
 	maxPause = time.Hour
 )
 
-// FromHeader returns the notice in the header of an answer with the given status. Values that can't be parsed say nothing.
+// FromHeader returns the notice in the header of an answer with the given status. Values that can't be parsed say nothing. Retry-After
+// beside other statuses than 503, such as 429, is for one caller.
 func FromHeader(status int, h http.Header) deck.ServerNotice {
 	n := deck.ServerNotice{Leaving: strings.TrimSpace(h.Get(HeaderLeaving)) == leavingValue}
-	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+	if status == http.StatusServiceUnavailable {
 		n.Pause = parsePause(h.Get(HeaderRetryAfter))
 	}
 	n.Limit, n.Limited = parseLimit(h.Get(HeaderLimit))
