Send engines no operations in a pause that they asked for, on the inference API's path too

An engine that refused an operation or a report of the placement leader with 503 and Retry-After got the next ones in the pause: the executor of the inference API's path did not ask what the engine had said, as entry VMs, the poller of reports and the platform's control leader do. An operation that is due in a pause now counts as not sent and is planned again; reports are requested after it. The platform's control leader asks for the pause alone as well, since a limit is for callers' requests only.

TestEngineGetsNoOperationsInThePauseThatItAskedFor failed before (requests later than 0.5 s after such a refusal, within its pause) and passes with none; the engine's models are loaded after it.

--- a/internal/command/process/placement.go
+++ b/internal/command/process/placement.go
@@ -33,7 +33,7 @@
 		DataCentre: d.vm.DataCentre, Clock: d.clock, Lease: l, States: d.store, Engine: e.Engine, Demand: col,
 		LeasedLoads: sh.loads.Leased, AdapterLimit: d.settings.Platform.AdapterLoadsInFlight, LeasedAdapters: sh.adapters.Leased,
 		Publish: d.publishResidency(pub), ObserveToken: l.RaiseTokenAbove,
-		OperationLifetime: d.settings.OperationLifetime, Log: d.log,
+		OperationLifetime: d.settings.OperationLifetime, Restraints: d.restraints, Log: d.log,
 	}
 	d.setPlatformClients(&cfg)
 	x := execute.New(cfg)
--- a/internal/core/restraint/table.go
+++ b/internal/core/restraint/table.go
@@ -124,6 +124,18 @@
 	return r
 }
 
+// PausedUntil returns when the given incarnation of a server, or the last known one if it is empty, takes requests again after a pause
+// that it asked for; zero if it takes them now. Unlike a limit, a pause holds for all requests, not only for those of callers.
+func (t *Table) PausedUntil(now time.Time, name deck.BackendName, incarnation string) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[name]
+	if s == nil || !s.is(incarnation) || !now.Before(s.pausedUntil) {
+		return time.Time{}
+	}
+	return s.pausedUntil
+}
+
 // Forget drops what the server has said, because its process has ended.
 func (t *Table) Forget(name deck.BackendName) {
 	t.mu.Lock()
--- a/internal/place/execute/executor.go
+++ b/internal/place/execute/executor.go
@@ -5,10 +5,12 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/restraint"
 )
 
 // Intervals, timeouts and default limits of the executor.
@@ -22,6 +24,9 @@
 	defaultAdapterLoadLimit = 8
 )
 
+// errPaused is returned for a report that was not requested and an operation that was not sent.
+var errPaused = errors.New("the engine has asked for a pause")
+
 // A Config holds the dependencies and settings of an Executor; every field after Engine may be nil or zero.
 type Config struct {
 	DataCentre        deck.DataCentre
@@ -39,6 +44,7 @@
 	Publish           func(deck.ResidencyTable) // called whenever the residency changes
 	ObserveToken      func(uint64)              // called when an engine reports a higher fencing token than the lease's
 	OperationLifetime time.Duration             // bound on how late an operation may arrive; 0 for memory.OperationLifetime
+	Restraints        *restraint.Table          // what engines say about the requests that they take; nil for an empty one
 	Log               logr.Logger
 }
 
@@ -57,6 +63,9 @@
 
 // New returns an executor that does nothing until Run is called.
 func New(cfg Config) *Executor {
+	if cfg.Restraints == nil {
+		cfg.Restraints = &restraint.Table{}
+	}
 	e := &Executor{cfg: cfg, done: make(chan struct{}), controller: NewController(cfg.DataCentre)}
 	if cfg.OperationLifetime > 0 {
 		e.controller.SetLifetime(cfg.OperationLifetime)
@@ -123,7 +132,10 @@
 // since the decision.
 func (e *Executor) sendOperation(ctx context.Context, s Send) {
 	r := deck.OperationResult{Outcome: deck.OutcomeNotRun, Reason: "placement lease expired before the operation was sent"}
-	if e.holdsLease(s.Operation.FencingToken) {
+	switch {
+	case e.isPaused(s.Backend):
+		r.Reason = errPaused.Error()
+	case e.holdsLease(s.Operation.FencingToken):
 		ctx, cancel := context.WithTimeout(ctx, e.controller.lifetime) // a slower send could arrive after the lifetime
 		defer cancel()
 		r = e.cfg.Engine(s.Backend).SendOperation(ctx, s.Operation)
@@ -142,10 +154,18 @@
 	return ok && l.FencingToken == token && l.ValidAt(e.cfg.Clock.Now())
 }
 
+// isPaused reports whether the engine takes no requests because of a pause that it asked for.
+func (e *Executor) isPaused(b deck.BackendServer) bool {
+	return !e.cfg.Restraints.PausedUntil(e.cfg.Clock.Now(), b.Name, "").IsZero()
+}
+
 func (e *Executor) requestReport(ctx context.Context, b deck.BackendServer, requestedAt time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	r, err := e.cfg.Engine(b).Report(ctx)
+	r, err := deck.EngineReport{}, errPaused
+	if !e.isPaused(b) {
+		r, err = e.cfg.Engine(b).Report(ctx)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if err != nil {
--- a/internal/place/execute/executor_test.go
+++ b/internal/place/execute/executor_test.go
@@ -7,9 +7,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/restraint"
 	"github.com/geraniumdeck/geraniumdeck/internal/test/decktest"
 )
 
@@ -87,6 +89,78 @@
 	is.Equal(engine.operations.Load(), int32(0))
 }
 
+const (
+	enginePause  = 3 * time.Second
+	noticeMargin = 500 * time.Millisecond // of the users' rules, after an answer
+)
+
+// A pausingEngine refuses the requests of the first ten seconds, each with a pause, and counts those in its pauses.
+type pausingEngine struct {
+	directEngine
+	restraints *restraint.Table
+	usedFrom   time.Time
+	until      time.Time
+	inPause    int
+}
+
+// refuses reports whether the engine refuses a request.
+func (p *pausingEngine) refuses() bool {
+	p.fake.mu.Lock()
+	defer p.fake.mu.Unlock()
+	now := time.Now()
+	if now.Before(p.until) && now.Add(enginePause-noticeMargin).After(p.until) {
+		p.inPause++
+	}
+	if !now.Before(p.usedFrom) {
+		return false
+	}
+	p.until = now.Add(enginePause)
+	p.restraints.ObserveNotice(now, p.fake.backend.Name, "", deck.ServerNotice{Pause: enginePause})
+	return true
+}
+
+// SendOperation implements deck.Engine.SendOperation.
+func (p *pausingEngine) SendOperation(ctx context.Context, op deck.Operation) deck.OperationResult {
+	if p.refuses() {
+		return deck.OperationResult{Outcome: deck.OutcomeNotRun, Reason: "refused"}
+	}
+	return p.directEngine.SendOperation(ctx, op)
+}
+
+// Report implements deck.Engine.Report.
+func (p *pausingEngine) Report(ctx context.Context) (deck.EngineReport, error) {
+	if p.refuses() {
+		return deck.EngineReport{}, errors.New("refused")
+	}
+	return p.directEngine.Report(ctx)
+}
+
+// TestEngineGetsNoOperationsInThePauseThatItAskedFor guards against operations and requests for reports to an engine that refuses them
+// and says for how long, and against an engine that stays unused after it.
+func TestEngineGetsNoOperationsInThePauseThatItAskedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		state := testState(1, 2, true)
+		table := &restraint.Table{}
+		engine := &pausingEngine{
+			directEngine: directEngine{fake: newFakeEngine(state.BackendServers()[0], time.Now)},
+			restraints:   table, usedFrom: time.Now().Add(10 * time.Second),
+		}
+		e := New(Config{
+			DataCentre: "dc", Clock: deck.SystemClock{}, States: fixedState{state}, Restraints: table,
+			Lease:  fixedLease{deck.PlacementLease{DataCentre: "dc", Holder: "vm", FencingToken: 7, Expires: time.Now().Add(time.Hour)}},
+			Engine: func(deck.BackendServer) deck.Engine { return engine },
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		is.NoErr(e.Run(ctx))
+		is.Equal(engine.inPause, 0)
+		for _, m := range state.Models() {
+			is.Equal(len(e.Replicas(m.Name)), 1)
+		}
+	})
+}
+
 type fakeWeightStore struct{ err error }
 
 func (s fakeWeightStore) Status(context.Context) (inFlight, limit int, err error) {
--- a/internal/place/order/actions.go
+++ b/internal/place/order/actions.go
@@ -73,7 +73,7 @@
 
 // pausedUntil returns when the engine takes requests again; zero if it takes them now.
 func (c *Controller) pausedUntil(s deck.Server) time.Time {
-	return c.opts.Restraints.Restraint(time.Now(), s.ID, s.Incarnation()).Until
+	return c.opts.Restraints.PausedUntil(time.Now(), s.ID, s.Incarnation())
 }
 
 // sendOrder sends one order, if this VM may still send any, and updates the engine from the outcome.
