Poll engines whose callers' requests are limited

The poller of reports left out an engine while a VM waited for its next permit, since both pauses and limits count as restraints: the VM knew the load of a limited engine from old reports only. A limit is for callers' requests; the poller now asks for the pause alone.

TestEngineThatNamesALimitIsPolled failed before (fewer than 10 polls in 20 s of an engine whose limit is used up) and passes; in a pause there are none.

--- a/internal/route/watch/poller.go
+++ b/internal/route/watch/poller.go
@@ -129,10 +129,10 @@
 	return out
 }
 
-// poll fetches a report and the cache events since the last poll, unless the engine has asked for a pause. Errors are ignored, since the next poll fetches what this
-// one missed.
+// poll fetches a report and the cache events since the last poll, unless the engine has asked for a pause. Errors are ignored, since
+// the next poll fetches what this one missed.
 func (p *Poller) poll(ctx context.Context, b deck.BackendServer) {
-	if !p.cfg.Restraints.Restraint(p.cfg.Clock.Now(), b.Name, "").Until.IsZero() {
+	if !p.cfg.Restraints.PausedUntil(p.cfg.Clock.Now(), b.Name, "").IsZero() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
--- a/internal/route/watch/poller_test.go
+++ b/internal/route/watch/poller_test.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/restraint"
 )
 
 // fakeFleet implements the state, the residency and the sink of a test, and holds the state of its engines.
@@ -24,6 +25,8 @@
 	polls   map[deck.BackendName][]time.Time
 	after   []uint64
 	reports int
+
+	restraints restraint.Table
 }
 
 func (f *fakeFleet) State() deck.State        { return f.state }
@@ -87,7 +90,8 @@
 	var g errgroup.Group
 	p := New(Config{
 		VM: "vm1", Clock: deck.SystemClock{}, State: f, Residency: f, Sink: f,
-		Client: func(b deck.BackendServer) deck.Engine { return fakeEngine{f: f, name: b.Name} },
+		Client:     func(b deck.BackendServer) deck.Engine { return fakeEngine{f: f, name: b.Name} },
+		Restraints: &f.restraints,
 	})
 	done := p.Start(ctx, &g)
 	if during != nil {
@@ -133,3 +137,33 @@
 		is.Equal(f.after, []uint64{0, 10, 0, 10})
 	})
 }
+
+// TestEngineThatNamesALimitIsPolled guards against a VM that knows the load of a limited engine no more, because it waits for permits to
+// send it callers' requests. In a pause the engine is not polled.
+func TestEngineThatNamesALimitIsPolled(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		said  deck.ServerNotice
+		polls int
+	}{
+		{"limit", deck.ServerNotice{Limited: true, Limit: 1}, 10},
+		{"pause", deck.ServerNotice{Pause: time.Minute}, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(1)
+				f.restraints.SetVMs(time.Now(), 1)
+				f.runPoller(t, 20*time.Second+time.Millisecond, func() {
+					f.restraints.ObserveNotice(time.Now(), "e00", "1", tc.said)
+					for range 200 { // callers' requests that use up the limit
+						f.restraints.Admit(t.Context(), "e00", "1")
+						time.Sleep(100 * time.Millisecond)
+					}
+				})
+				is.True(len(f.polls["e00"]) >= tc.polls)
+				is.True(tc.polls > 0 || len(f.polls["e00"]) == 0)
+			})
+		})
+	}
+}
