Spread the return of callers refused beyond all limits

Callers refused because no server took more within its limit were all told the time of the next permit, at which one of them was served and the others were refused again. The delay now grows from that time on with the share of the service's calls that are refused, as it does where all slots are taken; the share is counted for each service, so that a service that is full doesn't delay the callers of another one.

TestRetryAfterGrowsBeyondAllLimits failed before and passes.

--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -121,8 +121,8 @@
 	}
 	if c.requirements.Model != "" {
 		c.h.Demand.RecordCall(c.service, c.call)
-		c.h.refusalRate.recordCall(c.start)
 	}
+	c.h.refusals.of(c.service).recordCall(c.start)
 	for {
 		s, ok := c.choose()
 		if !ok {
@@ -230,9 +230,12 @@
 	retry := fullRetryAfter
 	switch result {
 	case balance.AllFull:
-		retry = c.h.refusalRate.recordRefusal(now, c.deadline.Sub(now))
-	case balance.NoServer, balance.Restrained:
+		retry = c.h.refusals.of(c.service).recordRefusal(now, c.deadline.Sub(now), fullRetryAfter)
+	case balance.NoServer:
 		retry = c.untilUnrestrained(now, noServerRetryAfter)
+	case balance.Restrained:
+		until := c.h.Balancer.RestrainedUntil(now, c.requirements)
+		retry = c.h.refusals.of(c.service).recordRefusal(now, c.deadline.Sub(now), max(0, until.Sub(now)))
 	case balance.ModelAbsent, balance.AdapterAbsent:
 		retry = loadingRetryAfter
 		if c.readyIn > 0 {
--- a/internal/api/ingress/handler.go
+++ b/internal/api/ingress/handler.go
@@ -56,11 +56,11 @@
 	// MinStall is the shortest pause after which a resumable stream moves to another engine; 0 for two seconds.
 	MinStall time.Duration
 
-	routes      atomic.Pointer[table.Table]
-	draining    atomic.Bool
-	ending      ending
-	inFlight    atomic.Int64
-	refusalRate refusalRate
+	routes   atomic.Pointer[table.Table]
+	draining atomic.Bool
+	ending   ending
+	inFlight atomic.Int64
+	refusals refusalRates
 }
 
 // SetRoutes replaces the routing table for requests that arrive from now on.
--- a/internal/api/ingress/limit_test.go
+++ b/internal/api/ingress/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -159,3 +160,35 @@
 		is.True(refused >= 15)
 	})
 }
+
+// TestRetryAfterGrowsBeyondAllLimits answers a load pattern: for several seconds there are several times as many calls as all servers take
+// within their limits. Guards against refused callers who all return for the next permit, where one of them is served and the others
+// are refused again.
+func TestRetryAfterGrowsBeyondAllLimits(t *testing.T) {
+	const (
+		deadline = 5 * time.Second // of the route
+		latest   = deadline / 4    // callers accept delays up to a third of their remaining time
+	)
+	runFleet(t, 4, 4, plainRoutes, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		for _, e := range f.engines {
+			e.setAnswer(withHeader("Server-Limit", "2"))
+		}
+		call := plainCall
+		call.header = []string{"Call-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10)}
+		f.sendEvery(callGap, 4*time.Second, call)
+		refused := 0
+		for i := range 50 {
+			w := f.send(i%len(f.vms), call)
+			if w.Code != http.StatusServiceUnavailable {
+				continue
+			}
+			refused++
+			retry, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
+			is.NoErr(err)
+			is.True(retry >= latest.Seconds()/2) // more than half of the calls were refused
+			is.True(retry <= latest.Seconds())
+		}
+		is.True(refused > 25)
+	})
+}
--- a/internal/api/ingress/refusalrate.go
+++ b/internal/api/ingress/refusalrate.go
@@ -19,7 +19,29 @@
 	maxRetryAfterShare = 0.25
 )
 
-// A refusalRate estimates the share of calls that are refused because all slots are taken; its zero value has counted none.
+// refusalRates are the refusal rates of services; the zero value has counted no calls.
+type refusalRates struct {
+	mu        sync.Mutex
+	byService map[deck.ServiceName]*refusalRate
+}
+
+// of returns the rate of a service.
+func (r *refusalRates) of(s deck.ServiceName) *refusalRate {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rate := r.byService[s]
+	if rate == nil {
+		if r.byService == nil {
+			r.byService = make(map[deck.ServiceName]*refusalRate)
+		}
+		rate = &refusalRate{}
+		r.byService[s] = rate
+	}
+	return rate
+}
+
+// A refusalRate estimates the share of a service's calls that are refused because all slots are taken or no server takes more within
+// its limit; its zero value has counted none.
 type refusalRate struct {
 	mu             sync.Mutex
 	calls, refused float64
@@ -34,16 +56,16 @@
 	c.calls++
 }
 
-// recordRefusal counts a refused call and returns its retry delay, which grows with the share of refused calls up to
+// recordRefusal counts a refused call and returns its retry delay, which grows from the least one with the share of refused calls up to
 // maxRetryAfterShare: callers that return within the same peak would be refused again.
-func (c *refusalRate) recordRefusal(now time.Time, remaining time.Duration) time.Duration {
+func (c *refusalRate) recordRefusal(now time.Time, remaining, least time.Duration) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.decay(now)
 	c.refused++
 	share := min(1, c.refused/(c.calls+priorCalls))
 	latest := time.Duration(maxRetryAfterShare * float64(remaining))
-	return max(fullRetryAfter, fullRetryAfter+time.Duration(share*float64(latest-fullRetryAfter)))
+	return max(least, least+time.Duration(share*float64(latest-least)))
 }
 
 func (c *refusalRate) decay(now time.Time) {
--- a/internal/api/ingress/refusalrate_test.go
+++ b/internal/api/ingress/refusalrate_test.go
@@ -20,15 +20,15 @@
 		calm.recordCall(now)
 		peak.recordCall(now)
 		if i%20 == 19 {
-			first = calm.recordRefusal(now, remaining)
+			first = calm.recordRefusal(now, remaining, fullRetryAfter)
 		}
 		if i%4 != 0 {
-			last = peak.recordRefusal(now, remaining)
+			last = peak.recordRefusal(now, remaining, fullRetryAfter)
 		}
 	}
 	is.True(first < 1200*time.Millisecond)
 	is.True(last > 1800*time.Millisecond)
 	is.True(last <= remaining/4)
-	is.True(peak.recordRefusal(now.Add(10*time.Second), remaining) < 1500*time.Millisecond) // the peak is over
-	is.Equal(peak.recordRefusal(now, time.Second), fullRetryAfter)
+	is.True(peak.recordRefusal(now.Add(10*time.Second), remaining, fullRetryAfter) < 1500*time.Millisecond) // the peak is over
+	is.Equal(peak.recordRefusal(now, time.Second, fullRetryAfter), fullRetryAfter)
 }
