Ask for the next permit at once after a caller has left

A caller who left while a permit was asked for counted as if nobody had granted one: the VM asked again after 0.5 s only, so that a limited server was used less where callers give up early. The next request now asks.

TestCallerWhoLeavesDelaysNoPermit failed before (one question instead of two) and passes.

--- a/internal/core/restraint/admit.go
+++ b/internal/core/restraint/admit.go
@@ -39,7 +39,7 @@
 }
 
 // Admit reports whether a request may be sent to the given incarnation of a server within the limit that it has named. It asks for a
-// permit if need be, for permitTimeout at most. If it returns false, the server is restrained for a while.
+// permit if need be, for permitTimeout at most. If it returns false, the server is restrained for a while or ctx has ended.
 func (t *Table) Admit(ctx context.Context, name deck.BackendName, incarnation string) bool {
 	now := time.Now()
 	t.mu.Lock()
@@ -65,6 +65,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now = time.Now()
+	if ctx.Err() != nil {
+		s.askAfter = now // the caller has left; the next request asks
+		return false
+	}
 	if err != nil {
 		answer = t.ownTurn(now, name, s)
 	}
--- a/internal/core/restraint/permits_test.go
+++ b/internal/core/restraint/permits_test.go
@@ -150,3 +150,34 @@
 		})
 	}
 }
+
+// A leavingCaller is a permit source that answers only once its caller has left.
+type leavingCaller struct{ asked int }
+
+// TakePermit implements deck.PermitSource.TakePermit.
+func (l *leavingCaller) TakePermit(ctx context.Context, _ deck.PermitRequest) (deck.PermitAnswer, error) {
+	l.asked++
+	<-ctx.Done()
+	return deck.PermitAnswer{}, ctx.Err()
+}
+
+// Guards against a server that is used less because callers leave while a permit is asked for: nobody has said that there is none.
+func TestCallerWhoLeavesDelaysNoPermit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &leavingCaller{}
+		table := &restraint.Table{Self: "vm0", Permits: source}
+		table.SetVMs(time.Now(), 8)
+		table.ObserveNotice(time.Now(), "e", "1", deck.ServerNotice{Limited: true, Limit: 3})
+		ctx, leave := context.WithCancel(t.Context())
+		leave()
+		if table.Admit(ctx, "e", "1") {
+			t.Error("the request of a caller who has left is admitted")
+		}
+		if !table.Restraint(time.Now(), "e", "1").Allows() {
+			t.Error("the next request has to wait")
+		}
+		if table.Admit(t.Context(), "e", "1"); source.asked != 2 {
+			t.Errorf("permits were asked for %d times", source.asked)
+		}
+	})
+}
