Tell all VMs when a server names no limit any more

On a large fleet a server that had named a limit for a while stayed nearly unused long after the limit had ended: each VM hears of the end only by a request of its own, for which it needs a permit, and permits come at the rate of the limit. With 60 VMs and a limit of one a second the server got less than a third of its share 10 s after the end; 300 VMs would take minutes. The VM that hears of the end now reports it to the VM that grants permits, with its next request to that server, and the others get it as the answer to their next question. An end that is older than what another VM has heard counts for nothing.

TestServerWithoutALimitAnyMoreIsUsed failed before with 60 VMs and passes with 8 and 60; TestEndOfALimitIsToldToOtherVMs is new with the change.

--- a/internal/api/ingress/limit_test.go
+++ b/internal/api/ingress/limit_test.go
@@ -108,18 +108,23 @@
 	}
 }
 
-// TestServerWithoutALimitAnyMoreIsUsed guards against VMs that keep to a limit that their server no longer names.
+// TestServerWithoutALimitAnyMoreIsUsed guards against VMs that keep to a limit that their server no longer names, however many they are:
+// each of them hears of the end only by a request that the limit lets through.
 func TestServerWithoutALimitAnyMoreIsUsed(t *testing.T) {
-	runFleet(t, 8, 2, plainRoutes, func(t *testing.T, f *fleet) {
-		is := is.New(t)
-		e := f.engines[0]
-		e.setAnswer(withHeader("Server-Limit", "1"))
-		f.sendEvery(callGap, 12*time.Second, plainCall)
-		is.True(e.rate(4*time.Second) <= 3)
-		e.setAnswer(nil)
-		f.sendEvery(callGap, 12*time.Second, plainCall)
-		is.True(e.rate(2*time.Second) >= 15) // about half of the calls
-	})
+	for _, vms := range []int{8, 60} {
+		t.Run(strconv.Itoa(vms), func(t *testing.T) {
+			runFleet(t, vms, 2, plainRoutes, func(t *testing.T, f *fleet) {
+				is := is.New(t)
+				e := f.engines[0]
+				e.setAnswer(withHeader("Server-Limit", "1"))
+				f.sendEvery(callGap, 12*time.Second, plainCall)
+				is.True(e.rate(4*time.Second) <= 3)
+				e.setAnswer(nil)
+				f.sendEvery(callGap, 12*time.Second, plainCall)
+				is.True(e.rate(2*time.Second) >= 15) // about half of the calls
+			})
+		})
+	}
 }
 
 // TestLimitChanges guards against VMs that keep to an earlier limit of a server.
--- a/internal/api/peer/permit.go
+++ b/internal/api/peer/permit.go
@@ -22,11 +22,13 @@
 	Incarnation string  `json:"incarnation,omitempty"`
 	Limit       float64 `json:"limit"`
 	AgeMs       int64   `json:"age-ms"`
+	Ended       bool    `json:"ended,omitempty"`
 }
 
 type permitAnswerJSON struct {
 	Granted bool  `json:"granted,omitempty"`
 	WaitUs  int64 `json:"wait-us,omitempty"`
+	Ended   bool  `json:"ended,omitempty"`
 }
 
 // RegisterPermits registers the handler of POST /peer/permit. A VM that grants no permits responds with status 409.
@@ -39,12 +41,13 @@
 		a, err := permits.TakePermit(r.Context(), deck.PermitRequest{
 			VM: deck.VMName(req.VM), Server: deck.BackendName(req.Server), Incarnation: req.Incarnation,
 			Limit: max(0, req.Limit), Age: max(0, time.Duration(req.AgeMs)*time.Millisecond),
+			Ended: req.Ended,
 		})
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusConflict)
 			return
 		}
-		writeJSON(w, mustMarshal(permitAnswerJSON{Granted: a.Granted, WaitUs: a.Wait.Microseconds()}))
+		writeJSON(w, mustMarshal(permitAnswerJSON{Granted: a.Granted, WaitUs: a.Wait.Microseconds(), Ended: a.Ended}))
 	})
 }
 
@@ -52,6 +55,7 @@
 func TakePermit(ctx context.Context, client *http.Client, address string, r deck.PermitRequest) (deck.PermitAnswer, error) {
 	body := mustMarshal(permitRequestJSON{
 		VM: string(r.VM), Server: string(r.Server), Incarnation: r.Incarnation, Limit: r.Limit, AgeMs: r.Age.Milliseconds(),
+		Ended: r.Ended,
 	})
 	data, err := exchange(ctx, client, http.MethodPost, "http://"+address+permitPath, body, http.StatusOK, maxPermitBytes)
 	if err != nil {
@@ -61,7 +65,7 @@
 	if err := json.Unmarshal(data, &a); err != nil {
 		return deck.PermitAnswer{}, errors.Wrap(err, "permit")
 	}
-	return deck.PermitAnswer{Granted: a.Granted, Wait: max(0, time.Duration(a.WaitUs)*time.Microsecond)}, nil
+	return deck.PermitAnswer{Granted: a.Granted, Wait: max(0, time.Duration(a.WaitUs)*time.Microsecond), Ended: a.Ended}, nil
 }
 
 var _ deck.PermitSource = ControlClient{}
--- a/internal/core/deck/permit.go
+++ b/internal/core/deck/permit.go
@@ -12,12 +12,16 @@
 	Incarnation string
 	Limit       float64       // requests a second that the server takes from all VMs together
 	Age         time.Duration // since the server last named the limit to the VM
+
+	// Ended says instead that the server names no limit any more, by its answer to a request that the VM sent Age ago.
+	Ended bool
 }
 
 // A PermitAnswer is the answer to a PermitRequest.
 type PermitAnswer struct {
 	Granted bool
 	Wait    time.Duration // before the VM asks again for the same server
+	Ended   bool          // another VM has heard since that the server names no limit any more
 }
 
 // A PermitSource divides the limits of backend servers among the VMs that ask.
--- a/internal/core/restraint/admit.go
+++ b/internal/core/restraint/admit.go
@@ -38,44 +38,73 @@
 	}
 }
 
+// A question is a message about a server to the VM that grants permits.
+type question struct {
+	server  *server
+	request deck.PermitRequest
+	heardAt time.Time // when this VM last heard the limit
+}
+
 // Admit reports whether a request may be sent to the given incarnation of a server within the limit that it has named. It asks for a
 // permit if need be, for permitTimeout at most. If it returns false, the server is restrained for a while or ctx has ended.
 func (t *Table) Admit(ctx context.Context, name deck.BackendName, incarnation string) bool {
-	now := time.Now()
-	t.mu.Lock()
-	s := t.servers[name]
-	if s == nil || !s.is(incarnation) || !s.limited {
-		t.mu.Unlock()
-		return true
+	q, admitted := t.admitWithoutPermit(time.Now(), name, incarnation)
+	if q == nil {
+		return admitted
 	}
-	if t.takeOwn(now, s) {
-		t.mu.Unlock()
-		return true
+	answer, err := t.ask(ctx, q.request)
+	if q.request.Ended {
+		return true // if the message is lost, the other VMs hear of the end later
 	}
-	if now.Before(s.askAfter) {
-		t.mu.Unlock()
-		return false
-	}
-	s.askAfter = now.Add(permitTimeout) // until there is an answer, one request asks
-	r := deck.PermitRequest{
-		VM: t.Self, Server: name, Incarnation: s.incarnation, Limit: s.limit, Age: now.Sub(s.limitHeardAt),
-	}
-	t.mu.Unlock()
-	answer, err := t.ask(ctx, r)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now = time.Now()
-	if ctx.Err() != nil {
+	now, s := time.Now(), q.server
+	switch {
+	case answer.Ended && s.limitHeardAt.Equal(q.heardAt): // this VM has not heard it again meanwhile
+		t.setLimit(name, s, false, 0)
+		return true
+	case ctx.Err() != nil:
 		s.askAfter = now // the caller has left; the next request asks
 		return false
-	}
-	if err != nil {
+	case err != nil:
 		answer = t.ownTurn(now, name, s)
 	}
 	s.askAfter = now.Add(answer.Wait)
 	return answer.Granted
 }
 
+// admitWithoutPermit reports whether a request may be sent to a server, unless that needs a question.
+func (t *Table) admitWithoutPermit(now time.Time, name deck.BackendName, incarnation string) (q *question, admitted bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[name]
+	switch {
+	case s == nil || !s.is(incarnation):
+		return nil, true
+	case !s.limited && s.limitEndedAt.IsZero():
+		return nil, true
+	case s.limited && t.takeOwn(now, s):
+		return nil, true
+	case s.limited && now.Before(s.askAfter):
+		return nil, false
+	default:
+		return &question{s, t.permitRequest(now, name, s), s.limitHeardAt}, false
+	}
+}
+
+// permitRequest returns a request for a permit or, once, the report that the limit has ended. The caller holds the lock.
+func (t *Table) permitRequest(now time.Time, name deck.BackendName, s *server) deck.PermitRequest {
+	r := deck.PermitRequest{VM: t.Self, Server: name, Incarnation: s.incarnation}
+	if !s.limited {
+		r.Ended, r.Age = true, now.Sub(s.limitEndedAt)
+		s.limitEndedAt = time.Time{}
+		return r
+	}
+	r.Limit, r.Age = s.limit, now.Sub(s.limitHeardAt)
+	s.askAfter = now.Add(permitTimeout) // until there is an answer, one request asks
+	return r
+}
+
 func (t *Table) ask(ctx context.Context, r deck.PermitRequest) (deck.PermitAnswer, error) {
 	if t.Permits == nil {
 		return deck.PermitAnswer{}, ErrNotLeading
--- a/internal/core/restraint/permits.go
+++ b/internal/core/restraint/permits.go
@@ -10,6 +10,9 @@
 	// askFactor is how many requests there are for each permit, so that hardly any permit is left over.
 	askFactor = 1.6
 
+	// endMargin covers the transit of a message, by which the time of what a VM has heard seems later than it was.
+	endMargin = permitTimeout
+
 	// maxWait is the longest time after which a VM may ask again. It bounds how long a permit can be missed when other VMs stop.
 	maxWait = 4 * time.Second
 )
@@ -25,13 +28,21 @@
 	incarnation string
 	limit       float64
 	heardAt     time.Time // when a VM last heard the limit
+	endedAt     time.Time // since when it names none; zero while it does
 	bucket      tokenBucket
 	nextAsk     time.Time // when the VM that asked last may ask again; VMs take turns
 }
 
 // Take answers a request of one of the given number of VMs.
 func (p *Permits) Take(now time.Time, vms int, r deck.PermitRequest) deck.PermitAnswer {
+	if r.Ended {
+		p.end(now, r)
+		return deck.PermitAnswer{}
+	}
 	s := p.server(now, r)
+	if !s.endedAt.IsZero() {
+		return deck.PermitAnswer{Ended: true}
+	}
 	rate := sharedRate(s.limit, vms)
 	s.bucket.refill(now, rate)
 	a := deck.PermitAnswer{Granted: s.bucket.take()}
@@ -68,9 +79,21 @@
 	if heardAt.After(s.heardAt) {
 		s.limit, s.heardAt = r.Limit, heardAt
 	}
+	if s.heardAt.After(s.endedAt) {
+		s.endedAt = time.Time{}
+	}
 	return s
 }
 
+// end records that a server names no limit any more, unless another VM may have heard it name one since.
+func (p *Permits) end(now time.Time, r deck.PermitRequest) {
+	s := p.servers[r.Server]
+	endedAt := now.Add(-r.Age)
+	if s != nil && s.incarnation == r.Incarnation && endedAt.Add(-endMargin).After(s.heardAt) {
+		s.endedAt = endedAt
+	}
+}
+
 // prune drops servers that have not named a limit for long, if there are many.
 func (p *Permits) prune(now time.Time) {
 	if len(p.servers) < pruneAt {
--- a/internal/core/restraint/permits_test.go
+++ b/internal/core/restraint/permits_test.go
@@ -181,3 +181,36 @@
 		}
 	})
 }
+
+// Guards against VMs that keep to a limit after another one has heard that it has ended, and against an end that is older than what a VM
+// has heard, or may be.
+func TestEndOfALimitIsToldToOtherVMs(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ask := func(age time.Duration) deck.PermitRequest {
+		return deck.PermitRequest{VM: "a", Server: "e", Incarnation: "1", Limit: 3, Age: age}
+	}
+	end := func(age time.Duration) deck.PermitRequest {
+		return deck.PermitRequest{VM: "b", Server: "e", Incarnation: "1", Age: age, Ended: true}
+	}
+	for _, tc := range []struct {
+		name  string
+		heard []deck.PermitRequest
+		ended bool
+	}{
+		{"after the limit was heard", []deck.PermitRequest{ask(5 * time.Second), end(time.Second)}, true},
+		{"before it was heard", []deck.PermitRequest{ask(time.Second), end(2 * time.Second)}, false},
+		{"at about the same time", []deck.PermitRequest{ask(time.Second), end(900 * time.Millisecond)}, false},
+		{"named again", []deck.PermitRequest{ask(5 * time.Second), end(2 * time.Second), ask(time.Second)}, false},
+		{"heard before, asked after", []deck.PermitRequest{ask(5 * time.Second), end(2 * time.Second), ask(4 * time.Second)}, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var p restraint.Permits
+			for _, r := range tc.heard {
+				p.Take(now, 8, r)
+			}
+			if a := p.Take(now, 8, ask(5*time.Second)); a.Ended != tc.ended {
+				t.Errorf("ended is %v", a.Ended)
+			}
+		})
+	}
+}
--- a/internal/core/restraint/sharedpermits.go
+++ b/internal/core/restraint/sharedpermits.go
@@ -36,7 +36,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.permits.servers[name]
-	if s == nil || s.incarnation != incarnation || now.Sub(s.heardAt) > limitTime {
+	if s == nil || s.incarnation != incarnation || now.Sub(s.heardAt) > limitTime || !s.endedAt.IsZero() {
 		return 0, false
 	}
 	return s.limit, true
--- a/internal/core/restraint/table.go
+++ b/internal/core/restraint/table.go
@@ -42,6 +42,7 @@
 	limited      bool
 	limit        float64 // requests a second, if limited
 	limitHeardAt time.Time
+	limitEndedAt time.Time   // since when it names none, until that is reported; zero if there is nothing to report
 	own          tokenBucket // this VM's own part of the limit
 	askAfter     time.Time   // no permit is asked for before
 	lastTurn     int64       // number of the last turn that was used while nobody granted permits
@@ -100,12 +101,23 @@
 	} else if !n.SentAt.After(s.limitHeardAt) {
 		return
 	}
-	if n.Limited == s.limited && n.Limit == s.limit {
+	if s.limited && !n.Limited {
+		s.limitEndedAt = n.SentAt
+	}
+	t.setLimit(name, s, n.Limited, n.Limit)
+}
+
+// setLimit sets the limit that a server names. The caller holds the lock.
+func (t *Table) setLimit(name deck.BackendName, s *server, limited bool, limit float64) {
+	if limited {
+		s.limitEndedAt = time.Time{}
+	}
+	if limited == s.limited && limit == s.limit {
 		return
 	}
-	t.Log.Info("limit of a backend server changed", "server", string(name), "incarnation", s.incarnation, "limited", n.Limited,
-		"limit", n.Limit, "before", s.limit)
-	s.limited, s.limit = n.Limited, n.Limit
+	t.Log.Info("limit of a backend server changed", "server", string(name), "incarnation", s.incarnation, "limited", limited,
+		"limit", limit, "before", s.limit)
+	s.limited, s.limit = limited, limit
 }
 
 // Restraint returns what keeps requests from the given incarnation of a server, or from the last known one if it is empty.
