Let engines of real processes ask for pauses and say that they leave

The tests of the inference API's path ran in one process; nothing showed that the processes wire it up.

Found while writing it: a request that no other engine can run is refused at once, as meant, while a restarted engine loads.

--- a/internal/emulate/engine/engine.go
+++ b/internal/emulate/engine/engine.go
@@ -59,6 +59,7 @@
 	kv            map[deck.RequestID][]byte
 	overcommits   int // operations that left more memory in use than the engine has, across crashes
 	accepted      int // generation requests accepted, across crashes
+	refused       int // generation requests refused with a pause, across crashes
 	crashes       int // number of crashes
 }
 
@@ -149,7 +150,7 @@
 	defer e.mu.Unlock()
 	writeJSON(w, statusWire{
 		Overcommits: e.overcommits, UsedBytes: int64(e.state.usedBytes()), MemoryBytes: int64(e.cfg.MemoryBytes), BootID: e.bootID,
-		Accepted: e.accepted, Crashes: e.crashes,
+		Accepted: e.accepted, Refused: e.refused, Crashes: e.crashes,
 	})
 }
 
@@ -159,6 +160,7 @@
 	MemoryBytes int64  `json:"memory-bytes"`
 	BootID      string `json:"boot-id"`
 	Accepted    int    `json:"accepted-requests"`
+	Refused     int    `json:"refused-requests"`
 	Crashes     int    `json:"crashes"`
 }
 
--- a/internal/emulate/engine/faults.go
+++ b/internal/emulate/engine/faults.go
@@ -3,7 +3,11 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"time"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/notice"
 )
 
 // Faults holds the fault settings of an emulated engine; the zero value has no faults.
@@ -18,6 +22,7 @@
 	SilentStreams    int           // number of next streams that SilentAfter applies to
 	CrashOn          string        // a request whose body contains this text crashes the engine
 	Draining         bool          // new generation requests are refused
+	Notice           deck.ServerNotice
 }
 
 type faultsWire struct {
@@ -31,7 +36,9 @@
 	SilentStreams     int     `json:"silent-streams"`
 	CrashOn           string  `json:"crash-on"`
 	Draining          bool    `json:"draining"`
-	Crash             bool    `json:"crash"` // crash now
+	Leaving           bool    `json:"leaving"`  // said in answers to generation requests
+	PauseMs           int     `json:"pause-ms"` // asked for in refusals of all generation requests; 0 refuses none
+	Crash             bool    `json:"crash"`    // crash now
 }
 
 // SetFaults replaces the fault settings.
@@ -60,8 +67,27 @@
 		SilentStreams:    f.SilentStreams,
 		CrashOn:          f.CrashOn,
 		Draining:         f.Draining,
+		Notice: deck.ServerNotice{
+			Leaving: f.Leaving, Pause: time.Duration(f.PauseMs) * time.Millisecond,
+		},
 	})
 	if f.Crash {
 		e.Crash()
 	}
 }
+
+// giveNotice adds to the answer to a generation request what the engine says about the requests that it takes. It returns false if the
+// engine refuses the request. The caller holds e.mu.
+func (e *Engine) giveNotice(w http.ResponseWriter) bool {
+	n := e.faults.Notice
+	if n.Leaving {
+		w.Header().Set(notice.HeaderLeaving, "1")
+	}
+	if n.Pause == 0 {
+		return true
+	}
+	e.refused++
+	w.Header().Set(notice.HeaderRetryAfter, strconv.FormatFloat(n.Pause.Seconds(), 'f', -1, 64))
+	http.Error(w, "pause", http.StatusServiceUnavailable)
+	return false
+}
--- a/internal/emulate/engine/generate.go
+++ b/internal/emulate/engine/generate.go
@@ -87,6 +87,9 @@
 		http.Error(w, "draining", http.StatusServiceUnavailable)
 		return nil, false
 	}
+	if !e.giveNotice(w) {
+		return nil, false
+	}
 	model, _, _ := strings.Cut(c.Model, ":")
 	version := deck.VersionName(r.Header.Get(wire.HeaderModelVersion))
 	if !e.state.hasModel(deck.ModelName(model), version) {
--- a/scripts/faults/main.go
+++ b/scripts/faults/main.go
@@ -40,6 +40,8 @@
 		{"operations-disturbed", operationsDisturbed},
 		{"leaving-server", leavingServer},
 		{"leaving-by-list", leavingByList},
+		{"engine-pauses", enginePauses},
+		{"leaving-by-answer", leavingByAnswer},
 		{"no-majority", noMajority},
 	}
 }
--- /dev/null
+++ b/scripts/faults/notices.go
@@ -0,0 +1,154 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/test/deployment"
+	wire "github.com/geraniumdeck/geraniumdeck/internal/wire/engine"
+)
+
+const (
+	requestGap = 20 * time.Millisecond // between requests, over all VMs
+
+	enginePause = 2 * time.Second
+	pausedTime  = 8 * time.Second // in which the engine refuses all requests
+	maxInPause  = 2               // requests of one VM later than noticeMargin after the refusal, and before the pause is over
+)
+
+// sendRequests sends a request for the model manual to the VMs in turn in each requestGap for the given time. It returns how many were
+// served, and the errors of the others.
+func sendRequests(ctx context.Context, d *deployment.Deployment, length time.Duration) (served int, refused []error) {
+	var g errgroup.Group
+	results := make(chan error, length/requestGap+1)
+	for n := 0; time.Duration(n)*requestGap < length; n++ {
+		c := d.Caller(1 + n%deployment.EntryVMCount)
+		g.Go(func() error {
+			_, err := completeChat(ctx, c, "manual", "notices", 3, nil)
+			results <- err
+			return nil
+		})
+		deck.Sleep(ctx, requestGap)
+	}
+	_ = g.Wait() // the requests return no errors
+	close(results)
+	for err := range results {
+		if err == nil {
+			served++
+		} else {
+			refused = append(refused, err)
+		}
+	}
+	return served, refused
+}
+
+// awaitOtherEngine waits until two engines hold the model manual and all entry VMs know that, and returns the number of one that
+// requests reach.
+func awaitOtherEngine(ctx context.Context, d *deployment.Deployment) (engine int, err error) {
+	err = deployment.Eventually(ctx, func() error {
+		for vm := 1; vm <= deployment.EntryVMCount; vm++ {
+			n, err := countServing(ctx, d, vm)
+			if err != nil {
+				return err
+			}
+			if n < 2 {
+				return errors.Newf("%d engines serve the model", n)
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return 0, err
+	}
+	return findUsedEngine(ctx, d)
+}
+
+// countServing returns the number of engines that hold the model manual and that the entry VM knows to hold it.
+func countServing(ctx context.Context, d *deployment.Deployment, vm int) (n int, err error) {
+	s, err := d.State(ctx, fmt.Sprintf("entry-%d", vm))
+	if err != nil {
+		return 0, err
+	}
+	for i := 1; i <= deployment.EngineCount; i++ {
+		if !s.HasReadyModel("manual", fmt.Sprintf("engine-%d", i)) {
+			continue
+		}
+		body, err := deployment.Get(ctx, d.Address(deployment.ExampleEngineAddress(i)), wire.PathReport)
+		if err != nil {
+			return 0, err
+		}
+		var r wire.Report
+		if err := json.Unmarshal([]byte(body), &r); err != nil {
+			return 0, errors.Wrapf(err, "report of engine-%d", i)
+		}
+		if slices.ContainsFunc(r.Models, func(m wire.ResidentModel) bool { return m.Model == "manual" && m.Ready }) {
+			n++
+		}
+	}
+	return n, nil
+}
+
+// leavingByAnswer lets an engine say in its answers that it leaves, while the platform's list shows it as ready; the same must hold as in
+// leavingServer.
+func leavingByAnswer(ctx context.Context, d *deployment.Deployment) (string, error) {
+	engine, err := awaitOtherEngine(ctx, d)
+	if err != nil {
+		return "", err
+	}
+	if err := setEngineFaults(ctx, d, engine, `{"leaving":true}`); err != nil {
+		return "", err
+	}
+	_, refused := sendRequests(ctx, d, time.Second)
+	if err := setEngineFaults(ctx, d, engine, noFaults); err != nil {
+		return "", err
+	}
+	if len(refused) > 0 {
+		return "", errors.Wrapf(refused[0], "%d requests were refused although other engines hold the model", len(refused))
+	}
+	if err := checkNoNewRequests(ctx, d, engine); err != nil {
+		return "", err
+	}
+	if err := setEngineFaults(ctx, d, engine, `{"crash":true}`); err != nil { // the next process does not leave
+		return "", err
+	}
+	return fmt.Sprintf("engine-%d said that it leaves: 60 requests after 3 s went elsewhere, though it said so no more", engine),
+		awaitModel(ctx, d, "manual")
+}
+
+// enginePauses lets an engine refuse all requests and ask for pauses: few may reach it in them, and none may be refused.
+func enginePauses(ctx context.Context, d *deployment.Deployment) (string, error) {
+	engine, err := awaitOtherEngine(ctx, d)
+	if err != nil {
+		return "", err
+	}
+	before, err := fetchEngineStatus(ctx, d, engine)
+	if err != nil {
+		return "", err
+	}
+	if err := setEngineFaults(ctx, d, engine, fmt.Sprintf(`{"pause-ms":%d}`, enginePause.Milliseconds())); err != nil {
+		return "", err
+	}
+	_, refused := sendRequests(ctx, d, pausedTime)
+	after, err := fetchEngineStatus(ctx, d, engine)
+	if err = errors.Join(err, setEngineFaults(ctx, d, engine, noFaults)); err != nil {
+		return "", err
+	}
+	const allowed = deployment.EntryVMCount * int(pausedTime/enginePause) * (1 + maxInPause)
+	n := after.Refused - before.Refused
+	switch {
+	case n == 0:
+		return "", errors.New("the engine got no requests")
+	case n > allowed:
+		return "", errors.Newf("the engine got %d requests in %s, %d allowed", n, pausedTime, allowed)
+	case len(refused) > 0:
+		return "", errors.Wrapf(refused[0], "%d requests were refused although other engines hold the model", len(refused))
+	}
+	return fmt.Sprintf("engine-%d asked for pauses of %s and got %d requests in %s", engine, enginePause, n, pausedTime), nil
+}
--- a/scripts/faults/serving.go
+++ b/scripts/faults/serving.go
@@ -47,6 +47,7 @@
 	Overcommits int    `json:"overcommits"`
 	BootID      string `json:"boot-id"`
 	Accepted    int    `json:"accepted-requests"`
+	Refused     int    `json:"refused-requests"`
 	Crashes     int    `json:"crashes"`
 }
 
