--- a/internal/emulate/engine/faults.go
+++ b/internal/emulate/engine/faults.go
@@ -38,6 +38,7 @@
 	Draining          bool    `json:"draining"`
 	Leaving           bool    `json:"leaving"`  // said in answers to generation requests
 	PauseMs           int     `json:"pause-ms"` // asked for in refusals of all generation requests; 0 refuses none
+	Limit             float64 `json:"limit"`    // requests a second, said in answers to generation requests; 0 for none
 	Crash             bool    `json:"crash"`    // crash now
 }
 
@@ -68,7 +69,7 @@
 		CrashOn:          f.CrashOn,
 		Draining:         f.Draining,
 		Notice: deck.ServerNotice{
-			Leaving: f.Leaving, Pause: time.Duration(f.PauseMs) * time.Millisecond,
+			Leaving: f.Leaving, Pause: time.Duration(f.PauseMs) * time.Millisecond, Limited: f.Limit > 0, Limit: f.Limit,
 		},
 	})
 	if f.Crash {
@@ -83,6 +84,9 @@
 	if n.Leaving {
 		w.Header().Set(notice.HeaderLeaving, "1")
 	}
+	if n.Limited {
+		w.Header().Set(notice.HeaderLimit, strconv.FormatFloat(n.Limit, 'f', -1, 64))
+	}
 	if n.Pause == 0 {
 		return true
 	}
--- a/scripts/faults/main.go
+++ b/scripts/faults/main.go
@@ -41,6 +41,7 @@
 		{"leaving-server", leavingServer},
 		{"leaving-by-list", leavingByList},
 		{"engine-pauses", enginePauses},
+		{"named-limit", namedLimit},
 		{"leaving-by-answer", leavingByAnswer},
 		{"no-majority", noMajority},
 	}
--- a/scripts/faults/notices.go
+++ b/scripts/faults/notices.go
@@ -21,6 +21,14 @@
 	enginePause = 2 * time.Second
 	pausedTime  = 8 * time.Second // in which the engine refuses all requests
 	maxInPause  = 2               // requests of one VM later than noticeMargin after the refusal, and before the pause is over
+
+	engineLimit   = 3.0             // requests a second, of each engine
+	limitKnown    = 4 * time.Second // until all VMs must have heard the limit
+	limitedTime   = 10 * time.Second
+	limitWindow   = 4 * time.Second
+	limitFactor   = 1.5
+	limitSlack    = 5
+	limitSampling = 250 * time.Millisecond
 )
 
 // sendRequests sends a request for the model manual to the VMs in turn in each requestGap for the given time. It returns how many were
@@ -152,3 +160,57 @@
 	}
 	return fmt.Sprintf("engine-%d asked for pauses of %s and got %d requests in %s", engine, enginePause, n, pausedTime), nil
 }
+
+// namedLimit lets all engines name a limit: none may get more than that over all VMs, and what they take must be served.
+func namedLimit(ctx context.Context, d *deployment.Deployment) (string, error) {
+	if err := setAllEngineFaults(ctx, d, fmt.Sprintf(`{"limit":%v}`, engineLimit)); err != nil {
+		return "", err
+	}
+	sendRequests(ctx, d, limitKnown)
+	done := make(chan struct{})
+	var g errgroup.Group
+	var served int
+	var refused []error
+	g.Go(func() error {
+		defer close(done)
+		served, refused = sendRequests(ctx, d, limitedTime)
+		return nil
+	})
+	most, err := mostAccepted(ctx, d, done)
+	if err = errors.Join(err, g.Wait(), setAllEngineFaults(ctx, d, noFaults)); err != nil {
+		return "", err
+	}
+	if allowed := limitFactor*limitWindow.Seconds()*engineLimit + limitSlack; float64(most) > allowed {
+		return "", errors.Newf("an engine got %d requests in %s, %.0f allowed", most, limitWindow, allowed)
+	}
+	if float64(served) < engineLimit*limitedTime.Seconds()/2 {
+		return "", errors.Newf("%d requests were served and %d refused in %s", served, len(refused), limitedTime)
+	}
+	return fmt.Sprintf("all engines named a limit of %v a second: %d requests in %s at most at one of them, %d served, %d refused",
+		engineLimit, most, limitWindow, served, len(refused)), awaitModel(ctx, d, "manual")
+}
+
+// mostAccepted returns the most requests that an engine accepts in any limitWindow until done is closed.
+func mostAccepted(ctx context.Context, d *deployment.Deployment, done <-chan struct{}) (int, error) {
+	const samples = int(limitWindow / limitSampling)
+	var counts [][]int // the last samples, oldest first
+	most := 0
+	for {
+		accepted, err := acceptedRequests(ctx, d)
+		if err != nil {
+			return most, err
+		}
+		counts = append(counts, accepted)
+		if len(counts) > samples {
+			counts = counts[1:]
+		}
+		for i, n := range accepted {
+			most = max(most, n-counts[0][i])
+		}
+		select {
+		case <-done:
+			return most, nil
+		case <-time.After(limitSampling):
+		}
+	}
+}
