Check the users' rules on notices in one place

The fleets of both serving paths, the permits' simulation and the executor each counted on their own what may reach a server that leaves, pauses or names a limit.

--- a/internal/api/caller/fleet_test.go
+++ b/internal/api/caller/fleet_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,18 +23,11 @@
 	"github.com/geraniumdeck/geraniumdeck/internal/core/restraint"
 	"github.com/geraniumdeck/geraniumdeck/internal/route/router"
 	"github.com/geraniumdeck/geraniumdeck/internal/test/decktest"
+	"github.com/geraniumdeck/geraniumdeck/internal/test/noticerules"
 )
 
 const (
-	fleetCallGap = 20 * time.Millisecond  // between calls, over all VMs
-	drainTime    = 4 * time.Second        // of the users' rules
-	noticeMargin = 500 * time.Millisecond // of the users' rules, after an answer
-	maxInPause   = 2                      // requests of a VM in a pause, by the users' rules
-	contactTime  = 4 * time.Second        // of the users' rules: how long news may take
-	limitWindow  = 4 * time.Second        // of the users' rule on limits
-	limitFactor  = 1.5
-	limitSlack   = 5.0
-
+	fleetCallGap    = 20 * time.Millisecond // between calls, over all VMs
 	maxRefusalDelay = 50 * time.Millisecond // of a refusal that needs no wait
 )
 
@@ -66,18 +60,10 @@
 	mu       sync.Mutex
 	bootID   int
 	respond  func(w http.ResponseWriter, r *http.Request) bool // answers instead of the server if it returns true; may be nil
-	requests []serverRequest
+	requests []noticerules.Request
 	http     *http.Server
 }
 
-// A serverRequest is a caller's request that a server got.
-type serverRequest struct {
-	at       time.Time
-	vm       string
-	answered time.Time   // zero while it is not
-	header   http.Header // of the answer
-}
-
 // fleetReplicas are engines that hold the model m.
 type fleetReplicas []deck.ModelReplica
 
@@ -235,10 +221,10 @@
 }
 
 // seen returns the callers' requests that the server got so far.
-func (s *fleetServer) seen() []serverRequest {
+func (s *fleetServer) seen() []noticerules.Request {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]serverRequest(nil), s.requests...)
+	return slices.Clone(s.requests)
 }
 
 // ServeHTTP implements http.Handler.ServeHTTP.
@@ -254,7 +240,7 @@
 	if !s.engine {
 		vm = r.Header.Get("Sent-By")
 	}
-	s.requests = append(s.requests, serverRequest{at: time.Now(), vm: vm})
+	s.requests = append(s.requests, noticerules.Request{At: time.Now(), VM: vm})
 	n, respond := len(s.requests)-1, s.respond
 	s.mu.Unlock()
 	switch {
@@ -266,44 +252,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.requests[n].answered, s.requests[n].header = time.Now(), w.Header().Clone()
-}
-
-// afterLeaving returns how many requests reached the server from a VM later than drainTime after it told the VM that it leaves.
-func (s *fleetServer) afterLeaving() int {
-	told := make(map[string]time.Time)
-	late := 0
-	for _, r := range s.seen() {
-		at, ok := told[r.vm]
-		if ok && r.at.Sub(at) > drainTime {
-			late++
-		}
-		if !ok && r.header.Get("Server-Leaving") == "1" {
-			told[r.vm] = r.answered
-		}
-	}
-	return late
-}
-
-// inPauses returns the most requests that reached the server from one VM in a pause that it had asked that VM for.
-func (s *fleetServer) inPauses() int {
-	most := 0
-	requests := s.seen()
-	for _, refusal := range requests {
-		seconds, err := strconv.ParseFloat(refusal.header.Get("Retry-After"), 64)
-		if err != nil {
-			continue
-		}
-		end := refusal.answered.Add(time.Duration(seconds * float64(time.Second)))
-		n := 0
-		for _, r := range requests {
-			if r.vm == refusal.vm && r.at.After(refusal.answered.Add(noticeMargin)) && r.at.Before(end) {
-				n++
-			}
-		}
-		most = max(most, n)
-	}
-	return most
+	s.requests[n].Answered, s.requests[n].Header = time.Now(), w.Header().Clone()
 }
 
 // A fleetCall is a call of a caller: a chat completion if the path is empty.
--- a/internal/api/caller/restraint_test.go
+++ b/internal/api/caller/restraint_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/test/noticerules"
 )
 
 // saying sets a header and lets the server answer as usual.
@@ -40,7 +41,7 @@
 				f.sendEvery(3*time.Second, tc.call)
 				s.setRespond(nil)
 				statuses := f.sendEvery(12*time.Second, tc.call)
-				is.Equal(s.afterLeaving(), 0)
+				is.Equal(noticerules.AfterLeaving(s.seen()), 0)
 				is.Equal(statuses, map[int]int{http.StatusOK: int(12 * time.Second / fleetCallGap)})
 			})
 		})
@@ -75,7 +76,7 @@
 				})
 				f.sendEvery(4*time.Second, tc.call)
 				requests := s.seen()
-				is.True(requests[len(requests)-1].at.After(end))
+				is.True(requests[len(requests)-1].At.After(end))
 			})
 		})
 	}
@@ -150,7 +151,7 @@
 				is := is.New(t)
 				f.servers[0].setRespond(refuseFor("3"))
 				statuses := f.sendEvery(10*time.Second, tc.call)
-				is.True(f.servers[0].inPauses() <= maxInPause)
+				is.True(noticerules.InPauses(f.servers[0].seen()) <= noticerules.MaxInPause)
 				is.Equal(statuses, map[int]int{http.StatusOK: int(10 * time.Second / fleetCallGap)})
 				for _, s := range f.servers {
 					s.setRespond(refuseFor("3"))
@@ -164,7 +165,7 @@
 				retry, err := strconv.Atoi(w.Header().Get("Retry-After"))
 				is.NoErr(err)
 				for _, s := range f.servers {
-					is.True(s.inPauses() <= maxInPause)
+					is.True(noticerules.InPauses(s.seen()) <= noticerules.MaxInPause)
 					s.setRespond(nil)
 				}
 				time.Sleep(time.Duration(retry) * time.Second)
@@ -196,33 +197,6 @@
 	})
 }
 
-// overLimit returns by how many requests the server got more than its limit allows, at most in any window of limitWindow that begins
-// at the given time or later. Counted are those of VMs that it had told noticeMargin before.
-func (s *fleetServer) overLimit(limit float64, from time.Time) float64 {
-	told := make(map[string]time.Time)
-	var counted []time.Time
-	for _, r := range s.seen() {
-		at, ok := told[r.vm]
-		if ok && r.at.Sub(at) >= noticeMargin && !r.at.Before(from) {
-			counted = append(counted, r.at)
-		}
-		if !ok && r.header.Get("Server-Limit") != "" {
-			told[r.vm] = r.answered
-		}
-	}
-	most := 0
-	for i, at := range counted {
-		n := 0
-		for _, later := range counted[i:] {
-			if later.Sub(at) <= limitWindow {
-				n++
-			}
-		}
-		most = max(most, n)
-	}
-	return float64(most) - limitFactor*limitWindow.Seconds()*limit - limitSlack
-}
-
 // TestLimitOfAServerHoldsOverAllVMs guards against more requests than an engine or an instance says that it takes from all VMs
 // together, and against one that is hardly used.
 func TestLimitOfAServerHoldsOverAllVMs(t *testing.T) {
@@ -255,7 +229,7 @@
 				statuses := f.sendEvery(length, tc.call)
 				served := 0
 				for _, s := range f.servers[:tc.limited] {
-					is.True(s.overLimit(limit, start.Add(contactTime)) <= 0)
+					is.True(noticerules.OverLimit(s.seen(), limit, start.Add(noticerules.ContactTime)) <= 0)
 					served += len(s.seen())
 				}
 				is.True(float64(served) >= minShare*limit*float64(tc.limited)*length.Seconds())
--- a/internal/api/ingress/contentless_test.go
+++ b/internal/api/ingress/contentless_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/test/noticerules"
 )
 
 const maxLateRepeats = 3 // of a request that has ended three engines, by the users' rules
@@ -60,14 +61,14 @@
 				is.Equal(last, http.StatusUnprocessableEntity)
 				is.True(served >= sound*9/10)
 				if late := lateCrashes(f); late > maxLateRepeats {
-					t.Errorf("%d engines crashed later than %v after the third", late, contactTime)
+					t.Errorf("%d engines crashed later than %v after the third", late, noticerules.ContactTime)
 				}
 			})
 		})
 	}
 }
 
-// lateCrashes returns the number of crashes later than contactTime after the third.
+// lateCrashes returns the number of crashes later than noticerules.ContactTime after the third.
 func lateCrashes(f *fleet) int {
 	var all []time.Time
 	for _, e := range f.engines {
@@ -78,7 +79,7 @@
 	sortTimes(all)
 	late := 0
 	for i, at := range all {
-		if i >= 3 && at.Sub(all[2]) > contactTime {
+		if i >= 3 && at.Sub(all[2]) > noticerules.ContactTime {
 			late++
 		}
 	}
--- a/internal/api/ingress/fleet_test.go
+++ b/internal/api/ingress/fleet_test.go
@@ -29,12 +29,10 @@
 	"github.com/geraniumdeck/geraniumdeck/internal/route/table"
 	"github.com/geraniumdeck/geraniumdeck/internal/state/hub"
 	"github.com/geraniumdeck/geraniumdeck/internal/test/decktest"
+	"github.com/geraniumdeck/geraniumdeck/internal/test/noticerules"
 )
 
-const (
-	contactTime     = 4 * time.Second // of the users' rules: how long news may take
-	engineStartTime = time.Second
-)
+const engineStartTime = time.Second
 
 // A fleet is several entry VMs in front of the same engines, with the control leader that they poll, on an in-memory network.
 type fleet struct {
@@ -115,20 +113,11 @@
 	answer func(w http.ResponseWriter, r *http.Request) // nil answers 200
 
 	mu       sync.Mutex
-	requests []engineRequest
+	requests []noticerules.Request
 	crashes  []time.Time
 	http     *http.Server
 }
 
-// An engineRequest is a request that an engine got.
-type engineRequest struct {
-	at       time.Time
-	vm       string
-	path     string
-	answered time.Time   // zero while it is not
-	header   http.Header // of the answer
-}
-
 // runFleet calls test with a fleet of the given size in a synctest bubble.
 func runFleet(t *testing.T, vms, engines int, routes []deck.Route, test func(t *testing.T, f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
@@ -267,7 +256,7 @@
 // ServeHTTP implements http.Handler.ServeHTTP.
 func (e *fleetEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
-	e.requests = append(e.requests, engineRequest{at: time.Now(), vm: r.Header.Get("Sent-By"), path: r.URL.Path})
+	e.requests = append(e.requests, noticerules.Request{At: time.Now(), VM: r.Header.Get("Sent-By"), Path: r.URL.Path})
 	n, answer := len(e.requests)-1, e.answer
 	e.mu.Unlock()
 	w.Header().Set("Call-Id", r.Header.Get("Call-Id"))
@@ -279,14 +268,14 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.requests[n].answered, e.requests[n].header = time.Now(), w.Header().Clone()
+	e.requests[n].Answered, e.requests[n].Header = time.Now(), w.Header().Clone()
 }
 
 // seen returns the requests that the engine got so far.
-func (e *fleetEngine) seen() []engineRequest {
+func (e *fleetEngine) seen() []noticerules.Request {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return append([]engineRequest(nil), e.requests...)
+	return slices.Clone(e.requests)
 }
 
 // forget forgets the requests that the engine got so far.
--- a/internal/api/ingress/limit_test.go
+++ b/internal/api/ingress/limit_test.go
@@ -2,54 +2,20 @@
 
 import (
 	"net/http"
-	"slices"
 	"strconv"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-)
 
-const (
-	limitWindow = 4 * time.Second // of the users' rule
-	limitFactor = 1.5
-	limitSlack  = 5.0
+	"github.com/geraniumdeck/geraniumdeck/internal/test/noticerules"
 )
 
-// mostOverLimit returns by how many requests the engine got more than the limit allows, at most in any window of limitWindow that
-// begins at the given time or later. Counted are those of VMs that it had told noticeMargin before. A negative number is within the
-// limit.
-func (e *fleetEngine) mostOverLimit(limit float64, from time.Time) float64 {
-	told := make(map[string]time.Time)
-	var counted []time.Time
-	for _, r := range e.seen() {
-		if at, ok := told[r.vm]; ok && r.at.Sub(at) >= noticeMargin && !r.at.Before(from) {
-			counted = append(counted, r.at)
-		}
-		if _, ok := told[r.vm]; !ok && r.header.Get("Server-Limit") != "" {
-			told[r.vm] = r.answered
-		}
-	}
-	slices.SortFunc(counted, time.Time.Compare)
-	most := 0
-	for i, at := range counted {
-		n := 1
-		for _, later := range counted[i+1:] {
-			if later.Sub(at) > limitWindow {
-				break
-			}
-			n++
-		}
-		most = max(most, n)
-	}
-	return float64(most) - limitFactor*limitWindow.Seconds()*limit - limitSlack
-}
-
 // rate returns the requests a second that the engine got in the given time, which ends now.
 func (e *fleetEngine) rate(length time.Duration) float64 {
 	n := 0
 	for _, r := range e.seen() {
-		if time.Since(r.at) <= length {
+		if time.Since(r.At) <= length {
 			n++
 		}
 	}
@@ -60,7 +26,7 @@
 // keeps to the whole limit or to none, and against a server that is hardly used because its limit is divided by VMs that need nothing.
 func TestLimitOfAServerHoldsOverAllVMs(t *testing.T) {
 	const (
-		settle = 6 * time.Second // contactTime, and the first shares
+		settle = 6 * time.Second // noticerules.ContactTime, and the first shares
 		length = 20 * time.Second
 	)
 	for _, tc := range []struct {
@@ -93,7 +59,7 @@
 				f.sendEvery(tc.callGap, settle, plainCall)
 				statuses := f.sendEvery(tc.callGap, length, plainCall)
 				for i, e := range f.engines[:tc.limited] {
-					if over := e.mostOverLimit(tc.limit, start.Add(contactTime)); over > 0 {
+					if over := noticerules.OverLimit(e.seen(), tc.limit, start.Add(noticerules.ContactTime)); over > 0 {
 						t.Errorf("engine %d got %.0f requests more than allowed", i, over)
 					}
 					if rate := e.rate(length); rate < tc.minShare*tc.limit {
@@ -136,10 +102,10 @@
 		f.sendEvery(callGap, 10*time.Second, plainCall)
 		is.True(e.rate(4*time.Second) >= 8)
 		e.setAnswer(withHeader("Server-Limit", "2"))
-		f.sendEvery(callGap, contactTime, plainCall)
+		f.sendEvery(callGap, noticerules.ContactTime, plainCall)
 		changed := time.Now()
 		f.sendEvery(callGap, 12*time.Second, plainCall)
-		is.True(e.mostOverLimit(2, changed) <= 0)
+		is.True(noticerules.OverLimit(e.seen(), 2, changed) <= 0)
 	})
 }
 
--- a/internal/api/ingress/restraint_test.go
+++ b/internal/api/ingress/restraint_test.go
@@ -11,14 +11,12 @@
 	"github.com/matryer/is"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/test/noticerules"
 )
 
 const (
-	noticeMargin    = 500 * time.Millisecond // of the users' rules, after an answer
-	drainTime       = 4 * time.Second        // of the users' rules
-	maxInPause      = 2                      // requests of a VM in a pause, by the users' rules
-	callGap         = 20 * time.Millisecond  // between the calls of a test, over all VMs
-	maxRefusalDelay = 50 * time.Millisecond  // of a refusal that needs no wait
+	callGap         = 20 * time.Millisecond // between the calls of a test, over all VMs
+	maxRefusalDelay = 50 * time.Millisecond // of a refusal that needs no wait
 )
 
 var plainRoutes = []deck.Route{{Name: "plain", Prefix: "/", Kind: deck.CallIdempotent, MaxAttempts: 2}}
@@ -42,48 +40,12 @@
 	}
 }
 
-// afterLeaving returns how many requests reached the engine from a VM later than drainTime after it told the VM that it leaves.
-func (e *fleetEngine) afterLeaving() int {
-	told := make(map[string]time.Time)
-	late := 0
-	for _, r := range e.seen() {
-		if at, ok := told[r.vm]; ok && r.at.Sub(at) > drainTime {
-			late++
-		}
-		if _, ok := told[r.vm]; !ok && r.header.Get("Server-Leaving") == "1" {
-			told[r.vm] = r.answered
-		}
-	}
-	return late
-}
-
-// inPauses returns the most requests that reached the engine from one VM in a pause that it had asked that VM for.
-func (e *fleetEngine) inPauses() int {
-	most := 0
-	requests := e.seen()
-	for _, refusal := range requests {
-		seconds, err := strconv.ParseFloat(refusal.header.Get("Retry-After"), 64)
-		if err != nil {
-			continue
-		}
-		end := refusal.answered.Add(time.Duration(seconds * float64(time.Second)))
-		n := 0
-		for _, r := range requests {
-			if r.vm == refusal.vm && r.at.After(refusal.answered.Add(noticeMargin)) && r.at.Before(end) {
-				n++
-			}
-		}
-		most = max(most, n)
-	}
-	return most
-}
-
 // firstPauseEnd returns when the first engine's pause of the given length ends.
 func (f *fleet) firstPauseEnd(pause time.Duration) time.Time {
 	var first time.Time
 	for _, e := range f.engines {
 		requests := e.seen()
-		end := requests[len(requests)-1].answered.Add(pause)
+		end := requests[len(requests)-1].Answered.Add(pause)
 		if first.IsZero() || end.Before(first) {
 			first = end
 		}
@@ -125,7 +87,7 @@
 				f.sendEvery(callGap, 3*time.Second, plainCall)
 				tc.meanwhile(f, e)
 				statuses := f.sendEvery(callGap, 12*time.Second, plainCall)
-				is.Equal(e.afterLeaving(), 0)
+				is.Equal(noticerules.AfterLeaving(e.seen()), 0)
 				is.Equal(statuses, map[int]int{http.StatusOK: int(12 * time.Second / callGap)})
 			})
 		})
@@ -177,7 +139,7 @@
 				e := f.engines[0]
 				e.setAnswer(refuseFor(seconds))
 				statuses := f.sendEvery(callGap, 10*time.Second, plainCall)
-				is.True(e.inPauses() <= maxInPause)
+				is.True(noticerules.InPauses(e.seen()) <= noticerules.MaxInPause)
 				is.Equal(statuses, map[int]int{http.StatusOK: int(10 * time.Second / callGap)})
 				e.setAnswer(nil)
 				time.Sleep(3 * time.Second)
@@ -252,7 +214,7 @@
 			refuseFor(seconds)(w, r)
 		})
 		f.sendEvery(5*time.Millisecond, 10*time.Second, plainCall) // several are at the engine when it asks for its first pause
-		is.True(e.inPauses() <= maxInPause)
+		is.True(noticerules.InPauses(e.seen()) <= noticerules.MaxInPause)
 	})
 }
 
@@ -266,12 +228,12 @@
 		check  func(is *is.I, e *fleetEngine)
 	}{
 		{"leaving", withHeader("Server-Leaving", "1"), func(is *is.I, e *fleetEngine) {
-			is.Equal(e.afterLeaving(), 0)
+			is.Equal(noticerules.AfterLeaving(e.seen()), 0)
 			is.Equal(len(e.seen()), 1) // by which the restarted VM is told
 		}},
-		{"pause", refuseFor("3"), func(is *is.I, e *fleetEngine) { is.True(e.inPauses() <= maxInPause) }},
+		{"pause", refuseFor("3"), func(is *is.I, e *fleetEngine) { is.True(noticerules.InPauses(e.seen()) <= noticerules.MaxInPause) }},
 		{"limit", withHeader("Server-Limit", "3"), func(is *is.I, e *fleetEngine) {
-			is.True(e.mostOverLimit(3, time.Time{}) <= 0)
+			is.True(noticerules.OverLimit(e.seen(), 3, time.Time{}) <= 0)
 			is.True(e.rate(8*time.Second) >= 2)
 		}},
 	} {
--- a/internal/core/restraint/permits_test.go
+++ b/internal/core/restraint/permits_test.go
@@ -5,21 +5,16 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/restraint"
+	"github.com/geraniumdeck/geraniumdeck/internal/test/noticerules"
 )
 
-const (
-	limitWindow = 4 * time.Second // of the users' rule
-	limitFactor = 1.5
-	limitSlack  = 5.0
-	simStep     = 10 * time.Millisecond
-)
+const simStep = 10 * time.Millisecond
 
 // A grantor is the leader that grants permits, as VMs reach it.
 type grantor struct {
@@ -102,8 +97,8 @@
 						}
 					}
 				}
-				if most, allowed := mostInWindow(sent), limitFactor*limitWindow.Seconds()*tc.limit+limitSlack; float64(most) > allowed {
-					t.Errorf("%d requests in %v, %.0f allowed", most, limitWindow, allowed)
+				if most, allowed := noticerules.MostInWindow(sent), noticerules.LimitAllows(tc.limit); float64(most) > allowed {
+					t.Errorf("%d requests in %v, %.0f allowed", most, noticerules.LimitWindow, allowed)
 				}
 				if rate := float64(len(sent)) / length.Seconds(); rate < tc.minShare*tc.limit {
 					t.Errorf("%.2f requests a second of %v", rate, tc.limit)
@@ -113,16 +108,6 @@
 	}
 }
 
-// mostInWindow returns the most requests in any limitWindow.
-func mostInWindow(sent []time.Time) int {
-	most := 0
-	for i, at := range sent {
-		end, _ := slices.BinarySearchFunc(sent, at.Add(limitWindow), time.Time.Compare)
-		most = max(most, end-i)
-	}
-	return most
-}
-
 // Guards against a limit that ends with an answer that was on its way before the server named it, or with a liveness check.
 func TestLimitEndsOnlyWithANewerAnswer(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/internal/place/execute/executor_test.go
+++ b/internal/place/execute/executor_test.go
@@ -13,6 +13,7 @@
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/restraint"
 	"github.com/geraniumdeck/geraniumdeck/internal/test/decktest"
+	"github.com/geraniumdeck/geraniumdeck/internal/test/noticerules"
 )
 
 // Guards against a home model without a replica in the published residency.
@@ -89,10 +90,7 @@
 	is.Equal(engine.operations.Load(), int32(0))
 }
 
-const (
-	enginePause  = 3 * time.Second
-	noticeMargin = 500 * time.Millisecond // of the users' rules, after an answer
-)
+const enginePause = 3 * time.Second
 
 // A pausingEngine refuses the requests of the first ten seconds, each with a pause, and counts those in its pauses.
 type pausingEngine struct {
@@ -108,7 +106,7 @@
 	p.fake.mu.Lock()
 	defer p.fake.mu.Unlock()
 	now := time.Now()
-	if now.Before(p.until) && now.Add(enginePause-noticeMargin).After(p.until) {
+	if now.Before(p.until) && now.Add(enginePause-noticerules.NoticeMargin).After(p.until) {
 		p.inPause++
 	}
 	if !now.Before(p.usedFrom) {
