Test many repeats of a request without content while VMs restart

The tests sent such a request two times a second, one after the other, and restarted no VM. Now it comes ten times a second beside 50 sound calls, with a VM that restarts every five seconds: no more engines crash than the rule allows, and nine tenths of the sound calls or more are served.

--- a/internal/api/ingress/contentless_test.go
+++ b/internal/api/ingress/contentless_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	"github.com/geraniumdeck/geraniumdeck/internal/test/noticerules"
@@ -68,6 +69,48 @@
 	}
 }
 
+// TestManyRepeatsOfARequestWithoutContentCrashFewServers guards against a request that is sent again at once and often, beside sound
+// calls and while VMs restart, and crashes engine after engine because its crashes are laid to the sound calls, or forgotten.
+func TestManyRepeatsOfARequestWithoutContentCrashFewServers(t *testing.T) {
+	const length = 24 * time.Second
+	routes := []deck.Route{{Name: "lookup", Prefix: "/lookup/", Kind: deck.CallIdempotent, MaxAttempts: 2}}
+	runFleet(t, 3, 8, routes, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		for _, e := range f.engines {
+			e.answer = func(w http.ResponseWriter, r *http.Request) {
+				time.Sleep(30 * time.Millisecond) // others are in flight when it crashes
+				if r.Header.Get("Crash") != "" {
+					f.crash(e)
+					panic(http.ErrAbortHandler)
+				}
+				_, _ = w.Write([]byte("answer"))
+			}
+		}
+		var g errgroup.Group
+		var late map[int]int
+		g.Go(func() error {
+			call := fleetCall{method: http.MethodGet, path: "/lookup/7", caller: "10.0.0.1", header: []string{"Crash", "1"}}
+			f.sendEvery(100*time.Millisecond, length, call)
+			late = f.sendEvery(100*time.Millisecond, time.Second, call)
+			return nil
+		})
+		g.Go(func() error {
+			for i := range 4 {
+				time.Sleep(length / 5)
+				f.restartVM(i%len(f.vms), routes)
+			}
+			return nil
+		})
+		sound := f.sendEvery(callGap, length, fleetCall{method: http.MethodGet, path: "/lookup/8", caller: "10.0.0.2"})
+		_ = g.Wait() // the calls return no errors
+		if n := lateCrashes(f); n > maxLateRepeats {
+			t.Errorf("%d engines crashed later than %v after the third", n, noticerules.ContactTime)
+		}
+		is.Equal(late, map[int]int{http.StatusUnprocessableEntity: 10})
+		is.True(sound[http.StatusOK] >= int(length/callGap)*9/10)
+	})
+}
+
 // lateCrashes returns the number of crashes later than noticerules.ContactTime after the third.
 func lateCrashes(f *fleet) int {
 	var all []time.Time
--- a/internal/api/ingress/fleet_test.go
+++ b/internal/api/ingress/fleet_test.go
@@ -42,7 +42,7 @@
 	leader  *hub.Publisher
 	log     *leaderLog
 	engines []*fleetEngine
-	mu      sync.Mutex // guards the engines' entries in the list and leaving
+	mu      sync.Mutex // guards the engines' entries in the list, the VMs that restart, and leaving
 	vms     []*fleetVM
 	calls   atomic.Int64
 
@@ -197,11 +197,22 @@
 
 // restartVM replaces a VM by a new start of it, which remembers nothing.
 func (f *fleet) restartVM(i int, routes []deck.Route) {
-	f.vms[i].stop()
-	f.vms[i] = f.startVM(f.vms[i].name, routes)
+	old := f.vm(i)
+	old.stop()
+	started := f.startVM(old.name, routes)
+	f.mu.Lock()
+	f.vms[i] = started
+	f.mu.Unlock()
 	time.Sleep(time.Second)
 }
 
+// vm returns the present start of a VM.
+func (f *fleet) vm(i int) *fleetVM {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.vms[i]
+}
+
 func fleetConfig(routes []deck.Route) *deck.RoutingConfig {
 	cfg := &deck.RoutingConfig{
 		Version: 1, Services: []deck.RoutedService{{Name: "svc"}}, Limits: deck.CallerLimits{MaxBodyBytes: 1 << 20},
@@ -319,7 +330,7 @@
 			w.Code = 0
 		}
 	}()
-	f.vms[vm].handler.ServeHTTP(w, r)
+	f.vm(vm).handler.ServeHTTP(w, r)
 	return w
 }
 
