--- a/internal/api/ingress/handler_test.go
+++ b/internal/api/ingress/handler_test.go
@@ -259,6 +259,33 @@
 	is.Equal(second.requests()[0].Header.Get("Last-Event-Id"), "2")
 }
 
+// TestInterruptedStreamIsNotContinuedByAnError guards against the text or the head of another server's error in the middle of a stream,
+// and against a stream that then ends as if it were complete.
+func TestInterruptedStreamIsNotContinuedByAnError(t *testing.T) {
+	for _, tc := range []struct{ name, status, header, body string }{
+		{"server error", "500 Internal Server Error", "", "failed"},
+		{"event stream with an error status", "500 Internal Server Error", "Content-Type: text/event-stream\r\n", events(3, 5)},
+		{"rejection", "400 Bad Request", "", "bad request"},
+		{"refusal", "503 Service Unavailable", "Not-Run: 1\r\n", "full"},
+		{"refusal with a pause", "503 Service Unavailable", "Not-Run: 1\r\nRetry-After: 2\r\n", "full"},
+		{"answer without events", "200 OK", "Content-Type: application/json\r\n", "{}"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			first := newBackend(t, "b1", func(c net.Conn, r *http.Request) bool {
+				reply(c, r, "200 OK", streamHead, chunk(events(1, 2)))
+				return false
+			})
+			second := newBackend(t, "b2", func(c net.Conn, r *http.Request) bool {
+				return reply(c, r, tc.status, tc.header+"Content-Length: "+itoa(len(tc.body))+"\r\n", tc.body)
+			})
+			res := newHarness(t, stream(true), first, second).call(t, http.MethodPost, "/p/x", "")
+			is.True(res.err != nil) // the caller must not take the stream for a complete one
+			is.Equal(res.body, events(1, 2))
+		})
+	}
+}
+
 // Guards against duplicate events when an engine restarts the stream from the beginning instead of resuming it.
 func TestResumedStreamSkipsRepeatedEvents(t *testing.T) {
 	is := is.New(t)
--- a/internal/api/ingress/lostanswer_test.go
+++ b/internal/api/ingress/lostanswer_test.go
@@ -19,6 +19,14 @@
 	}
 }
 
+// closeAfter sends the first n bytes of an answer and closes the connection.
+func closeAfter(n int) func(net.Conn, *http.Request) bool {
+	return func(c net.Conn, r *http.Request) bool {
+		_, _ = io.WriteString(c, lostAnswer(r)[:n]) // the connection ends in any case
+		return false
+	}
+}
+
 func lostAnswer(r *http.Request) string {
 	return "HTTP/1.1 200 OK\r\nCall-Id: " + r.Header.Get("Call-Id") + "\r\nSigned: s1\r\nContent-Length: 4\r\n\r\nbody"
 }
@@ -28,8 +36,12 @@
 func TestAnswerLostAtAnyByte(t *testing.T) {
 	is := is.New(t)
 	r := &http.Request{Header: http.Header{"Call-Id": {"id-1"}}}
-	for n := range len(lostAnswer(r)) {
-		first, second := newBackend(t, "b1", resetAfter(n)), newBackend(t, "b2", resetAfter(n))
+	for i := range 2 * len(lostAnswer(r)) {
+		n, end := i/2, resetAfter
+		if i%2 == 1 {
+			end = closeAfter
+		}
+		first, second := newBackend(t, "b1", end(n)), newBackend(t, "b2", end(n))
 		h := newHarness(t, []deck.Route{{Prefix: "/p/", Kind: deck.CallOnce, MaxAttempts: 2}}, first, second)
 		res := h.call(t, http.MethodPost, "/p/x", "commit")
 		is.Equal(len(first.requests())+len(second.requests()), 1)
--- a/internal/backend/engine/copies_test.go
+++ b/internal/backend/engine/copies_test.go
@@ -97,3 +97,17 @@
 		data += string(token.Data)
 	}
 }
+
+// TestStreamThatEndsEarly guards against a response that ends anywhere before its last byte, also within its head, and is taken for a
+// complete stream.
+func TestStreamThatEndsEarly(t *testing.T) {
+	whole := fmt.Sprintf(streamOf("r1"), "Request-ID: r1\r\n")
+	for n := range len(whole) {
+		withEngine(t, func(w http.ResponseWriter, _ *http.Request) { raw(w, whole[:n]) }, func(t *testing.T, r *testEnv) {
+			is := is.New(t)
+			data, err := collectData(t.Context(), r.client, "r1")
+			is.True(err != nil)
+			is.True(data == "" || data == `{"of":"r1"}`)
+		})
+	}
+}
--- a/internal/backend/service/client_test.go
+++ b/internal/backend/service/client_test.go
@@ -150,6 +150,26 @@
 	})
 }
 
+// TestAnswerThatEndsEarly guards against an answer that ends anywhere before its last byte, also within its head, and is taken for a
+// complete one.
+func TestAnswerThatEndsEarly(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 6\r\n\r\nbooked"
+	for n := range len(answer) {
+		h := func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, answer[:n])
+			_ = conn.Close()
+		}
+		withService(t, h, func(t *testing.T, c *Client, _ *atomic.Int32) {
+			is := is.New(t)
+			is.Equal(c.Call(t.Context(), address, keyed).Outcome, deck.OutcomeUnknown)
+		})
+	}
+}
+
 // TestContent guards against a call or a response that is changed in transit.
 func TestContent(t *testing.T) {
 	var got *http.Request
