Give up no call at a slow server for one that has named a limit

A call whose server was slow to answer was cancelled there as soon as another server looked able to take it; if that one had named a limit and there was no permit for the call, nobody took it, and the caller got 502 instead of the late answer. A stream was broken off and resumed at the same server. Servers with a limit no longer count as an alternative.

TestSlowAnswerIsAwaitedBesideALimitedServer failed before (502; a second request at the slow server) and passes.

--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -312,6 +312,7 @@
 func (c *callRun) alternativeFinder() func() bool {
 	requirements := c.requirements
 	requirements.Tried = maps.Clone(c.requirements.Tried)
+	requirements.Unlimited = true
 	return func() bool {
 		_, result := c.h.Balancer.Pick(time.Now(), requirements)
 		return result == balance.Chosen
--- a/internal/api/ingress/harness_test.go
+++ b/internal/api/ingress/harness_test.go
@@ -105,6 +105,7 @@
 type harness struct {
 	handler  *ingress.Handler
 	balancer *balance.Balancer
+	limits   *restraint.Table
 	server   *httptest.Server
 	placer   *fakePlacer
 }
@@ -137,7 +138,7 @@
 	balancer := balance.NewBalancer(func(deck.DataCentre) balance.Distance { return balance.SameDataCentre }, zeroRand{}, restraints)
 	budget := &balance.RetryBudget{}
 	budget.SetLimits(10*time.Second, 0.2, 20)
-	h := &harness{balancer: balancer, placer: &fakePlacer{}}
+	h := &harness{balancer: balancer, limits: restraints, placer: &fakePlacer{}}
 	h.handler = &ingress.Handler{
 		Codec: testCodec{}, Balancer: balancer, Budget: budget, Placer: h.placer, Demand: &ingress.DemandCounter{},
 		Poison: &ingress.PoisonDetector{}, Random: zeroRand{}, Log: logr.Discard(), Restraints: restraints,
--- a/internal/api/ingress/limit_test.go
+++ b/internal/api/ingress/limit_test.go
@@ -1,6 +1,9 @@
 package ingress_test
 
 import (
+	"context"
+	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"testing"
@@ -8,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	"github.com/geraniumdeck/geraniumdeck/internal/test/noticerules"
 )
 
@@ -163,3 +167,46 @@
 		is.True(refused > 25)
 	})
 }
+
+// A refusingSource grants no permits.
+type refusingSource struct{}
+
+// TakePermit implements deck.PermitSource.TakePermit.
+func (refusingSource) TakePermit(context.Context, deck.PermitRequest) (deck.PermitAnswer, error) {
+	return deck.PermitAnswer{Wait: 10 * time.Millisecond}, nil
+}
+
+// TestSlowAnswerIsAwaitedBesideALimitedServer guards against a call or a stream that is given up at a slow server for one that has no
+// permit left for it.
+func TestSlowAnswerIsAwaitedBesideALimitedServer(t *testing.T) {
+	slow := func(before, after string) func(net.Conn, *http.Request) bool {
+		return func(c net.Conn, r *http.Request) bool {
+			ok := before == "" || reply(c, r, "200 OK", streamHead, before)
+			<-time.After(900 * time.Millisecond) // several times the latency target
+			if before == "" {
+				return reply(c, r, "200 OK", streamHead, after)
+			}
+			_, err := io.WriteString(c, after)
+			return ok && err == nil
+		}
+	}
+	for _, tc := range []struct{ name, before, after string }{
+		{"before the first event", "", chunk(events(1, 2)) + "0\r\n\r\n"},
+		{"between two events", chunk(events(1, 1)), chunk(events(2, 2)) + "0\r\n\r\n"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			first, second := newBackend(t, "b1", slow(tc.before, tc.after)), newBackend(t, "b2", answerWith("unused"))
+			h := newHarness(t, stream(true), first, second)
+			h.handler.MinStall = time.Millisecond
+			h.limits.Permits = refusingSource{}
+			limited := deck.Server{ID: "b2", Address: second.addr}
+			h.limits.ObserveNotice(time.Now(), "b2", limited.Incarnation(), deck.ServerNotice{Limited: true, Limit: 1})
+			res := h.call(t, http.MethodPost, "/p/x", "")
+			is.NoErr(res.err)
+			is.Equal(res.body, events(1, 2))
+			is.Equal(len(first.requests()), 1)
+			is.Equal(len(second.requests()), 0)
+		})
+	}
+}
--- a/internal/route/balance/pick.go
+++ b/internal/route/balance/pick.go
@@ -55,7 +55,8 @@
 	PromptParts []deck.PromptPart
 	Tried       map[deck.BackendName]bool // servers that the call has been sent to
 
-	Among map[deck.BackendName]bool // the only servers to pick from; nil for all
+	Among     map[deck.BackendName]bool // the only servers to pick from; nil for all
+	Unlimited bool                      // leaves out servers that have named a limit, which may have no permit for the call
 
 	// MaxWait is the longest acceptable wait for a slot; 0 if unknown.
 	MaxWait time.Duration
@@ -139,7 +140,7 @@
 		return NoServer
 	case req.Model != "" && !s.holds(now, req.Model, ""):
 		return ModelAbsent
-	case !r.Until.IsZero():
+	case !r.Until.IsZero() || req.Unlimited && r.Limited:
 		return Restrained
 	case req.Model != "" && req.Adapter != "" && !s.holds(now, req.Model, req.Adapter):
 		return AdapterAbsent
