Believe a smaller number of VMs only after a while

After more than ten seconds without a leader, VMs took the number of VMs that the next leader had heard of so far, one or two, for their own part of a limit: each of eight VMs used half of a limit of 3 a second by itself until the number grew. The number now falls only to the largest one that the VM was told within ten seconds, counted from the first smaller one.

TestNewLeaderCountsFewVMsAtFirst failed before (4 requests in a second without a permit) and passes.

--- a/internal/core/restraint/admit.go
+++ b/internal/core/restraint/admit.go
@@ -19,23 +19,37 @@
 	// slotTime is the longest time for which a VM may use its turn while nobody grants permits.
 	slotTime = time.Second
 
-	// vmCountTime is how long the largest number of VMs counts; a new leader hears of them one by one.
+	// vmCountTime is how long the number of VMs must have been lower for a VM to believe it; a new leader hears of them one by one.
 	vmCountTime = 10 * time.Second
 )
 
 // A vmCount is the number of VMs that share the limits of backend servers. The zero value knows none.
 type vmCount struct {
-	count int
-	at    time.Time
+	count      int
+	lower      int       // largest number since lowerSince
+	lowerSince time.Time // since when all numbers have been lower than count; zero if the last one was not
+}
+
+// set records the number of VMs that the leader knows.
+func (c *vmCount) set(now time.Time, n int) {
+	if n >= c.count {
+		*c = vmCount{count: n}
+		return
+	}
+	if c.lowerSince.IsZero() {
+		c.lower, c.lowerSince = n, now
+	}
+	c.lower = max(c.lower, n)
+	if now.Sub(c.lowerSince) > vmCountTime {
+		*c = vmCount{count: c.lower}
+	}
 }
 
 // SetVMs sets the number of entry VMs that share the limits of backend servers.
 func (t *Table) SetVMs(now time.Time, n int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if n >= t.vms.count || now.Sub(t.vms.at) > vmCountTime {
-		t.vms = vmCount{n, now}
-	}
+	t.vms.set(now, n)
 }
 
 // A question is a message about a server to the VM that grants permits.
--- a/internal/core/restraint/permits_test.go
+++ b/internal/core/restraint/permits_test.go
@@ -199,3 +199,48 @@
 		})
 	}
 }
+
+// noPermits grants no permits, although there is a leader.
+type noPermits struct{}
+
+// TakePermit implements deck.PermitSource.TakePermit.
+func (noPermits) TakePermit(context.Context, deck.PermitRequest) (deck.PermitAnswer, error) {
+	return deck.PermitAnswer{Wait: 10 * time.Millisecond}, nil
+}
+
+// Guards against VMs that take large parts of a limit for themselves after a time without a leader: the next one hears of the VMs one by
+// one, and tells the first of them that there are few.
+func TestNewLeaderCountsFewVMsAtFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const vms = 8
+		said := deck.ServerNotice{Limited: true, Limit: 3}
+		sent := 0
+		var tables []*restraint.Table
+		for range vms {
+			table := &restraint.Table{Permits: noPermits{}}
+			table.SetVMs(time.Now(), vms)
+			table.ObserveNotice(time.Now(), "e", "1", said)
+			tables = append(tables, table)
+		}
+		time.Sleep(15 * time.Second) // nobody leads
+		for range 20 {
+			for i, table := range tables {
+				table.SetVMs(time.Now(), 1+i/4)
+				if table.Admit(t.Context(), "e", "1") {
+					sent++
+				}
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		if sent > 0 {
+			t.Errorf("%d requests without a permit", sent)
+		}
+		time.Sleep(15 * time.Second)
+		tables[0].SetVMs(time.Now(), 1) // the other VMs have ended
+		tables[0].Admit(t.Context(), "e", "1")
+		time.Sleep(time.Second)
+		if !tables[0].Admit(t.Context(), "e", "1") {
+			t.Error("the only VM does not use its part of the limit")
+		}
+	})
+}
