Divide the retry budget by the VMs that there were before a change of the leader

A new control leader hears of the entry VMs one by one, and tells the first of them that there are one or two. Each VM divided the slack of the retry budget by that number until its next poll: with 8 VMs up to eight times its part, beside repeats that pile up just when a leader is lost. Found by looking for the cause of a fault of the named limits, which VMs divide by the same number. Both now share deck.VMCount: the number falls only to the largest one told within ten seconds.

--- a/internal/command/node/entry.go
+++ b/internal/command/node/entry.go
@@ -55,6 +55,7 @@
 	restraints *restraint.Table
 	budget     *balance.RetryBudget
 	subscriber *hub.Subscriber
+	vms        deck.VMCount
 	server     *http.Server
 	settings   settings.Settings
 
@@ -129,9 +130,11 @@
 
 // setVMs sets the number of entry VMs that share the retry budget, the backend servers and their limits.
 func (e *entryVM) setVMs(vms int) {
-	e.setBudget(vms)
-	e.balancer.SetEntryVMs(vms)
-	e.restraints.SetVMs(time.Now(), vms)
+	now := time.Now()
+	e.vms.Set(now, vms)
+	e.setBudget(e.vms.Count())
+	e.balancer.SetEntryVMs(e.vms.Count())
+	e.restraints.SetVMs(now, vms)
 }
 
 func (e *entryVM) applyConfig(doc deck.RoutingDocument) {
--- a/internal/core/restraint/admit.go
+++ b/internal/core/restraint/admit.go
@@ -18,38 +18,13 @@
 
 	// slotTime is the longest time for which a VM may use its turn while nobody grants permits.
 	slotTime = time.Second
-
-	// vmCountTime is how long the number of VMs must have been lower for a VM to believe it; a new leader hears of them one by one.
-	vmCountTime = 10 * time.Second
 )
 
-// A vmCount is the number of VMs that share the limits of backend servers. The zero value knows none.
-type vmCount struct {
-	count      int
-	lower      int       // largest number since lowerSince
-	lowerSince time.Time // since when all numbers have been lower than count; zero if the last one was not
-}
-
-// set records the number of VMs that the leader knows.
-func (c *vmCount) set(now time.Time, n int) {
-	if n >= c.count {
-		*c = vmCount{count: n}
-		return
-	}
-	if c.lowerSince.IsZero() {
-		c.lower, c.lowerSince = n, now
-	}
-	c.lower = max(c.lower, n)
-	if now.Sub(c.lowerSince) > vmCountTime {
-		*c = vmCount{count: c.lower}
-	}
-}
-
 // SetVMs sets the number of entry VMs that share the limits of backend servers.
 func (t *Table) SetVMs(now time.Time, n int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.vms.set(now, n)
+	t.vms.Set(now, n)
 }
 
 // A question is a message about a server to the VM that grants permits.
@@ -140,10 +115,10 @@
 
 // ownRate returns the rate of this VM's own part of a limit; 0 without one. The caller holds the lock.
 func (t *Table) ownRate(s *server) float64 {
-	if t.vms.count == 0 {
+	if t.vms.Count() == 0 {
 		return 0
 	}
-	return ownRate(s.limit, t.vms.count)
+	return ownRate(s.limit, t.vms.Count())
 }
 
 // limitedUntil returns when a request may be sent to a server within its limit, or a permit asked for; zero if now. The caller holds
@@ -172,10 +147,10 @@
 // in which it may send one request. The turns add up to ownShare of the limit, since some VMs may still get permits. The caller holds
 // the lock.
 func (t *Table) ownTurn(now time.Time, name deck.BackendName, s *server) deck.PermitAnswer {
-	if t.vms.count == 0 || t.ownRate(s) > 0 {
+	if t.vms.Count() == 0 || t.ownRate(s) > 0 {
 		return deck.PermitAnswer{Wait: retryPermits}
 	}
-	period := time.Duration(float64(t.vms.count) / (ownShare * max(minRate, s.limit)) * float64(time.Second))
+	period := time.Duration(float64(t.vms.Count()) / (ownShare * max(minRate, s.limit)) * float64(time.Second))
 	const steps = 1 << 16
 	phase := time.Duration(float64(xxhash.Sum64String(string(t.Self)+" "+string(name))%steps) / steps * float64(period))
 	elapsed := time.Duration(now.UnixNano()) + phase
--- a/internal/core/restraint/table.go
+++ b/internal/core/restraint/table.go
@@ -28,7 +28,7 @@
 
 	mu      sync.Mutex
 	servers map[deck.BackendName]*server
-	vms     vmCount
+	vms     deck.VMCount // that share the limits of backend servers
 }
 
 // A server is what one incarnation of a backend server has said.
