--- a/internal/api/ingress/suspect.go
+++ b/internal/api/ingress/suspect.go
@@ -54,11 +54,21 @@
 // repetitionFingerprint returns the fingerprint of what all repetitions of a request without content have in common: caller, method
 // and target. Other callers' requests of the same target may be sound.
 func repetitionFingerprint(r *http.Request) uint64 {
+	return blame.PartFingerprint(callerAddress(r) + " " + r.Method + " " + r.Host + r.RequestURI)
+}
+
+// targetFingerprint returns the fingerprint of a request's method, host, path and query.
+func targetFingerprint(r *http.Request) uint64 {
+	return blame.PartFingerprint(r.Method + " " + r.Host + r.RequestURI)
+}
+
+// callerAddress returns the caller's address without its port.
+func callerAddress(r *http.Request) string {
 	caller, _, err := net.SplitHostPort(r.RemoteAddr)
 	if err != nil {
-		caller = r.RemoteAddr
+		return r.RemoteAddr
 	}
-	return blame.PartFingerprint(caller + " " + r.Method + " " + r.Host + r.RequestURI)
+	return caller
 }
 
 // recordCompletion records that the call's answer is complete. One that ended with its connection may have been cut off by a crash, so
@@ -77,7 +87,8 @@
 	}
 	c.h.Log.Info("call suspected of a crash", "request", string(c.call.ID), "server", string(s.ID),
 		"fingerprint", strconv.FormatUint(uint64(c.fingerprint()), 16), "prompt-parts", parts, "head-received", c.headReceived,
-		"events", c.events, "elapsed-ms", time.Since(c.start).Milliseconds(), "repetition", strconv.FormatUint(c.repetition, 16))
+		"events", c.events, "elapsed-ms", time.Since(c.start).Milliseconds(), "repetition", strconv.FormatUint(c.repetition, 16),
+		"target", strconv.FormatUint(targetFingerprint(c.r), 16), "caller", callerAddress(c.r))
 }
 
 // partFingerprints returns the fingerprints of the parts of a prompt that requests share: all but the last.
