--- a/internal/api/caller/fleet_test.go
+++ b/internal/api/caller/fleet_test.go
@@ -258,6 +258,7 @@
 // A fleetCall is a call of a caller: a chat completion if the path is empty.
 type fleetCall struct {
 	method, path, key string   // the key gets a number of its own in each call
+	body              string   // only with a path
 	header            []string // names and values in turn
 }
 
@@ -265,7 +266,7 @@
 func (f *fleet) send(vm int, c fleetCall) *httptest.ResponseRecorder {
 	method, path, body := http.MethodPost, chatPath, streamBody
 	if c.path != "" {
-		method, path, body = c.method, c.path, ""
+		method, path, body = c.method, c.path, c.body
 	}
 	r := httptest.NewRequest(method, path, strings.NewReader(body))
 	r.Header.Set("Sent-By", "vm"+strconv.Itoa(vm))
--- a/internal/api/ingress/contentless_test.go
+++ b/internal/api/ingress/contentless_test.go
@@ -1,6 +1,7 @@
 package ingress_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -111,6 +112,40 @@
 	})
 }
 
+// TestTargetThatCrashesServersIsRefusedWhoeverAsks guards against a target that crashes server after server and is asked for by another
+// caller each time, so that no caller's requests are in flight at three crashes; and against a refusal of other targets.
+func TestTargetThatCrashesServersIsRefusedWhoeverAsks(t *testing.T) {
+	const repeats = 40
+	routes := []deck.Route{{Name: "lookup", Prefix: "/lookup/", Kind: deck.CallIdempotent, MaxAttempts: 2}}
+	runFleet(t, 3, 6, routes, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		for _, e := range f.engines {
+			e.answer = func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/lookup/7" {
+					f.crash(e)
+					panic(http.ErrAbortHandler)
+				}
+				_, _ = w.Write([]byte("answer"))
+			}
+		}
+		last, served := 0, 0
+		for n := range repeats {
+			caller := fmt.Sprintf("10.0.%d.1", n)
+			last = f.send(n%len(f.vms), fleetCall{method: http.MethodGet, path: "/lookup/7", caller: caller}).Code
+			sound := fleetCall{method: http.MethodGet, path: fmt.Sprintf("/lookup/sound-%d", n), caller: caller}
+			if f.send((n+1)%len(f.vms), sound).Code == http.StatusOK {
+				served++
+			}
+			time.Sleep(500 * time.Millisecond)
+		}
+		if late := lateCrashes(f); late > maxLateRepeats {
+			t.Errorf("%d engines crashed later than %v after the third", late, noticerules.ContactTime)
+		}
+		is.Equal(last, http.StatusUnprocessableEntity)
+		is.True(served >= repeats*9/10)
+	})
+}
+
 // lateCrashes returns the number of crashes later than noticerules.ContactTime after the third.
 func lateCrashes(f *fleet) int {
 	var all []time.Time
--- a/internal/core/blame/ledger_test.go
+++ b/internal/core/blame/ledger_test.go
@@ -52,6 +52,43 @@
 	}
 }
 
+// TestEqualSuspectsAreAllBlamed guards against one of two suspects that were in flight at the same crashes being taken for the cause, so
+// that the other one, which may be it, goes on to crash servers.
+func TestEqualSuspectsAreAllBlamed(t *testing.T) {
+	is := is.New(t)
+	var l Ledger
+	now := time.Unix(1000, 0)
+	crash := func(n int, parts ...uint64) {
+		now = now.Add(time.Second)
+		for _, part := range parts {
+			server := deck.BackendName(strconv.Itoa(n))
+			l.Record(now, deck.Crash{RequestFingerprint: uint64(100*n) + part, Server: server, Parts: []uint64{part}})
+		}
+	}
+	for n := range 3 {
+		crash(n, guilty, beside)
+	}
+	is.Equal(l.BlamedParts(now), []uint64{guilty, beside})
+	crash(3, beside) // which makes it the stronger one
+	is.Equal(l.BlamedParts(now), []uint64{beside})
+}
+
+// TestPartsOfTheSameRequestsAreToldApart guards against a refusal of the part that all prompts of a kind begin with, where a later part
+// of the same prompts may be to blame.
+func TestPartsOfTheSameRequestsAreToldApart(t *testing.T) {
+	is := is.New(t)
+	const first, second = 10, 11
+	var l Ledger
+	now := time.Unix(1000, 0)
+	for n := range 3 {
+		now = now.Add(time.Second)
+		l.Record(now, deck.Crash{
+			RequestFingerprint: uint64(100 + n), Server: deck.BackendName(strconv.Itoa(n)), Parts: []uint64{first, second}, Began: true,
+		})
+	}
+	is.Equal(l.BlamedParts(now), []uint64{second})
+}
+
 // TestRepeatedReportWithoutPart guards against a part that counts at a crash although the repeated report of the crash leaves it out,
 // because a server has written on it meanwhile.
 func TestRepeatedReportWithoutPart(t *testing.T) {
