Suspect the target of requests without content, whoever asks for it

Cause: a request without content was a suspect by caller, method and target together. Seven callers asked for the target, so that no suspect but the first was in flight at three crashes. Evidence: the target was in flight at nine of the nine crashes in the logs.

Each such request now has two suspects, the target with and without its caller. An answer to another caller's request of the target proves that alone to be sound, as before for parts of prompts; the caller's requests are then refused by the pair.

--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -71,7 +71,7 @@
 	body         []byte
 	hash         Fingerprint // of path and body; 0 until it is needed
 	parts        []uint64    // fingerprints of the shared parts of the prompt
-	repetition   uint64      // what the call has in common with its repetitions if it has no content; otherwise 0
+	repetitions  []uint64    // what the call has in common with its repetitions if it has no content; otherwise empty
 	start        time.Time
 	deadline     time.Time
 	version      uint64 // of the configuration that the route is from
--- a/internal/api/ingress/handler.go
+++ b/internal/api/ingress/handler.go
@@ -136,7 +136,7 @@
 		version: t.Config().Version, service: table.PickService(route, h.Random.Float64()),
 	}
 	if len(body) == 0 && len(call.Parts) == 0 {
-		c.repetition = repetitionFingerprint(r)
+		c.repetitions = repetitionFingerprints(r)
 	}
 	ctx, cancelDeadline := context.WithDeadlineCause(r.Context(), c.deadline, errDeadline)
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/internal/api/ingress/suspect.go
+++ b/internal/api/ingress/suspect.go
@@ -17,7 +17,7 @@
 	if c.onTrial {
 		return c.possibleRuns > 0
 	}
-	refused, trial := c.h.Poison.Refuses(time.Now(), c.fingerprint(), c.withRepetition(c.parts))
+	refused, trial := c.h.Poison.Refuses(time.Now(), c.fingerprint(), c.withRepetitions(c.parts))
 	if trial {
 		c.onTrial = true
 		c.h.Log.Info("call is tried although calls with the same content crashed servers", "request", string(c.call.ID))
@@ -40,21 +40,19 @@
 // after the call was sent, and for any error within an answer, also if the stall timer aborted the stream.
 func (c *callRun) recordPossibleCrash(now time.Time, s deck.Server, err error) {
 	c.logSuspect(s)
-	c.h.Poison.RecordCrash(now, c.fingerprint(), s, c.withRepetition(c.suspectParts(now, err)), c.headReceived)
+	c.h.Poison.RecordCrash(now, c.fingerprint(), s, c.withRepetitions(c.suspectParts(now, err)), c.headReceived)
 }
 
-// withRepetition adds what the call has in common with its repetitions to parts of its prompt.
-func (c *callRun) withRepetition(parts []uint64) []uint64 {
-	if c.repetition == 0 {
-		return parts
-	}
-	return append(parts[:len(parts):len(parts)], c.repetition)
+// withRepetitions adds what the call has in common with its repetitions to parts of its prompt.
+func (c *callRun) withRepetitions(parts []uint64) []uint64 {
+	return append(parts[:len(parts):len(parts)], c.repetitions...)
 }
 
-// repetitionFingerprint returns the fingerprint of what all repetitions of a request without content have in common: caller, method
-// and target. Other callers' requests of the same target may be sound.
-func repetitionFingerprint(r *http.Request) uint64 {
-	return blame.PartFingerprint(callerAddress(r) + " " + r.Method + " " + r.Host + r.RequestURI)
+// repetitionFingerprints returns the fingerprints of what repetitions of a request without content have in common: the target with the
+// caller, since other callers' requests of it may be sound, and the target, which may crash servers whoever asks for it. The latter
+// is blamed if nothing tells them apart.
+func repetitionFingerprints(r *http.Request) []uint64 {
+	return []uint64{blame.PartFingerprint(callerAddress(r) + " " + r.Method + " " + r.Host + r.RequestURI), targetFingerprint(r)}
 }
 
 // targetFingerprint returns the fingerprint of a request's method, host, path and query.
@@ -75,7 +73,7 @@
 // it proves nothing.
 func (c *callRun) recordCompletion(now time.Time) {
 	if c.framing != framedByConnection {
-		c.h.Poison.RecordCompletion(now, c.fingerprint(), c.withRepetition(c.parts))
+		c.h.Poison.RecordCompletion(now, c.fingerprint(), c.withRepetitions(c.parts))
 	}
 }
 
@@ -85,9 +83,13 @@
 	for _, p := range c.call.Parts {
 		parts = append(parts, p.ID)
 	}
+	repetitions := make([]string, 0, len(c.repetitions))
+	for _, f := range c.repetitions {
+		repetitions = append(repetitions, strconv.FormatUint(f, 16))
+	}
 	c.h.Log.Info("call suspected of a crash", "request", string(c.call.ID), "server", string(s.ID),
 		"fingerprint", strconv.FormatUint(uint64(c.fingerprint()), 16), "prompt-parts", parts, "head-received", c.headReceived,
-		"events", c.events, "elapsed-ms", time.Since(c.start).Milliseconds(), "repetition", strconv.FormatUint(c.repetition, 16),
+		"events", c.events, "elapsed-ms", time.Since(c.start).Milliseconds(), "repetitions", repetitions,
 		"target", strconv.FormatUint(targetFingerprint(c.r), 16), "caller", callerAddress(c.r))
 }
 
@@ -114,7 +116,7 @@
 		for i := 0; len(c.body) == 0 && i < len(c.call.Parts); i++ {
 			_, _ = d.WriteString(" " + c.call.Parts[i].ID)
 		}
-		if c.repetition != 0 {
+		if len(c.repetitions) > 0 {
 			_, _ = d.WriteString(" " + string(c.call.ID) + c.start.String())
 		}
 		c.hash = Fingerprint(d.Sum64())
