Refuse all equal suspects of crashes

The leader refused one of the two equal suspects, by the order of their fingerprints, took all three crashes as explained, and the other one crashed servers again.

All equal suspects are refused now.

TestEqualSuspectsAreAllBlamed failed before.

--- a/internal/core/blame/ledger.go
+++ b/internal/core/blame/ledger.go
@@ -85,7 +85,7 @@
 	return IsPartBlamed(l.evidence(part, nil))
 }
 
-// BlamedParts returns the parts that explain the crashes best, the strongest suspect first, then those that are to
+// BlamedParts returns the parts that explain the crashes best, the strongest suspects first, then those that are to
 // blame for the crashes that are left.
 func (l *Ledger) BlamedParts(now time.Time) []uint64 {
 	l.judge(now)
@@ -106,19 +106,31 @@
 	}
 	slices.Sort(l.watched)
 	explained := make(map[*crash]bool)
-	for _, part := range l.byStrength(l.watched) {
-		if !IsPartBlamed(l.evidence(part, explained)) {
-			continue
+	for _, equals := range l.byStrength(l.watched) {
+		blamed := l.blamedOf(equals, explained)
+		l.blamed = append(l.blamed, blamed...)
+		for _, part := range blamed {
+			for _, c := range l.byPart[part] {
+				explained[c] = true
+			}
 		}
-		l.blamed = append(l.blamed, part)
-		for _, c := range l.byPart[part] {
-			explained[c] = true
+	}
+}
+
+// blamedOf returns those of the equally strong suspects that are to blame for crashes that nothing else explains. All are, since each
+// further crash costs callers more than a refusal of what nobody had an answer to lately.
+func (l *Ledger) blamedOf(equals []uint64, explained map[*crash]bool) []uint64 {
+	var blamed []uint64
+	for _, part := range equals {
+		if IsPartBlamed(l.evidence(part, explained)) {
+			blamed = append(blamed, part)
 		}
 	}
+	return blamed
 }
 
-// byStrength returns the parts in the order of the evidence against them, the strongest first.
-func (l *Ledger) byStrength(parts []uint64) []uint64 {
+// byStrength returns the parts in the order of the evidence against them, the strongest first, equally strong ones together.
+func (l *Ledger) byStrength(parts []uint64) [][]uint64 {
 	strength := make(map[uint64][3]int, len(parts))
 	for _, part := range parts {
 		strength[part] = partStrength(l.evidence(part, nil))
@@ -128,7 +140,14 @@
 		sa, sb := strength[a], strength[b]
 		return slices.Compare(sb[:], sa[:])
 	})
-	return sorted
+	var groups [][]uint64
+	for i, part := range sorted {
+		if i == 0 || strength[part] != strength[sorted[i-1]] {
+			groups = append(groups, nil)
+		}
+		groups[len(groups)-1] = append(groups[len(groups)-1], part)
+	}
+	return groups
 }
 
 func (l *Ledger) blamesRequest(now time.Time, fingerprint uint64) bool {
