Blame the last of parts that the same requests had

Of parts that came with the same interrupted requests, so that the evidence against them is equal, the one with the smallest fingerprint was refused: at times the part that all prompts of a kind begin with, which refused sound prompts too.

The order of the parts in the request decides now: a prompt's later part is the narrower one, and the target of a request without content comes after the target with its caller.

--- a/internal/core/blame/ledger.go
+++ b/internal/core/blame/ledger.go
@@ -118,7 +118,8 @@
 }
 
 // blamedOf returns those of the equally strong suspects that are to blame for crashes that nothing else explains. All are, since each
-// further crash costs callers more than a refusal of what nobody had an answer to lately.
+// further crash costs callers more than a refusal of what nobody had an answer to lately; but of parts that the same requests had, the
+// last.
 func (l *Ledger) blamedOf(equals []uint64, explained map[*crash]bool) []uint64 {
 	var blamed []uint64
 	for _, part := range equals {
@@ -126,7 +127,22 @@
 			blamed = append(blamed, part)
 		}
 	}
-	return blamed
+	return slices.DeleteFunc(slices.Clone(blamed), func(part uint64) bool {
+		return slices.ContainsFunc(blamed, func(other uint64) bool { return l.isFollowedBy(part, other) })
+	})
+}
+
+// isFollowedBy reports whether all interrupted requests with the part had the other one after it.
+func (l *Ledger) isFollowedBy(part, other uint64) bool {
+	for _, c := range l.byPart[part] {
+		for _, r := range c.requests {
+			i := slices.Index(r.parts, part)
+			if i >= 0 && !slices.Contains(r.parts[i+1:], other) {
+				return false
+			}
+		}
+	}
+	return true
 }
 
 // byStrength returns the parts in the order of the evidence against them, the strongest first, equally strong ones together.
--- a/internal/core/deck/blame.go
+++ b/internal/core/deck/blame.go
@@ -7,7 +7,7 @@
 	RequestFingerprint uint64 // of the path and body
 	Server             BackendName
 	StartUnixMs        int64         // Unix ms of the server's start, which tells its incarnations apart; 0 if unknown
-	Parts              []uint64      // fingerprints of the parts of the prompt that may be to blame
+	Parts              []uint64      // fingerprints of the parts of the request that may be to blame; of equal ones the last is blamed
 	Began              bool          // the server had begun to answer the request
 	Age                time.Duration // since the crash was observed
 }
