Suspect calls to plain services whoever makes them, on the inference API's path

The same cause as on the platform's path: the suspect was the call with its caller and its credentials, so that a call which crashes instance after instance and comes from another caller each time was never refused.

A call now has a second suspect without caller and credentials: service, method, path, query and body. The stand-in for the replicated table in the test refused a part after three crashes under one call; it now follows the rule of the real table (core/blame), which asks for two different calls. With that stand-in TestCallThatCrashesInstancesIsRefusedWhoeverMakesIt fails without the change (502 after 20 calls, never refused), and TestCallThatCrashesInstancesIsRefused, which serves other callers' calls of the same path, passes with and without it.

--- a/internal/api/caller/calls.go
+++ b/internal/api/caller/calls.go
@@ -31,7 +31,7 @@
 	answer := deck.ServiceAnswer{Outcome: deck.OutcomeNotRun, Reason: "the service has no instance"}
 	mayHaveRun := false
 	sent := 0
-	suspect := h.runner.NewServiceCall(callerID(r) + " " + callDigest(r, t, call))
+	suspect := h.newSuspect(r, t, call)
 	for _, b := range h.instances(t.service) {
 		if suspect.IsRefused() {
 			answer = deck.ServiceAnswer{Outcome: deck.OutcomeNotRun, Reason: crashingCallReason}
@@ -71,7 +71,7 @@
 		return
 	}
 	recordKey := string(t.service.Name) + "/" + key
-	suspect := h.runner.NewServiceCall(callerID(r) + " " + callDigest(r, t, call))
+	suspect := h.newSuspect(r, t, call)
 	call.IdempotencyKey = key
 	claim := h.claimKey(r.Context(), recordKey, callDigest(r, t, call))
 	if problem := claimProblem(claim.Status); problem != nil {
@@ -147,6 +147,13 @@
 	return notRunProblem(http.StatusUnprocessableEntity, "poison_request", crashingCallReason, 0)
 }
 
+// newSuspect returns the call as a suspect of crashes, by its target and content, with and without its caller: repetitions may come from
+// other callers, and other callers' calls of the same target may be sound.
+func (h *Handler) newSuspect(r *http.Request, t target, call deck.ServiceCall) attempt.ServiceCall {
+	content := contentDigest([]byte(t.service.Name), []byte(call.Method), []byte(call.Path), []byte(call.Query), call.Body)
+	return h.runner.NewServiceCall(callerID(r)+" "+callDigest(r, t, call), content)
+}
+
 // callDigest returns a digest of a call and its credentials, so that a recorded answer is replayed only to the caller who made
 // the call.
 func callDigest(r *http.Request, t target, call deck.ServiceCall) string {
--- a/internal/api/caller/fleet_test.go
+++ b/internal/api/caller/fleet_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/geraniumdeck/geraniumdeck/internal/backend/engine"
 	"github.com/geraniumdeck/geraniumdeck/internal/backend/service"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/blame"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/restraint"
 	"github.com/geraniumdeck/geraniumdeck/internal/route/router"
@@ -77,10 +78,10 @@
 
 func (leadingReplica) LeaderTerm(time.Time, time.Duration) (term uint64, ok bool) { return 1, true }
 
-// A sharedPoison is a poison store that all VMs share. It refuses a part after three crashes without a proof.
+// A sharedPoison is a poison store that all VMs share. It refuses a part as the replicated table does.
 type sharedPoison struct {
 	mu      sync.Mutex
-	crashes map[uint64]map[string]bool
+	crashes map[uint64]map[string]*blame.PartCrash // by part and crashed process
 }
 
 func (*sharedPoison) IsRefused(string) bool { return false }
@@ -88,20 +89,32 @@
 func (s *sharedPoison) IsPartRefused(part uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.crashes[part]) >= 3
+	var crashes []blame.PartCrash
+	for _, c := range s.crashes[part] {
+		crashes = append(crashes, *c)
+	}
+	return blame.IsPartBlamed(crashes)
 }
 
 func (s *sharedPoison) ReportCrash(_ context.Context, r deck.CrashReport) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.crashes == nil {
-		s.crashes = make(map[uint64]map[string]bool)
+		s.crashes = make(map[uint64]map[string]*blame.PartCrash)
 	}
 	for _, part := range r.Parts {
 		if s.crashes[part] == nil {
-			s.crashes[part] = make(map[string]bool)
+			s.crashes[part] = make(map[string]*blame.PartCrash)
+		}
+		process := string(r.Backend) + " " + r.BootID
+		c := s.crashes[part][process]
+		if c == nil {
+			c = &blame.PartCrash{At: time.Now()}
+			s.crashes[part][process] = c
+		}
+		if request := blame.Fingerprint(r.Digest); !slices.Contains(c.Requests, request) {
+			c.Requests = append(c.Requests, request)
 		}
-		s.crashes[part][r.Digest+" "+string(r.Backend)+" "+r.BootID] = true
 	}
 	return nil
 }
--- a/internal/route/attempt/calls.go
+++ b/internal/route/attempt/calls.go
@@ -17,14 +17,18 @@
 // A ServiceCall is what is known of one call to a plain service with regard to crashes of its instances. What repeated calls have in
 // common is to blame as a part of prompts is.
 type ServiceCall struct {
-	runner     *Runner
-	digest     string // of this call only
-	repetition uint64
+	runner      *Runner
+	digest      string   // of this call only
+	repetitions []uint64 // what it has in common with them
 }
 
-// NewServiceCall returns a call that has the given text in common with its repetitions: caller, target and content.
-func (r *Runner) NewServiceCall(common string) ServiceCall {
-	return ServiceCall{runner: r, digest: rand.Text(), repetition: blame.PartFingerprint("call " + common)}
+// NewServiceCall returns a call that has each of the given texts in common with its repetitions, such as caller, target and content.
+func (r *Runner) NewServiceCall(common ...string) ServiceCall {
+	c := ServiceCall{runner: r, digest: rand.Text()}
+	for _, text := range common {
+		c.repetitions = append(c.repetitions, blame.PartFingerprint("call "+text))
+	}
+	return c
 }
 
 // IsRefused reports whether repetitions of the call have crashed instance after instance.
@@ -44,9 +48,9 @@
 
 // RecordCompletion records that an instance has answered the call.
 func (c ServiceCall) RecordCompletion() {
-	c.runner.reportSound(c.runner.Parts.RecordSound([]uint64{c.repetition}))
+	c.runner.reportSound(c.runner.Parts.RecordSound(c.repetitions))
 }
 
 func (c ServiceCall) info() deck.RequestInfo {
-	return deck.RequestInfo{Digest: c.digest, Parts: []uint64{c.repetition}}
+	return deck.RequestInfo{Digest: c.digest, Parts: c.repetitions}
 }
