Suspect the last part of prompts, and prompts of one part

Requests that share only the last part of their prompts (one session, or one question) and differ in path, body or other fields were new suspects each time; the part before the last, which sound requests share, could be refused in its place. Messages are now compared by role and content.

--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -70,7 +70,7 @@
 	call         deck.Call
 	body         []byte
 	hash         Fingerprint // of path and body; 0 until it is needed
-	parts        []uint64    // fingerprints of the shared parts of the prompt
+	parts        []uint64    // fingerprints of the parts of the prompt
 	repetitions  []uint64    // what the call has in common with its repetitions if it has no content; otherwise empty
 	start        time.Time
 	deadline     time.Time
--- a/internal/api/ingress/crashingpart_test.go
+++ b/internal/api/ingress/crashingpart_test.go
@@ -22,31 +22,42 @@
 		maxCrashes   = 5 // the rule of the users' pages
 		crashingPart = "crashing"
 	)
-	is := is.New(t)
-	crashes := 0
-	var engines []*backend
-	for i := range poisonCalls {
-		engines = append(engines, newBackend(t, "e"+itoa(i), func(c net.Conn, r *http.Request) bool {
-			if strings.Contains(r.Header.Get("Prompt-Parts"), crashingPart) {
-				crashes++ // one call at a time
-				reply(c, r, "200 OK", streamHead, "")
-				return false
+	for _, tc := range []struct {
+		name  string
+		parts func(n string) []string
+	}{
+		{"among others", func(n string) []string { return []string{"shared", crashingPart, "own-bad-" + n} }},
+		{"last", func(string) []string { return []string{"shared", "subject", crashingPart} }},
+		{"alone", func(string) []string { return []string{crashingPart} }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			crashes := 0
+			var engines []*backend
+			for i := range poisonCalls {
+				engines = append(engines, newBackend(t, "e"+itoa(i), func(c net.Conn, r *http.Request) bool {
+					if strings.Contains(r.Header.Get("Prompt-Parts"), crashingPart) {
+						crashes++ // one call at a time
+						reply(c, r, "200 OK", streamHead, "")
+						return false
+					}
+					return reply(c, r, "200 OK", streamHead, chunk(events(1, 2))+"0\r\n\r\n")
+				}))
 			}
-			return reply(c, r, "200 OK", streamHead, chunk(events(1, 2))+"0\r\n\r\n")
-		}))
-	}
-	h := newHarness(t, stream(false))
-	for i, e := range engines {
-		h.setServers(e)
-		n := itoa(i)
-		sound := h.callContext(t.Context(), t, http.MethodPost, "/p/x", "sound "+n, "shared", "subject", "own-"+n)
-		is.NoErr(sound.err)
-		is.Equal(sound.status, http.StatusOK)
-		bad := h.callContext(t.Context(), t, http.MethodPost, "/p/x", "bad "+n, "shared", crashingPart, "own-bad-"+n)
-		is.True(bad.err != nil || bad.status == http.StatusUnprocessableEntity)
-		<-time.After(crashGap)
+			h := newHarness(t, stream(false))
+			for i, e := range engines {
+				h.setServers(e)
+				n := itoa(i)
+				sound := h.callContext(t.Context(), t, http.MethodPost, "/p/x", "sound "+n, "shared", "subject", "own-"+n)
+				is.NoErr(sound.err)
+				is.Equal(sound.status, http.StatusOK)
+				bad := h.callContext(t.Context(), t, http.MethodPost, "/p/x", "bad "+n, tc.parts(n)...)
+				is.True(bad.err != nil || bad.status == http.StatusUnprocessableEntity)
+				<-time.After(crashGap)
+			}
+			is.True(crashes <= maxCrashes)
+		})
 	}
-	is.True(crashes <= maxCrashes)
 }
 
 // Guards against a verdict that an answer contradicts which may have ended with a crash, and against one that stands although a server
--- a/internal/api/ingress/suspect.go
+++ b/internal/api/ingress/suspect.go
@@ -93,13 +93,10 @@
 		"target", strconv.FormatUint(targetFingerprint(c.r), 16), "caller", callerAddress(c.r))
 }
 
-// partFingerprints returns the fingerprints of the parts of a prompt that requests share: all but the last.
+// partFingerprints returns the fingerprints of the parts of a prompt.
 func partFingerprints(parts []deck.PromptPart) []uint64 {
-	if len(parts) < 2 {
-		return nil
-	}
-	out := make([]uint64, 0, len(parts)-1)
-	for _, part := range parts[:len(parts)-1] {
+	out := make([]uint64, 0, len(parts))
+	for _, part := range parts {
 		out = append(out, blame.PartFingerprint(part.ID))
 	}
 	return out
--- a/internal/wire/engine/prompt.go
+++ b/internal/wire/engine/prompt.go
@@ -44,24 +44,40 @@
 	return promptText(raw)
 }
 
-// PromptParts returns the fingerprints of the parts of a prompt that other requests may share: all messages, or elements of a list of
-// prompts, but the last. A prompt that PromptText can't read has none.
+// PromptParts returns the fingerprints of the parts of a prompt that other requests may share: all messages by role and content, the
+// elements of a list of prompts, or a prompt that is one text. A prompt that PromptText can't read has none.
 func PromptParts(body map[string]json.RawMessage) []uint64 {
-	var parts []json.RawMessage
 	raw, ok := body["messages"]
 	if !ok {
 		raw = body["prompt"]
 	}
-	if err := json.Unmarshal(raw, &parts); err != nil || len(parts) < 2 {
-		return nil
+	var parts []json.RawMessage
+	if err := json.Unmarshal(raw, &parts); err != nil {
+		var text string
+		if err := json.Unmarshal(raw, &text); err != nil {
+			return nil
+		}
+		return []uint64{blame.PartFingerprint(text)}
 	}
-	fingerprints := make([]uint64, 0, len(parts)-1)
-	for _, part := range parts[:len(parts)-1] {
-		fingerprints = append(fingerprints, blame.PartFingerprint(contentText(part)))
+	fingerprints := make([]uint64, 0, len(parts))
+	for _, part := range parts {
+		fingerprints = append(fingerprints, blame.PartFingerprint(partText(part)))
 	}
 	return fingerprints
 }
 
+// partText returns the role and the content of a message, or the text of another part of a prompt.
+func partText(raw json.RawMessage) string {
+	var m struct {
+		Role    string          `json:"role"`
+		Content json.RawMessage `json:"content"`
+	}
+	if err := json.Unmarshal(raw, &m); err != nil || m.Content == nil {
+		return contentText(raw)
+	}
+	return m.Role + "\n" + contentText(m.Content)
+}
+
 func messageText(raw json.RawMessage) (string, error) {
 	var messages []struct {
 		Role    string          `json:"role"`
