Keep one entry for each backend server of the platform's list

A second entry with the ID of an engine, be it another writer's or an earlier incarnation that is still listed, was taken too: the control leader began anew with the engine at each reading (both entries had another address) and published two servers with one ID; an entry VM without a leader took whichever came last.

The incarnation that started last counts, unless its start is over an hour in the future; of entries with the same start the one at the address that is known already, or else the first. TestSecondEntryOfAnEngineIsIgnored (two published instead of one) and TestEntryVMIgnoresSecondEntryOfAServer failed before.

--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -174,6 +174,7 @@
 // applyList updates the engines from the platform's list; the caller holds the lock.
 func (c *Controller) applyList(list []deck.Server) {
 	now := time.Now()
+	list = deck.DistinctServers(now, list, c.servers)
 	if c.hasList && len(list) > len(c.servers) {
 		c.listGrewAt = now
 	}
--- a/internal/place/order/controller_test.go
+++ b/internal/place/order/controller_test.go
@@ -339,3 +339,23 @@
 		is.Equal(p.ordersSent(), 0)
 	})
 }
+
+// TestSecondEntryOfAnEngineIsIgnored guards against a second entry with the ID of an engine, at another address, with which each reading
+// of the list takes the engine for a new one of which nothing is known, or entry VMs send its calls to the other address.
+func TestSecondEntryOfAnEngineIsIgnored(t *testing.T) {
+	is := is.New(t)
+	p := newFakePlatform(t, testSpec(1), 1, 1)
+	second := p.engines["a"].server
+	second.Address = "10.0.0.9:9"
+	runController(t, p, func(*Controller) {
+		<-time.After(time.Second)
+		p.locked(func() { p.others = []deck.Server{second} })
+		<-time.After(15 * time.Second)
+		is.Equal(p.copies(model(0)), 1)
+		p.locked(func() {
+			is.Equal(len(p.published), 1)
+			is.Equal(p.published[0].Address, p.engines["a"].server.Address)
+			is.True(p.published[0].Holds(model(0), ""))
+		})
+	})
+}
--- a/internal/place/order/fake_test.go
+++ b/internal/place/order/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -32,6 +33,7 @@
 	inPause    int // orders and requests for reports to an engine that wants none
 
 	limits map[deck.BackendName]float64 // that engines name
+	others []deck.Server                // entries of other writers, which the list has first
 }
 
 // A fakeEngine is an engine of a fakePlatform.
@@ -84,7 +86,7 @@
 func (p *fakePlatform) ListServers(context.Context) ([]deck.Server, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var out []deck.Server
+	out := slices.Clone(p.others)
 	for _, e := range p.engines {
 		s := e.server
 		s.Models = e.held()
--- a/internal/state/hub/direct_test.go
+++ b/internal/state/hub/direct_test.go
@@ -81,3 +81,19 @@
 		})
 	})
 }
+
+// TestEntryVMIgnoresSecondEntryOfAServer guards against an earlier incarnation of a server, or another writer's entry with its ID, that
+// takes its place in the list of an entry VM without a leader.
+func TestEntryVMIgnoresSecondEntryOfAServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		server := deck.Server{ID: "x", Address: "10.0.0.1:1", StartUnixMs: 17}
+		earlier := deck.Server{ID: "x", Address: "10.0.0.9:9", StartUnixMs: 16}
+		runSubscriber(t, &memoryClient{}, staticList{server, earlier}, func(w *recorder, _ *hub.Subscriber) {
+			<-time.After(700 * time.Millisecond)
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			is.Equal(w.servers, []deck.Server{server})
+		})
+	})
+}
--- a/internal/state/hub/hub_test.go
+++ b/internal/state/hub/hub_test.go
@@ -215,7 +215,7 @@
 type recorder struct {
 	mu       sync.Mutex
 	versions []uint64
-	servers  int
+	servers  []deck.Server
 }
 
 func (w *recorder) last() (version uint64, servers int) {
@@ -224,7 +224,7 @@
 	if len(w.versions) > 0 {
 		version = w.versions[len(w.versions)-1]
 	}
-	return version, w.servers
+	return version, len(w.servers)
 }
 
 // A staticList is a fixed list of the platform.
@@ -249,7 +249,7 @@
 		Servers: func(s []deck.Server) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
-			w.servers = len(s)
+			w.servers = s
 		},
 		VMs: func(int) {}, Calls: func([]deck.ServerCalls) {}, Blame: func(deck.BlameView) {},
 	})
--- a/internal/state/hub/subscriber.go
+++ b/internal/state/hub/subscriber.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -266,8 +267,9 @@
 func (s *Subscriber) replaceServers(list []deck.Server) {
 	s.mu.Lock()
 	s.viewVersion = deck.ViewVersion{}
-	s.servers = make(map[deck.BackendName]deck.Server, len(list))
-	for _, server := range list {
+	distinct := deck.DistinctServers(time.Now(), list, slices.Collect(maps.Values(s.servers)))
+	s.servers = make(map[deck.BackendName]deck.Server, len(distinct))
+	for _, server := range distinct {
 		s.servers[server.ID] = server
 	}
 	s.mu.Unlock()
