Read the platform's list of VMs entry by entry

On the inference API's path an odd entry (another type, bytes that are no JSON, nested too deep, more than 1 MB) made the whole list of live and leaving VMs unreadable, so that relays published no change any more. It is read as the list of backend servers is. The cases of TestList failed before.

--- a/internal/platform/vmlist/client.go
+++ b/internal/platform/vmlist/client.go
@@ -9,10 +9,12 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/jsonlist"
 )
 
-// maxBodyBytes bounds the list, which takes about 60 bytes for each of up to 340 VMs and 600 backend servers.
-const maxBodyBytes = 1 << 20
+// maxBodyBytes bounds the list, which takes about 60 bytes for each of up to 340 VMs and 600 backend servers; other writers' entries may be
+// larger.
+const maxBodyBytes = 32 << 20
 
 // Client reads the VM list from one platform address.
 type Client struct {
@@ -27,11 +29,10 @@
 	return &Client{url: base + "/platform/vms", http: c}
 }
 
-type listResponse struct {
-	VMs []struct {
-		VM      string `json:"vm"`
-		Leaving bool   `json:"leaving"`
-	} `json:"vms"`
+// A vmRow is an entry of the list.
+type vmRow struct {
+	VM      string `json:"vm"`
+	Leaving bool   `json:"leaving"`
 }
 
 // List implements deck.VMList.
@@ -48,13 +49,20 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Newf("request VM list: status %d", resp.StatusCode)
 	}
-	var d listResponse
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxBodyBytes)).Decode(&d); err != nil {
-		return nil, errors.Wrap(err, "decode VM list")
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "read VM list")
 	}
-	out := make([]deck.VMStatus, 0, len(d.VMs))
-	for _, v := range d.VMs {
-		out = append(out, deck.VMStatus{VM: v.VM, Leaving: v.Leaving})
+	if len(data) > maxBodyBytes {
+		return nil, errors.Newf("VM list exceeds %d bytes", maxBodyBytes)
 	}
-	return out, nil
+	list, err := jsonlist.Decode(data, "vms", decodeRow)
+	return list.Entries, errors.Wrap(err, "decode VM list")
+}
+
+// decodeRow decodes an entry; those of another form, which other writers may have left, are skipped.
+func decodeRow(entry []byte) (deck.VMStatus, bool) {
+	var row vmRow
+	err := json.Unmarshal(entry, &row)
+	return deck.VMStatus{VM: row.VM, Leaving: row.Leaving}, err == nil && row.VM != ""
 }
--- a/internal/platform/vmlist/client_test.go
+++ b/internal/platform/vmlist/client_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -11,7 +12,8 @@
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 )
 
-// Guards against an error response or a truncated list that is taken for an empty list.
+// Guards against an error response or a truncated list that is taken for an empty list, and against an odd entry of another writer that hides
+// the others.
 func TestList(t *testing.T) {
 	for _, tt := range []struct {
 		status int
@@ -22,6 +24,10 @@
 		{200, `{"vms":[{"vm":"a"},{"vm":"b","leaving":true}]}`, []deck.VMStatus{{VM: "a"}, {VM: "b", Leaving: true}}, false},
 		{503, `{"vms":[]}`, nil, true},
 		{200, `{"vms":[{"vm":"a"`, nil, true},
+		{200, `{"vms":[{"vm":7},{"vm":"a"}]}`, []deck.VMStatus{{VM: "a"}}, false},
+		{200, "{\"vms\":[\"\x01\",{},{\"vm\":\"a\"}]}", []deck.VMStatus{{VM: "a"}}, false},
+		{200, `{"vms":[` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + `,{"vm":"a"}]}`, []deck.VMStatus{{VM: "a"}}, false},
+		{200, `{"vms":[{"vm":"a"},"` + strings.Repeat("x", 2<<20) + `"]}`, []deck.VMStatus{{VM: "a"}}, false},
 	} {
 		is := is.New(t)
 		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
