Refuse calls that can't end before a planned stop

Other operators' report: requests that came late in the grace of a planned stop were taken, passed on, and cut at its end.

Cause: nothing looked at the time that was left. Of a route without recent calls only its time-out and the caller's deadline are known. A stream that has begun is continued.

--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -73,6 +73,7 @@
 	parts        []uint64    // fingerprints of the parts of the prompt
 	repetitions  []uint64    // what the call has in common with its repetitions if it has no content; otherwise empty
 	start        time.Time
+	read         time.Time // when the whole request had been read
 	deadline     time.Time
 	version      uint64 // of the configuration that the route is from
 	service      deck.ServiceName
@@ -121,6 +122,10 @@
 	}
 	c.h.refusals.of(c.service).recordCall(c.start)
 	for {
+		if c.endsAfterStop(time.Now()) {
+			c.refuseBeforeStop()
+			return
+		}
 		s, ok := c.choose()
 		if !ok {
 			return
@@ -129,6 +134,10 @@
 			c.refusePoison()
 			return
 		}
+		if c.endsAfterStop(time.Now()) {
+			c.refuseBeforeStop()
+			return
+		}
 		switch c.offer(s) {
 		case answered:
 			return
@@ -139,6 +148,17 @@
 	}
 }
 
+// endsAfterStop reports whether this VM stops before an answer to the call is expected to end, or its deadline passes. Of a route without
+// recent calls only the time-out is known. A stream that has begun is continued all the same.
+func (c *callRun) endsAfterStop(now time.Time) bool {
+	end := c.h.callsEnd.Load()
+	if end == nil || c.headSent || !c.deadline.After(*end) {
+		return false
+	}
+	expected, ok := c.h.durations.estimate(c.route.Name)
+	return !ok || !now.Add(expected).Before(*end)
+}
+
 // choose returns the next server to try and waits for one if need be. It returns false if there is none; the caller has been
 // answered then.
 func (c *callRun) choose() (deck.Server, bool) {
--- a/internal/api/ingress/fleet_test.go
+++ b/internal/api/ingress/fleet_test.go
@@ -322,7 +322,12 @@
 
 // send sends a call to a VM and returns the answer; its status is 0 if the connection was broken.
 func (f *fleet) send(vm int, c fleetCall) *httptest.ResponseRecorder {
-	r := httptest.NewRequestWithContext(f.ctx, c.method, "http://a.example/", bytes.NewReader([]byte(c.body)))
+	return f.sendBody(vm, c, bytes.NewReader([]byte(c.body)))
+}
+
+// sendBody is like send, with a body of its own.
+func (f *fleet) sendBody(vm int, c fleetCall, body io.Reader) (w *httptest.ResponseRecorder) {
+	r := httptest.NewRequestWithContext(f.ctx, c.method, "http://a.example/", body)
 	r.RequestURI = c.path
 	r.RemoteAddr = c.caller + ":4000"
 	r.Header.Set("Call-Id", fmt.Sprintf("call-%d", f.calls.Add(1)))
@@ -330,7 +335,7 @@
 	for i := 0; i+1 < len(c.header); i += 2 {
 		r.Header.Set(c.header[i], c.header[i+1])
 	}
-	w := httptest.NewRecorder()
+	w = httptest.NewRecorder()
 	defer func() {
 		if recover() != nil { // http.ErrAbortHandler
 			w.Code = 0
--- a/internal/api/ingress/handler.go
+++ b/internal/api/ingress/handler.go
@@ -25,6 +25,7 @@
 	fullRetryAfter         = 700 * time.Millisecond // a good part of a full batch ends in this time
 	noServerRetryAfter     = 1 * time.Second        // the platform's list shows a lost server's replacement after about this time
 	loadingRetryAfter      = 2 * time.Second        // if the loading time of the model is unknown
+	stoppingRetryAfter     = 50 * time.Millisecond  // other VMs take the call at once
 )
 
 // defaultBodyBytes bounds request bodies if the configuration sets no limit.
@@ -56,16 +57,23 @@
 	// MinStall is the shortest pause after which a resumable stream moves to another engine; 0 for two seconds.
 	MinStall time.Duration
 
-	routes   atomic.Pointer[table.Table]
-	draining atomic.Bool
-	ending   ending
-	inFlight atomic.Int64
-	refusals refusalRates
+	routes    atomic.Pointer[table.Table]
+	draining  atomic.Bool
+	ending    ending
+	callsEnd  atomic.Pointer[time.Time] // when EndCalls will be called; nil if this VM does not stop
+	inFlight  atomic.Int64
+	refusals  refusalRates
+	durations callDurations
 }
 
 // SetRoutes replaces the routing table for requests that arrive from now on.
 func (h *Handler) SetRoutes(t *table.Table) {
 	h.routes.Store(t)
+	names := make(map[string]bool)
+	for _, r := range t.Config().Routes {
+		names[r.Name] = true
+	}
+	h.durations.retain(func(route string) bool { return names[route] })
 }
 
 // Configured reports whether a routing table has been set.
@@ -83,6 +91,13 @@
 	h.ending.end()
 }
 
+// EndCallsAt makes EndCalls be called at the given time; stop prevents that. Calls that are not expected to end by then are refused from
+// now on.
+func (h *Handler) EndCallsAt(t time.Time) (stop func() bool) {
+	h.callsEnd.Store(&t)
+	return time.AfterFunc(time.Until(t), h.EndCalls).Stop
+}
+
 // InFlight returns the number of calls in flight.
 func (h *Handler) InFlight() int {
 	return int(h.inFlight.Load())
@@ -132,8 +147,9 @@
 		limit = defaultTimeout
 	}
 	c := &callRun{
-		h: h, w: w, r: r, route: route, call: call, body: body, parts: partFingerprints(call.Parts), start: start, deadline: start.Add(limit),
-		version: t.Config().Version, service: table.PickService(route, h.Random.Float64()),
+		h: h, w: w, r: r, route: route, call: call, body: body, parts: partFingerprints(call.Parts), start: start, read: time.Now(),
+		deadline: start.Add(limit),
+		version:  t.Config().Version, service: table.PickService(route, h.Random.Float64()),
 	}
 	if len(body) == 0 && len(call.Parts) == 0 {
 		c.repetitions = repetitionFingerprints(r)
--- a/internal/api/ingress/record.go
+++ b/internal/api/ingress/record.go
@@ -1,9 +1,12 @@
 package ingress
 
 import (
+	"context"
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	"github.com/geraniumdeck/geraniumdeck/internal/wire/eventstream"
 )
@@ -21,6 +24,9 @@
 // recordEnd logs the end of the call and reports it to OnCallEnd.
 func (c *callRun) recordEnd(status int, outcome string, extra ...any) {
 	total := time.Since(c.start)
+	if c.offers > 0 && c.r.Context().Err() == nil && !errors.Is(context.Cause(c.ctx), errStopping) {
+		c.h.durations.record(c.route.Name, time.Since(c.read))
+	}
 	fields := append([]any{
 		"request", string(c.call.ID), "route", c.route.Name, "config", c.version, "service", string(c.service),
 		"server", string(c.server.ID), "looks", c.probes, "offers", c.offers, "may-have-run", c.possibleRuns,
--- a/internal/api/ingress/refuse.go
+++ b/internal/api/ingress/refuse.go
@@ -49,6 +49,15 @@
 	return max(0, c.h.Balancer.RestrainedUntil(now, req).Sub(now))
 }
 
+// refuseBeforeStop refuses a call that this VM's stop would cut off.
+func (c *callRun) refuseBeforeStop() {
+	if c.possibleRuns > 0 {
+		c.fail()
+		return
+	}
+	c.refuseNotRun(stoppingRetryAfter, "this VM stops before the call can end")
+}
+
 // refuseNotRun answers that the call has not run, with a jittered retry delay.
 func (c *callRun) refuseNotRun(retry time.Duration, reason string) {
 	retry += time.Duration(c.h.Random.Float64() * retryJitterShare * float64(retry))
--- a/internal/command/node/entry.go
+++ b/internal/command/node/entry.go
@@ -165,6 +165,7 @@
 	deadline := time.Now().Add(e.settings.Bounds.GracePeriod - exitMargin)
 	e.draining.Store(true)
 	e.handler.Drain()
+	defer e.handler.EndCallsAt(deadline.Add(-answerMargin))()
 	select {
 	case <-ctx.Done():
 		return nil
@@ -172,8 +173,6 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	end := time.AfterFunc(time.Until(deadline)-answerMargin, e.handler.EndCalls)
-	defer end.Stop()
 	err := e.server.Shutdown(ctx)
 	if err != nil {
 		e.node.log.Info("grace period ended with calls in flight", "calls", e.handler.InFlight())
