Answer calls on the inference API's path before the drain ends

Calls in flight are ended 0.2 s before: a call that may have run is answered 502 and recorded as unknown, others 503 as not run; a stream that has begun gets an error event. An attempt that was sent counts as one that may have run. The entry VMs' own type for this moved to core/kernel, for both paths.

--- a/internal/api/caller/calls.go
+++ b/internal/api/caller/calls.go
@@ -100,6 +100,7 @@
 ) deck.ServiceAnswer {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
+	defer h.ending.Notify(cancel)()
 	answer := deck.ServiceAnswer{Outcome: deck.OutcomeNotRun, Reason: "the service has no instance"}
 	for _, b := range h.instances(t.service) {
 		if !h.takesCalls(ctx, b) {
--- a/internal/api/caller/drain.go
+++ b/internal/api/caller/drain.go
@@ -4,10 +4,17 @@
 	"context"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
 
+// answerMargin is how long before the process ends the requests in flight are ended, so that their callers get an answer.
+const answerMargin = 200 * time.Millisecond
+
+// errStopping is the cause of the end of a request's context shortly before the process ends.
+var errStopping = errors.New("this VM stops")
+
 // inFlightRequests counts and limits the requests in flight. Once it is draining, it refuses new ones.
 type inFlightRequests struct {
 	limit int
@@ -23,7 +30,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.draining {
-		return notRunProblem(http.StatusServiceUnavailable, "draining", "this VM is shutting down", drainingRetryAfter)
+		return drainingProblem()
 	}
 	if r.count >= r.limit {
 		return notRunProblem(http.StatusServiceUnavailable, "overloaded", "too many requests in progress", defaultRetryAfter)
@@ -57,10 +64,19 @@
 	}
 }
 
+// drainingProblem returns the response to a request that did not run because this VM is shutting down.
+func drainingProblem() *problem {
+	return notRunProblem(http.StatusServiceUnavailable, "draining", "this VM is shutting down", drainingRetryAfter)
+}
+
 // Drain refuses new requests and waits until those in flight, their cancellations at engines and their crash reports are
-// finished. It returns an error if ctx ends first.
+// finished; shortly before DrainTimeout it ends them. It returns an error if ctx ends first.
 func (h *Handler) Drain(ctx context.Context) error {
 	h.once.Do(h.init)
+	if h.DrainTimeout > 0 {
+		end := time.AfterFunc(max(0, h.DrainTimeout-answerMargin), h.ending.End)
+		defer end.Stop()
+	}
 	select {
 	case <-h.inFlight.startDraining():
 		h.runner.Wait()
--- a/internal/api/caller/handler.go
+++ b/internal/api/caller/handler.go
@@ -1,13 +1,16 @@
 package caller
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/kernel"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/restraint"
 	"github.com/geraniumdeck/geraniumdeck/internal/route/attempt"
 	wire "github.com/geraniumdeck/geraniumdeck/internal/wire/engine"
@@ -33,11 +36,13 @@
 	MaxBodyBytes int64                       // limit of a request's body in bytes; 0 for the default
 	Recorder     deck.RequestRecorder        // receives a summary of each finished request; may be nil
 	Restraints   *restraint.Table            // what backend servers say about the requests that they take; nil for an empty one
+	DrainTimeout time.Duration               // after the start of Drain the process ends; 0 for no limit
 
 	once     sync.Once
 	mux      *http.ServeMux
 	runner   *attempt.Runner
 	inFlight inFlightRequests
+	ending   kernel.Ending // of the requests in flight
 	rotation atomic.Uint64 // round-robin counter of the service instances
 
 	endChecks endChecks
@@ -69,8 +74,8 @@
 	h.mux.HandleFunc("/", h.countInFlight(h.serveCall))
 }
 
-// countInFlight wraps f so that a request counts as in flight while f runs. It refuses the request while the handler is
-// draining or at its limit.
+// countInFlight wraps f so that a request counts as in flight while f runs, and ends it shortly before the process ends. It refuses the
+// request while the handler is draining or at its limit.
 func (h *Handler) countInFlight(f http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if problem := h.inFlight.acquire(); problem != nil {
@@ -78,6 +83,9 @@
 			return
 		}
 		defer h.inFlight.release()
-		f(w, r)
+		ctx, cancel := context.WithCancelCause(r.Context())
+		defer cancel(nil)
+		defer h.ending.Notify(func() { cancel(errStopping) })()
+		f(w, r.WithContext(ctx))
 	}
 }
--- a/internal/api/caller/infer.go
+++ b/internal/api/caller/infer.go
@@ -1,9 +1,12 @@
 package caller
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	"github.com/geraniumdeck/geraniumdeck/internal/route/attempt"
 	wire "github.com/geraniumdeck/geraniumdeck/internal/wire/engine"
@@ -111,12 +114,26 @@
 func (h *Handler) runAttempts(r *http.Request, req attempt.Request, sink attempt.Sink) attempt.Result {
 	m := newMeteredSink(sink, h.Clock)
 	result := h.runner.Run(r.Context(), req, m)
+	if result.Kind == attempt.Disconnected && errors.Is(context.Cause(r.Context()), errStopping) {
+		result = stoppedResult(result)
+	}
 	if h.Recorder != nil {
 		h.Recorder.Record(m.summary(req.Info, result))
 	}
 	return result
 }
 
+// stoppedResult returns the result of a request that was ended because this VM stops.
+func stoppedResult(r attempt.Result) attempt.Result {
+	if r.NotRun {
+		r.Kind = attempt.Refused
+		r.Refusal = &deck.Refusal{Kind: deck.RefusedDraining, Reason: errStopping.Error(), RetryAfter: drainingRetryAfter}
+		return r
+	}
+	r.Kind, r.Reason = attempt.Failed, errStopping.Error()
+	return r
+}
+
 // serveDocument answers a non-streaming request with one JSON document.
 func (h *Handler) serveDocument(w http.ResponseWriter, r *http.Request, req attempt.Request) {
 	var sink collector
--- a/internal/api/ingress/handler.go
+++ b/internal/api/ingress/handler.go
@@ -14,6 +14,7 @@
 
 	"github.com/geraniumdeck/geraniumdeck/internal/backend/http1"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/kernel"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/restraint"
 	"github.com/geraniumdeck/geraniumdeck/internal/route/balance"
 	"github.com/geraniumdeck/geraniumdeck/internal/route/table"
@@ -59,7 +60,7 @@
 
 	routes    atomic.Pointer[table.Table]
 	draining  atomic.Bool
-	ending    ending
+	ending    kernel.Ending
 	callsEnd  atomic.Pointer[time.Time] // when EndCalls will be called; nil if this VM does not stop
 	inFlight  atomic.Int64
 	refusals  refusalRates
@@ -88,7 +89,7 @@
 
 // EndCalls ends the calls in flight: those without an answer yet are answered that they have not run, or that this is unknown.
 func (h *Handler) EndCalls() {
-	h.ending.end()
+	h.ending.End()
 }
 
 // EndCallsAt makes EndCalls be called at the given time; stop prevents that. Calls that are not expected to end by then are refused from
@@ -156,7 +157,7 @@
 	}
 	ctx, cancelDeadline := context.WithDeadlineCause(r.Context(), c.deadline, errDeadline)
 	ctx, cancel := context.WithCancelCause(ctx)
-	stop := h.ending.notify(func() { cancel(errStopping) })
+	stop := h.ending.Notify(func() { cancel(errStopping) })
 	c.ctx = ctx
 	c.cancel = func() {
 		stop()
--- a/internal/route/attempt/lifecycle.go
+++ b/internal/route/attempt/lifecycle.go
@@ -121,7 +121,8 @@
 	case EventPreempted:
 		return append(l.cancelAll(), l.startAttempt(Spec{})...)
 	case EventDisconnected:
-		return append(l.cancelAll(), l.finish(Result{Kind: Disconnected})...)
+		result := Result{Kind: Disconnected, NotRun: !l.mayHaveRun && !l.hasSent()}
+		return append(l.cancelAll(), l.finish(result)...)
 	}
 	a, ok := l.attempts[e.Attempt]
 	if !ok {
@@ -376,6 +377,16 @@
 	}}
 }
 
+// hasSent reports whether an attempt that has not ended was sent.
+func (l *Lifecycle) hasSent() bool {
+	for _, a := range l.attempts {
+		if a.sent {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *Lifecycle) exhausted(now time.Time) bool {
 	return l.failures >= maxFailures || l.notLoaded >= maxNotLoaded || now.Sub(l.lastProgress) > progressTimeout
 }
