Refuse calls on the inference API's path that are whole only after the drain began

TestCallThatIsWholeAfterTheDrainBeganIsRefused failed before for each of three kinds of call (200 instead of 503).

--- a/internal/api/caller/decode.go
+++ b/internal/api/caller/decode.go
@@ -128,7 +128,8 @@
 	return hex.EncodeToString(h.Sum(nil))
 }
 
-// readBody reads a request's body within the size limit and bodyReadTimeout.
+// readBody reads a request's body within the size limit and bodyReadTimeout. A request that is whole only after this VM has begun to drain is
+// refused as a new one is.
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *problem) {
 	limit := h.MaxBodyBytes
 	if limit == 0 {
@@ -148,6 +149,9 @@
 	if err != nil {
 		return nil, invalidProblem("body_unreadable", "the body could not be read")
 	}
+	if h.inFlight.isDraining() {
+		return nil, drainingProblem()
+	}
 	return b.Bytes(), nil
 }
 
--- a/internal/api/caller/drain.go
+++ b/internal/api/caller/drain.go
@@ -39,6 +39,13 @@
 	return nil
 }
 
+// isDraining reports whether new requests are refused.
+func (r *inFlightRequests) isDraining() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.draining
+}
+
 func (r *inFlightRequests) release() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/api/caller/stopping_test.go
+++ b/internal/api/caller/stopping_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -49,3 +52,44 @@
 		})
 	}
 }
+
+// TestCallThatIsWholeAfterTheDrainBeganIsRefused guards against calls that are passed on in a planned stop, since their first bytes came
+// before it, and cut at its end.
+func TestCallThatIsWholeAfterTheDrainBeganIsRefused(t *testing.T) {
+	for _, path := range []string{"/portal/x", "/portal/bookings", chatPath} {
+		t.Run(path, func(t *testing.T) {
+			runFleet(t, 1, 1, 1, func(t *testing.T, f *fleet) {
+				is := is.New(t)
+				h := f.vms[0].handler
+				body := lateReader{Reader: strings.NewReader(streamBody), at: time.Now().Add(time.Second)}
+				r := httptest.NewRequest(http.MethodPost, path, &body)
+				r.Header.Set("Idempotency-Key", "k")
+				w := httptest.NewRecorder()
+				var g errgroup.Group
+				g.Go(func() error {
+					time.Sleep(500 * time.Millisecond)
+					return h.Drain(t.Context())
+				})
+				h.ServeHTTP(w, r)
+				is.Equal(w.Code, http.StatusServiceUnavailable)
+				is.Equal(w.Header().Get(headerNotRun), "true")
+				for _, s := range f.servers {
+					is.Equal(len(s.seen()), 0)
+				}
+				is.NoErr(g.Wait())
+			})
+		})
+	}
+}
+
+// A lateReader gives nothing before a time.
+type lateReader struct {
+	io.Reader
+	at time.Time
+}
+
+// Read implements io.Reader.Read.
+func (r *lateReader) Read(p []byte) (int, error) {
+	time.Sleep(time.Until(r.at))
+	return r.Reader.Read(p)
+}
