Go on once a full disk has room again

Other operators' report: disks were full for a few seconds each, one after another, and changes were refused long after.

Cause: any failed save was final. That is right for a failed sync, after which nobody knows what is on the disk; a write that finds no room is known not to be there. Proposals and reads that need it fail at once meanwhile, so that operators go to another VM. A full disk that shows at a sync stays final.

--- a/internal/core/deck/storage.go
+++ b/internal/core/deck/storage.go
@@ -1,5 +1,7 @@
 package deck
 
+import "errors"
+
 // An EntryKind says what a log entry contains.
 type EntryKind int
 
@@ -53,12 +55,16 @@
 	Entries  []LogEntry // consecutive, from Snapshot.Index+1 on
 }
 
+// ErrDiskFull means that a disk had no room for a change.
+var ErrDiskFull = errors.New("the disk is full")
+
 // A Storage keeps one replica's copy of the log.
 type Storage interface {
 	// Load returns the content that the storage had when it was opened.
 	Load() (StoredLog, error)
 
-	// Save returns once the changes are durable; after an error no further changes can be saved.
+	// Save returns once the changes are durable. After ErrDiskFull nothing has changed, and the same changes may be saved later;
+	// after another error no further changes can be saved.
 	Save(w LogWrite) error
 
 	// Close releases the storage.
--- a/internal/state/disk/memoryfiles.go
+++ b/internal/state/disk/memoryfiles.go
@@ -6,14 +6,15 @@
 	"maps"
 	"slices"
 	"sync"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 )
 
-// ErrDiskFull is the error of a write to MemoryFiles that are full.
-var ErrDiskFull = errors.New("no space left on device")
+// ErrDiskFull is the error of an operation on MemoryFiles that are full.
+var ErrDiskFull error = syscall.ENOSPC
 
 // errLocked means that MemoryFiles are already locked.
 var errLocked = errors.New("data folder is in use")
--- a/internal/state/disk/recover.go
+++ b/internal/state/disk/recover.go
@@ -161,7 +161,7 @@
 	if err != nil {
 		return errors.Wrap(err, "open log")
 	}
-	s.log = f
+	s.log, s.logBytes = f, size
 	if err := f.Truncate(size); err != nil {
 		return errors.Wrap(err, "truncate log")
 	}
--- a/internal/state/disk/store.go
+++ b/internal/state/disk/store.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"io"
 	"slices"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 
@@ -29,20 +30,24 @@
 	snapshotIndex uint64          // index of the current snapshot
 	entries       []deck.LogEntry // after the snapshot
 	log           deck.File
+	logBytes      int64 // size of the log, without what an interrupted write has left
 	saveErr       error
 }
 
 var _ deck.Storage = (*Store)(nil)
 
-// Open opens the data folder; at the first start it chooses the replica's incarnation.
+// Open opens the data folder; at the first start it chooses the replica's incarnation. After deck.ErrDiskFull it may be called again.
 func Open(o Options) (*Store, error) {
 	lock, err := o.Files.Lock()
 	if err != nil {
-		return nil, err
+		return nil, markFull(err)
 	}
 	s := &Store{files: o.Files, lock: lock}
 	if err := s.open(o); err != nil {
-		return nil, errors.CombineErrors(err, lock.Close())
+		if s.log != nil {
+			err = errors.CombineErrors(err, s.log.Close())
+		}
+		return nil, markFull(errors.CombineErrors(err, lock.Close()))
 	}
 	return s, nil
 }
@@ -129,15 +134,21 @@
 // Save implements deck.Storage.Save.
 //
 // After an error nothing is retried and every later call returns that error: after a failed sync the kernel may have dropped the
-// pages and may report the next sync as successful.
+// pages and may report the next sync as successful. A full disk is the exception, as long as it shows before the sync.
 func (s *Store) Save(w deck.LogWrite) error {
 	if s.saveErr != nil {
 		return s.saveErr
 	}
-	if err := s.save(w); err != nil {
-		s.saveErr = err
+	ballot, snapshotIndex, entries := s.ballot, s.snapshotIndex, s.entries
+	err := s.save(w)
+	if errors.Is(err, deck.ErrDiskFull) {
+		s.ballot, s.snapshotIndex, s.entries = ballot, snapshotIndex, entries
+		if truncateErr := s.log.Truncate(s.logBytes); truncateErr == nil {
+			return err
+		}
 	}
-	return s.saveErr
+	s.saveErr = err
+	return err
 }
 
 func (s *Store) save(w deck.LogWrite) error {
@@ -165,10 +176,15 @@
 	if err != nil {
 		return err
 	}
-	if _, err := s.log.Write(newFrame(payload)); err != nil {
-		return errors.Wrap(err, "write log")
+	frame := newFrame(payload)
+	if _, err := s.log.Write(frame); err != nil {
+		return errors.Wrap(markFull(err), "write log")
 	}
-	return errors.Wrap(s.log.Sync(), "sync log")
+	if err := s.log.Sync(); err != nil {
+		return errors.Wrap(err, "sync log")
+	}
+	s.logBytes += int64(len(frame))
+	return nil
 }
 
 // saveSnapshot writes the snapshot and a new log without the entries that the snapshot covers, and removes the old files.
@@ -210,7 +226,8 @@
 		return err
 	}
 	name := logName(s.snapshotIndex)
-	if err := s.writeFile(name, newFrame(payload)); err != nil {
+	frame := newFrame(payload)
+	if err := s.writeFile(name, frame); err != nil {
 		return err
 	}
 	f, err := s.files.Append(name)
@@ -218,7 +235,7 @@
 		return errors.Wrapf(err, "open %s", name)
 	}
 	oldLog := s.log
-	s.log = f
+	s.log, s.logBytes = f, int64(len(frame))
 	if oldLog == nil {
 		return nil
 	}
@@ -239,23 +256,42 @@
 	return errors.Wrap(s.files.Remove(snapshotName(index)), "remove old snapshot")
 }
 
-// writeFile durably creates or replaces a file: it writes and syncs a temporary file, renames it, and syncs the folder.
+// writeFile durably creates or replaces a file: it writes and syncs a temporary file, renames it, and syncs the folder. After
+// deck.ErrDiskFull the file is unchanged.
 func (s *Store) writeFile(name string, data []byte) error {
-	f, err := s.files.Create(name + temporarySuffix)
+	if err := s.writeTemporary(name+temporarySuffix, data); err != nil {
+		return errors.Wrapf(err, "write %s", name)
+	}
+	if err := s.files.Rename(name+temporarySuffix, name); err != nil {
+		return errors.Wrapf(markFull(err), "rename to %s", name)
+	}
+	return errors.Wrap(s.files.SyncDir(), "sync data folder")
+}
+
+// writeTemporary writes and syncs a file, and removes it if the disk is full.
+func (s *Store) writeTemporary(name string, data []byte) error {
+	f, err := s.files.Create(name)
 	if err != nil {
-		return errors.Wrapf(err, "create %s", name)
+		return markFull(err)
 	}
-	_, err = f.Write(data)
-	if err == nil {
+	if _, err = f.Write(data); err != nil {
+		err = markFull(err)
+	} else {
 		err = f.Sync()
 	}
-	if err := errors.CombineErrors(err, f.Close()); err != nil {
-		return errors.Wrapf(err, "write %s", name)
+	err = errors.CombineErrors(err, f.Close())
+	if errors.Is(err, deck.ErrDiskFull) {
+		return errors.CombineErrors(err, s.files.Remove(name))
 	}
-	if err := s.files.Rename(name+temporarySuffix, name); err != nil {
-		return errors.Wrapf(err, "rename to %s", name)
+	return err
+}
+
+// markFull marks errors of a full disk, or a used up quota, with deck.ErrDiskFull.
+func markFull(err error) error {
+	if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) {
+		return errors.Mark(err, deck.ErrDiskFull)
 	}
-	return errors.Wrap(s.files.SyncDir(), "sync data folder")
+	return err
 }
 
 // Close implements deck.Storage.Close.
--- a/internal/state/replica/node.go
+++ b/internal/state/replica/node.go
@@ -52,6 +52,10 @@
 	pendingBarriers   map[uint64]chan error // by ID
 	confirmedBarriers map[chan error]uint64 // the entry that must be applied first
 	failure           error                 // why the replica no longer participates; nil if it does
+
+	// Effects whose changes wait for room on the disk; nil if none do. Until they are saved the replica takes no part in the log, as if
+	// it were suspended.
+	unsaved *Effects
 }
 
 var (
@@ -108,11 +112,19 @@
 }
 
 func (n *Node) step(now time.Time, m deck.ReplicaMessage) {
-	if n.failure == nil {
+	if n.unavailable() == nil {
 		n.core.Step(now, m)
 	}
 }
 
+// unavailable returns why the replica takes no part in the log; nil if it does.
+func (n *Node) unavailable() error {
+	if n.failure == nil && n.unsaved != nil {
+		return deck.ErrDiskFull
+	}
+	return n.failure
+}
+
 // Propose implements deck.Log.Propose; on a replica that does not lead it returns a deck.NotLeaderError.
 func (n *Node) Propose(ctx context.Context, command []byte) ([]byte, error) {
 	return n.appendAndWait(ctx, func(now time.Time) (uint64, uint64, error) {
@@ -124,7 +136,7 @@
 func (n *Node) appendAndWait(ctx context.Context, op func(now time.Time) (index, term uint64, err error)) ([]byte, error) {
 	w := pendingProposal{result: make(chan applyResult, 1)}
 	err := n.enqueue(ctx, func(now time.Time) {
-		if err := errors.CombineErrors(n.failure, ctx.Err()); err != nil {
+		if err := errors.CombineErrors(n.unavailable(), ctx.Err()); err != nil {
 			w.result <- applyResult{err: err}
 			return
 		}
@@ -174,8 +186,8 @@
 func (n *Node) barrier(ctx context.Context, start func(now time.Time, id uint64)) error {
 	result := make(chan error, 1)
 	err := n.enqueue(ctx, func(now time.Time) {
-		if n.failure != nil {
-			result <- n.failure
+		if err := n.unavailable(); err != nil {
+			result <- err
 			return
 		}
 		n.barrierID++
--- a/internal/state/replica/run.go
+++ b/internal/state/replica/run.go
@@ -24,7 +24,7 @@
 // Run participates in the log until ctx ends; a leader first transfers its leadership.
 //
 // After an error of the storage or the state machine's snapshots, the node no longer participates and shows the error in
-// its status; Run returns the error when ctx ends.
+// its status; Run returns the error when ctx ends. While the disk is full it participates in nothing, and goes on once it has room.
 func (n *Node) Run(ctx context.Context) error {
 	defer close(n.done)
 	senderCtx, stopSenders := context.WithCancel(context.WithoutCancel(ctx))
@@ -59,11 +59,32 @@
 }
 
 func (n *Node) tick() {
-	if n.failure == nil {
+	if n.unsaved != nil {
+		n.resume()
+	}
+	if n.unavailable() == nil {
 		n.core.Tick(n.opts.Clock.Now())
 	}
 }
 
+// suspend keeps effects until the disk has room for their changes. Entries that were proposed may still be committed then.
+func (n *Node) suspend(e Effects, err error) {
+	if n.unsaved == nil {
+		n.opts.Log.Info("the disk is full; the replica takes no part in the replicated log until it has room", "reason", err.Error())
+	}
+	n.unsaved = &e
+	n.publishStatus()
+}
+
+// resume tries to save the changes that wait for room on the disk.
+func (n *Node) resume() {
+	e := *n.unsaved
+	n.performEffects(e)
+	if n.unsaved == nil && n.failure == nil {
+		n.opts.Log.Info("the disk has room again; the replica takes part in the replicated log")
+	}
+}
+
 // drainInputs handles up to maxInputBatch further inputs that are queued, so that they share one sync.
 func (n *Node) drainInputs() {
 	for range maxInputBatch {
@@ -79,6 +100,9 @@
 // transferLeadership starts a leadership transfer and returns the time at which the node stops at the latest.
 func (n *Node) transferLeadership() time.Time {
 	now := n.opts.Clock.Now()
+	if n.unavailable() != nil {
+		return now
+	}
 	if _, ok := n.core.TransferLeadership(now); !ok {
 		return now
 	}
@@ -86,19 +110,19 @@
 }
 
 func (n *Node) canStop(deadline time.Time) bool {
-	return n.failure != nil || n.core.state != leader || !n.opts.Clock.Now().Before(deadline)
+	return n.unavailable() != nil || n.core.state != leader || !n.opts.Clock.Now().Before(deadline)
 }
 
 // processEffects carries out the core's effects until none are left.
 func (n *Node) processEffects() {
-	for n.failure == nil {
+	for n.unavailable() == nil {
 		e := n.core.TakeEffects()
 		if e.IsEmpty() {
 			break
 		}
 		n.performEffects(e)
 	}
-	if n.failure == nil && n.core.state != leader {
+	if n.unavailable() == nil && n.core.state != leader {
 		n.failProposals(deck.ErrLeadershipLost)
 	}
 	n.publishStatus()
@@ -106,7 +130,13 @@
 
 func (n *Node) performEffects(e Effects) {
 	if !e.Save.IsEmpty() {
-		if err := n.opts.Storage.Save(e.Save); err != nil {
+		err := n.opts.Storage.Save(e.Save)
+		if errors.Is(err, deck.ErrDiskFull) {
+			n.suspend(e, err)
+			return
+		}
+		n.unsaved = nil
+		if err != nil {
 			n.fail(errors.Wrap(err, "save replicated log"))
 			return
 		}
@@ -208,6 +238,8 @@
 	s := n.core.Status()
 	if n.failure != nil {
 		s.FailureReason = n.failure.Error()
+	}
+	if n.unavailable() != nil {
 		s.Leader = deck.ReplicaID{}
 	}
 	old := n.status.Swap(&s)
