Save the routing configuration again after a failed attempt

A control VM keeps the configuration in force in a file, which it hands out after a restart until there is a leader. If the disk was full when the configuration changed, the file kept the one before until the next change. TestConfigurationIsSavedOnceTheDiskTakesIt failed before.

--- a/internal/command/node/control.go
+++ b/internal/command/node/control.go
@@ -31,7 +31,8 @@
 	// than the duration of an election.
 	maxLeadershipAge = 400 * time.Millisecond
 
-	configFileName = "routing-configuration" // file in the data folder
+	configFileName          = "routing-configuration" // file in the data folder
+	configSaveRetryInterval = 500 * time.Millisecond
 
 	// diskCheckInterval is the time between checks for a failed disk: the maximum time until a process with a failed disk
 	// exits to be restarted from the disk.
@@ -181,20 +182,26 @@
 	c.configsToSave <- doc // never blocks: only the loop of the log sends
 }
 
-// saveConfigs writes the newest configuration to disk after each change until ctx ends.
+// saveConfigs writes the newest configuration to disk after each change until ctx ends. What could not be written is written again, since
+// a restarted VM would hand out an older configuration.
 func (c *controlVM) saveConfigs(ctx context.Context) error {
+	var unsaved deck.RoutingDocument // zero if there is none
+	var retry <-chan time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case doc := <-c.configsToSave:
-			data, err := routing.Encode(doc)
-			if err == nil {
-				err = c.configFile.Save(data)
-			}
-			if err != nil {
-				c.node.log.Error(err, "failed to save the routing configuration to its file", "version", doc.Version)
-			}
+		case unsaved = <-c.configsToSave:
+		case <-retry:
+		}
+		retry = nil
+		data, err := routing.Encode(unsaved)
+		if err == nil {
+			err = c.configFile.Save(data)
+		}
+		if err != nil {
+			c.node.log.Error(err, "failed to save the routing configuration to its file", "version", unsaved.Version)
+			retry = time.After(configSaveRetryInterval)
 		}
 	}
 }
