--- a/internal/command/process/names.go
+++ b/internal/command/process/names.go
@@ -6,6 +6,7 @@
 	nameLog                = "replicated-log"
 	nameCommands           = "commands"
 	nameFeed               = "feed"
+	nameStateFile          = "state-file"
 	nameProver             = "freshness"
 	nameLease              = "placement-lease"
 	nameResidency          = "residency"
--- a/internal/command/process/state.go
+++ b/internal/command/process/state.go
@@ -1,7 +1,9 @@
 package process
 
 import (
+	"context"
 	"path/filepath"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -14,6 +16,9 @@
 	"github.com/geraniumdeck/geraniumdeck/internal/state/statemachine"
 )
 
+// saveAgainInterval is the time between two attempts to write the state to a full disk.
+const saveAgainInterval = time.Second
+
 // addState adds the replica of the log on a control VM, and the clients of the feed and of the state machine.
 func addState(d *deps) error {
 	if err := d.openStore(); err != nil {
@@ -53,7 +58,10 @@
 		return err
 	}
 	d.store = feed.NewStore(d.vm.Name, d.clock, f, s, ok)
-	return nil
+	return d.kernel.Add(nameStateFile, part.NewRunner(func(ctx context.Context) error {
+		deck.Every(ctx, saveAgainInterval, func(context.Context) { d.store.SaveAgain() })
+		return nil
+	}))
 }
 
 func (d *deps) feedConfig() feed.ClientConfig {
--- a/internal/state/feed/store.go
+++ b/internal/state/feed/store.go
@@ -53,6 +53,7 @@
 	updates              chan struct{} // closed when the state or a payload is replaced
 	confirmationAdvanced chan struct{} // receives a value when another VM confirms a higher version
 	saveErrors           uint64
+	unsaved              bool // the last write of the state to disk failed
 }
 
 var _ deck.StateSource = (*Store)(nil)
@@ -161,9 +162,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err != nil {
-		s.saveErrors++
-	}
+	s.recordSaveLocked(err)
 	if deltas == nil {
 		s.deltas = nil
 	}
@@ -177,6 +176,29 @@
 	s.notifyLocked()
 }
 
+// SaveAgain writes the state in force to disk if the last attempt failed.
+func (s *Store) SaveAgain() {
+	s.installMu.Lock()
+	defer s.installMu.Unlock()
+	s.mu.Lock()
+	unsaved, current := s.unsaved, s.state
+	s.mu.Unlock()
+	if !unsaved {
+		return
+	}
+	err := s.saver.Save(current)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recordSaveLocked(err)
+}
+
+func (s *Store) recordSaveLocked(err error) {
+	s.unsaved = err != nil
+	if err != nil {
+		s.saveErrors++
+	}
+}
+
 // RecordProof records that this VM's state has every ticket that was committed before the given time, if its version is at
 // least the given one. Callers that know this of the current state pass version 0. A time before the start of this process is
 // ignored.
