Wait for room on the disk at the start of a replica

A control process whose disk was full when it started ended at once, and started again, until there was room. It waits now, on both paths.

--- a/internal/command/node/control.go
+++ b/internal/command/node/control.go
@@ -109,13 +109,11 @@
 }
 
 func (c *controlVM) openReplica(s settings.Settings, client *http.Client, answers *peer.ReplicaAnswers) error {
-	files, err := disk.OpenOSFiles(filepath.Join(s.DataFolder, "log"))
-	if err != nil {
-		return errors.Wrap(err, "data folder")
-	}
-	store, err := disk.Open(disk.Options{Files: files, Deployment: deploymentName, VM: s.PeerName()})
+	store, err := part.OpenLog(
+		filepath.Join(s.DataFolder, "log"), disk.Options{Deployment: deploymentName, VM: s.PeerName()}, c.node.log,
+	)
 	if err != nil {
-		return errors.Wrap(err, "data folder")
+		return err
 	}
 	c.machine = &routing.Machine{}
 	transport := &peer.ReplicaClient{Address: peerAddress, Client: client, Answers: answers}
--- a/internal/command/process/control.go
+++ b/internal/command/process/control.go
@@ -26,13 +26,11 @@
 
 // newControl opens the log in the data folder and creates the replica that stores its entries there.
 func newControl(d *deps) (*control, error) {
-	files, err := disk.OpenOSFiles(filepath.Join(d.vm.DataFolder, "log"))
+	store, err := part.OpenLog(
+		filepath.Join(d.vm.DataFolder, "log"), disk.Options{Deployment: d.settings.Deployment, VM: d.vm.Name}, d.log,
+	)
 	if err != nil {
-		return nil, errors.Wrap(err, "open data folder")
-	}
-	store, err := disk.Open(disk.Options{Files: files, Deployment: d.settings.Deployment, VM: d.vm.Name})
-	if err != nil {
-		return nil, errors.Wrap(err, "open log in data folder")
+		return nil, err
 	}
 	m := statemachine.New(plan.CheckFeasible, feed.StoreUpdater{Store: d.store})
 	transport := &peer.ReplicaClient{Address: d.address, Client: d.client, Answers: &peer.ReplicaAnswers{}}
--- a/internal/state/disk/osfiles.go
+++ b/internal/state/disk/osfiles.go
@@ -24,10 +24,10 @@
 
 var _ deck.FileSystem = OSFiles{}
 
-// OpenOSFiles returns the files of the folder, and creates the folder if it does not exist.
+// OpenOSFiles returns the files of the folder, and creates the folder if it does not exist. After deck.ErrDiskFull it may be called again.
 func OpenOSFiles(dir string) (OSFiles, error) {
 	if err := os.MkdirAll(dir, dirMode); err != nil {
-		return OSFiles{}, errors.Wrap(err, "create data folder")
+		return OSFiles{}, errors.Wrap(markFull(err), "create data folder")
 	}
 	if err := syncDir(filepath.Dir(filepath.Clean(dir))); err != nil {
 		return OSFiles{}, err
