Let an action keep its engine until it has ended

An action that only unloads gave its engine free for the next one as soon as its orders were accepted, and went on to wait for a report. If the next action, a load, began while that report was under way, the end of the first one cleared the load's reservation: from then on the engine seemed to have room and to be idle. A third action that came after the load had ended and before its own report was then accepted beyond the engine's memory. The planner of a large fleet plans seldom enough for this.

An engine takes its next action when the one before has ended.

--- a/internal/place/order/actions.go
+++ b/internal/place/order/actions.go
@@ -153,7 +153,7 @@
 			"load", string(a.Load))
 	}
 	c.mu.Lock()
-	e.loading = ""
+	e.acting, e.loading = false, ""
 	clear(e.unloading)
 	c.mu.Unlock()
 	c.publish()
--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -410,7 +410,7 @@
 			expected = max(m.DiskLoadTime, m.WarmLoadTime)
 		}
 	}
-	e.loading = a.Load
+	e.acting, e.loading = true, a.Load
 	demandUnloaded := 0.0
 	for _, m := range a.Unload {
 		e.unloading[m] = true
--- a/internal/place/order/engine.go
+++ b/internal/place/order/engine.go
@@ -20,6 +20,7 @@
 	models            map[deck.ModelName]map[deck.AdapterName]time.Time // held models; their adapters with the last use
 	cached            map[deck.ModelName]bool                           // can be loaded from the engine's memory or disk
 	unloadSent        map[deck.ModelName]bool                           // since the last report; the list may still show them
+	acting            bool                                              // an action is in progress, to which loading, unloading and readyAt belong
 	loading           deck.ModelName                                    // empty for none
 	unloading         map[deck.ModelName]bool                           // about to be unloaded
 	readyAt           time.Time                                         // estimate for the end of the load
@@ -149,8 +150,7 @@
 
 // available reports whether an order for a model may be sent to the engine.
 func (e *engine) available(now time.Time) bool {
-	return e.synced && !e.fenced && !e.server.Draining && e.loading == "" && len(e.unloading) == 0 &&
-		now.After(e.retryAt)
+	return e.synced && !e.fenced && !e.server.Draining && !e.acting && now.After(e.retryAt)
 }
 
 // needsRefresh reports whether a report should be read, because the state is unknown or adapters are being unloaded.
