--- a/internal/wire/engine/mapping.go
+++ b/internal/wire/engine/mapping.go
@@ -8,6 +8,12 @@
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 )
 
+// Bounds of what a report may say, so that sums over requests, engines or models can't overflow.
+const (
+	maxCount = 1_000_000_000
+	maxBytes = 1 << 56
+)
+
 // NewOperation returns the wire form of an operation.
 func NewOperation(op deck.Operation) Operation {
 	w := Operation{
@@ -88,7 +94,7 @@
 	return w
 }
 
-// EngineReport returns the domain form of the report; an unknown role, a missing boot ID or a negative count is an error.
+// EngineReport returns the domain form of the report; an unknown role, a missing boot ID or a number out of range is an error.
 func (w Report) EngineReport() (deck.EngineReport, error) {
 	role, err := parseRole(w.Role)
 	if err != nil {
@@ -97,8 +103,13 @@
 	if w.BootID == "" {
 		return deck.EngineReport{}, errors.New("report: boot-id is missing")
 	}
-	if w.Running < 0 || w.Queued < 0 || w.QueuedTokens < 0 || w.UsedBytes < 0 {
-		return deck.EngineReport{}, errors.New("report: a count is negative")
+	for _, n := range []int{w.Running, w.Queued, w.QueuedTokens} {
+		if n < 0 || n > maxCount {
+			return deck.EngineReport{}, errors.Newf("report: a count is out of range: %d", n)
+		}
+	}
+	if !isSize(w.UsedBytes) {
+		return deck.EngineReport{}, errors.Newf("report: used-bytes is out of range: %d", w.UsedBytes)
 	}
 	r := deck.EngineReport{
 		Backend:      deck.BackendName(w.Backend),
@@ -115,6 +126,9 @@
 		Operations:   convertStrings[deck.OperationID](w.Operations),
 	}
 	for _, m := range w.Models {
+		if !isSize(m.Bytes) {
+			return deck.EngineReport{}, errors.Newf("report: size of model %q is out of range: %d", m.Model, m.Bytes)
+		}
 		r.Models = append(r.Models, deck.ResidentModel{
 			Model:   deck.ModelName(m.Model),
 			Version: deck.VersionName(m.Version),
@@ -125,6 +139,10 @@
 	return r, nil
 }
 
+func isSize(n int64) bool {
+	return n >= 0 && n <= maxBytes
+}
+
 // NewCacheEvents returns the wire form of cache events.
 func NewCacheEvents(c deck.CacheEvents) CacheEvents {
 	w := CacheEvents{Events: make([]CacheEvent, 0, len(c.Events)), Last: c.LastSequence, Gap: c.Gap}
--- a/internal/wire/engine/mapping_test.go
+++ b/internal/wire/engine/mapping_test.go
@@ -53,7 +53,10 @@
 		is.True(err != nil)
 		is.True(strings.Contains(err.Error(), tc.want))
 	}
-	for _, body := range []string{`{}`, `{"boot-id":"b","running":-1}`, `{"boot-id":"b","role":"x"}`} {
+	for _, body := range []string{
+		`{}`, `{"boot-id":"b","running":-1}`, `{"boot-id":"b","role":"x"}`, `{"boot-id":"b","running":9223372036854775807,"queued":1}`,
+		`{"boot-id":"b","used-bytes":9223372036854775807}`, `{"boot-id":"b","models":[{"model":"m","bytes":-1}]}`,
+	} {
 		is := is.New(t)
 		var w Report
 		is.NoErr(json.Unmarshal([]byte(body), &w))
