Count a crash separately if its request was sent after the one before

Crashes within 250 ms of each other count as one, since a power failure explains them, unless the same request was interrupted by both. A caller who sends an interrupted request again at once does so under a new id, so that its crashes counted as one as well: a target that crashed three servers within 120 ms was one crash short of a refusal until it had crashed a fourth.

Reports now say how long before the crash the request was sent. TestRepetitionsAtOnceAreSeparateCrashes failed before.

--- a/internal/api/ingress/poison.go
+++ b/internal/api/ingress/poison.go
@@ -50,13 +50,22 @@
 	at time.Time
 }
 
-// RecordCrash records a possible crash of the server that this VM has observed, with a request. parts are those of its prompt that may
-// be to blame; began says that the server had begun to answer.
-func (p *PoisonDetector) RecordCrash(now time.Time, f Fingerprint, s deck.Server, parts []uint64, began bool) {
+// An InterruptedCall is a call whose server broke the connection.
+type InterruptedCall struct {
+	Fingerprint Fingerprint
+	Server      deck.Server
+	Parts       []uint64  // of the call that may be to blame
+	SentAt      time.Time // to the server
+	Began       bool      // the server had begun to answer
+}
+
+// RecordCrash records a possible crash of a server that this VM has observed.
+func (p *PoisonDetector) RecordCrash(now time.Time, call InterruptedCall) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c := deck.Crash{
-		RequestFingerprint: uint64(f), Server: s.ID, StartUnixMs: s.StartUnixMs, Parts: p.proofs.Unproven(now, parts), Began: began,
+		RequestFingerprint: uint64(call.Fingerprint), Server: call.Server.ID, StartUnixMs: call.Server.StartUnixMs,
+		Parts: p.proofs.Unproven(now, call.Parts), Began: call.Began, Elapsed: now.Sub(call.SentAt),
 	}
 	p.crashes = append(p.crashes, observedCrash{c, now})
 	if len(p.crashes) > maxUnconfirmed {
--- a/internal/api/ingress/poison_test.go
+++ b/internal/api/ingress/poison_test.go
@@ -19,7 +19,7 @@
 		r, _ := p.Refuses(now, f, nil)
 		return r
 	}
-	p.RecordCrash(now, 1, deck.Server{ID: "e1"}, []uint64{7}, true)
+	p.RecordCrash(now, ingress.InterruptedCall{Fingerprint: 1, Server: deck.Server{ID: "e1"}, Parts: []uint64{7}, SentAt: now, Began: true})
 	is.Equal(len(p.Report(now).Crashes), 1)
 	now = now.Add(time.Second)
 	again := p.Report(now) // the answer to the first was lost
--- a/internal/api/ingress/suspect.go
+++ b/internal/api/ingress/suspect.go
@@ -40,7 +40,9 @@
 // after the call was sent, and for any error within an answer, also if the stall timer aborted the stream.
 func (c *callRun) recordPossibleCrash(now time.Time, s deck.Server, err error) {
 	c.logSuspect(s)
-	c.h.Poison.RecordCrash(now, c.fingerprint(), s, c.withRepetitions(c.suspectParts(now, err)), c.headReceived)
+	c.h.Poison.RecordCrash(now, InterruptedCall{
+		Fingerprint: c.fingerprint(), Server: s, Parts: c.withRepetitions(c.suspectParts(now, err)), SentAt: c.sentAt, Began: c.headReceived,
+	})
 }
 
 // withRepetitions adds what the call has in common with its repetitions to parts of its prompt.
--- a/internal/api/peer/blamewire.go
+++ b/internal/api/peer/blamewire.go
@@ -13,6 +13,8 @@
 	Parts   []uint64 `json:"parts,omitempty"`
 	Began   bool     `json:"began,omitempty"`
 	AgeMs   int64    `json:"age-ms,omitempty"`
+
+	ElapsedMs int64 `json:"elapsed-ms,omitempty"` // from sending the request to the crash
 }
 
 type verdictJSON struct {
@@ -24,7 +26,9 @@
 func crashesToWire(crashes []deck.Crash) []crashJSON {
 	var out []crashJSON
 	for _, c := range crashes {
-		out = append(out, crashJSON{c.RequestFingerprint, string(c.Server), c.StartUnixMs, c.Parts, c.Began, c.Age.Milliseconds()})
+		out = append(out, crashJSON{
+			c.RequestFingerprint, string(c.Server), c.StartUnixMs, c.Parts, c.Began, c.Age.Milliseconds(), c.Elapsed.Milliseconds(),
+		})
 	}
 	return out
 }
@@ -34,7 +38,7 @@
 	for _, c := range crashes {
 		out = append(out, deck.Crash{
 			RequestFingerprint: c.Request, Server: deck.BackendName(c.Server), StartUnixMs: c.Born, Parts: c.Parts,
-			Began: c.Began, Age: milliseconds(c.AgeMs),
+			Began: c.Began, Age: milliseconds(c.AgeMs), Elapsed: milliseconds(c.ElapsedMs),
 		})
 	}
 	return out
--- a/internal/core/blame/ledger.go
+++ b/internal/core/blame/ledger.go
@@ -38,8 +38,9 @@
 }
 
 type suspectRequest struct {
-	parts []uint64
-	began bool
+	parts  []uint64
+	began  bool
+	sentAt time.Time // zero if unknown
 }
 
 // Record adds a crash that interrupted a request, and reports whether the request is to blame by now.
@@ -54,7 +55,11 @@
 		known = &crash{at: now.Add(-c.Age), requests: make(map[uint64]suspectRequest)}
 		l.crashes[key] = known
 	}
-	known.requests[c.RequestFingerprint] = suspectRequest{c.Parts, c.Began}
+	request := suspectRequest{parts: c.Parts, began: c.Began}
+	if c.Elapsed > 0 {
+		request.sentAt = now.Add(-c.Age - c.Elapsed)
+	}
+	known.requests[c.RequestFingerprint] = request
 	for _, part := range c.Parts {
 		if !slices.Contains(l.byPart[part], known) {
 			l.byPart[part] = append(l.byPart[part], known)
@@ -188,6 +193,9 @@
 			if slices.Contains(r.parts, part) {
 				e.Requests = append(e.Requests, fingerprint)
 				e.Began = e.Began || r.began
+				if r.sentAt.After(e.LastSent) {
+					e.LastSent = r.sentAt
+				}
 			}
 		}
 		if len(e.Requests) > 0 {
--- a/internal/core/blame/ledger_test.go
+++ b/internal/core/blame/ledger_test.go
@@ -89,6 +89,29 @@
 	is.Equal(l.BlamedParts(now), []uint64{second})
 }
 
+// TestRepetitionsAtOnceAreSeparateCrashes guards against crashes that count as one because the caller sent the request again at once after
+// each of them: nothing but the request has these in common.
+func TestRepetitionsAtOnceAreSeparateCrashes(t *testing.T) {
+	for _, tc := range []struct {
+		elapsed time.Duration
+		blamed  []uint64
+	}{
+		{50 * time.Millisecond, []uint64{guilty}}, // sent after the crash before
+		{time.Second, nil},                        // in flight at all three crashes
+	} {
+		is := is.New(t)
+		var l Ledger
+		now := time.Unix(1000, 0)
+		for n := range 3 {
+			now = now.Add(60 * time.Millisecond)
+			l.Record(now, deck.Crash{
+				RequestFingerprint: uint64(100 + n), Server: deck.BackendName(strconv.Itoa(n)), Parts: []uint64{guilty}, Elapsed: tc.elapsed,
+			})
+		}
+		is.Equal(l.BlamedParts(now), tc.blamed)
+	}
+}
+
 // TestRepeatedReportWithoutPart guards against a part that counts at a crash although the repeated report of the crash leaves it out,
 // because a server has written on it meanwhile.
 func TestRepeatedReportWithoutPart(t *testing.T) {
--- a/internal/core/blame/part.go
+++ b/internal/core/blame/part.go
@@ -17,6 +17,8 @@
 	At       time.Time
 	Requests []uint64 // fingerprints of the requests
 	Began    bool     // the server had begun to answer one of them
+
+	LastSent time.Time // when the last of them was sent; zero if unknown
 }
 
 // IsPartBlamed reports whether the crashes show that the part crashes servers.
@@ -24,8 +26,8 @@
 	return separateCrashes(crashes) >= minCrashes && soleCarriers(crashes) >= minPartRequests
 }
 
-// separateCrashes returns the number of crashes, of which simultaneous ones count as one. Crashes that interrupted the same request
-// aren't simultaneous: it was sent again after the first of them.
+// separateCrashes returns the number of crashes, of which simultaneous ones count as one. Crashes aren't simultaneous if a request was
+// sent after the first of them, such as one that both interrupted.
 func separateCrashes(crashes []PartCrash) int {
 	sorted := slices.SortedFunc(slices.Values(crashes), func(a, b PartCrash) int { return a.At.Compare(b.At) })
 	n := 0
@@ -33,7 +35,7 @@
 	var requests []uint64
 	for _, c := range sorted {
 		again := slices.ContainsFunc(c.Requests, func(r uint64) bool { return slices.Contains(requests, r) })
-		if n == 0 || again || c.At.Sub(first) > simultaneousWindow {
+		if n == 0 || again || c.LastSent.After(first) || c.At.Sub(first) > simultaneousWindow {
 			n++
 			first, requests = c.At, nil
 		}
--- a/internal/core/deck/blame.go
+++ b/internal/core/deck/blame.go
@@ -9,6 +9,7 @@
 	StartUnixMs        int64         // Unix ms of the server's start, which tells its incarnations apart; 0 if unknown
 	Parts              []uint64      // fingerprints of the parts of the request that may be to blame; of equal ones the last is blamed
 	Began              bool          // the server had begun to answer the request
+	Elapsed            time.Duration // from sending the request to the crash; 0 if unknown
 	Age                time.Duration // since the crash was observed
 }
 
--- a/internal/state/hub/crashingpart_test.go
+++ b/internal/state/hub/crashingpart_test.go
@@ -39,7 +39,8 @@
 	fingerprint ingress.Fingerprint
 	parts       []uint64
 	crashes     bool
-	sound       bool      // the engine has written for long
+	sound       bool // the engine has written for long
+	sentAt      time.Time
 	begins      time.Time // of writing
 	ends        time.Time
 }
@@ -129,6 +130,7 @@
 	if c.crashes && !s.fifthCrash.IsZero() && inTouch && now.Sub(s.fifthCrash) > simContact {
 		s.lateCalls++
 	}
+	c.sentAt = now
 	c.begins = now.Add(time.Duration(20+s.random(200)) * time.Millisecond)
 	c.ends = c.begins.Add(time.Duration(100+s.random(3000)) * time.Millisecond)
 	e.calls = append(e.calls, c)
@@ -142,7 +144,9 @@
 		if c.sound {
 			parts = nil
 		}
-		s.vms[c.vm].detector.RecordCrash(now, c.fingerprint, e.server, parts, !now.Before(c.begins))
+		s.vms[c.vm].detector.RecordCrash(now, ingress.InterruptedCall{
+			Fingerprint: c.fingerprint, Server: e.server, Parts: parts, SentAt: c.sentAt, Began: !now.Before(c.begins),
+		})
 	}
 	e.calls = nil
 	e.downTil = now.Add(3 * time.Second)
@@ -301,7 +305,9 @@
 		blamedPart := []uint64{crashingPart}
 		for n := range 3 { // three crashes with different requests
 			server := deck.Server{ID: deck.BackendName("crashed-" + strconv.Itoa(n))}
-			s.vms[n].detector.RecordCrash(s.clock.now, ingress.Fingerprint(100+n), server, blamedPart, true)
+			s.vms[n].detector.RecordCrash(s.clock.now, ingress.InterruptedCall{
+				Fingerprint: ingress.Fingerprint(100 + n), Server: server, Parts: blamedPart, SentAt: s.clock.now, Began: true,
+			})
 			s.pollAll(2 * time.Second)
 		}
 		start, sent := s.clock.now, 0
@@ -318,7 +324,9 @@
 			default:
 				sent++
 				server := deck.Server{ID: deck.BackendName("tried-" + strconv.Itoa(sent))}
-				vm.RecordCrash(s.clock.now, ingress.Fingerprint(5000+sent), server, blamedPart, true)
+				vm.RecordCrash(s.clock.now, ingress.InterruptedCall{
+					Fingerprint: ingress.Fingerprint(5000 + sent), Server: server, Parts: blamedPart, SentAt: s.clock.now, Began: true,
+				})
 			}
 			s.pollAll(500 * time.Millisecond)
 		}
