Send a suspect that is one crash short of a verdict alone

When all servers of a service come back at once, repetitions of a request that has crashed two of them crash the rest before the leader hears of the first of these crashes.

A VM now sends a call without content that has such a suspect beside no other one with it, and not to another server after a crash; the others wait for a moment and are refused as not run. The leader has named these suspects to all VMs before, so that they object.

--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -121,6 +121,12 @@
 		c.h.Demand.RecordCall(c.service, c.call)
 	}
 	c.h.refusals.of(c.service).recordCall(c.start)
+	release, ok := c.awaitIsolation()
+	if !ok {
+		c.refuseNotRun(suspectRetryAfter, "a call like it, which may crash servers, is running")
+		return
+	}
+	defer release()
 	for {
 		if c.endsAfterStop(time.Now()) {
 			c.refuseBeforeStop()
@@ -396,7 +402,7 @@
 
 // retryResult returns tryAnother if a call that may have run may be sent to another server, and else failed.
 func (c *callRun) retryResult() offerResult {
-	if c.route.Repeatable() && c.possibleRuns < c.route.MaxAttempts {
+	if c.route.Repeatable() && c.possibleRuns < c.route.MaxAttempts && !c.h.Poison.IsOneCrashShort(c.repetitions) {
 		return tryAnother
 	}
 	return failed
--- a/internal/api/ingress/contentless_test.go
+++ b/internal/api/ingress/contentless_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/geraniumdeck/geraniumdeck/internal/core/blame"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	"github.com/geraniumdeck/geraniumdeck/internal/test/noticerules"
 )
@@ -146,6 +149,44 @@
 	})
 }
 
+// TestSuspectOneCrashShortIsSentAlone guards against repetitions of a request that has crashed two servers which are sent beside each other,
+// or again to another server, so that many crash one before the leader knows of the third crash; and against a delay of other calls.
+func TestSuspectOneCrashShortIsSentAlone(t *testing.T) {
+	const calls = 5
+	is := is.New(t)
+	var crashes atomic.Int64
+	othersEnded := make(chan struct{})
+	var engines []*backend
+	for i := range 2 * calls {
+		engines = append(engines, newBackend(t, "e"+itoa(i), func(c net.Conn, r *http.Request) bool {
+			if r.URL.Path != "/p/7" {
+				return answerWith("ok")(c, r)
+			}
+			<-othersEnded
+			crashes.Add(1)
+			return false
+		}))
+	}
+	h := newHarness(t, idempotent(), engines...)
+	h.handler.Poison.Apply(time.Now(), deck.BlameView{Term: 1, Watched: []uint64{blame.PartFingerprint("GET a.example/p/7")}})
+	statuses := make(chan int, calls)
+	var g errgroup.Group
+	for range calls {
+		g.Go(func() error {
+			statuses <- h.call(t, http.MethodGet, "/p/7", "").status
+			return nil
+		})
+	}
+	for range calls - 1 {
+		is.Equal(<-statuses, http.StatusServiceUnavailable)
+	}
+	is.Equal(h.call(t, http.MethodGet, "/p/8", "").status, http.StatusOK)
+	close(othersEnded)
+	is.Equal(<-statuses, http.StatusBadGateway)
+	_ = g.Wait() // the calls return no errors
+	is.Equal(crashes.Load(), int64(1))
+}
+
 // lateCrashes returns the number of crashes later than noticerules.ContactTime after the third.
 func lateCrashes(f *fleet) int {
 	var all []time.Time
--- a/internal/api/ingress/handler.go
+++ b/internal/api/ingress/handler.go
@@ -27,6 +27,7 @@
 	noServerRetryAfter     = 1 * time.Second        // the platform's list shows a lost server's replacement after about this time
 	loadingRetryAfter      = 2 * time.Second        // if the loading time of the model is unknown
 	stoppingRetryAfter     = 50 * time.Millisecond  // other VMs take the call at once
+	suspectRetryAfter      = 500 * time.Millisecond // a call without content ends, or all VMs hear of its crash, within this time
 )
 
 // defaultBodyBytes bounds request bodies if the configuration sets no limit.
--- a/internal/api/ingress/poison.go
+++ b/internal/api/ingress/poison.go
@@ -29,7 +29,8 @@
 	proofs   blame.Proofs
 	verdicts blame.Verdicts
 	trials   map[uint64]time.Time // when the permission to send one request with a suspect ends
-	watched  map[uint64]bool      // parts of which the leader wants to know whether they are sound
+	watched  map[uint64]bool      // parts that are one crash short of a verdict; the leader wants to know whether they are sound
+	isolated map[uint64]bool      // watched parts of calls in progress; see Isolate
 
 	term       uint64    // of the leader that answered last
 	appliedAt  time.Time // when that answer came
@@ -134,6 +135,42 @@
 	return false, trial
 }
 
+// Isolate reports whether a call with the suspects may begin: of those that are one crash short of a verdict, each is in one call of this VM
+// at a time. The caller must call release at the end of the call.
+func (p *PoisonDetector) Isolate(suspects []uint64) (release func(), ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var claimed []uint64
+	for _, suspect := range suspects {
+		if p.watched[suspect] && p.isolated[suspect] {
+			return nil, false
+		}
+		if p.watched[suspect] {
+			claimed = append(claimed, suspect)
+		}
+	}
+	if p.isolated == nil {
+		p.isolated = make(map[uint64]bool)
+	}
+	for _, suspect := range claimed {
+		p.isolated[suspect] = true
+	}
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		for _, suspect := range claimed {
+			delete(p.isolated, suspect)
+		}
+	}, true
+}
+
+// IsOneCrashShort reports whether one of the suspects is one crash short of a verdict.
+func (p *PoisonDetector) IsOneCrashShort(suspects []uint64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(suspects, func(suspect uint64) bool { return p.watched[suspect] })
+}
+
 // mayTry uses up the permission to send one request with a suspect, and reports whether there was one.
 func (p *PoisonDetector) mayTry(now time.Time, suspect uint64) bool {
 	end, ok := p.trials[suspect]
--- a/internal/api/ingress/suspect.go
+++ b/internal/api/ingress/suspect.go
@@ -25,6 +25,21 @@
 	return refused
 }
 
+// awaitIsolation waits until no call of this VM is in progress that has a suspect one crash short of a verdict in common with this one. Only
+// calls without content wait; their calls are short.
+func (c *callRun) awaitIsolation() (release func(), ok bool) {
+	for {
+		if release, ok = c.h.Poison.Isolate(c.repetitions); ok || time.Since(c.start) >= c.maxAdmissionWait() {
+			return release, ok
+		}
+		select {
+		case <-c.ctx.Done():
+			return nil, false
+		case <-time.After(pickInterval):
+		}
+	}
+}
+
 // refusePoison refuses a call that crashes servers.
 func (c *callRun) refusePoison() {
 	if c.possibleRuns > 0 {
