--- a/internal/state/replica/node_test.go
+++ b/internal/state/replica/node_test.go
@@ -118,9 +118,9 @@
 			for vm := range c.nodes { // one disk after the other
 				c.leader()
 				wasLeader := c.nodes[vm].Status().Leader.VM == vm
-				saves := 0
+				var saves atomic.Int64
 				c.storages[vm].SetFault(func(deck.LogWrite) error {
-					saves++
+					saves.Add(1)
 					return full
 				})
 				if wasLeader {
@@ -134,7 +134,7 @@
 				}
 				is.Equal(propose(t, c.nodes, fmt.Sprint("kept ", round, vm)), fmt.Sprint("ok kept ", round, vm))
 				<-time.After(fullTime)
-				is.True(saves > 0)
+				is.True(saves.Load() > 0)
 				is.Equal(c.nodes[vm].Status().FailureReason, "")
 				_, leads := c.nodes[vm].LeaderTerm(time.Now(), time.Second)
 				is.True(!leads)
