Let the scenarios on limits and leaving engines wait for what they presume

The trace: the engines had named no limit any more for 0.5 s, but two of three VMs had not heard it yet, since a VM hears it from an answer within the limit, while the third engine began to leave.

named-limit now ends once no request is refused any more, and fails if that takes longer than 4 s, which it did not check before.

--- a/scripts/faults/notices.go
+++ b/scripts/faults/notices.go
@@ -22,7 +22,9 @@
 	pausedTime  = 8 * time.Second // in which the engine refuses all requests
 	maxInPause  = 2               // requests of one VM later than noticeMargin after the refusal, and before the pause is over
 
-	engineLimit   = 3.0             // requests a second, of each engine
+	engineLimit     = 3.0 // requests a second, of each engine
+	requestsToLearn = 60  // of one VM, among which one reaches an engine that it uses
+
 	limitKnown    = 4 * time.Second // until all VMs must have heard the limit
 	limitedTime   = 10 * time.Second
 	limitWindow   = 4 * time.Second
@@ -103,8 +105,8 @@
 	return n, nil
 }
 
-// leavingByAnswer lets an engine say in its answers that it leaves, while the platform's list shows it as ready; the same must hold as in
-// leavingServer.
+// leavingByAnswer lets an engine say in its answers that it leaves, while the platform's list shows it as ready; once it has told each VM, the
+// same must hold as in leavingServer.
 func leavingByAnswer(ctx context.Context, d *deployment.Deployment) (string, error) {
 	engine, err := awaitOtherEngine(ctx, d)
 	if err != nil {
@@ -114,7 +116,8 @@
 		return "", err
 	}
 	_, refused := sendRequests(ctx, d, time.Second)
-	if err := setEngineFaults(ctx, d, engine, noFaults); err != nil {
+	told := awaitAllTold(ctx, d, engine)
+	if err := errors.Join(told, setEngineFaults(ctx, d, engine, noFaults)); err != nil {
 		return "", err
 	}
 	if len(refused) > 0 {
@@ -130,6 +133,29 @@
 		awaitModel(ctx, d, "manual")
 }
 
+// awaitAllTold sends requests until each VM has had an answer of the engine or sends it none: one that was told sends none either.
+func awaitAllTold(ctx context.Context, d *deployment.Deployment, engine int) error {
+	for vm := 1; vm <= deployment.EntryVMCount; vm++ {
+		for quiet := 0; quiet < requestsToLearn; quiet++ {
+			before, err := fetchEngineStatus(ctx, d, engine)
+			if err != nil {
+				return err
+			}
+			if _, err := completeChat(ctx, d.Caller(vm), "manual", fmt.Sprintf("notice %d", quiet), 3, nil); err != nil {
+				return errors.Wrap(err, "request while an engine leaves")
+			}
+			after, err := fetchEngineStatus(ctx, d, engine)
+			if err != nil {
+				return err
+			}
+			if after.Accepted > before.Accepted {
+				break
+			}
+		}
+	}
+	return nil
+}
+
 // enginePauses lets an engine refuse all requests and ask for pauses: few may reach it in them, and none may be refused.
 func enginePauses(ctx context.Context, d *deployment.Deployment) (string, error) {
 	engine, err := awaitOtherEngine(ctx, d)
@@ -161,7 +187,8 @@
 	return fmt.Sprintf("engine-%d asked for pauses of %s and got %d requests in %s", engine, enginePause, n, pausedTime), nil
 }
 
-// namedLimit lets all engines name a limit: none may get more than that over all VMs, and what they take must be served.
+// namedLimit lets all engines name a limit: none may get more than that over all VMs, and what they take must be served. Once they name none
+// any more, no request may be refused for long.
 func namedLimit(ctx context.Context, d *deployment.Deployment) (string, error) {
 	if err := setAllEngineFaults(ctx, d, fmt.Sprintf(`{"limit":%v}`, engineLimit)); err != nil {
 		return "", err
@@ -187,7 +214,19 @@
 		return "", errors.Newf("%d requests were served and %d refused in %s", served, len(refused), limitedTime)
 	}
 	return fmt.Sprintf("all engines named a limit of %v a second: %d requests in %s at most at one of them, %d served, %d refused",
-		engineLimit, most, limitWindow, served, len(refused)), awaitModel(ctx, d, "manual")
+		engineLimit, most, limitWindow, served, len(refused)), errors.Join(awaitNoLimit(ctx, d), awaitModel(ctx, d, "manual"))
+}
+
+// awaitNoLimit waits until all VMs have heard that the engines name no limit any more: a VM hears it from an answer, and it has few requests
+// answered until then.
+func awaitNoLimit(ctx context.Context, d *deployment.Deployment) error {
+	var refused []error
+	for start := time.Now(); time.Since(start) < limitKnown; {
+		if _, refused = sendRequests(ctx, d, limitSampling); len(refused) == 0 {
+			return nil
+		}
+	}
+	return errors.Wrapf(refused[0], "%d requests were refused %s after the engines had named a limit for the last time", len(refused), limitKnown)
 }
 
 // mostAccepted returns the most requests that an engine accepts in any limitWindow until done is closed.
