--- a/internal/command/node/control.go
+++ b/internal/command/node/control.go
@@ -184,6 +184,7 @@
 // a restarted VM would hand out an older configuration.
 func (c *controlVM) saveConfigs(ctx context.Context) error {
 	var unsaved deck.RoutingDocument // zero if there is none
+	var failed uint64                // the version whose failure is logged
 	var retry <-chan time.Time
 	for {
 		select {
@@ -198,9 +199,12 @@
 			err = c.configFile.Save(data)
 		}
 		if err != nil {
-			c.node.log.Error(err, "failed to save the routing configuration to its file", "version", unsaved.Version)
 			retry = time.After(configSaveRetryInterval)
 		}
+		if err != nil && failed != unsaved.Version {
+			failed = unsaved.Version
+			c.node.log.Error(err, "failed to save the routing configuration to its file; retrying", "version", unsaved.Version)
+		}
 	}
 }
 
