Review, case 2: a kill of all processes loses what crashes engines

Cause: what is known of parts of prompts that crash engines is kept in memory only, by the entry VMs and the leader. After a kill of all processes it has to be learned again.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -27,7 +27,8 @@
 	options deploymentOptions
 	run     play
 }{
-	"late-copy": {lateCopyOptions, playLateCopy},
+	"late-copy":     {lateCopyOptions, playLateCopy},
+	"restart-blame": {restartBlameOptions, playRestartBlame},
 }
 
 func main() {
