--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -521,7 +521,6 @@
 			return nil, err
 		}
 	}
-	e.record.addf("engine %d ends %s", e.index, attempt)
 	err = write("0\r\n\r\n")
 	return all.Bytes(), err
 }
