--- a/internal/core/deck/call.go
+++ b/internal/core/deck/call.go
@@ -23,7 +23,10 @@
 	HasTokenUsage bool // the caller named PromptTokens and MaxTokens
 	Parts         []PromptPart
 	LastEventID   string // ID of the event after which the caller resumes a stream; empty for none
-	Keys          []APIKey
+
+	// Resumes is the ID of the caller's attempt that brought the first event of the stream that the call resumes; empty for none.
+	Resumes RequestID
+	Keys    []APIKey
 }
 
 // An AnswerVerdict says what the response of a backend server proves about the call.
--- a/internal/core/deck/names.go
+++ b/internal/core/deck/names.go
@@ -21,6 +21,9 @@
 // A VersionName identifies a version of a model's weights.
 type VersionName string
 
+// A SoftwareVersion identifies a version of a backend server's software, apart from the weights that it holds. It is empty if unknown.
+type SoftwareVersion string
+
 // A ServiceName identifies a plain service.
 type ServiceName string
 
