--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 LENGTH ?= 8s
 FUZZ_CHECKS ?= 200
 
-.PHONY: build crowd demo faults soak soak-many test fmt-check lint vet race prove proof-names fuzz measure slopes
+.PHONY: build crowd demo faults soak soak-many soak-large test fmt-check lint vet race prove proof-names fuzz measure slopes
 
 build:
 	$(GO) build -o $(BIN) .
@@ -45,6 +45,10 @@
 soak-many: build
 	$(GO) run ./platform/soak --binary $(BIN) --seed $(SEED) --count 50 --length $(LENGTH)
 
+# soak-large runs soak with about as many processes as one machine bears.
+soak-large: build
+	$(GO) run ./platform/soak --binary $(BIN) --seed $(SEED) --length $(LENGTH) --controls 5 --entries 24 --engines 40
+
 # proof-names checks that the tests that docs/proof.md names exist.
 proof-names:
 	bash scripts/prove.sh names
