Log how many calls the connection of an unused answer had carried

Refusals and unproven answers are now logged with the number of calls that their connection had carried before. No decision changes; tests of ingress and http1 pass.

--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -359,7 +359,7 @@
 		return answer, nil
 	}
 	if !ex.Response.Close {
-		c.logFailedOffer(s, "skipped an answer without the ID of the call")
+		c.logFailedOffer(s, "skipped an answer without the ID of the call", "connection-calls", ex.Earlier)
 		if err := ex.SkipResponse(ctx, &http.Request{Method: c.r.Method}); err != nil {
 			ex.Abort()
 			return deck.Answer{}, &http1.SendError{MaybeSent: true, Err: err}
--- a/internal/api/ingress/outcome.go
+++ b/internal/api/ingress/outcome.go
@@ -78,21 +78,21 @@
 		discard(ex)
 		c.h.Balancer.RecordFull(now, s.ID)
 		c.h.Hedges.RecordTurnedAway(now, c.service)
-		return c.handleRefusedOffer(s)
+		return c.handleRefusedOffer(s, ex.Earlier)
 	case deck.AnswerOtherServer:
 		discard(ex)
-		c.logFailedOffer(s, "address belongs to another server")
+		c.logFailedOffer(s, "address belongs to another server", "connection-calls", ex.Earlier)
 		c.h.Balancer.RecordIdentityMismatch(now, s.ID)
 		return tryAnother
 	case deck.AnswerNotLoaded:
 		discard(ex)
-		c.logFailedOffer(s, "engine has not loaded the model or adapter")
+		c.logFailedOffer(s, "engine has not loaded the model or adapter", "connection-calls", ex.Earlier)
 		c.recordAbsent(now, s)
 		return tryAnother
 	default:
 		ex.Abort()
 		c.possibleRuns++
-		c.logFailedOffer(s, "answer is unproven or belongs to another request")
+		c.logFailedOffer(s, "answer is unproven or belongs to another request", "connection-calls", ex.Earlier)
 		c.h.Balancer.RecordResult(now, s.ID, true)
 		return c.retryResult()
 	}
@@ -110,8 +110,9 @@
 	c.h.Balancer.RecordAbsent(now, s.ID, c.requirements.Model, "")
 }
 
-func (c *callRun) handleRefusedOffer(s deck.Server) offerResult {
-	c.logFailedOffer(s, "server refused the call for lack of capacity")
+// handleRefusedOffer handles a refusal over a connection that had carried the given number of calls before.
+func (c *callRun) handleRefusedOffer(s deck.Server, earlierCalls int) offerResult {
+	c.logFailedOffer(s, "server refused the call for lack of capacity", "connection-calls", earlierCalls)
 	c.refusedOffers++
 	if c.refusedOffers >= maxRefusedOffers {
 		return failed
--- a/internal/backend/http1/client.go
+++ b/internal/backend/http1/client.go
@@ -75,7 +75,8 @@
 	}
 	cn.unidentified = r.Unidentified
 	stop := context.AfterFunc(ctx, cn.close)
-	e := &Exchange{client: c, addr: addr, conn: cn, stop: stop, Reused: reused, reusable: true}
+	e := &Exchange{client: c, addr: addr, conn: cn, stop: stop, Reused: reused, Earlier: cn.requests, reusable: true}
+	cn.requests++
 	if err := c.send(ctx, e, r); err != nil {
 		stop()
 		cn.close()
--- a/internal/backend/http1/conn.go
+++ b/internal/backend/http1/conn.go
@@ -40,6 +40,7 @@
 	closed    chan struct{}      // closed together with the socket
 	closeOnce sync.Once
 
+	requests          int  // that it has carried
 	unidentified      bool // the last request was Unidentified
 	idleSince         time.Time
 	serverIdleTimeout time.Duration // from the server's Keep-Alive header; 0 if it sent none
@@ -188,6 +189,7 @@
 type Exchange struct {
 	Response *http.Response
 	Reused   bool // the connection was taken from the pool
+	Earlier  int  // requests that the connection had carried before
 
 	client   *Client
 	addr     string
