Carry no ID twice on a connection to a backend server

What callers saw: a caller that was refused and asked again under the same ID could be told 503, not run, while the call ran; with a second server it ran there as well.

Cause: whether an answer can be a late copy was decided by what one call remembered of its own sends. A copy belongs to the connection, and the next call with the same ID took that connection from the pool.

Change: the connection keeps fingerprints of the IDs that it has carried and carries none twice; it is closed after 256 requests, which bounds them. Calls no longer remember the addresses that they were sent to.

The tests of ingress and http1 pass under the race detector, among them TestLateCopyOfARefusalIsNoAnswerToTheNextSend.

--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -92,7 +91,6 @@
 	arrivalRecorded    bool            // the balancer counts the call among those that have arrived
 	probes             int             // load probes sent to engines
 	offers             int             // times that the call was sent to a server
-	sentTo             []string        // addresses that the call was sent to
 	refusedOffers      int             // offers that were refused for lack of capacity or of the adapter
 	possibleRuns       int             // offers that may have run
 	hasRun             bool            // a server has answered
@@ -310,7 +308,6 @@
 	defer cancel(nil)
 	stopWatch := c.watchAnswer(ctx, cancel, 1)
 	req := c.backendRequest(s, remaining)
-	c.sentTo = append(c.sentTo, s.Address)
 	ex, err := c.h.Client.Do(ctx, s.Address, req)
 	var answer deck.Answer
 	if err == nil {
@@ -423,9 +420,7 @@
 	c.h.Codec.SetHeaders(header, o)
 	r := &http1.Request{
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body,
-		ContentLength: c.r.ContentLength,
-		// On a connection that has carried the call, a copy of the earlier answer couldn't be told from the answer to this offer.
-		NewConn: c.h.Balancer.IsAnonymous(s.ID) || slices.Contains(c.sentTo, s.Address),
+		ContentLength: c.r.ContentLength, ID: string(c.call.ID), NewConn: c.h.Balancer.IsAnonymous(s.ID),
 	}
 	if !c.route.Repeatable() {
 		r.MaxIdleTime = nonRepeatableMaxIdle
--- a/internal/api/ingress/hedge.go
+++ b/internal/api/ingress/hedge.go
@@ -104,7 +104,6 @@
 // begin sends the call to the server.
 func (c *callRun) begin(group *sync.WaitGroup, s *send, remaining time.Duration) {
 	req := c.backendRequest(s.offer.server, remaining)
-	c.sentTo = append(c.sentTo, s.offer.server.Address)
 	call := *c // as it is now; the call goes on meanwhile
 	call.requirements.Tried = maps.Clone(c.requirements.Tried)
 	group.Go(func() {
--- a/internal/backend/http1/client.go
+++ b/internal/backend/http1/client.go
@@ -10,11 +10,17 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 )
 
-const maxIdleConnsPerServer = 16 // idle connections kept to one backend server; further ones are closed after use
+const (
+	maxIdleConnsPerServer = 16 // idle connections kept to one backend server; further ones are closed after use
+
+	// maxRequestsPerConn bounds what is kept of the requests that a connection has carried; it is closed after so many.
+	maxRequestsPerConn = 256
+)
 
 // A Request is an HTTP request as it is written to a backend server.
 type Request struct {
@@ -27,11 +33,23 @@
 	MaxIdleTime   time.Duration // longest idle time of a pooled connection for the request; 0 for no limit but Client.IdleTimeout
 	NewConn       bool          // sends the request on a new connection
 
+	// ID is the identity that the response repeats; empty for none. The request isn't sent on a connection that has carried one with the
+	// same ID, since nothing would tell a late copy of the earlier response from its own.
+	ID string
+
 	// Unidentified says that nothing in the response tells which request it answers. The request isn't sent on a connection whose last
 	// request was such a one, since a late copy of that response could be taken for its own.
 	Unidentified bool
 }
 
+// fingerprint returns the fingerprint of the request's ID; 0 if it has none.
+func (r *Request) fingerprint() uint64 {
+	if r.ID == "" {
+		return 0
+	}
+	return xxhash.Sum64String(r.ID)
+}
+
 // A SendError is a failure to send a request or to receive the head of its response.
 type SendError struct {
 	MaybeSent bool          // part of the request may have reached the server
@@ -75,8 +93,8 @@
 	}
 	cn.unidentified = r.Unidentified
 	stop := context.AfterFunc(ctx, cn.close)
-	e := &Exchange{client: c, addr: addr, conn: cn, stop: stop, Reused: reused, Earlier: cn.requests, reusable: true}
-	cn.requests++
+	e := &Exchange{client: c, addr: addr, conn: cn, stop: stop, Reused: reused, Earlier: len(cn.ids), reusable: true}
+	cn.ids = append(cn.ids, r.fingerprint())
 	if err := c.send(ctx, e, r); err != nil {
 		stop()
 		cn.close()
@@ -185,6 +203,7 @@
 		limit = min(limit, r.MaxIdleTime)
 	}
 	list := c.idle[addr]
+	id := r.fingerprint()
 	for i := len(list) - 1; i >= 0; i-- {
 		cn := list[i]
 		usable := !cn.isClosed() && cn.remainingIdle(now, c.IdleTimeout) > 0
@@ -193,8 +212,8 @@
 			cn.close()
 		case cn.remainingIdle(now, limit) <= 0:
 			return nil // a request with a longer idle limit may still use it
-		case r.Unidentified && cn.unidentified:
-			continue // a request with an ID may still use it
+		case r.Unidentified && cn.unidentified, cn.hasCarried(id):
+			continue // other requests may still use it
 		}
 		list = slices.Delete(list, i, i+1)
 		c.setIdle(addr, list)
@@ -226,7 +245,7 @@
 	if c.idle == nil {
 		c.idle = make(map[string][]*conn)
 	}
-	if len(c.idle[addr]) >= maxIdleConnsPerServer {
+	if len(c.idle[addr]) >= maxIdleConnsPerServer || len(cn.ids) >= maxRequestsPerConn {
 		cn.close()
 		return
 	}
--- a/internal/backend/http1/conn.go
+++ b/internal/backend/http1/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -40,8 +41,8 @@
 	closed    chan struct{}      // closed together with the socket
 	closeOnce sync.Once
 
-	requests          int  // that it has carried
-	unidentified      bool // the last request was Unidentified
+	ids               []uint64 // fingerprints of the IDs of the requests that it has carried; 0 for one without
+	unidentified      bool     // the last request was Unidentified
 	idleSince         time.Time
 	serverIdleTimeout time.Duration // from the server's Keep-Alive header; 0 if it sent none
 }
@@ -60,6 +61,11 @@
 	}
 }
 
+// hasCarried reports whether the connection has carried a request with the fingerprint of its ID; 0 stands for no ID.
+func (c *conn) hasCarried(id uint64) bool {
+	return id != 0 && slices.Contains(c.ids, id)
+}
+
 func (c *conn) close() {
 	c.closeOnce.Do(func() {
 		close(c.closed)
