--- a/internal/api/ingress/handler.go
+++ b/internal/api/ingress/handler.go
@@ -40,7 +40,7 @@
 // defaultTimeout applies if neither the caller nor the route sets a timeout.
 const defaultTimeout = 60 * time.Second
 
-// A Handler serves callers; all fields but Log, OnCallEnd, OnKeyRefused, ViewAge, HeardLeader, TrustsKeys and MinStall are
+// A Handler serves callers; all fields but Log, OnCallEnd, OnKeyRefused, Origins, ViewAge, HeardLeader, TrustsKeys and MinStall are
 // required.
 type Handler struct {
 	Codec    deck.CallCodec
@@ -61,6 +61,9 @@
 	// Hedges decides about second sends of calls whose answers are late; nil allows none.
 	Hedges *hedge.Hedger
 
+	// Origins shares where streams began, so that they go on at the same software version; nil keeps it for one answer only.
+	Origins deck.StreamOrigins
+
 	// Memory bounds the bytes of bodies and answers; nil for no bound.
 	Memory *inbound.Budget
 
--- a/internal/api/ingress/harness_test.go
+++ b/internal/api/ingress/harness_test.go
@@ -217,6 +217,7 @@
 	ms, err := strconv.Atoi(r.Header.Get("Call-Deadline-Ms"))
 	c := deck.Call{
 		ID: deck.RequestID(r.Header.Get("Call-Id")), Timeout: time.Duration(ms) * time.Millisecond,
+		LastEventID: r.Header.Get("Last-Event-Id"), Resumes: deck.RequestID(r.Header.Get("Resumes")),
 		Model: deck.ModelName(r.URL.Query().Get("model")), Adapter: deck.AdapterName(r.URL.Query().Get("adapter")),
 	}
 	for _, key := range r.Header.Values("Call-Key") {
--- a/internal/api/ingress/record.go
+++ b/internal/api/ingress/record.go
@@ -37,6 +37,12 @@
 	if c.framing != "" {
 		fields = append(fields, "framing", string(c.framing), "events", c.events)
 	}
+	if c.server.Software != "" {
+		fields = append(fields, "software", string(c.server.Software))
+	}
+	if c.call.LastEventID != "" {
+		fields = append(fields, "last-event", c.call.LastEventID, "resumes", string(c.call.Resumes))
+	}
 	if c.call.Model != "" {
 		fields = append(fields, "model", string(c.call.Model), "adapter", string(c.call.Adapter))
 	}
@@ -78,7 +84,7 @@
 // logFailedOffer logs why an offer did not end the call.
 func (c *callRun) logFailedOffer(s deck.Server, reason string, extra ...any) {
 	fields := append([]any{
-		"request", string(c.call.ID), "server", string(s.ID), "address", s.Address, "offer", c.offers,
+		"request", string(c.call.ID), "server", string(s.ID), "software", string(s.Software), "address", s.Address, "offer", c.offers,
 		"elapsed-ms", time.Since(c.start).Milliseconds(), "reason", reason,
 	}, extra...)
 	c.h.Log.Info("offer failed", fields...)
--- a/internal/api/peer/viewwire.go
+++ b/internal/api/peer/viewwire.go
@@ -84,6 +84,7 @@
 	Service    string          `json:"service"`
 	Address    string          `json:"address"`
 	DataCentre string          `json:"data-centre"`
+	Software   string          `json:"software,omitempty"`
 	Slots      int             `json:"slots"`
 	Draining   bool            `json:"draining,omitempty"`
 	Born       int64           `json:"born,omitempty"`
@@ -203,7 +204,7 @@
 func serverToWire(s deck.Server) serverJSON {
 	w := serverJSON{
 		ID: string(s.ID), Service: string(s.Service), Address: s.Address, DataCentre: string(s.DataCentre),
-		Slots: s.Slots, Draining: s.Draining, Born: s.StartUnixMs, Broken: s.Ejected,
+		Software: string(s.Software), Slots: s.Slots, Draining: s.Draining, Born: s.StartUnixMs, Broken: s.Ejected,
 	}
 	for _, m := range s.Models {
 		w.Models = append(w.Models, heldModelJSON{string(m.Name), m.Version, toStrings(m.Adapters)})
@@ -214,7 +215,7 @@
 func serverFromWire(w serverJSON) deck.Server {
 	s := deck.Server{
 		ID: deck.BackendName(w.ID), Service: deck.ServiceName(w.Service), Address: w.Address,
-		DataCentre: deck.DataCentre(w.DataCentre), Slots: w.Slots, Draining: w.Draining, StartUnixMs: w.Born, Ejected: w.Broken,
+		DataCentre: deck.DataCentre(w.DataCentre), Software: deck.SoftwareVersion(w.Software), Slots: w.Slots, Draining: w.Draining, StartUnixMs: w.Born, Ejected: w.Broken,
 	}
 	for _, m := range w.Models {
 		s.Models = append(s.Models, deck.HeldModel{
--- a/internal/api/peer/viewwire_test.go
+++ b/internal/api/peer/viewwire_test.go
@@ -23,6 +23,13 @@
 	}
 }
 
+// TestSoftwareVersionsAreSent guards against entry VMs that can't tell the software versions of backend servers apart.
+func TestSoftwareVersionsAreSent(t *testing.T) {
+	is := is.New(t)
+	servers := []deck.Server{{ID: "a", Service: "llm", Software: "v1"}, {ID: "b", Service: "llm"}}
+	is.Equal(viewAnswerFromWire(viewAnswerToWire(deck.ViewAnswer{Servers: servers})).Servers, servers)
+}
+
 // Guards against VMs that take the calls of their own data centre for those of others, also beside a leader that does not tell them.
 func TestNearCallsAreSent(t *testing.T) {
 	is := is.New(t)
