--- a/internal/core/deck/origin.go
+++ b/internal/core/deck/origin.go
@@ -43,7 +43,8 @@
 // An OriginFinding is what all VMs that answered know about the origin of a stream.
 type OriginFinding struct {
 	OriginAnswer
-	Answers int // number of control VMs that answered
+	Asked   int // number of control VMs that were asked
+	Answers int // number of those that answered
 }
 
 // A StreamOrigins shares the origins of streams among entry VMs.
