Share the origins of streams by way of control VMs

Change: control VMs keep origins in memory and in a file that is written at most every 250 ms (origin.Ledger). Entry VMs send their records to three of them and ask all of them (origin.Registry, peer.OriginClient). Records go in one message for each control VM as soon as the previous one has ended, and are sent again to a VM whose process was replaced. Nothing records origins yet, so calls are handled as before.

Result: go test -race ./internal/state/origin ./internal/api/peer ./internal/command/node passes; the ledger has tests, the registry has none yet.

--- a/internal/command/node/control.go
+++ b/internal/command/node/control.go
@@ -99,6 +99,11 @@
 	peer.RegisterPermits(peerMux, permits)
 	ledger := c.newLedger(s)
 	peer.RegisterCredit(peerMux, ledger)
+	origins, err := newOriginLedger(n, s)
+	if err != nil {
+		return err
+	}
+	peer.RegisterStreamOrigins(peerMux, origins)
 	operatorMux := http.NewServeMux()
 	platform.RegisterOperator(operatorMux, store)
 	platform.RegisterVerdicts(operatorMux, peer.ForwardingVerdicts{Local: c.publisher, Forwarder: fleet})
@@ -115,6 +120,7 @@
 		})),
 		n.kernel.Add("orders", c.orders),
 		n.kernel.Add("allowances", part.NewRunner(ledger.Run)),
+		n.kernel.Add("stream-origins", part.NewRunner(origins.Run)),
 		c.addConfirmer(s),
 		n.listenLimited("peers-listener", s.PeersListenAddress(), part.TrimHeaders(peerMux), part.PeersShare),
 		n.listenLimited("operators-listener", s.Listen.Operators, operatorMux, part.OperatorsShare),
--- a/internal/command/node/entry.go
+++ b/internal/command/node/entry.go
@@ -21,6 +21,7 @@
 	"github.com/geraniumdeck/geraniumdeck/internal/route/table"
 	settings "github.com/geraniumdeck/geraniumdeck/internal/settings/node"
 	"github.com/geraniumdeck/geraniumdeck/internal/state/hub"
+	"github.com/geraniumdeck/geraniumdeck/internal/state/origin"
 	"github.com/geraniumdeck/geraniumdeck/platform"
 )
 
@@ -63,6 +64,7 @@
 	subscriber *hub.Subscriber
 	vms        deck.VMCount
 	keys       *revocation.Guard
+	registry   *origin.Registry
 	server     *http.Server
 	listener   *inbound.Listener
 	settings   settings.Settings
@@ -101,6 +103,10 @@
 	if err != nil {
 		return err
 	}
+	e.registry, err = newOriginRegistry(n, s, peer.OriginClient{HTTP: fleet.HTTP}, e.controlVMs)
+	if err != nil {
+		return err
+	}
 	e.handler = &ingress.Handler{
 		Codec: platform.Codec{}, Client: e.client, Balancer: e.balancer, Budget: e.budget, Placer: fleet,
 		Demand: &ingress.DemandCounter{}, Poison: &ingress.PoisonDetector{}, Random: newRand(), Log: n.log,
@@ -126,6 +132,7 @@
 		n.kernel.Add("direct-list", part.NewRunner(e.subscriber.RunDirect)),
 		n.kernel.Add("pruning", part.NewRunner(e.prune)),
 		n.kernel.Add("allowances", part.NewRunner(allowances.Run)),
+		n.kernel.Add("stream-origins", part.NewRunner(e.registry.Run)),
 		e.listen(),
 		n.listenLimited("readiness-listener", s.Listen.Ready, readyMux, part.OtherShare),
 		n.kernel.Add("drain", e),
