Continue a broken-off answer only at the software version that began it

What callers saw: an answer that ended as complete, with its first part from one software version and the rest from another.

Cause: nothing kept the version. Any server of the service that held the model could continue a stream.

Change: from its first event on, an answer requires servers of the software version that wrote it. Timers that look for another server of a stalled stream do as well. If there is none, the answer is broken off as before, so that its caller can take it up.

--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -88,27 +89,31 @@
 
 	healthPath string // of an engine whose liveness answer reports its load; empty for other servers
 
-	arrivalRecorded    bool            // the balancer counts the call among those that have arrived
-	probes             int             // load probes sent to engines
-	offers             int             // times that the call was sent to a server
-	refusedOffers      int             // offers that were refused for lack of capacity or of the adapter
-	possibleRuns       int             // offers that may have run
-	hasRun             bool            // a server has answered
-	placementRequested bool            // the placement leader was asked for the model or adapter
-	readyIn            time.Duration   // the placement leader's estimate of the loading time; 0 if unknown
-	headSent           bool            // the caller has received the head of an answer
-	interruptedAt      time.Time       // when the stream to the caller was last interrupted; zero if never
-	lastEventID        string          // of the last event that the caller has received
-	framing            framing         // of the last answer whose body was read; empty if there was none
-	events             int             // events of a stream that the caller has received
-	offered                            // the last offer
-	unqueued           bool            // no call waited for a slot when the server answered the last offer
-	firstByte          time.Duration   // from the start to the first byte of the answer; 0 if there was none
-	headReceived       bool            // the server of the last offer has sent the head of a stream
-	firstEvent         time.Time       // when the first event of the last stream came; zero if none did
-	maxGap             time.Duration   // the longest pause between two events
-	onTrial            bool            // let through to see whether the request, or a part of its prompt, still crashes servers
-	fallback           *bufferedAnswer // a server's error that is relayed if no other server succeeds
+	arrivalRecorded    bool          // the balancer counts the call among those that have arrived
+	probes             int           // load probes sent to engines
+	offers             int           // times that the call was sent to a server
+	refusedOffers      int           // offers that were refused for lack of capacity or of the adapter
+	possibleRuns       int           // offers that may have run
+	hasRun             bool          // a server has answered
+	placementRequested bool          // the placement leader was asked for the model or adapter
+	readyIn            time.Duration // the placement leader's estimate of the loading time; 0 if unknown
+	headSent           bool          // the caller has received the head of an answer
+	interruptedAt      time.Time     // when the stream to the caller was last interrupted; zero if never
+	lastEventID        string        // of the last event that the caller has received
+
+	// origin is where the stream began that the call continues; empty before its first event. Timers read it while the call goes on.
+	origin *atomic.Pointer[deck.StreamOrigin]
+
+	framing      framing         // of the last answer whose body was read; empty if there was none
+	events       int             // events of a stream that the caller has received
+	offered                      // the last offer
+	unqueued     bool            // no call waited for a slot when the server answered the last offer
+	firstByte    time.Duration   // from the start to the first byte of the answer; 0 if there was none
+	headReceived bool            // the server of the last offer has sent the head of a stream
+	firstEvent   time.Time       // when the first event of the last stream came; zero if none did
+	maxGap       time.Duration   // the longest pause between two events
+	onTrial      bool            // let through to see whether the request, or a part of its prompt, still crashes servers
+	fallback     *bufferedAnswer // a server's error that is relayed if no other server succeeds
 }
 
 // An offered is an offer as it was made.
@@ -205,7 +210,7 @@
 // choose returns the next server to try and waits for one if need be. It returns false if there is none; the caller has been
 // answered then.
 func (c *callRun) choose() (deck.Server, bool) {
-	if c.headSent {
+	if c.headSent || c.requirements.Continued != nil {
 		c.requirements.Draw = 0 // a stream that has begun goes before calls that have not
 	}
 	for {
@@ -402,8 +407,11 @@
 	requirements := c.requirements
 	requirements.Tried = maps.Clone(c.requirements.Tried)
 	requirements.Unlimited = true
+	origin := c.origin
 	return func() bool {
-		_, result := c.h.Balancer.Pick(time.Now(), requirements)
+		r := requirements
+		r.Continued = origin.Load()
+		_, result := c.h.Balancer.Pick(time.Now(), r)
 		return result == balance.Chosen
 	}
 }
--- a/internal/api/ingress/continuation.go
+++ b/internal/api/ingress/continuation.go
@@ -10,3 +10,9 @@
 func StreamKeyOf(id deck.RequestID) deck.StreamKey {
 	return deck.StreamKey(xxhash.Sum64String(string(id)))
 }
+
+// continueAt makes all further offers of the call go to servers of the origin.
+func (c *callRun) continueAt(origin deck.StreamOrigin) {
+	c.origin.Store(&origin)
+	c.requirements.Continued = &origin
+}
--- a/internal/api/ingress/handler.go
+++ b/internal/api/ingress/handler.go
@@ -202,7 +202,7 @@
 	c := &callRun{
 		h: h, w: w, r: r, route: route, call: call, body: body, parts: partFingerprints(call.Parts), start: start, read: time.Now(),
 		deadline: start.Add(limit),
-		version:  t.Config().Version, service: table.PickService(route, h.Random.Float64()),
+		version:  t.Config().Version, origin: &atomic.Pointer[deck.StreamOrigin]{}, service: table.PickService(route, h.Random.Float64()),
 	}
 	if len(body) == 0 && len(call.Parts) == 0 {
 		c.repetitions = repetitionFingerprints(r)
--- a/internal/api/ingress/relay.go
+++ b/internal/api/ingress/relay.go
@@ -242,6 +242,9 @@
 			err, data = io.ErrUnexpectedEOF, nil
 		}
 		if len(data) > 0 {
+			if c.events == 0 && events.fields {
+				c.continueAt(deck.StreamOrigin{Service: c.service, Software: s.Software})
+			}
 			if c.firstEvent.IsZero() && events.fields {
 				c.firstEvent = now // the call occupies a slot from then on
 			}
--- a/internal/route/balance/pick.go
+++ b/internal/route/balance/pick.go
@@ -46,6 +46,9 @@
 	PromptParts []deck.PromptPart
 	Tried       map[deck.BackendName]bool // servers that the call has been sent to
 
+	// Continued is the origin of the stream that the call continues, which only servers of the same software version can do; nil for none.
+	Continued *deck.StreamOrigin
+
 	Among     map[deck.BackendName]bool // the only servers to pick from; nil for all
 	Unlimited bool                      // leaves out servers that have named a limit, which may have no permit for the call
 
@@ -153,6 +156,8 @@
 	switch {
 	case s.Draining || r.Leaving || s.Ejected || req.Tried[s.ID] || req.Among != nil && !req.Among[s.ID] || now.Before(s.downUntil):
 		return NoServer
+	case req.Continued != nil && s.Software != req.Continued.Software:
+		return NoServer
 	case req.Model != "" && !s.holds(now, req.Model, ""):
 		return ModelAbsent
 	case !r.Until.IsZero() || req.Unlimited && r.Limited:
