Take streams up at the software version that began them

Cause: only the VM that served the first attempt knew where the stream had begun, and only as long as its process lived. Any other VM sent the further attempt to any server of the service.

Change: before its first event, a resumable stream's origin (service and software version) is recorded, and control VMs keep it. A call that resumes a stream asks for the origin of the attempt that it names and goes on there only. Without a record it goes on if more than half of the control VMs answer and all streams that may still be resumed, and all servers that are or recently were listed for the route, are of one origin; otherwise it is refused as not run.

--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -15,6 +15,7 @@
 	"github.com/geraniumdeck/geraniumdeck/internal/core/allowance"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	"github.com/geraniumdeck/geraniumdeck/internal/route/balance"
+	"github.com/geraniumdeck/geraniumdeck/internal/route/table"
 )
 
 const (
@@ -79,6 +80,7 @@
 	read         time.Time // when the whole request had been read
 	deadline     time.Time
 	version      uint64 // of the configuration that the route is from
+	routes       *table.Table
 	customer     deck.Customer
 	hasCustomer  bool             // the call needed a key, which customer holds
 	hideKeys     bool             // the configuration names customers
@@ -140,6 +142,9 @@
 		c.refusePoison()
 		return
 	}
+	if !c.awaitOrigin() {
+		return
+	}
 	if !c.awaitCredit() {
 		return
 	}
--- a/internal/api/ingress/handler.go
+++ b/internal/api/ingress/handler.go
@@ -202,7 +202,7 @@
 	c := &callRun{
 		h: h, w: w, r: r, route: route, call: call, body: body, parts: partFingerprints(call.Parts), start: start, read: time.Now(),
 		deadline: start.Add(limit),
-		version:  t.Config().Version, origin: &atomic.Pointer[deck.StreamOrigin]{}, service: table.PickService(route, h.Random.Float64()),
+		version:  t.Config().Version, routes: t, origin: &atomic.Pointer[deck.StreamOrigin]{},
 	}
 	if len(body) == 0 && len(call.Parts) == 0 {
 		c.repetitions = repetitionFingerprints(r)
@@ -218,16 +218,12 @@
 		c.ahead.Release()
 		cancelDeadline()
 	}
+	service := table.PickService(route, h.Random.Float64())
 	c.requirements = balance.Requirements{
-		Service: c.service, Model: call.Model, Adapter: call.Adapter, PromptParts: call.Parts,
-		Draw: h.Random.Float64(), Tried: make(map[deck.BackendName]bool), MaxWait: time.Duration(serverQueueShare * float64(route.LatencyTarget)),
-	}
-	if s, ok := t.Config().Service(c.service); !ok || s.Engine == nil {
-		c.requirements.Model, c.requirements.Adapter = "", ""
-	} else if route.Kind == deck.CallStream {
-		c.healthPath = s.HealthPath
-		c.requirements.Probed = c.healthPath != ""
+		PromptParts: call.Parts,
+		Draw:        h.Random.Float64(), Tried: make(map[deck.BackendName]bool), MaxWait: time.Duration(serverQueueShare * float64(route.LatencyTarget)),
 	}
+	c.useService(service)
 	return c
 }
 
--- a/internal/api/ingress/relay.go
+++ b/internal/api/ingress/relay.go
@@ -243,7 +243,7 @@
 		}
 		if len(data) > 0 {
 			if c.events == 0 && events.fields {
-				c.continueAt(deck.StreamOrigin{Service: c.service, Software: s.Software})
+				c.recordOrigin(s)
 			}
 			if c.firstEvent.IsZero() && events.fields {
 				c.firstEvent = now // the call occupies a slot from then on
--- a/internal/command/node/entry.go
+++ b/internal/command/node/entry.go
@@ -110,7 +110,7 @@
 	e.handler = &ingress.Handler{
 		Codec: platform.Codec{}, Client: e.client, Balancer: e.balancer, Budget: e.budget, Placer: fleet,
 		Demand: &ingress.DemandCounter{}, Poison: &ingress.PoisonDetector{}, Random: newRand(), Log: n.log,
-		Restraints: e.restraints, Memory: n.guard.Memory, Allowances: allowances, Hedges: hedges,
+		Restraints: e.restraints, Memory: n.guard.Memory, Allowances: allowances, Hedges: hedges, Origins: e.registry,
 		TrustsKeys: e.keys.Accepts, OnKeyRefused: customers.recordRefusal,
 		OnCallEnd: func(r ingress.CallRecord) {
 			recorder.record(r)
--- a/internal/core/deck/origin.go
+++ b/internal/core/deck/origin.go
@@ -1,6 +1,7 @@
 package deck
 
 import (
+	"cmp"
 	"context"
 	"time"
 )
@@ -15,6 +16,11 @@
 	Software SoftwareVersion
 }
 
+// Compare orders origins by service and software version.
+func (o StreamOrigin) Compare(p StreamOrigin) int {
+	return cmp.Or(cmp.Compare(o.Service, p.Service), cmp.Compare(o.Software, p.Software))
+}
+
 // A StreamRecord is the origin of one stream.
 type StreamRecord struct {
 	Stream StreamKey
--- a/internal/route/balance/balancer.go
+++ b/internal/route/balance/balancer.go
@@ -36,6 +36,7 @@
 	brokeConnection map[deck.BackendName]bool // servers that broke a connection and completed no answer after it
 	answered        map[deck.BackendName]bool // servers that completed an answer
 
+	software       softwareHistory
 	arrivals       map[arrivalKey]*arrivalRate
 	entryVMs       int                  // number of entry VMs that share the servers; 0 if unknown
 	dataCentres    [OtherRegion + 1]int // number of data centres with servers at each distance
@@ -90,6 +91,7 @@
 func (b *Balancer) SetServers(now time.Time, list []deck.Server) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.software.record(now, b.servers)
 	servers := make(map[deck.BackendName]*serverState, len(list))
 	b.byService = make(map[deck.ServiceName][]*serverState)
 	for _, listed := range list {
@@ -105,6 +107,7 @@
 		b.byService[listed.Service] = append(b.byService[listed.Service], s)
 	}
 	b.servers = servers
+	b.software.record(now, b.servers)
 	b.countDataCentres()
 }
 
--- a/internal/state/origin/registry.go
+++ b/internal/state/origin/registry.go
@@ -104,6 +104,7 @@
 		r.mu.Unlock()
 		return f
 	}
+	f.Asked = len(r.askers)
 	q := question{stream: s, replies: make(chan reply, len(r.askers))}
 	for _, a := range r.askers {
 		a.enqueue(q)
