--- a/internal/state/origin/asker.go
+++ b/internal/state/origin/asker.go
@@ -23,8 +23,8 @@
 	ok     bool
 }
 
-// An asker passes questions on to one control VM, all those that are queued in one message: after the loss of an entry VM many callers resume
-// at once.
+// An asker passes questions on to one control VM, all those that are queued in one message: after the loss of an entry VM many callers
+// resume at once.
 type asker struct {
 	client deck.OriginClient
 	vm     deck.VMName
--- a/internal/state/origin/codec.go
+++ b/internal/state/origin/codec.go
@@ -65,7 +65,7 @@
 	records := make([]deck.StreamRecord, 0, n)
 	for range n {
 		stream, origin := d.stream(), d.number()
-		left := saved + int64(min(d.number(), uint64(maxKeep.Milliseconds()))) - now.UnixMilli()
+		left := saved + int64(d.number()) - now.UnixMilli()
 		if origin >= uint64(len(origins)) {
 			d.err = errors.CombineErrors(d.err, errors.New("saved record of a stream has no origin"))
 		}
--- a/internal/state/origin/ledger_test.go
+++ b/internal/state/origin/ledger_test.go
@@ -113,7 +113,8 @@
 			59 * time.Second, true, []deck.StreamOrigin{v1}, false},
 		{"second origin", []deck.StreamRecord{record(1, v1, time.Minute), record(1, v2, time.Minute), record(1, v2, time.Minute)},
 			time.Second, true, []deck.StreamOrigin{v1}, false},
-		{"second origin extends nothing", []deck.StreamRecord{record(1, v1, time.Second), record(1, v2, time.Minute)}, time.Second, false, nil, false},
+		{"second origin extends nothing", []deck.StreamRecord{record(1, v1, time.Second), record(1, v2, time.Minute)},
+			time.Second, false, nil, false},
 		{"no time left", []deck.StreamRecord{record(1, v1, 0), record(1, v1, -time.Second)}, 0, false, nil, false},
 		{"longer than any", []deck.StreamRecord{record(1, v1, time.Hour)}, 2 * time.Minute, false, nil, false},
 		{"other streams", []deck.StreamRecord{record(2, v2, time.Minute), record(3, v1, time.Second), record(4, v1, 2*time.Second)},
@@ -146,16 +147,21 @@
 		is := is.New(t)
 		l := &origin.Ledger{Clock: deck.SystemClock{}}
 		const limit, over = 200_000, 10
-		var all []deck.StreamRecord
-		for n := range limit + over {
-			all = append(all, record(deck.StreamKey(n), v1, time.Minute-time.Duration(n)*time.Microsecond))
+		all := []deck.StreamRecord{record(0, v1, time.Second)}
+		for n := 1; n < limit; n++ {
+			all = append(all, record(deck.StreamKey(n), v1, 30*time.Second-time.Duration(n)*time.Microsecond))
+		}
+		all = append(all, record(0, v1, time.Minute)) // is now the last to expire
+		for n := range over {
+			all = append(all, record(deck.StreamKey(limit+n), v1, 50*time.Second))
 		}
 		is.NoErr(l.RecordOrigins(t.Context(), all))
 		is.Equal(l.Len(), limit)
 		first, _ := l.FindOrigin(t.Context(), 0)
-		last, _ := l.FindOrigin(t.Context(), limit+over-1)
-		is.True(first.Known)
-		is.True(!last.Known)
+		newest, _ := l.FindOrigin(t.Context(), limit+over-1)
+		shortest, _ := l.FindOrigin(t.Context(), limit-1)
+		is.True(first.Known && newest.Known)
+		is.True(!shortest.Known)
 
 		l = &origin.Ledger{Clock: deck.SystemClock{}}
 		for n := range 1025 {
@@ -168,8 +174,8 @@
 	})
 }
 
-// Load pattern: all control VMs are killed a moment after the records. Guards against records that the kill loses, and against a time of day
-// that is set and keeps them for ever or too long.
+// Load pattern: all control VMs are killed a moment after the records. Guards against records that the kill loses, and against a time of
+// day that is set and keeps them for ever or too long.
 func TestRecordsOutliveARestart(t *testing.T) {
 	for _, tc := range []struct {
 		name  string
@@ -229,8 +235,8 @@
 	})
 }
 
-// Guards against a disk that fails for a while and loses the records of that time or delays those who report them, and against a log line for
-// each attempt.
+// Guards against a disk that fails for a while and loses the records of that time or delays those who report them, and against a log line
+// for each attempt.
 func TestFailedSaveIsRepeated(t *testing.T) {
 	folder := filepath.Join(t.TempDir(), "data")
 	is.New(t).NoErr(os.WriteFile(folder, nil, 0o600)) // the data folder can't be created
