--- a/internal/state/origin/registry_test.go
+++ b/internal/state/origin/registry_test.go
@@ -353,6 +353,7 @@
 				is.Equal(found.Known, len(tc.known) > 0)
 				is.True(!found.Known || found.Origin == v1)
 				is.Equal(found.Answers, tc.answers)
+				is.True(found.Known || found.Asked == tc.vms)
 				is.True(found.Known || len(found.Recent) == tc.answers)
 				for n := range tc.vms {
 					f.change(controlName(n), func(vm *fakeVM) { vm.hangs, vm.down = false, false })
