--- a/internal/state/origin/ledger_test.go
+++ b/internal/state/origin/ledger_test.go
@@ -148,18 +148,20 @@
 		l := &origin.Ledger{Clock: deck.SystemClock{}}
 		const limit, over = 200_000, 10
 		all := []deck.StreamRecord{record(0, v1, time.Second)}
-		for n := 1; n < limit+over; n++ {
-			if n == limit {
-				all = append(all, record(0, v1, time.Minute)) // is now the last to expire
-			}
-			all = append(all, record(deck.StreamKey(n), v1, time.Minute-time.Duration(n)*time.Microsecond))
+		for n := 1; n < limit; n++ {
+			all = append(all, record(deck.StreamKey(n), v1, 30*time.Second-time.Duration(n)*time.Microsecond))
+		}
+		all = append(all, record(0, v1, time.Minute)) // is now the last to expire
+		for n := range over {
+			all = append(all, record(deck.StreamKey(limit+n), v1, 50*time.Second))
 		}
 		is.NoErr(l.RecordOrigins(t.Context(), all))
 		is.Equal(l.Len(), limit)
 		first, _ := l.FindOrigin(t.Context(), 0)
-		last, _ := l.FindOrigin(t.Context(), limit+over-1)
-		is.True(first.Known)
-		is.True(!last.Known)
+		newest, _ := l.FindOrigin(t.Context(), limit+over-1)
+		shortest, _ := l.FindOrigin(t.Context(), limit-1)
+		is.True(first.Known && newest.Known)
+		is.True(!shortest.Known)
 
 		l = &origin.Ledger{Clock: deck.SystemClock{}}
 		for n := range 1025 {
