--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -4,8 +4,8 @@
 	"context"
 	"maps"
 	"net/http"
-	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,6 +15,7 @@
 	"github.com/geraniumdeck/geraniumdeck/internal/core/allowance"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	"github.com/geraniumdeck/geraniumdeck/internal/route/balance"
+	"github.com/geraniumdeck/geraniumdeck/internal/route/table"
 )
 
 const (
@@ -79,6 +80,7 @@
 	read         time.Time // when the whole request had been read
 	deadline     time.Time
 	version      uint64 // of the configuration that the route is from
+	routes       *table.Table
 	customer     deck.Customer
 	hasCustomer  bool             // the call needed a key, which customer holds
 	hideKeys     bool             // the configuration names customers
@@ -89,28 +91,31 @@
 
 	healthPath string // of an engine whose liveness answer reports its load; empty for other servers
 
-	arrivalRecorded    bool            // the balancer counts the call among those that have arrived
-	probes             int             // load probes sent to engines
-	offers             int             // times that the call was sent to a server
-	sentTo             []string        // addresses that the call was sent to
-	refusedOffers      int             // offers that were refused for lack of capacity or of the adapter
-	possibleRuns       int             // offers that may have run
-	hasRun             bool            // a server has answered
-	placementRequested bool            // the placement leader was asked for the model or adapter
-	readyIn            time.Duration   // the placement leader's estimate of the loading time; 0 if unknown
-	headSent           bool            // the caller has received the head of an answer
-	interruptedAt      time.Time       // when the stream to the caller was last interrupted; zero if never
-	lastEventID        string          // of the last event that the caller has received
-	framing            framing         // of the last answer whose body was read; empty if there was none
-	events             int             // events of a stream that the caller has received
-	offered                            // the last offer
-	unqueued           bool            // no call waited for a slot when the server answered the last offer
-	firstByte          time.Duration   // from the start to the first byte of the answer; 0 if there was none
-	headReceived       bool            // the server of the last offer has sent the head of a stream
-	firstEvent         time.Time       // when the first event of the last stream came; zero if none did
-	maxGap             time.Duration   // the longest pause between two events
-	onTrial            bool            // let through to see whether the request, or a part of its prompt, still crashes servers
-	fallback           *bufferedAnswer // a server's error that is relayed if no other server succeeds
+	arrivalRecorded    bool          // the balancer counts the call among those that have arrived
+	probes             int           // load probes sent to engines
+	offers             int           // times that the call was sent to a server
+	refusedOffers      int           // offers that were refused for lack of capacity or of the adapter
+	possibleRuns       int           // offers that may have run
+	hasRun             bool          // a server has answered
+	placementRequested bool          // the placement leader was asked for the model or adapter
+	readyIn            time.Duration // the placement leader's estimate of the loading time; 0 if unknown
+	headSent           bool          // the caller has received the head of an answer
+	interruptedAt      time.Time     // when the stream to the caller was last interrupted; zero if never
+	lastEventID        string        // of the last event that the caller has received
+
+	// origin is where the stream began that the call continues; empty before its first event. Timers read it while the call goes on.
+	origin *atomic.Pointer[deck.StreamOrigin]
+
+	framing      framing         // of the last answer whose body was read; empty if there was none
+	events       int             // events of a stream that the caller has received
+	offered                      // the last offer
+	unqueued     bool            // no call waited for a slot when the server answered the last offer
+	firstByte    time.Duration   // from the start to the first byte of the answer; 0 if there was none
+	headReceived bool            // the server of the last offer has sent the head of a stream
+	firstEvent   time.Time       // when the first event of the last stream came; zero if none did
+	maxGap       time.Duration   // the longest pause between two events
+	onTrial      bool            // let through to see whether the request, or a part of its prompt, still crashes servers
+	fallback     *bufferedAnswer // a server's error that is relayed if no other server succeeds
 }
 
 // An offered is an offer as it was made.
@@ -137,6 +142,9 @@
 		c.refusePoison()
 		return
 	}
+	if !c.awaitOrigin() {
+		return
+	}
 	if !c.awaitCredit() {
 		return
 	}
@@ -207,7 +215,7 @@
 // choose returns the next server to try and waits for one if need be. It returns false if there is none; the caller has been
 // answered then.
 func (c *callRun) choose() (deck.Server, bool) {
-	if c.headSent {
+	if c.headSent || c.requirements.Continued != nil {
 		c.requirements.Draw = 0 // a stream that has begun goes before calls that have not
 	}
 	for {
@@ -310,7 +318,6 @@
 	defer cancel(nil)
 	stopWatch := c.watchAnswer(ctx, cancel, 1)
 	req := c.backendRequest(s, remaining)
-	c.sentTo = append(c.sentTo, s.Address)
 	ex, err := c.h.Client.Do(ctx, s.Address, req)
 	var answer deck.Answer
 	if err == nil {
@@ -359,7 +366,7 @@
 		return answer, nil
 	}
 	if !ex.Response.Close {
-		c.logFailedOffer(s, "skipped an answer without the ID of the call")
+		c.logFailedOffer(s, "skipped an answer without the ID of the call", "connection-calls", ex.Earlier)
 		if err := ex.SkipResponse(ctx, &http.Request{Method: c.r.Method}); err != nil {
 			ex.Abort()
 			return deck.Answer{}, &http1.SendError{MaybeSent: true, Err: err}
@@ -405,8 +412,11 @@
 	requirements := c.requirements
 	requirements.Tried = maps.Clone(c.requirements.Tried)
 	requirements.Unlimited = true
+	origin := c.origin
 	return func() bool {
-		_, result := c.h.Balancer.Pick(time.Now(), requirements)
+		r := requirements
+		r.Continued = origin.Load()
+		_, result := c.h.Balancer.Pick(time.Now(), r)
 		return result == balance.Chosen
 	}
 }
@@ -423,9 +433,7 @@
 	c.h.Codec.SetHeaders(header, o)
 	r := &http1.Request{
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body,
-		ContentLength: c.r.ContentLength,
-		// On a connection that has carried the call, a copy of the earlier answer couldn't be told from the answer to this offer.
-		NewConn: c.h.Balancer.IsAnonymous(s.ID) || slices.Contains(c.sentTo, s.Address),
+		ContentLength: c.r.ContentLength, ID: string(c.call.ID), NewConn: c.h.Balancer.IsAnonymous(s.ID),
 	}
 	if !c.route.Repeatable() {
 		r.MaxIdleTime = nonRepeatableMaxIdle
--- a/internal/core/deck/origin.go
+++ b/internal/core/deck/origin.go
@@ -1,6 +1,7 @@
 package deck
 
 import (
+	"cmp"
 	"context"
 	"time"
 )
@@ -15,6 +16,11 @@
 	Software SoftwareVersion
 }
 
+// Compare orders origins by service and software version.
+func (o StreamOrigin) Compare(p StreamOrigin) int {
+	return cmp.Or(cmp.Compare(o.Service, p.Service), cmp.Compare(o.Software, p.Software))
+}
+
 // A StreamRecord is the origin of one stream.
 type StreamRecord struct {
 	Stream StreamKey
@@ -43,7 +49,8 @@
 // An OriginFinding is what all VMs that answered know about the origin of a stream.
 type OriginFinding struct {
 	OriginAnswer
-	Answers int // number of control VMs that answered
+	Asked   int // number of control VMs that were asked
+	Answers int // number of those that answered
 }
 
 // A StreamOrigins shares the origins of streams among entry VMs.
