Place the model of an interrupted stream on its software version

What callers saw: with two software versions side by side, a stream whose server crashed was refused as model-absent.

Cause: a rare model has one holder. Once only servers of the stream's version may continue it, a holder of another version is of no use, but the placement leader took it for enough; it also took a crashed holder for one that serves. Entry VMs gave up before a load could end.

Change: a request for a placement names the origin of the stream and the engines of that version which the VM can't use. The plan first places such models on engines of the version, in free memory or in place of models that keep another copy. An interrupted stream waits three quarters of the time for which its caller waits, by the route's targets, and asks again each second; what can't be placed is refused as before.

Four calls in tests use the request type, with the same checks.

--- a/internal/api/ingress/call.go
+++ b/internal/api/ingress/call.go
@@ -26,10 +26,6 @@
 	// and for reading the prompt beside other calls.
 	serverQueueShare = 0.5
 
-	// resumeTimeout is how long an interrupted stream waits for an engine that continues it; callers abandon a silent stream
-	// after two seconds.
-	resumeTimeout = 1500 * time.Millisecond
-
 	pickInterval = 20 * time.Millisecond // between two attempts to pick a server
 
 	// maxRefusedOffers is the number of refused offers from which a refusal for lack of capacity makes the handler ask the caller
@@ -98,6 +94,7 @@
 	possibleRuns       int           // offers that may have run
 	hasRun             bool          // a server has answered
 	placementRequested bool          // the placement leader was asked for the model or adapter
+	placedAt           time.Time     // when it was last asked for an interrupted stream; zero if never
 	readyIn            time.Duration // the placement leader's estimate of the loading time; 0 if unknown
 	headSent           bool          // the caller has received the head of an answer
 	interruptedAt      time.Time     // when the stream to the caller was last interrupted; zero if never
@@ -248,8 +245,8 @@
 // prepareWait requests the placement of a model or adapter that no engine holds, and reports whether a server may become
 // available in time.
 func (c *callRun) prepareWait(now time.Time, result balance.PickResult) bool {
-	if c.headSent {
-		return now.Sub(c.interruptedAt) < resumeTimeout
+	if c.requirements.Continued != nil || c.headSent {
+		return c.prepareContinuation(now, result)
 	}
 	waited := now.Sub(c.start) - c.creditWait
 	switch result {
@@ -281,13 +278,22 @@
 // out not to hold the adapter.
 func (c *callRun) requestPlacement(result balance.PickResult) {
 	c.placementRequested = true
-	p, err := c.h.Placer.Place(c.ctx, c.service, c.requirements.Model, c.requirements.Adapter)
+	r := deck.PlacementRequest{
+		Service: c.service, Model: c.requirements.Model, Adapter: c.requirements.Adapter, Continued: c.requirements.Continued,
+	}
+	if r.Continued != nil {
+		r.Unusable = c.h.Balancer.Unusable(time.Now(), *r.Continued)
+	}
+	p, err := c.h.Placer.Place(c.ctx, r)
 	if err != nil {
 		c.h.Log.Info("placement request failed", "request", c.call.ID, "model", c.requirements.Model, "reason", err.Error())
 		return
 	}
 	c.readyIn = p.ReadyIn
-	if p.Server != "" && result == balance.AdapterAbsent {
+	if p.Server != "" && c.requirements.Continued != nil {
+		c.h.Balancer.RecordPresent(time.Now(), p.Server, c.requirements.Model, "")
+	}
+	if p.Server != "" && (result == balance.AdapterAbsent || c.requirements.Continued != nil) {
 		c.h.Balancer.RecordPresent(time.Now(), p.Server, c.requirements.Model, c.requirements.Adapter)
 		c.readyIn = max(c.readyIn, pickInterval)
 	}
--- a/internal/api/ingress/continuation.go
+++ b/internal/api/ingress/continuation.go
@@ -7,9 +7,22 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/route/balance"
 )
 
 const (
+	// Callers abandon a silent stream after the longest of these: a time, and multiples of the latency target and of the gap target.
+	minPatience           = 2 * time.Second
+	patienceLatencyFactor = 4
+	patienceGapFactor     = 8
+
+	// resumeShare is the share of that time for which an interrupted stream waits for an engine that continues it. The rest is for the
+	// interruption to be noticed, and for reading the prompt.
+	resumeShare = 0.75
+
+	// placementInterval is the time between two requests for a model that an interrupted stream waits for.
+	placementInterval = 1 * time.Second
+
 	// keepMargin is how much longer than its call may last the origin of a stream is kept, for callers whose time began later.
 	keepMargin = 5 * time.Second
 
@@ -40,7 +53,7 @@
 	}
 	c.useService(origin.Service)
 	c.continueAt(origin)
-	c.requirements.MaxWait = max(c.requirements.MaxWait, resumeTimeout)
+	c.requirements.MaxWait = max(c.requirements.MaxWait, c.resumeTimeout())
 	return true
 }
 
@@ -83,6 +96,33 @@
 	return slices.Compact(out)
 }
 
+// resumeTimeout returns how long an interrupted stream waits for an engine that continues it.
+func (c *callRun) resumeTimeout() time.Duration {
+	patience := max(minPatience, patienceLatencyFactor*c.route.LatencyTarget, patienceGapFactor*c.route.EventGapTarget)
+	return time.Duration(resumeShare * float64(patience))
+}
+
+// prepareContinuation requests the placement of a model that no engine holds which could continue the stream, and reports whether such an
+// engine may become available in time.
+func (c *callRun) prepareContinuation(now time.Time, result balance.PickResult) bool {
+	since := c.interruptedAt
+	if !c.headSent {
+		since = c.start.Add(c.creditWait)
+	}
+	absent := result == balance.ModelAbsent || result == balance.AdapterAbsent
+	if absent && now.Sub(c.placedAt) >= placementInterval {
+		c.placedAt = now
+		c.requestPlacement(result)
+	}
+	waited := time.Since(since)
+	switch {
+	case !c.headSent && (absent && c.readyIn == 0 || result == balance.NoServer):
+		return waited < c.maxAdmissionWait()
+	default:
+		return waited < c.resumeTimeout()
+	}
+}
+
 // leadsTo reports whether the route sends calls to the service.
 func (c *callRun) leadsTo(s deck.ServiceName) bool {
 	return slices.ContainsFunc(c.route.Targets, func(t deck.RouteTarget) bool { return t.Service == s && t.Weight > 0 })
--- a/internal/api/ingress/continuation_test.go
+++ b/internal/api/ingress/continuation_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 
 	"github.com/geraniumdeck/geraniumdeck/internal/api/ingress"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/route/table"
 )
 
 // A fakeOrigins is what entry VMs share about streams.
@@ -48,19 +50,28 @@
 type softwareServer struct {
 	*backend
 	software deck.SoftwareVersion
+	broken   *atomic.Pointer[func()] // called after the server has broken off a stream
+}
+
+func (s softwareServer) setBroken(f func()) {
+	s.broken.Store(&f)
 }
 
 // newSoftwareServer starts a server that breaks off each stream that it begins after two events.
 func newSoftwareServer(t *testing.T, id string, software deck.SoftwareVersion) softwareServer {
 	t.Helper()
+	var broken atomic.Pointer[func()]
 	return softwareServer{newBackend(t, id, func(c net.Conn, r *http.Request) bool {
 		after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 		if after == 0 {
 			reply(c, r, "200 OK", streamHead, chunk(eventsOf(software, 1, 2)))
+			if f := broken.Load(); f != nil {
+				(*f)()
+			}
 			return false
 		}
 		return reply(c, r, "200 OK", streamHead, chunk(eventsOf(software, after+1, 4))+"0\r\n\r\n")
-	}), software}
+	}), software, &broken}
 }
 
 func eventsOf(software deck.SoftwareVersion, from, to int) string {
@@ -76,10 +87,10 @@
 }
 
 // takeUp sends a call that resumes the stream of an earlier attempt after its second event.
-func (h *harness) takeUp(t *testing.T, id, resumes string) (status int, body string) {
+func (h *harness) takeUp(t *testing.T, id, resumes, query string) (status int, body string) {
 	t.Helper()
 	is := is.New(t)
-	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, h.server.URL+"/p/x", strings.NewReader("{}"))
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, h.server.URL+"/p/x"+query, strings.NewReader("{}"))
 	is.NoErr(err)
 	r.Host = "a.example"
 	r.Header.Set("Call-Id", id)
@@ -115,11 +126,8 @@
 			for i, v := range tc.others {
 				others = append(others, newSoftwareServer(t, fmt.Sprintf("b%d", i), v))
 			}
-			first := softwareServer{newBackend(t, "a0", func(c net.Conn, r *http.Request) bool {
-				reply(c, r, "200 OK", streamHead, chunk(eventsOf("v1", 1, 2)))
-				h.setSoftwareServers(others...) // the server leaves and cuts off its streams
-				return false
-			}), "v1"}
+			first := newSoftwareServer(t, "a0", "v1")
+			first.setBroken(func() { h.setSoftwareServers(others...) }) // the server leaves and cuts off its streams
 			h.setSoftwareServers(first)
 			h.handler.Origins = &fakeOrigins{}
 			res := h.call(t, http.MethodPost, "/p/x", "{}")
@@ -168,7 +176,7 @@
 				servers = append(servers, newSoftwareServer(t, fmt.Sprintf("b%d", i), v))
 			}
 			h.setSoftwareServers(servers...)
-			status, body := h.takeUp(t, "second", tc.resumes)
+			status, body := h.takeUp(t, "second", tc.resumes, "")
 			if tc.want != "" {
 				is.Equal(status, http.StatusOK)
 				is.Equal(body, eventsOf(tc.want, 3, 4))
@@ -190,7 +198,7 @@
 	failing := softwareServer{newBackend(t, "a", func(c net.Conn, r *http.Request) bool {
 		reply(c, r, "200 OK", streamHead, chunk(eventsOf("v1", 1, 2)))
 		return false
-	}), "v1"}
+	}), "v1", nil}
 	vm := func(servers ...softwareServer) *harness {
 		h := newHarness(t, stream(true))
 		h.handler.Origins = shared
@@ -201,8 +209,64 @@
 	is.True(res.err != nil)
 	is.Equal(res.body, eventsOf("v1", 1, 2))
 	for _, id := range []string{"second", "third"} {
-		status, body := vm(v2, other).takeUp(t, id, "id-1")
+		status, body := vm(v2, other).takeUp(t, id, "id-1", "")
 		is.Equal(status, http.StatusOK)
 		is.Equal(body, eventsOf("v1", 3, 4))
 	}
 }
+
+// TestInterruptedStreamWaitsForItsModel guards against a stream that ends because its only server crashed, or that isn't taken up, although
+// another server of its software version can load the model within the time for which its caller waits.
+func TestInterruptedStreamWaitsForItsModel(t *testing.T) {
+	const loadTime = 600 * time.Millisecond // several times the latency target
+	for _, taken := range []bool{false, true} {
+		t.Run(fmt.Sprint("taken up ", taken), func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t, nil)
+			h.handler.SetRoutes(table.New(&deck.RoutingConfig{
+				Version: 1, Limits: deck.CallerLimits{MaxBodyBytes: 1 << 20},
+				Services: []deck.RoutedService{{Name: "svc", Engine: &deck.EngineSpec{Slots: 8}}},
+				Routes: []deck.Route{{
+					Host: "a.example", Prefix: "/p/", Kind: deck.CallStream, Resumable: true, MaxAttempts: 3,
+					LatencyTarget: 100 * time.Millisecond, Targets: []deck.RouteTarget{{Service: "svc", Weight: 1}},
+				}},
+			}))
+			v1 := deck.StreamOrigin{Service: "svc", Software: "v1"}
+			h.handler.Origins = &fakeOrigins{answers: 3, records: map[deck.StreamKey]deck.StreamOrigin{ingress.StreamKeyOf("first"): v1}}
+			crashed, other := newSoftwareServer(t, "crashed", "v1"), newSoftwareServer(t, "other", "v1")
+			list := func(server softwareServer, models ...deck.HeldModel) deck.Server {
+				return deck.Server{
+					ID: server.id, Service: "svc", Software: server.software, Address: server.addr, Slots: 8, Models: models,
+				}
+			}
+			v2 := list(newSoftwareServer(t, "newer", "v2"), deck.HeldModel{Name: "m"})
+			started := list(crashed, deck.HeldModel{Name: "m"})
+			h.balancer.SetServers(time.Now(), []deck.Server{started, list(other)})
+			var loaded sync.Once
+			h.placer.place = func() deck.Placement {
+				loaded.Do(func() {
+					time.AfterFunc(loadTime, func() {
+						h.balancer.SetServers(time.Now(), []deck.Server{v2, list(other, deck.HeldModel{Name: "m"})})
+					})
+				})
+				return deck.Placement{ReadyIn: loadTime}
+			}
+			crash := func() {
+				h.balancer.RecordUnreachable(time.Now(), crashed.id)
+				h.balancer.SetServers(time.Now(), []deck.Server{v2, list(other)})
+			}
+			if taken {
+				crash()
+				status, body := h.takeUp(t, "second", "first", "?model=m")
+				is.Equal(status, http.StatusOK)
+				is.Equal(body, eventsOf("v1", 3, 4))
+			} else {
+				crashed.setBroken(crash)
+				res := h.call(t, http.MethodPost, "/p/x?model=m", "{}")
+				is.NoErr(res.err)
+				is.Equal(res.body, eventsOf("v1", 1, 4))
+			}
+			is.Equal(*h.placer.last.Continued, v1)
+		})
+	}
+}
--- a/internal/api/ingress/harness_test.go
+++ b/internal/api/ingress/harness_test.go
@@ -113,13 +113,15 @@
 type fakePlacer struct {
 	mu    sync.Mutex
 	asked int
+	last  deck.PlacementRequest
 	place func() deck.Placement
 }
 
-func (f *fakePlacer) Place(context.Context, deck.ServiceName, deck.ModelName, deck.AdapterName) (deck.Placement, error) {
+func (f *fakePlacer) Place(_ context.Context, r deck.PlacementRequest) (deck.Placement, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.asked++
+	f.last = r
 	if f.place == nil {
 		return deck.Placement{}, nil
 	}
--- a/internal/api/ingress/relay.go
+++ b/internal/api/ingress/relay.go
@@ -317,7 +317,7 @@
 	c.recordPossibleCrash(now, s, err)
 	delete(c.requirements.Tried, s.ID) // an engine that broke one connection may continue the stream on another
 	c.interruptedAt = now
-	c.requirements.MaxWait = resumeTimeout
+	c.requirements.MaxWait = c.resumeTimeout()
 	return c.retryResult()
 }
 
--- a/internal/api/peer/control.go
+++ b/internal/api/peer/control.go
@@ -34,9 +34,7 @@
 // A PlaceHandler places models and adapters on engines at the request of entry VMs.
 type PlaceHandler interface {
 	// PlaceFor is deck.Placer.Place on behalf of callers in a data centre. It fails on a VM that does not lead.
-	PlaceFor(
-		ctx context.Context, from deck.DataCentre, s deck.ServiceName, m deck.ModelName, a deck.AdapterName,
-	) (deck.Placement, error)
+	PlaceFor(ctx context.Context, from deck.DataCentre, r deck.PlacementRequest) (deck.Placement, error)
 }
 
 // A ControlAPI serves the requests that control VMs receive from entry VMs and from each other.
@@ -88,6 +86,20 @@
 	Service    string `json:"service"`
 	Model      string `json:"model"`
 	Adapter    string `json:"adapter,omitempty"`
+
+	Software *string  `json:"software,omitempty"` // of the stream that needs the model; nil for a call that any engine can run
+	Unusable []string `json:"unusable,omitempty"`
+}
+
+func (r placeRequestJSON) toDeck() deck.PlacementRequest {
+	out := deck.PlacementRequest{
+		Service: deck.ServiceName(r.Service), Model: deck.ModelName(r.Model), Adapter: deck.AdapterName(r.Adapter),
+		Unusable: fromStrings[deck.BackendName](r.Unusable),
+	}
+	if r.Software != nil {
+		out.Continued = &deck.StreamOrigin{Service: out.Service, Software: deck.SoftwareVersion(*r.Software)}
+	}
+	return out
 }
 
 type placeResponseJSON struct {
@@ -142,8 +154,7 @@
 	if !readJSON(w, r, &req) {
 		return
 	}
-	p, err := a.Places.PlaceFor(r.Context(), deck.DataCentre(req.DataCentre), deck.ServiceName(req.Service),
-		deck.ModelName(req.Model), deck.AdapterName(req.Adapter))
+	p, err := a.Places.PlaceFor(r.Context(), deck.DataCentre(req.DataCentre), req.toDeck())
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusConflict)
 		return
@@ -230,9 +241,7 @@
 }
 
 // Place implements deck.Placer.Place.
-func (c ControlClient) Place(
-	ctx context.Context, s deck.ServiceName, m deck.ModelName, a deck.AdapterName,
-) (deck.Placement, error) {
+func (c ControlClient) Place(ctx context.Context, r deck.PlacementRequest) (deck.Placement, error) {
 	leader, ok := c.Leader()
 	if !ok {
 		return deck.Placement{}, errors.New("no placement leader is known")
@@ -240,7 +249,14 @@
 	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
 	var resp placeResponseJSON
-	req := placeRequestJSON{DataCentre: string(c.DataCentre), Service: string(s), Model: string(m), Adapter: string(a)}
+	req := placeRequestJSON{
+		DataCentre: string(c.DataCentre), Service: string(r.Service), Model: string(r.Model), Adapter: string(r.Adapter),
+		Unusable: toStrings(r.Unusable),
+	}
+	if r.Continued != nil {
+		software := string(r.Continued.Software)
+		req.Software = &software
+	}
 	err := c.post(ctx, leader, placePath, req, &resp)
 	return deck.Placement{
 		Server: deck.BackendName(resp.Server), ReadyIn: time.Duration(resp.ReadyInMs) * time.Millisecond,
--- a/internal/place/assign/planner.go
+++ b/internal/place/assign/planner.go
@@ -10,6 +10,7 @@
 type Engine struct {
 	ID                deck.BackendName
 	DataCentre        deck.DataCentre
+	Software          deck.SoftwareVersion
 	Available         bool                       // it can take an order
 	Speed             float64                    // share of other engines' work that it can do in the same time; 0 stands for 1
 	Models            map[deck.ModelName]bool    // held
@@ -46,10 +47,12 @@
 	FreePlaces        int     // models of average size that fit into the free memory
 }
 
-// NewPlan returns the actions to start now, at most one for each engine and at most storeLoads loads from the weight store.
-func NewPlan(spec deck.EngineSpec, engines []Engine, estimate DemandEstimate, storeLoads int) Plan {
+// NewPlan returns the actions to start now, at most one for each engine and at most storeLoads loads from the weight store. The continued
+// models are needed by interrupted streams.
+func NewPlan(spec deck.EngineSpec, engines []Engine, estimate DemandEstimate, storeLoads int, continued ...Continued) Plan {
 	p := newPlanner(spec, engines, estimate)
 	p.storeLoads = storeLoads
+	p.placeContinued(continued)
 	p.placeCopies(p.underReplicated(p.soonReadyCopies, noSoonReadyCopyWeight), p.cachedCandidate)
 	p.placeCopies(p.underReplicated(p.copies, noCopyWeight), p.missingCopyCandidate)
 	p.placeCopies(p.mostOverloaded, p.offloadCandidate)
@@ -216,10 +219,15 @@
 
 // placeCopy adds the action for a further copy of the model at the candidate of the least cost, if there is one.
 func (p *planner) placeCopy(m deck.EngineModel, candidate candidateFunc) bool {
+	return p.placeCopyOn(m, candidate, func(Engine) bool { return true })
+}
+
+// placeCopyOn is placeCopy with the engines that may be candidates.
+func (p *planner) placeCopyOn(m deck.EngineModel, candidate candidateFunc, mayHold func(Engine) bool) bool {
 	var best Action
 	bestCost, found := 0.0, false
 	for _, e := range p.engines {
-		if !e.Available || p.planned[e.ID] || e.Models[m.Name] || !e.Cached[m.Name] && p.storeLoads <= 0 {
+		if !mayHold(e) || !e.Available || p.planned[e.ID] || e.Models[m.Name] || !e.Cached[m.Name] && p.storeLoads <= 0 {
 			continue
 		}
 		if e.speed() < minCopySpeed && p.copies[m.Name] > 0 {
--- a/internal/place/order/adapters.go
+++ b/internal/place/order/adapters.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/place/assign"
 )
 
 const (
@@ -20,38 +21,46 @@
 )
 
 type adapterKey struct {
-	service deck.ServiceName
-	model   deck.ModelName
-	adapter deck.AdapterName
+	service  deck.ServiceName
+	model    deck.ModelName
+	adapter  deck.AdapterName
+	pinned   bool                 // for a stream that only engines of the software version can continue
+	software deck.SoftwareVersion // if pinned
+}
+
+func newAdapterKey(r deck.PlacementRequest) adapterKey {
+	key := adapterKey{service: r.Service, model: r.Model, adapter: r.Adapter}
+	if r.Continued != nil {
+		key.pinned, key.software = true, r.Continued.Software
+	}
+	return key
 }
 
 // PlaceFor places a model or adapter on an engine for callers in a data centre. It waits for the load of an adapter. For a
 // model it records the demand, so that the next plan can load it. It fails if this VM may not send orders.
-func (c *Controller) PlaceFor(
-	ctx context.Context, from deck.DataCentre, s deck.ServiceName, m deck.ModelName, a deck.AdapterName,
-) (deck.Placement, error) {
+func (c *Controller) PlaceFor(ctx context.Context, from deck.DataCentre, r deck.PlacementRequest) (deck.Placement, error) {
 	if _, ok := c.fencingToken(); !ok {
 		return deck.Placement{}, errors.New("this VM holds no orders now")
 	}
-	spec, ok := c.spec(s)
+	spec, ok := c.spec(r.Service)
 	if !ok {
-		return deck.Placement{}, errors.Newf("no engines in service %q", s)
+		return deck.Placement{}, errors.Newf("no engines in service %q", r.Service)
 	}
-	holder, ok := c.findHolder(from, s, m, a)
-	if ok && (a == "" || !c.isLimited(holder.Server)) {
+	holder, ok := c.findHolder(from, r)
+	if ok && (r.Adapter == "" || !c.isLimited(holder.Server)) {
 		return holder, nil
 	}
-	if a == "" {
-		c.recordMiss(s, m)
-		return c.estimateReady(spec, s, m), nil
+	if r.Adapter == "" {
+		c.recordMiss(r)
+		return c.estimateReady(spec, r), nil
 	}
-	key := adapterKey{s, m, a}
+	key := newAdapterKey(r)
 	if c.awaitPlacement(ctx, key) {
-		p, _ := c.findHolder(from, s, m, a)
+		p, _ := c.findHolder(from, r)
 		return p, nil
 	}
 	defer c.endPlacement(key)
-	return c.placeAdapter(ctx, spec, from, key, holder), nil
+	return c.placeAdapter(ctx, spec, from, r, holder), nil
 }
 
 // isLimited reports whether the engine has named a limit that entry VMs need.
@@ -109,18 +118,16 @@
 }
 
 // findHolder returns an engine that already holds the model and adapter, preferably one without a limit, in the callers' data centre.
-func (c *Controller) findHolder(
-	from deck.DataCentre, s deck.ServiceName, m deck.ModelName, a deck.AdapterName,
-) (deck.Placement, bool) {
+func (c *Controller) findHolder(from deck.DataCentre, r deck.PlacementRequest) (deck.Placement, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var best *engine
 	for _, e := range c.engines {
-		adapters, ok := e.models[m]
-		if e.server.Service != s || e.server.Draining || !ok || e.unloading[m] {
+		adapters, ok := e.models[r.Model]
+		if !ok || e.unloading[r.Model] || !r.Allows(e.server) {
 			continue
 		}
-		if _, ok := adapters[a]; a != "" && !ok {
+		if _, ok := adapters[r.Adapter]; r.Adapter != "" && !ok {
 			continue
 		}
 		if best == nil || !c.limited(e) && (c.limited(best) || e.server.DataCentre == from) {
@@ -130,8 +137,8 @@
 	if best == nil {
 		return deck.Placement{}, false
 	}
-	if a != "" {
-		best.models[m][a] = time.Now()
+	if r.Adapter != "" {
+		best.models[r.Model][r.Adapter] = time.Now()
 	}
 	return deck.Placement{Server: best.id}, true
 }
@@ -144,22 +151,28 @@
 // has ended.
 const maxLoadOverrun = 500 * time.Millisecond
 
-// recordMiss records the demand of a call for a model that no engine holds.
-func (c *Controller) recordMiss(s deck.ServiceName, m deck.ModelName) {
+// recordMiss records the demand of a call for a model that no engine holds which could run the call.
+func (c *Controller) recordMiss(r deck.PlacementRequest) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.estimatorOf(s).recordDemand(time.Now(), m, missTokens)
+	now := time.Now()
+	c.estimatorOf(r.Service).recordDemand(now, r.Model, missTokens)
+	if r.Continued != nil {
+		needed := assign.Continued{Model: r.Model, Software: r.Continued.Software, Unusable: r.Unusable}
+		c.continued[r.Service] = c.continued[r.Service].with(now, needed)
+	}
 }
 
 // estimateReady estimates when an engine will hold the model; ReadyIn is 0 if that is unknown.
-func (c *Controller) estimateReady(spec deck.EngineSpec, s deck.ServiceName, m deck.ModelName) deck.Placement {
+func (c *Controller) estimateReady(spec deck.EngineSpec, r deck.PlacementRequest) deck.Placement {
+	m := r.Model
 	model, _ := spec.Model(m)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var p deck.Placement
 	now := time.Now()
 	for _, e := range c.engines {
-		if e.server.Service != s {
+		if !r.Allows(e.server) {
 			continue
 		}
 		var remaining time.Duration
@@ -168,6 +181,8 @@
 			remaining = max(e.readyAt.Sub(now), pollInterval)
 		case e.cached[m] && e.available(now):
 			remaining = planPeriod + max(model.DiskLoadTime, model.WarmLoadTime) + typicalReportLag
+		case r.Continued != nil: // the next plan that can loads the model from the store
+			remaining = planPeriod + model.LoadTime + typicalReportLag
 		default:
 			continue
 		}
@@ -180,16 +195,16 @@
 
 // placeAdapter loads the adapter on an engine that holds its model. If an engine holds it already, only one without a limit would help.
 func (c *Controller) placeAdapter(
-	ctx context.Context, spec deck.EngineSpec, from deck.DataCentre, key adapterKey, holder deck.Placement,
+	ctx context.Context, spec deck.EngineSpec, from deck.DataCentre, r deck.PlacementRequest, holder deck.Placement,
 ) deck.Placement {
 	tried := make(map[*engine]bool)
 	for range maxAdapterAttempts {
-		e, ok := c.selectAdapterEngine(spec, from, key, tried)
+		e, ok := c.selectAdapterEngine(spec, from, r, tried)
 		if !ok || holder.Server != "" && c.isLimited(e.id) {
 			break
 		}
 		tried[e] = true
-		if c.loadAdapter(ctx, spec, e, key) {
+		if c.loadAdapter(ctx, spec, e, newAdapterKey(r)) {
 			c.publish()
 			return deck.Placement{Server: e.id}
 		}
@@ -197,23 +212,26 @@
 	if holder.Server != "" {
 		return holder
 	}
-	return c.estimateReady(spec, key.service, key.model)
+	if r.Continued != nil {
+		c.recordMiss(r) // no engine of the software version holds the model
+	}
+	return c.estimateReady(spec, r)
 }
 
 // selectAdapterEngine returns the engine not yet tried that has the least cost, by used adapter slots, eviction, distance and limits.
 func (c *Controller) selectAdapterEngine(
-	spec deck.EngineSpec, from deck.DataCentre, key adapterKey, tried map[*engine]bool,
+	spec deck.EngineSpec, from deck.DataCentre, r deck.PlacementRequest, tried map[*engine]bool,
 ) (best *engine, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
 	bestCost := 0.0
 	for _, e := range c.engines {
-		if tried[e] || e.server.Service != key.service || !e.canLoadAdapter(key.model) {
+		if tried[e] || !r.Allows(e.server) || !e.canLoadAdapter(r.Model) {
 			continue
 		}
 		cost := float64(e.usedAdapterSlots() + len(e.sendLock))
-		if !e.fitsAdapter(spec, key.model) {
+		if !e.fitsAdapter(spec, r.Model) {
 			if _, found := e.lruAdapter(now); !found {
 				continue
 			}
--- a/internal/place/order/controller.go
+++ b/internal/place/order/controller.go
@@ -79,6 +79,7 @@
 	storeStarts  map[deck.ServiceName]*tokenBucket // for loads to begin
 	tooLarge     map[deck.ModelName]bool           // models already logged as too large for any engine
 	placing      map[adapterKey]chan struct{}      // closed when the placement has ended
+	continued    map[deck.ServiceName]continuedModels
 }
 
 // A tokenBucket limits the rate of loads from the weight store.
@@ -93,6 +94,7 @@
 		opts: opts, done: make(chan struct{}), engines: make(map[deck.BackendName]*engine),
 		estimators: make(map[deck.ServiceName]*demandEstimator), storeBuckets: make(map[deck.ServiceName]*tokenBucket),
 		storeStarts: make(map[deck.ServiceName]*tokenBucket),
+		continued:   make(map[deck.ServiceName]continuedModels),
 		placing:     make(map[adapterKey]chan struct{}), tooLarge: make(map[deck.ModelName]bool),
 	}
 }
@@ -310,7 +312,7 @@
 		return // models that seem to have no copy may be on engines that the list does not show yet
 	}
 	bucket := refill(c.storeBuckets, s.Name, *s.Engine, now)
-	plan := assign.NewPlan(*s.Engine, engines, demand, int(bucket.tokens))
+	plan := assign.NewPlan(*s.Engine, engines, demand, int(bucket.tokens), c.continued[s.Name].at(now)...)
 	c.logPlan(s.Name, engines, plan, now)
 	for _, a := range plan.Actions {
 		c.startAction(ctx, *s.Engine, a, bucket, demand, now)
--- a/internal/place/order/controller_test.go
+++ b/internal/place/order/controller_test.go
@@ -185,7 +185,7 @@
 					a := deck.AdapterName(fmt.Sprint("a", random.IntN(8)))
 					m := model(random.IntN(7))
 					g.Go(func() error {
-						_, _ = c.PlaceFor(context.Background(), "dc", "llm", m, a) // the fake engines check the orders
+						_, _ = c.PlaceFor(context.Background(), "dc", deck.PlacementRequest{Service: "llm", Model: m, Adapter: a}) // the fake engines check the orders
 						return nil
 					})
 					<-time.After(250 * time.Millisecond)
@@ -229,7 +229,7 @@
 		var g errgroup.Group
 		for range 5 {
 			g.Go(func() error {
-				placement, err := c.PlaceFor(context.Background(), "dc", "llm", model(0), "a1")
+				placement, err := c.PlaceFor(context.Background(), "dc", deck.PlacementRequest{Service: "llm", Model: model(0), Adapter: "a1"})
 				if err == nil && placement.Server != "a" {
 					return fmt.Errorf("adapter is at %q", placement.Server)
 				}
--- a/internal/place/order/limited_test.go
+++ b/internal/place/order/limited_test.go
@@ -62,7 +62,7 @@
 		}
 		is.Equal(p.copies(model(0)), 2)
 		place := func() deck.BackendName {
-			placement, err := c.PlaceFor(context.Background(), "", "llm", model(0), "a1")
+			placement, err := c.PlaceFor(context.Background(), "", deck.PlacementRequest{Service: "llm", Model: model(0), Adapter: "a1"})
 			is.NoErr(err)
 			return placement.Server
 		}
--- a/internal/route/balance/software.go
+++ b/internal/route/balance/software.go
@@ -44,3 +44,16 @@
 	slices.Sort(out)
 	return slices.Compact(out)
 }
+
+// Unusable returns the listed servers of the origin that take no calls of this VM now, whatever they hold.
+func (b *Balancer) Unusable(now time.Time, o deck.StreamOrigin) []deck.BackendName {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []deck.BackendName
+	for _, s := range b.byService[o.Service] {
+		if s.Software == o.Software && b.eligibility(now, s, Requirements{Service: o.Service}, 0) == NoServer {
+			out = append(out, s.ID)
+		}
+	}
+	return out
+}
