--- a/internal/command/node/node.go
+++ b/internal/command/node/node.go
@@ -183,14 +183,17 @@
 	return d.DialContext(ctx, network, address)
 }
 
+// dialPeer is dial with peerDialTimeout.
+func dialPeer(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerDialTimeout)
+	defer cancel()
+	return dial(ctx, network, address)
+}
+
 // newPeerClient returns a client for requests to other VMs and to the platform.
 func newPeerClient() *http.Client {
 	return &http.Client{Transport: part.TrimHeadersTransport{Next: &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			ctx, cancel := context.WithTimeout(ctx, peerDialTimeout)
-			defer cancel()
-			return dial(ctx, network, address)
-		},
+		DialContext:         dialPeer,
 		MaxIdleConnsPerHost: 4,
 		DisableCompression:  true,
 		IdleConnTimeout:     peerIdleTimeout,
