Don't apply a report read too soon after an order

Nothing runs twice, since the engine compares the number of accepted orders.

Cause: while an adapter is being unloaded, a report is due. It waits for the engine's send lock and is read right after the order, although a report shows the state of some hundred ms before. That the last order was long ago had been checked before the wait only.

Change: the refresh checks it again once it holds the lock; a later plan asks again.

--- a/internal/place/order/actions.go
+++ b/internal/place/order/actions.go
@@ -37,6 +37,12 @@
 		return
 	}
 	defer e.unlockSending()
+	c.mu.Lock()
+	acceptedAt := e.acceptedAt
+	c.mu.Unlock()
+	if time.Since(acceptedAt) <= maxReportLag {
+		return // an order was accepted while this waited for the send lock
+	}
 	st, err := c.fetchReport(ctx, e)
 	c.mu.Lock()
 	defer c.mu.Unlock()
