Bound the heads of engines' responses to control VMs

An engine that answered a request for its report with a head without end had net/http read up to 10 MB of it, from every engine at once, and decode its lines: the control leader ran out of memory. The client that control and entry VMs use for reports, orders, other VMs and the platform, and that of serving VMs, now read heads of up to 16 KB.

--- a/internal/command/node/node.go
+++ b/internal/command/node/node.go
@@ -183,7 +183,7 @@
 	return d.DialContext(ctx, network, address)
 }
 
-// newPeerClient returns a client for requests to other VMs and to the platform.
+// newPeerClient returns a client for requests to other VMs, to the platform and, besides calls, to engines.
 func newPeerClient() *http.Client {
 	return &http.Client{Transport: part.TrimHeadersTransport{Next: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -191,9 +191,10 @@
 			defer cancel()
 			return dial(ctx, network, address)
 		},
-		MaxIdleConnsPerHost: 4,
-		DisableCompression:  true,
-		IdleConnTimeout:     peerIdleTimeout,
+		MaxIdleConnsPerHost:    4,
+		MaxResponseHeaderBytes: part.MaxResponseHeadBytes,
+		DisableCompression:     true,
+		IdleConnTimeout:        peerIdleTimeout,
 	}}}
 }
 
--- a/internal/command/part/guard.go
+++ b/internal/command/part/guard.go
@@ -20,6 +20,10 @@
 	OtherShare     = 0.05
 )
 
+// MaxResponseHeadBytes bounds the heads of responses of other VMs, of the platform, and of engines to orders and requests for reports.
+// They have some hundred bytes; short lines take many times their bytes when decoded.
+const MaxResponseHeadBytes = 16 << 10
+
 // maxDescriptors is assumed where the operating system sets no limit.
 const maxDescriptors = 1 << 20
 
--- a/internal/command/process/process.go
+++ b/internal/command/process/process.go
@@ -71,10 +71,11 @@
 // newPeerClient returns the client for requests to other VMs, with few idle connections per VM.
 func newPeerClient(t *trafficCounter) *http.Client {
 	return &http.Client{Transport: part.TrimHeadersTransport{Next: &http.Transport{
-		DialContext:         t.dial,
-		MaxIdleConnsPerHost: 4,
-		DisableCompression:  true,                 // the messages are short
-		IdleConnTimeout:     part.IdleTimeout / 2, // below the server's, which then rarely closes a reused connection
+		DialContext:            t.dial,
+		MaxIdleConnsPerHost:    4,
+		MaxResponseHeaderBytes: part.MaxResponseHeadBytes,
+		DisableCompression:     true,                 // the messages are short
+		IdleConnTimeout:        part.IdleTimeout / 2, // below the server's, which then rarely closes a reused connection
 	}}}
 }
 
