Bound the reports that a control VM reads at the same time

Each engine could make the control leader read 4 MB for a report, all at once, and the whole of it was decoded: 80,000 empty models in 240 KB take megabytes.

--- a/internal/command/node/control.go
+++ b/internal/command/node/control.go
@@ -71,7 +71,7 @@
 	c.orders = order.NewController(order.Options{
 		Self: s.PeerName(), Monitor: c.replica, Clock: deck.BootClock{}, MaxLeadershipAge: maxLeadershipAge,
 		HandoverDelay: s.Bounds.Lease, EnginesCheckFencing: s.Bounds.EnginesCheckFencing,
-		Engines: platform.Engines{HTTP: client, Notices: restraints}, Restraints: restraints,
+		Engines: platform.Engines{HTTP: client, Notices: restraints, Memory: n.guard.Memory}, Restraints: restraints,
 		Limit:   func(s deck.Server) (float64, bool) { return permits.Limit(s.ID, s.Incarnation()) },
 		Servers: newServerList(n, s, client),
 		Config:  c.config.Load, Publish: func(term uint64, list []deck.Server) { c.publisher.SetServers(term, list) },
