Count the heads of answers in the memory for answers

The head of an answer may have 64 KB, and each call in progress holds one. Short lines take ten times their bytes when decoded, and are copied for the caller: 300 calls whose heads stopped short, or were whole and the bodies never came, took two to three times an entry VM's memory. Without any the connection is closed and the server counts as failing, as for a head over 64 KB.

TestHeadsShareTheMemory shows that the room comes back and that ordinary heads need none.

--- a/internal/backend/http1/client.go
+++ b/internal/backend/http1/client.go
@@ -12,6 +12,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/api/inbound"
 )
 
 const maxIdleConnsPerServer = 16 // idle connections kept to one backend server; further ones are closed after use
@@ -58,6 +60,10 @@
 	DialTimeout time.Duration
 	IdleTimeout time.Duration // idle connections are closed after this time
 
+	// Memory bounds the bytes of the heads of responses, beyond some kilobytes each; they are held until the context of their request
+	// ends. Nil for no bound.
+	Memory *inbound.Budget
+
 	mu    sync.Mutex
 	idle  map[string][]*conn // by address, least recently used first
 	group errgroup.Group
@@ -74,6 +80,7 @@
 		idle = time.Since(cn.idleSince)
 	}
 	cn.unidentified = r.Unidentified
+	cn.room = &headRoom{ctx: ctx, memory: c.Memory}
 	stop := context.AfterFunc(ctx, cn.close)
 	e := &Exchange{client: c, addr: addr, conn: cn, stop: stop, Reused: reused, reusable: true}
 	if err := c.send(ctx, e, r); err != nil {
--- a/internal/backend/http1/client_test.go
+++ b/internal/backend/http1/client_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/geraniumdeck/geraniumdeck/internal/api/inbound"
 	"github.com/geraniumdeck/geraniumdeck/internal/backend/http1"
 )
 
@@ -382,3 +383,40 @@
 		})
 	}
 }
+
+// Guards against heads of answers that together take a VM's memory, and against ordinary ones that are refused for them.
+func TestHeadsShareTheMemory(t *testing.T) {
+	is := is.New(t)
+	s := startServer(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			lines := ""
+			if req.URL.Path == "/many" {
+				lines = strings.Repeat("A:\r\n", 3000)
+			}
+			_, _ = io.WriteString(c, strings.Replace(okResponse, "\r\n\r\n", "\r\n"+lines+"\r\n", 1))
+		}
+	})
+	c := newClient()
+	c.Memory = &inbound.Budget{Bytes: 4 << 20} // a quarter is for answers
+	used := func() int64 { return c.Memory.Usage(inbound.Answers).Bytes }
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	e, err := c.Do(ctx, s.addr, getRequest("/many"))
+	is.NoErr(err)
+	readAll(t, e)
+	is.True(used() > 3000*100)
+	_, err = c.Do(ctx, s.addr, getRequest("/many"))
+	is.True(err != nil)
+	e, err = c.Do(ctx, s.addr, getRequest("/"))
+	is.NoErr(err)
+	readAll(t, e)
+	cancel()
+	for deadline := time.Now().Add(5 * time.Second); used() > 0 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(used(), int64(0))
+}
--- a/internal/backend/http1/conn.go
+++ b/internal/backend/http1/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -24,9 +25,18 @@
 	// maxHeadBytes bounds the head of a response together with the interim responses before it, so that a backend server that
 	// sends a head without end does not take this VM's memory.
 	maxHeadBytes = 64 << 10
+
+	// headLineBytes is how many bytes a line of a head counts besides its own: what it takes when decoded and copied for the caller.
+	headLineBytes = 256
+
+	// freeHeadBytes of a head take no room in the memory for answers.
+	freeHeadBytes = 16 << 10
 )
 
-var errHeadTooLarge = errors.Newf("head of the response exceeds %d bytes", maxHeadBytes)
+var (
+	errHeadTooLarge = errors.Newf("head of the response exceeds %d bytes", maxHeadBytes)
+	errNoRoom       = errors.New("no memory for the head of the response beside other answers")
+)
 
 // A conn is one connection; its read loop detects that the server closed the connection even while it is idle.
 type conn struct {
@@ -40,7 +50,8 @@
 	closed    chan struct{}      // closed together with the socket
 	closeOnce sync.Once
 
-	unidentified      bool // the last request was Unidentified
+	room              *headRoom // of the last request
+	unidentified      bool      // the last request was Unidentified
 	idleSince         time.Time
 	serverIdleTimeout time.Duration // from the server's Keep-Alive header; 0 if it sent none
 }
@@ -90,7 +101,12 @@
 		default:
 			return
 		}
-		c.limit.start(maxHeadBytes)
+		c.limit.start(maxHeadBytes, c.room)
+		begin, _ := c.reader.Peek(c.reader.Buffered()) // never fails
+		if !c.limit.count(begin) {
+			c.deliver(result{err: errNoRoom})
+			return
+		}
 		resp, err := readResponse(c.reader, req) //nolint:bodyclose // the receiver of the result closes it
 		c.limit.stop()
 		if !c.deliver(result{resp, err}) || err != nil {
@@ -104,16 +120,18 @@
 	}
 }
 
-// A headLimiter passes bytes on from a connection, while a head is read no more than a given number. It is used by one goroutine at
-// a time: the read loop until the head is delivered, then the reader of the body.
+// A headLimiter passes bytes on from a connection, while a head is read no more than a given number, and only within the room that there
+// is. It is used by one goroutine at a time: the read loop until the head is delivered, then the reader of the body.
 type headLimiter struct {
 	source  io.Reader
 	limited bool
 	left    int // bytes that may still be read while limited
+	free    int // bytes that still take no room
+	room    *headRoom
 }
 
-func (l *headLimiter) start(n int) {
-	l.limited, l.left = true, n
+func (l *headLimiter) start(n int, room *headRoom) {
+	l.limited, l.left, l.free, l.room = true, n, freeHeadBytes, room
 }
 
 func (l *headLimiter) stop() {
@@ -130,9 +148,23 @@
 	}
 	n, err := l.source.Read(p[:min(len(p), l.left)])
 	l.left -= n
+	if !l.count(p[:n]) {
+		return 0, errNoRoom
+	}
 	return n, err
 }
 
+// count takes the room for bytes of a head, which the beginning of a body may follow, and reports whether there was some.
+func (l *headLimiter) count(p []byte) bool {
+	if head, rest, ok := bytes.Cut(p, []byte("\r\n\r\n")); ok && !bytes.HasPrefix(rest, []byte("HTTP/")) {
+		p = head
+	}
+	cost := len(p) + headLineBytes*bytes.Count(p, []byte("\n"))
+	free := min(l.free, cost)
+	l.free -= free
+	return l.room.grow(cost - free)
+}
+
 // deliver passes a result on without blocking, since nothing receives from an idle connection; it reports whether the
 // result was passed on.
 func (c *conn) deliver(r result) bool {
--- a/internal/command/node/entry.go
+++ b/internal/command/node/entry.go
@@ -82,6 +82,7 @@
 		Dial:        func(ctx context.Context, addr string) (net.Conn, error) { return dial(ctx, "tcp", addr) },
 		DialTimeout: serverDialTimeout,
 		IdleTimeout: serverIdleTimeout,
+		Memory:      n.guard.Memory,
 	}
 	fleet := peer.ControlClient{HTTP: newPeerClient(), DataCentre: s.DataCentre, Leader: e.leader}
 	e.restraints.Permits = fleet
