Cut long texts in the log

An error about a head that can't be read quotes it, so each call that got one wrote up to 64 KB into the log. The queue of the log is bounded in lines only: 2,048 of them would take 128 MB where the log is written slowly. A text in a line now has 1 KB at most.

That the queue fills was not shown by a run.

--- a/internal/report/telemetry/telemetry.go
+++ b/internal/report/telemetry/telemetry.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
@@ -20,12 +21,31 @@
 
 const meterName = "github.com/geraniumdeck/geraniumdeck"
 
-// NewLogger returns a logger that writes JSON lines, each with the VM's name, from level INFO up.
+// maxTextBytes bounds a text in a line of the log. The text of an error may hold what a backend server has sent.
+const maxTextBytes = 1 << 10
+
+// NewLogger returns a logger that writes JSON lines, each with the VM's name, from level INFO up. Long texts are cut.
 func NewLogger(w io.Writer, vm deck.VMName) logr.Logger {
-	h := slog.NewJSONHandler(w, &slog.HandlerOptions{Level: slog.LevelInfo})
+	h := slog.NewJSONHandler(w, &slog.HandlerOptions{Level: slog.LevelInfo, ReplaceAttr: cutText})
 	return logr.FromSlogHandler(h).WithValues("vm", string(vm))
 }
 
+func cutText(_ []string, a slog.Attr) slog.Attr {
+	text := ""
+	switch a.Value.Kind() {
+	case slog.KindString:
+		text = a.Value.String()
+	case slog.KindAny:
+		if err, ok := a.Value.Any().(error); ok && err != nil {
+			text = err.Error()
+		}
+	}
+	if len(text) > maxTextBytes {
+		a.Value = slog.StringValue(strings.ToValidUTF8(text[:maxTextBytes], "") + "...")
+	}
+	return a
+}
+
 // Metrics holds the meter provider of a process and its scrape endpoint.
 type Metrics struct {
 	provider *sdk.MeterProvider
