Count long events of streams in the memory for answers

An event, or a block of comments, may have 256 KB, and each stream in progress held one in a buffer of its own, of a hedged call twice: 300 streams whose events stopped short of that took more than an entry VM's memory. Beyond 8 KB an event now takes room in the memory for answers and gives it back with the next one; without any the stream is broken off like one with a longer event.

--- a/internal/api/ingress/hedge.go
+++ b/internal/api/ingress/hedge.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/geraniumdeck/geraniumdeck/internal/api/inbound"
 	"github.com/geraniumdeck/geraniumdeck/internal/backend/http1"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	"github.com/geraniumdeck/geraniumdeck/internal/route/balance"
@@ -34,6 +35,7 @@
 	offer  offered
 	ctx    context.Context
 	cancel context.CancelCauseFunc
+	room   *inbound.Hold // of what is read before the answer is relayed
 	onHead func()        // called when the head of a stream has come; nil for nothing
 	done   chan struct{} // closed when the fields below are set
 
@@ -74,11 +76,13 @@
 
 // offerHedged sends the call to the server, and to a second one if the first is slow, and relays the answer that begins first.
 func (c *callRun) offerHedged(o offered, remaining time.Duration) offerResult {
+	room := c.h.Memory.Open(inbound.Answers, nil)
+	defer room.Release() // after both sends have ended
 	var group sync.WaitGroup
 	defer group.Wait()
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
-	first := newSend(ctx, o)
+	first := newSend(ctx, o, room)
 	stopWatch := c.watchAnswer(first.ctx, first.cancel, 1)
 	first.onHead = stopWatch
 	c.begin(&group, first, remaining)
@@ -96,9 +100,9 @@
 	return c.finish(first)
 }
 
-func newSend(ctx context.Context, o offered) *send {
+func newSend(ctx context.Context, o offered, room *inbound.Hold) *send {
 	ctx, cancel := context.WithCancelCause(ctx)
-	return &send{offer: o, ctx: ctx, cancel: cancel, done: make(chan struct{})}
+	return &send{offer: o, ctx: ctx, cancel: cancel, room: room, done: make(chan struct{})}
 }
 
 // begin sends the call to the server.
@@ -139,7 +143,7 @@
 		}
 	}))
 	defer stall.Stop()
-	err := readFirstEvent(s.ex.Response)
+	err := readFirstEvent(s.ex.Response, s.room)
 	if !settled.CompareAndSwap(false, true) && err == nil {
 		err = errNoAnswer
 	}
@@ -154,14 +158,14 @@
 }
 
 // readFirstEvent reads a stream up to its first event or its end, and puts what it has read before the rest of the body.
-func readFirstEvent(resp *http.Response) error {
-	var read bytes.Buffer
+func readFirstEvent(resp *http.Response, room *inbound.Hold) error {
+	read := heldBuffer{room: room}
 	body := resp.Body
-	events := newEventReader(io.TeeReader(body, &read), "")
+	events := newEventReader(io.TeeReader(body, &read), "", room)
 	resp.Body = struct {
 		io.Reader
 		io.Closer
-	}{io.MultiReader(&read, body), body}
+	}{io.MultiReader(&read.Buffer, body), body}
 	for read.Len() < firstAnswerBytes {
 		_, err := events.next()
 		switch {
@@ -176,6 +180,21 @@
 	return nil
 }
 
+// A heldBuffer is a buffer that takes room for what exceeds freeEventBytes.
+type heldBuffer struct {
+	bytes.Buffer
+	room *inbound.Hold
+}
+
+// Write implements io.Writer.Write.
+func (b *heldBuffer) Write(p []byte) (int, error) {
+	size := 2 * len(p) // bytes.Buffer grows to twice its size
+	if b.Len()+len(p) > freeEventBytes && !b.room.Grow(int64(size)) {
+		return 0, errNoRoom
+	}
+	return b.Buffer.Write(p)
+}
+
 // startSecond waits until the first send has ended or is late. If it is late and a second one is allowed, it starts that; otherwise it
 // returns nil.
 func (c *callRun) startSecond(ctx context.Context, group *sync.WaitGroup, first *send) *send {
@@ -199,7 +218,7 @@
 	if !ok || !c.h.Hedges.TakeSend(now, func() bool { return c.h.Budget.TakeRetryAbove(now, c.service, hedgeReserve) }) {
 		return nil
 	}
-	second := newSend(ctx, c.beginOffer(s, now))
+	second := newSend(ctx, c.beginOffer(s, now), first.room)
 	c.begin(group, second, remaining)
 	return second
 }
--- a/internal/api/ingress/readahead.go
+++ b/internal/api/ingress/readahead.go
@@ -23,9 +23,7 @@
 
 // readAhead reads an answer up to its end, to maxBufferedBytes, or as far as the budget has room; err is io.EOF at its end.
 func (c *callRun) readAhead(resp *http.Response) (data []byte, err error) {
-	if c.ahead == nil {
-		c.ahead = c.h.Memory.Open(inbound.Answers, nil)
-	}
+	c.openAhead()
 	data = make([]byte, 0, firstAnswerBytes)
 	for len(data) < maxBufferedBytes {
 		if len(data) == cap(data) {
@@ -45,6 +43,14 @@
 	return data, nil
 }
 
+// openAhead returns the room that what is read of answers takes until the call ends.
+func (c *callRun) openAhead() *inbound.Hold {
+	if c.ahead == nil {
+		c.ahead = c.h.Memory.Open(inbound.Answers, nil)
+	}
+	return c.ahead
+}
+
 // copyRest relays the rest of a large answer, of which the caller has what was read ahead.
 func (c *callRun) copyRest(rest io.Reader) error {
 	c.ahead.Release()
--- a/internal/api/ingress/relay.go
+++ b/internal/api/ingress/relay.go
@@ -220,7 +220,7 @@
 	stallLimit := c.stallLimit()
 	stallTimer := time.AfterFunc(stallLimit, c.abortOnStall(ex.Abort))
 	defer stallTimer.Stop()
-	events := newEventReader(ex.Response.Body, c.lastEventID)
+	events := newEventReader(ex.Response.Body, c.lastEventID, c.openAhead())
 	if !c.headSent {
 		c.headSent = true
 		c.firstByte = time.Since(c.start)
