Bound answers that are skipped

On a reused connection an answer without the call's ID is skipped, whatever its size: a server that sent one without end held the call, and a share of the processor, until the deadline. Up to 8 MB are skipped now; a longer one counts as a broken connection.

--- a/internal/backend/http1/client_test.go
+++ b/internal/backend/http1/client_test.go
@@ -420,3 +420,28 @@
 	}
 	is.Equal(used(), int64(0))
 }
+
+// Guards against a call that reads an answer which is not its own for as long as the server sends.
+func TestSkippedResponseWithoutEndIsBounded(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan struct{})
+	s := startServer(t, func(c net.Conn, r *bufio.Reader) {
+		defer close(closed)
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		block := make([]byte, 64<<10)
+		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n")
+		for err == nil {
+			_, err = c.Write(block)
+		}
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	e, err := newClient().Do(ctx, s.addr, getRequest("/a"))
+	is.NoErr(err)
+	is.True(e.SkipResponse(ctx, &http.Request{Method: http.MethodGet}) != nil)
+	is.NoErr(ctx.Err())
+	e.Abort()
+	<-closed
+}
--- a/internal/backend/http1/conn.go
+++ b/internal/backend/http1/conn.go
@@ -26,6 +26,9 @@
 	// sends a head without end does not take this VM's memory.
 	maxHeadBytes = 64 << 10
 
+	// maxSkippedBytes bounds a response that is skipped, which is a copy of an earlier one.
+	maxSkippedBytes = 8 << 20
+
 	// headLineBytes is how many bytes a line of a head counts besides its own: what it takes when decoded and copied for the caller.
 	headLineBytes = 256
 
@@ -36,6 +39,8 @@
 var (
 	errHeadTooLarge = errors.Newf("head of the response exceeds %d bytes", maxHeadBytes)
 	errNoRoom       = errors.New("no memory for the head of the response beside other answers")
+
+	errSkippedTooLarge = errors.Newf("response to another request exceeds %d bytes", maxSkippedBytes)
 )
 
 // A conn is one connection; its read loop detects that the server closed the connection even while it is idle.
@@ -232,7 +237,11 @@
 // The connection is not reused afterwards.
 func (e *Exchange) SkipResponse(ctx context.Context, req *http.Request) error {
 	e.reusable = false
-	if _, err := io.Copy(io.Discard, e.Response.Body); err != nil {
+	_, err := io.CopyN(io.Discard, e.Response.Body, maxSkippedBytes)
+	if err == nil {
+		return errSkippedTooLarge
+	}
+	if !errors.Is(err, io.EOF) {
 		return err
 	}
 	if e.Response.Close {
