Bound the answers of plain services that a VM holds at the same time

A call of the inference API to a plain service reads the whole answer, up to 8 MB, and net/http up to 10 MB of its head. 80 calls whose answers didn't end, or stopped short, took several times the VM's memory. Beyond 16 KB an answer now takes room in the memory for answers until its call has ended, and heads have 16 KB. Without room the call fails like one with a longer answer.

--- a/internal/api/caller/handler.go
+++ b/internal/api/caller/handler.go
@@ -88,6 +88,8 @@
 		ctx, cancel := context.WithCancelCause(r.Context())
 		defer cancel(nil)
 		defer h.ending.Notify(func() { cancel(errStopping) })()
+		ctx, endRoom := h.Memory.WithRoom(ctx)
+		defer endRoom()
 		f(w, r.WithContext(ctx))
 	}
 }
--- a/internal/backend/service/client.go
+++ b/internal/backend/service/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/geraniumdeck/geraniumdeck/internal/api/inbound"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	"github.com/geraniumdeck/geraniumdeck/internal/wire/eventstream"
 	"github.com/geraniumdeck/geraniumdeck/internal/wire/notice"
@@ -24,6 +25,15 @@
 const (
 	dialTimeout      = 2 * time.Second
 	maxResponseBytes = 8 << 20
+	maxHeadBytes     = 16 << 10 // of a response
+
+	// freeResponseBytes of a response take no room in the memory for answers.
+	freeResponseBytes = 16 << 10
+)
+
+var (
+	errTooLarge = errors.New("the answer exceeds 8 MiB")
+	errNoRoom   = errors.New("no memory for the answer beside others")
 )
 
 // Headers of calls to plain services and of their responses.
@@ -53,7 +63,9 @@
 		dial: dial,
 		// Answers don't name their calls, so on a connection that has carried other calls a copy of an earlier answer could be taken for
 		// the one to the next call. net/http may also send a call again whose connection the instance had closed.
-		transport: &http.Transport{DialContext: dial, DisableCompression: true, DisableKeepAlives: true},
+		transport: &http.Transport{
+			DialContext: dial, DisableCompression: true, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes,
+		},
 	}
 }
 
@@ -76,7 +88,7 @@
 	return false
 }
 
-// Call implements deck.ServiceClient.Call.
+// Call implements deck.ServiceClient.Call. The answer takes space in the inbound.Room of the context.
 func (c *Client) Call(ctx context.Context, address string, call deck.ServiceCall) deck.ServiceAnswer {
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
@@ -94,7 +106,7 @@
 		}
 	}
 	defer resp.Body.Close()
-	answer := readResponse(resp)
+	answer := readResponse(resp, inbound.RoomOf(ctx))
 	answer.Notice = notice.FromHeader(resp.StatusCode, resp.Header)
 	return answer
 }
@@ -133,17 +145,14 @@
 }
 
 // readResponse reads a response. If its body can't be read to the end, the outcome is unknown, since the call may have run.
-func readResponse(resp *http.Response) deck.ServiceAnswer {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+func readResponse(resp *http.Response, room *inbound.Room) deck.ServiceAnswer {
+	body, err := readBody(resp.Body, room)
 	if isNotRun(resp) {
 		return deck.ServiceAnswer{Outcome: deck.OutcomeNotRun, Reason: "the service refused: " + truncate(body)}
 	}
 	if err != nil {
 		return deck.ServiceAnswer{Reason: errors.Wrap(err, "answer").Error(), Interrupted: isClosedByPeer(err)}
 	}
-	if len(body) > maxResponseBytes {
-		return deck.ServiceAnswer{Reason: "the answer exceeds 8 MiB"}
-	}
 	if eventstream.IsBrokenOff(resp.Header, body) {
 		return deck.ServiceAnswer{Reason: "the answer ends within an event"}
 	}
@@ -154,6 +163,37 @@
 	return deck.ServiceAnswer{Outcome: deck.OutcomeDone, Status: resp.StatusCode, Headers: headers, Body: body}
 }
 
+// readBody reads a body within the room that there is. After an error it gives the room back.
+func readBody(r io.Reader, room *inbound.Room) ([]byte, error) {
+	body := make([]byte, 0, freeResponseBytes)
+	taken := int64(0)
+	fail := func(err error) ([]byte, error) {
+		room.Shrink(taken)
+		return body, err
+	}
+	for {
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case len(body) > maxResponseBytes:
+			return fail(errTooLarge)
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return fail(err)
+		case len(body) < cap(body):
+			continue
+		}
+		size := min(2*cap(body), maxResponseBytes+1)
+		more := int64(min(size, maxResponseBytes)) - taken
+		if !room.Grow(more) {
+			return fail(errNoRoom)
+		}
+		taken += more
+		body = append(make([]byte, 0, size), body...)
+	}
+}
+
 func isNotRun(resp *http.Response) bool {
 	return resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderNotRun) == "true"
 }
--- a/internal/backend/service/client_test.go
+++ b/internal/backend/service/client_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/geraniumdeck/geraniumdeck/internal/api/inbound"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	"github.com/geraniumdeck/geraniumdeck/internal/test/decktest"
 )
@@ -170,6 +171,39 @@
 	}
 }
 
+// TestAnswersTakeTheRoomThatIsLeft guards against answers that together take a VM's memory, and against ordinary ones that are refused for
+// them.
+func TestAnswersTakeTheRoomThatIsLeft(t *testing.T) {
+	for _, tc := range []struct {
+		bytes   int
+		full    bool
+		outcome deck.Outcome
+	}{
+		{maxResponseBytes, false, deck.OutcomeDone},
+		{10 << 10, true, deck.OutcomeDone},
+		{200 << 10, true, deck.OutcomeUnknown},
+		{maxResponseBytes + 1, false, deck.OutcomeUnknown},
+	} {
+		h := func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, tc.bytes)) }
+		withService(t, h, func(t *testing.T, c *Client, _ *atomic.Int32) {
+			is := is.New(t)
+			memory := &inbound.Budget{Bytes: 4 * maxResponseBytes} // a quarter is for answers
+			other := memory.Open(inbound.Answers, nil)
+			if tc.full {
+				is.True(other.Grow(maxResponseBytes))
+			}
+			ctx, end := memory.WithRoom(t.Context())
+			a := c.Call(ctx, address, keyed)
+			is.Equal(a.Outcome, tc.outcome)
+			is.Equal(memory.Usage(inbound.Answers).Bytes == 0, !tc.full && tc.outcome == deck.OutcomeUnknown)
+			end()
+			other.Release()
+			is.Equal(memory.Usage(inbound.Answers).Bytes, int64(0))
+			is.True(!inbound.RoomOf(ctx).Grow(1))
+		})
+	}
+}
+
 // TestContent guards against a call or a response that is changed in transit.
 func TestContent(t *testing.T) {
 	var got *http.Request
