--- a/internal/backend/http1/client_test.go
+++ b/internal/backend/http1/client_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/geraniumdeck/geraniumdeck/internal/api/inbound"
 	"github.com/geraniumdeck/geraniumdeck/internal/backend/http1"
 )
 
@@ -382,3 +383,65 @@
 		})
 	}
 }
+
+// Guards against heads of answers that together take a VM's memory, and against ordinary ones that are refused for them.
+func TestHeadsShareTheMemory(t *testing.T) {
+	is := is.New(t)
+	s := startServer(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			lines := ""
+			if req.URL.Path == "/many" {
+				lines = strings.Repeat("A:\r\n", 3000)
+			}
+			_, _ = io.WriteString(c, strings.Replace(okResponse, "\r\n\r\n", "\r\n"+lines+"\r\n", 1))
+		}
+	})
+	c := newClient()
+	c.Memory = &inbound.Budget{Bytes: 4 << 20} // a quarter is for answers
+	used := func() int64 { return c.Memory.Usage(inbound.Answers).Bytes }
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	e, err := c.Do(ctx, s.addr, getRequest("/many"))
+	is.NoErr(err)
+	readAll(t, e)
+	is.True(used() > 3000*100)
+	_, err = c.Do(ctx, s.addr, getRequest("/many"))
+	is.True(err != nil)
+	e, err = c.Do(ctx, s.addr, getRequest("/"))
+	is.NoErr(err)
+	readAll(t, e)
+	cancel()
+	for deadline := time.Now().Add(5 * time.Second); used() > 0 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(used(), int64(0))
+}
+
+// Guards against a call that reads an answer which is not its own for as long as the server sends.
+func TestSkippedResponseWithoutEndIsBounded(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan struct{})
+	s := startServer(t, func(c net.Conn, r *bufio.Reader) {
+		defer close(closed)
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		block := make([]byte, 64<<10)
+		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n")
+		for err == nil {
+			_, err = c.Write(block)
+		}
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	e, err := newClient().Do(ctx, s.addr, getRequest("/a"))
+	is.NoErr(err)
+	is.True(e.SkipResponse(ctx, &http.Request{Method: http.MethodGet}) != nil)
+	is.NoErr(ctx.Err())
+	e.Abort()
+	<-closed
+}
--- a/internal/backend/http1/conn.go
+++ b/internal/backend/http1/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -25,9 +26,23 @@
 	// maxHeadBytes bounds the head of a response together with the interim responses before it, so that a backend server that
 	// sends a head without end does not take this VM's memory.
 	maxHeadBytes = 64 << 10
+
+	// maxSkippedBytes bounds a response that is skipped, which is a copy of an earlier one.
+	maxSkippedBytes = 8 << 20
+
+	// headLineBytes is how many bytes a line of a head counts besides its own: what it takes when decoded and copied for the caller.
+	headLineBytes = 256
+
+	// freeHeadBytes of a head take no room in the memory for answers.
+	freeHeadBytes = 16 << 10
 )
 
-var errHeadTooLarge = errors.Newf("head of the response exceeds %d bytes", maxHeadBytes)
+var (
+	errHeadTooLarge = errors.Newf("head of the response exceeds %d bytes", maxHeadBytes)
+	errNoRoom       = errors.New("no memory for the head of the response beside other answers")
+
+	errSkippedTooLarge = errors.Newf("response to another request exceeds %d bytes", maxSkippedBytes)
+)
 
 // A conn is one connection; its read loop detects that the server closed the connection even while it is idle.
 type conn struct {
@@ -41,8 +56,9 @@
 	closed    chan struct{}      // closed together with the socket
 	closeOnce sync.Once
 
-	ids               []uint64 // fingerprints of the IDs of the requests that it has carried; 0 for one without
-	unidentified      bool     // the last request was Unidentified
+	ids               []uint64  // fingerprints of the IDs of the requests that it has carried; 0 for one without
+	room              *headRoom // of the last request
+	unidentified      bool      // the last request was Unidentified
 	idleSince         time.Time
 	serverIdleTimeout time.Duration // from the server's Keep-Alive header; 0 if it sent none
 }
@@ -97,7 +113,12 @@
 		default:
 			return
 		}
-		c.limit.start(maxHeadBytes)
+		c.limit.start(maxHeadBytes, c.room)
+		begin, _ := c.reader.Peek(c.reader.Buffered()) // never fails
+		if !c.limit.count(begin) {
+			c.deliver(result{err: errNoRoom})
+			return
+		}
 		resp, err := readResponse(c.reader, req) //nolint:bodyclose // the receiver of the result closes it
 		c.limit.stop()
 		if !c.deliver(result{resp, err}) || err != nil {
@@ -111,16 +132,18 @@
 	}
 }
 
-// A headLimiter passes bytes on from a connection, while a head is read no more than a given number. It is used by one goroutine at
-// a time: the read loop until the head is delivered, then the reader of the body.
+// A headLimiter passes bytes on from a connection, while a head is read no more than a given number, and only within the room that there
+// is. It is used by one goroutine at a time: the read loop until the head is delivered, then the reader of the body.
 type headLimiter struct {
 	source  io.Reader
 	limited bool
 	left    int // bytes that may still be read while limited
+	free    int // bytes that still take no room
+	room    *headRoom
 }
 
-func (l *headLimiter) start(n int) {
-	l.limited, l.left = true, n
+func (l *headLimiter) start(n int, room *headRoom) {
+	l.limited, l.left, l.free, l.room = true, n, freeHeadBytes, room
 }
 
 func (l *headLimiter) stop() {
@@ -137,9 +160,23 @@
 	}
 	n, err := l.source.Read(p[:min(len(p), l.left)])
 	l.left -= n
+	if !l.count(p[:n]) {
+		return 0, errNoRoom
+	}
 	return n, err
 }
 
+// count takes the room for bytes of a head, which the beginning of a body may follow, and reports whether there was some.
+func (l *headLimiter) count(p []byte) bool {
+	if head, rest, ok := bytes.Cut(p, []byte("\r\n\r\n")); ok && !bytes.HasPrefix(rest, []byte("HTTP/")) {
+		p = head
+	}
+	cost := len(p) + headLineBytes*bytes.Count(p, []byte("\n"))
+	free := min(l.free, cost)
+	l.free -= free
+	return l.room.grow(cost - free)
+}
+
 // deliver passes a result on without blocking, since nothing receives from an idle connection; it reports whether the
 // result was passed on.
 func (c *conn) deliver(r result) bool {
@@ -208,7 +245,11 @@
 // The connection is not reused afterwards.
 func (e *Exchange) SkipResponse(ctx context.Context, req *http.Request) error {
 	e.reusable = false
-	if _, err := io.Copy(io.Discard, e.Response.Body); err != nil {
+	_, err := io.CopyN(io.Discard, e.Response.Body, maxSkippedBytes)
+	if err == nil {
+		return errSkippedTooLarge
+	}
+	if !errors.Is(err, io.EOF) {
 		return err
 	}
 	if e.Response.Close {
--- a/internal/command/node/node.go
+++ b/internal/command/node/node.go
@@ -190,13 +190,14 @@
 	return dial(ctx, network, address)
 }
 
-// newPeerClient returns a client for requests to other VMs and to the platform.
+// newPeerClient returns a client for requests to other VMs, to the platform and, besides calls and orders, to engines.
 func newPeerClient() *http.Client {
 	return &http.Client{Transport: part.TrimHeadersTransport{Next: &http.Transport{
-		DialContext:         dialPeer,
-		MaxIdleConnsPerHost: 4,
-		DisableCompression:  true,
-		IdleConnTimeout:     peerIdleTimeout,
+		DialContext:            dialPeer,
+		MaxIdleConnsPerHost:    4,
+		MaxResponseHeaderBytes: part.MaxResponseHeadBytes,
+		DisableCompression:     true,
+		IdleConnTimeout:        peerIdleTimeout,
 	}}}
 }
 
