Let engines name the version of their software

Engines of several software versions may serve side by side, and what two versions write doesn't fit together, but nothing in the engine protocol told them apart. An engine now names the version of its software in the header Software-Version of the response with a token stream, and in the field software-version of its report. Engines that name none count as one version.

Nothing decides on the version yet.

go test -race ./internal/emulate/engine ./internal/wire/engine ./internal/backend/engine ./internal/command/cli: ok

--- a/internal/backend/engine/client.go
+++ b/internal/backend/engine/client.go
@@ -108,6 +108,7 @@
 		body:        body,
 		eventReader: newEventReader(body),
 		bootID:      bootID,
+		software:    deck.SoftwareVersion(resp.Header.Get(wire.HeaderSoftwareVersion)),
 		unframed:    eventstream.EndsWithConnection(resp),
 		nextOffset:  g.Offset,
 	}, nil
--- a/internal/backend/engine/stream.go
+++ b/internal/backend/engine/stream.go
@@ -28,14 +28,16 @@
 	body        *stallTimedBody
 	eventReader *eventReader
 	bootID      string
+	software    deck.SoftwareVersion
 	unframed    bool // the response ends with its connection
 	nextOffset  int  // expected offset of the next token
 	done        bool
 }
 
 var (
-	_ deck.TokenStream    = (*stream)(nil)
-	_ deck.BootIdentified = (*stream)(nil)
+	_ deck.TokenStream        = (*stream)(nil)
+	_ deck.BootIdentified     = (*stream)(nil)
+	_ deck.SoftwareIdentified = (*stream)(nil)
 )
 
 // BootID implements deck.BootIdentified.BootID.
@@ -43,6 +45,11 @@
 	return s.bootID
 }
 
+// Software implements deck.SoftwareIdentified.Software.
+func (s *stream) Software() deck.SoftwareVersion {
+	return s.software
+}
+
 // Close implements deck.TokenStream.Close.
 func (s *stream) Close() error {
 	if s.done {
--- a/internal/command/cli/emulate.go
+++ b/internal/command/cli/emulate.go
@@ -61,7 +61,7 @@
 
 func (c *config) addEmulateEngine(parent *kingpin.CmdClause, listen *string) {
 	var cfg engine.Config
-	var name string
+	var name, software string
 	var memoryGiB int64
 	cmd := parent.Command("engine", emulateEngineHelp)
 	cmd.Flag("name", "Name of the backend server.").Required().StringVar(&name)
@@ -70,9 +70,10 @@
 	cmd.Flag("max-batch", "Largest number of requests in a batch.").Default("32").IntVar(&cfg.MaxBatch)
 	cmd.Flag("token-interval", "Time between tokens at a batch of one.").Default("10ms").DurationVar(&cfg.TokenInterval)
 	cmd.Flag("load-time", "Time to load a model without a weight store.").Default("200ms").DurationVar(&cfg.LoadTime)
+	cmd.Flag("software-version", "Version of the engine's software.").StringVar(&software)
 	cmd.Flag("weight-store", "Base URL of the weight store.").StringVar(&cfg.WeightStore)
 	cmd.Action(func(*kingpin.ParseContext) error {
-		cfg.Backend = deck.BackendName(name)
+		cfg.Backend, cfg.Software = deck.BackendName(name), deck.SoftwareVersion(software)
 		cfg.MemoryBytes = deck.Bytes(memoryGiB) * deck.GiB
 		e := engine.New(cfg)
 		defer e.Close()
--- a/internal/core/deck/engine.go
+++ b/internal/core/deck/engine.go
@@ -60,6 +60,12 @@
 	Next(ctx context.Context) (Token, error)
 }
 
+// A SoftwareIdentified value comes from an engine that may have named the version of its software.
+type SoftwareIdentified interface {
+	// Software returns the version of the engine's software; it is empty if the engine named none.
+	Software() SoftwareVersion
+}
+
 // CacheEvents are prefix-cache events of an engine, which may have gaps.
 type CacheEvents struct {
 	Events       []CacheEvent
@@ -89,6 +95,7 @@
 	Draining     bool
 	FencingToken uint64 // highest token seen
 	Operations   []OperationID
+	Software     SoftwareVersion
 }
 
 // A ResidentModel is a model version that an engine holds or is loading.
--- a/internal/emulate/engine/engine.go
+++ b/internal/emulate/engine/engine.go
@@ -24,6 +24,7 @@
 	TokenInterval time.Duration // time between tokens at a batch of one
 	LoadTime      time.Duration // time to load a model without a weight store
 	WeightStore   string        // base URL; if empty, models load in LoadTime
+	Software      deck.SoftwareVersion
 }
 
 // Defaults of a Config.
@@ -49,6 +50,7 @@
 
 	mu            sync.Mutex
 	bootID        string
+	software      deck.SoftwareVersion
 	processCtx    context.Context // ends when the emulated process crashes or the engine closes
 	cancelProcess context.CancelFunc
 	faults        Faults
@@ -71,7 +73,7 @@
 	setDefault(&cfg.LoadTime, defaultLoadTime)
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Engine{
-		cfg: cfg, client: &http.Client{}, group: &errgroup.Group{}, ctx: ctx, cancel: cancel, done: make(chan struct{}),
+		cfg: cfg, software: cfg.Software, client: &http.Client{}, group: &errgroup.Group{}, ctx: ctx, cancel: cancel, done: make(chan struct{}),
 		kv: make(map[deck.RequestID][]byte),
 	}
 	e.mu.Lock()
@@ -138,6 +140,9 @@
 // startProcess starts a new emulated process with empty state; the caller holds e.mu.
 func (e *Engine) startProcess() {
 	e.bootID = rand.Text()
+	if e.faults.Software != "" {
+		e.software = e.faults.Software
+	}
 	e.processCtx, e.cancelProcess = context.WithCancel(e.ctx)
 	e.state = newState()
 	e.batch = batch{requests: make(map[deck.RequestID]*request)}
@@ -150,7 +155,7 @@
 	defer e.mu.Unlock()
 	writeJSON(w, statusWire{
 		Overcommits: e.overcommits, UsedBytes: int64(e.state.usedBytes()), MemoryBytes: int64(e.cfg.MemoryBytes), BootID: e.bootID,
-		Accepted: e.accepted, Refused: e.refused, Crashes: e.crashes,
+		Accepted: e.accepted, Refused: e.refused, Crashes: e.crashes, Software: string(e.software),
 	})
 }
 
@@ -162,6 +167,7 @@
 	Accepted    int    `json:"accepted-requests"`
 	Refused     int    `json:"refused-requests"`
 	Crashes     int    `json:"crashes"`
+	Software    string `json:"software-version"`
 }
 
 func setDefault[T comparable](v *T, def T) {
--- a/internal/emulate/engine/engine_test.go
+++ b/internal/emulate/engine/engine_test.go
@@ -149,3 +149,23 @@
 	is.True(!l.after(3).Gap)
 	is.Equal(len(l.after(0).Events), 4)
 }
+
+// Guards against a software version that the header, the report or the tokens lack, and against one that changes without a restart.
+func TestSoftwareVersion(t *testing.T) {
+	is := is.New(t)
+	e, srv := startEngine(t, Config{MemoryBytes: 100, Software: "v1"})
+	for _, want := range []deck.SoftwareVersion{"v1", "v2"} {
+		e.acceptOperation(loadOperation("a", "m", 6, 1))
+		waitFor(t, "load", func() bool { return firstModelReady(e) })
+		resp, err := http.Post(srv.URL+wire.PathCompletions, "application/json", strings.NewReader(`{"model":"m","max_tokens":1}`))
+		is.NoErr(err)
+		body, err := io.ReadAll(resp.Body)
+		is.NoErr(err)
+		_ = resp.Body.Close()
+		is.Equal(resp.Header.Get(wire.HeaderSoftwareVersion), string(want))
+		is.True(strings.Contains(string(body), "-0@"+string(want)+" "))
+		e.SetFaults(Faults{Software: "v2"})
+		is.Equal(e.Report().Software, want)
+		e.Crash()
+	}
+}
--- a/internal/emulate/engine/faults.go
+++ b/internal/emulate/engine/faults.go
@@ -23,6 +23,7 @@
 	CrashOn          string        // a request whose body contains this text crashes the engine
 	Draining         bool          // new generation requests are refused
 	Notice           deck.ServerNotice
+	Software         deck.SoftwareVersion // of the next emulated process; empty for the same as before
 }
 
 type faultsWire struct {
@@ -36,10 +37,11 @@
 	SilentStreams     int     `json:"silent-streams"`
 	CrashOn           string  `json:"crash-on"`
 	Draining          bool    `json:"draining"`
-	Leaving           bool    `json:"leaving"`  // said in answers to generation requests
-	PauseMs           int     `json:"pause-ms"` // asked for in refusals of all generation requests; 0 refuses none
-	Limit             float64 `json:"limit"`    // requests a second, said in answers to generation requests; 0 for none
-	Crash             bool    `json:"crash"`    // crash now
+	Leaving           bool    `json:"leaving"`          // said in answers to generation requests
+	PauseMs           int     `json:"pause-ms"`         // asked for in refusals of all generation requests; 0 refuses none
+	Limit             float64 `json:"limit"`            // requests a second, said in answers to generation requests; 0 for none
+	Software          string  `json:"software-version"` // of the next process
+	Crash             bool    `json:"crash"`            // crash now
 }
 
 // SetFaults replaces the fault settings.
@@ -71,6 +73,7 @@
 		Notice: deck.ServerNotice{
 			Leaving: f.Leaving, Pause: time.Duration(f.PauseMs) * time.Millisecond, Limited: f.Limit > 0, Limit: f.Limit,
 		},
+		Software: deck.SoftwareVersion(f.Software),
 	})
 	if f.Crash {
 		e.Crash()
--- a/internal/emulate/engine/generate.go
+++ b/internal/emulate/engine/generate.go
@@ -34,8 +34,11 @@
 }
 
 // TokenText returns the text of token i of the answer to a request body; it differs between bodies, so that tests can tell which
-// request an answer belongs to.
-func TokenText(body []byte, i int) string {
+// request an answer belongs to. With a software version it names the version as well.
+func TokenText(body []byte, i int, software deck.SoftwareVersion) string {
+	if software != "" {
+		return fmt.Sprintf("%08x-%d@%s ", uint32(xxhash.Sum64(body)), i, software)
+	}
 	return fmt.Sprintf("%08x-%d ", uint32(xxhash.Sum64(body)), i)
 }
 
@@ -68,6 +71,7 @@
 	engine        *Engine
 	req           *request
 	body          []byte
+	software      deck.SoftwareVersion
 	chat          bool
 	nextToken     int // offset of the next token
 	totalTokens   int
@@ -106,7 +110,13 @@
 		e.crash()
 		panic(http.ErrAbortHandler)
 	}
-	s := &stream{engine: e, body: body, chat: r.URL.Path == wire.PathChatCompletions, totalTokens: c.MaxTokens, silentAfter: -1}
+	s := &stream{
+		engine: e, body: body, software: e.software, chat: r.URL.Path == wire.PathChatCompletions, totalTokens: c.MaxTokens,
+		silentAfter: -1,
+	}
+	if e.software != "" {
+		w.Header().Set(wire.HeaderSoftwareVersion, string(e.software))
+	}
 	if id := r.Header.Get(wire.HeaderLastEventID); id != "" {
 		n, err := strconv.Atoi(id)
 		if err != nil || n < 0 {
@@ -249,7 +259,7 @@
 		<-s.req.ctx.Done()
 		panic(http.ErrAbortHandler)
 	}
-	data := s.chunk(TokenText(s.body, s.nextToken))
+	data := s.chunk(TokenText(s.body, s.nextToken, s.software))
 	_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", s.nextToken, data)
 	s.nextToken++
 }
--- a/internal/emulate/engine/report.go
+++ b/internal/emulate/engine/report.go
@@ -50,6 +50,7 @@
 		Draining:     e.faults.Draining,
 		FencingToken: e.state.fencingToken,
 		Operations:   append([]deck.OperationID(nil), ops...),
+		Software:     e.software,
 	}
 }
 
--- a/internal/wire/engine/mapping.go
+++ b/internal/wire/engine/mapping.go
@@ -87,6 +87,7 @@
 		Draining:     r.Draining,
 		FencingToken: r.FencingToken,
 		Operations:   convertStrings[string](r.Operations),
+		Software:     string(r.Software),
 	}
 	for _, m := range r.Models {
 		w.Models = append(w.Models, ResidentModel{string(m.Model), string(m.Version), m.Ready, int64(m.Bytes)})
@@ -124,6 +125,7 @@
 		Draining:     w.Draining,
 		FencingToken: w.FencingToken,
 		Operations:   convertStrings[deck.OperationID](w.Operations),
+		Software:     deck.SoftwareVersion(w.Software),
 	}
 	for _, m := range w.Models {
 		if !isSize(m.Bytes) {
--- a/internal/wire/engine/mapping_test.go
+++ b/internal/wire/engine/mapping_test.go
@@ -23,7 +23,7 @@
 		Backend: "e", BootID: "b", TakenAt: at, Running: 1, Queued: 2, QueuedTokens: 3, UsedBytes: 4,
 		Models:   []deck.ResidentModel{{Model: "m", Version: "v", Ready: true, Bytes: 5}},
 		Adapters: []deck.AdapterName{"a"}, Role: deck.RolePrefill, Draining: true, FencingToken: 6,
-		Operations: []deck.OperationID{"o"},
+		Operations: []deck.OperationID{"o"}, Software: "1.2",
 	}
 	events := deck.CacheEvents{
 		Events: []deck.CacheEvent{{Sequence: 1, Prefix: math.MaxUint64, Evicted: true}}, LastSequence: 1, Gap: true,
--- a/internal/wire/engine/protocol.go
+++ b/internal/wire/engine/protocol.go
@@ -23,10 +23,12 @@
 	HeaderLastEventID  = "Last-Event-ID"
 )
 
-// Headers of an engine's responses; HeaderDraining is "true" on the 503 response of an engine that is draining.
+// Headers of an engine's responses; HeaderDraining is "true" on the 503 response of an engine that is draining. HeaderSoftwareVersion
+// names the version of the engine's software on the response with a token stream; engines that name none count as one version.
 const (
-	HeaderBootID   = "Boot-ID"
-	HeaderDraining = "Draining"
+	HeaderBootID          = "Boot-ID"
+	HeaderDraining        = "Draining"
+	HeaderSoftwareVersion = "Software-Version"
 )
 
 // DoneData is the data of the event that ends a complete token stream. The event's id, if it has one, is the number of tokens.
@@ -87,6 +89,7 @@
 	Draining     bool            `json:"draining,omitempty"`
 	FencingToken uint64          `json:"fencing-token"`
 	Operations   []string        `json:"operations,omitempty"`
+	Software     string          `json:"software-version,omitempty"`
 }
 
 // A ResidentModel is a model version that an engine holds or is loading, as listed in a report.
