Continue an answer only at the software version that began it

What callers saw: while engines of two software versions served side by side, an answer whose engine broke held tokens of both versions and ended as a whole one.

Cause: a retried, reconnected, hedged or preempted attempt went to any engine that holds the model. Nothing on this path knew of software versions.

Change: the response that brings the first delivered token decides on the version of the answer. Lifecycle, a pure state machine as before, gets the version with the acceptance of an attempt. An attempt at another version fails with the kind other-software before any of its tokens is taken: it is cancelled at the engine, the engine isn't blamed, the retry budget isn't charged. The version goes to the router with the choice of a server, which passes over servers that are known to run another one, by their last report or response, and uses servers of unknown version only if no other is usable. Requests that wait for a server of their version don't hold back others and are refused once none is left. While no engine of the version serves, the answer waits up to the limits for a model that is not loaded, and is then cut off. Requests without a version are routed as before.

--- a/internal/api/caller/fixture_test.go
+++ b/internal/api/caller/fixture_test.go
@@ -36,6 +36,7 @@
 	usage    bool     // the last chunk has the token usage
 	crashOn  string   // the engine process crashes when it begins to answer a request with this text in its body
 	crashes  int
+	software string // the version that the engine names; empty for none
 	requests []*http.Request
 	bodies   []string
 	cancels  []string
@@ -57,6 +58,9 @@
 	data, _ := io.ReadAll(r.Body)
 	e.mu.Lock()
 	w.Header().Set("Boot-ID", "b"+strconv.Itoa(1+e.crashes))
+	if e.software != "" {
+		w.Header().Set("Software-Version", e.software)
+	}
 	if r.URL.Path == "/engine/cancel" {
 		e.cancels = append(e.cancels, string(data))
 		e.mu.Unlock()
--- a/internal/api/caller/handler.go
+++ b/internal/api/caller/handler.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-logr/logr"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/api/inbound"
@@ -38,7 +39,8 @@
 	Memory       *inbound.Budget             // for requests; nil for no bound
 	Recorder     deck.RequestRecorder        // receives a summary of each finished request; may be nil
 	Restraints   *restraint.Table            // what backend servers say about the requests that they take; nil for an empty one
-	DrainTimeout time.Duration               // after the start of Drain the process ends; 0 for no limit
+	Log          logr.Logger
+	DrainTimeout time.Duration // after the start of Drain the process ends; 0 for no limit
 
 	once     sync.Once
 	mux      *http.ServeMux
@@ -64,7 +66,7 @@
 		h.Restraints = &restraint.Table{}
 	}
 	h.runner = attempt.NewRunner(h.Router, h.Engine, h.Poison, h.Clock, h.VM)
-	h.runner.Restraints = h.Restraints
+	h.runner.Restraints, h.runner.Log = h.Restraints, h.Log
 	h.inFlight.limit = h.MaxStreams
 	if h.inFlight.limit == 0 {
 		h.inFlight.limit = defaultMaxStreams
--- a/internal/api/caller/meteredsink.go
+++ b/internal/api/caller/meteredsink.go
@@ -57,7 +57,7 @@
 func (s *meteredSink) summary(info deck.RequestInfo, r attempt.Result) deck.RequestSummary {
 	return deck.RequestSummary{
 		Class: info.Class, Model: info.Model, Result: requestResult(r.Kind), TimeToFirstToken: s.firstToken,
-		TokenGapP95: s.betweenTokens(), Tokens: s.tokens, Attempts: r.Attempts,
+		TokenGapP95: s.betweenTokens(), Tokens: s.tokens, Attempts: r.Attempts, OtherSoftware: r.OtherSoftware,
 	}
 }
 
--- a/internal/command/process/serving.go
+++ b/internal/command/process/serving.go
@@ -54,7 +54,7 @@
 		Router: r, Engine: eng.Engine, State: d.store, Residency: res, Services: service.New(nil), Idempotency: commands,
 		Poison: commands, Clock: d.clock, VM: d.vm.Name, DataCentre: d.vm.DataCentre,
 		MaxStreams: d.settings.Limits.MaxStreams, MaxBodyBytes: d.settings.Limits.MaxBodyBytes, Recorder: reporter,
-		Leaving: r.IsListedAsLeaving, Memory: d.guard.Memory, Restraints: d.restraints, DrainTimeout: d.settings.Limits.DrainTimeout,
+		Leaving: r.IsListedAsLeaving, Memory: d.guard.Memory, Restraints: d.restraints, DrainTimeout: d.settings.Limits.DrainTimeout, Log: d.log,
 	}
 	w := watch.New(watch.Config{
 		VM: d.vm.Name, Clock: d.clock, State: d.store, Residency: res, Client: eng.Engine, Sink: r,
--- a/internal/core/deck/engineerror.go
+++ b/internal/core/deck/engineerror.go
@@ -7,20 +7,23 @@
 
 // The kinds of engine error.
 const (
-	EngineFailed      EngineErrorKind = iota // the engine answered with an error or broke the protocol
-	EngineUnreachable                        // no connection was made, so nothing was sent
-	EngineStalled                            // no byte arrived on the connection within the stall timeout
-	EngineConnClosed                         // a pooled connection was closed, but the engine did not restart
-	EngineCrashed                            // the connection was reset or the boot ID changed
-	EngineDraining                           // the engine refused because it is draining; nothing ran
-	EngineRejected                           // the engine refused the request's content; nothing ran
-	EngineNotLoaded                          // the engine does not hold the model or adapter; nothing ran
-	EngineRefused                            // the engine takes no requests for a while; nothing ran
+	EngineFailed        EngineErrorKind = iota // the engine answered with an error or broke the protocol
+	EngineUnreachable                          // no connection was made, so nothing was sent
+	EngineStalled                              // no byte arrived on the connection within the stall timeout
+	EngineConnClosed                           // a pooled connection was closed, but the engine did not restart
+	EngineCrashed                              // the connection was reset or the boot ID changed
+	EngineDraining                             // the engine refused because it is draining; nothing ran
+	EngineRejected                             // the engine refused the request's content; nothing ran
+	EngineNotLoaded                            // the engine does not hold the model or adapter; nothing ran
+	EngineRefused                              // the engine takes no requests for a while; nothing ran
+	EngineOtherSoftware                        // the engine runs another software version than the one that began the answer
 )
 
 // String returns the kind's name as used in logs.
 func (k EngineErrorKind) String() string {
-	names := [...]string{"failed", "unreachable", "stalled", "broken", "crashed", "draining", "rejected", "not-loaded", "refused"}
+	names := [...]string{
+		"failed", "unreachable", "stalled", "broken", "crashed", "draining", "rejected", "not-loaded", "refused", "other-software",
+	}
 	if k < 0 || int(k) >= len(names) {
 		return "invalid"
 	}
--- a/internal/core/deck/requestsummary.go
+++ b/internal/core/deck/requestsummary.go
@@ -36,6 +36,7 @@
 	TokenGapP95      time.Duration // 95th percentile of the gaps between the request's tokens
 	Tokens           int
 	Attempts         int
+	OtherSoftware    int // attempts at engines of another software version than the one that began the answer
 }
 
 // A RequestRecorder receives the summaries of finished requests.
--- a/internal/core/deck/router.go
+++ b/internal/core/deck/router.go
@@ -46,8 +46,9 @@
 
 // An Admission is an admitted request at the router, until it is released.
 type Admission interface {
-	// Choose returns the backend server for the next attempt, avoiding those given unless no other is left.
-	Choose(ctx context.Context, avoid []BackendName) (BackendServer, *Refusal)
+	// Choose returns the backend server for the next attempt, avoiding those given unless no other is left. Unless software is nil, it
+	// is the version that began the answer, and a server that is known to run another one is not chosen.
+	Choose(ctx context.Context, avoid []BackendName, software *SoftwareVersion) (BackendServer, *Refusal)
 
 	// Observe reports an event of an attempt to the router.
 	Observe(o Observation)
@@ -83,4 +84,7 @@
 	Backend BackendName
 	At      time.Time
 	Tokens  int // tokens since the previous observation of the attempt
+
+	// Software is the version that the response to the attempt named; nil if no response has come.
+	Software *SoftwareVersion
 }
--- a/internal/measure/sim/vm.go
+++ b/internal/measure/sim/vm.go
@@ -222,7 +222,7 @@
 func (p *corePolicy) startAttempt(r *request) {
 	b, ok := p.core.TakeReserved(r.attempt.routerRequest)
 	if !ok {
-		p.core.Reselect(r.attempt.routerRequest, nil, p.admissionCallback(r, r.sends))
+		p.core.Reselect(r.attempt.routerRequest, nil, nil, p.admissionCallback(r, r.sends))
 		return
 	}
 	r.attempt.preempted = p.core.Preempted(r.attempt.routerRequest)
@@ -249,7 +249,7 @@
 		p.vm.fleet.preemptions++
 		p.vm.cancelAttempt(r)
 		p.recordObservation(r, deck.ObservedCancel)
-		p.core.Reselect(r.attempt.routerRequest, nil, p.admissionCallback(r, r.sends))
+		p.core.Reselect(r.attempt.routerRequest, nil, nil, p.admissionCallback(r, r.sends))
 	default:
 	}
 }
--- a/internal/route/attempt/execution.go
+++ b/internal/route/attempt/execution.go
@@ -28,6 +28,7 @@
 	handles           map[int]*handle
 	servers           map[deck.BackendName]deck.BackendServer // backend servers of earlier attempts
 	version           *deck.VersionName                       // set with the first token
+	began             deck.RequestID                          // of the attempt that brought the first token
 	preempted         <-chan struct{}
 	handledPreemption <-chan struct{} // preemption channel that was already handled
 	hedgeTimer        *time.Timer
@@ -53,6 +54,7 @@
 	cancel  context.CancelFunc
 	id      deck.RequestID
 	version deck.VersionName
+	backend deck.BackendName
 	engine  deck.Engine
 	permit  *Permit
 
@@ -76,6 +78,7 @@
 				x.recordToken(e.Attempt)
 			}
 			x.recordStart(e)
+			x.logResumption(e)
 			x.step(e.Event)
 		case <-x.hedgeTimerC():
 			x.step(Event{Kind: EventHedgeDue})
@@ -110,13 +113,27 @@
 		e.task.reportUnused(e.server)
 		return
 	}
-	h.engine, h.permit, h.version = e.engine, e.permit, e.version
+	h.engine, h.permit, h.version, h.backend = e.engine, e.permit, e.version, e.server.Name
 	x.servers[e.server.Name] = e.server
 	if c := x.adm.Preempted(); c != x.handledPreemption {
 		x.preempted = c
 	}
 }
 
+// logResumption logs whether an accepted attempt continues the answer at the engine's software version.
+func (x *execution) logResumption(e taskEvent) {
+	h, software := x.handles[e.Attempt], x.lifecycle.software
+	if e.Kind != EventAccepted || h == nil || software == nil {
+		return
+	}
+	message := "answer goes on"
+	if *software != e.Software {
+		message = "attempt refused: the engine's software version did not begin the answer"
+	}
+	x.runner.Log.Info(message, "request", h.id, "began-as", x.began, "backend", h.backend, "boot-id", e.BootID,
+		"software-version", e.Software, "began-at-software-version", *software, "tokens", x.lifecycle.Offset())
+}
+
 func (x *execution) perform(a Action) {
 	switch a.Kind {
 	case ActStart:
@@ -158,7 +175,7 @@
 
 func (x *execution) deliver(a Action) {
 	if x.version == nil {
-		x.version = &x.handles[a.Attempt].version
+		x.version, x.began = &x.handles[a.Attempt].version, x.handles[a.Attempt].id
 	}
 	x.sinkFailed = x.sinkFailed || x.sink.Token(a.Token) != nil
 }
@@ -221,6 +238,8 @@
 		Backend: a.Backend,
 		At:      x.runner.Clock.Now(),
 		Tokens:  a.Tokens,
+
+		Software: a.Software,
 	})
 }
 
@@ -266,14 +285,20 @@
 	if r.Kind == Completed && x.sinkFailed {
 		r.Kind = Disconnected
 	}
+	if r.Kind == Failed && r.Tokens > 0 {
+		x.runner.Log.Info("answer broken off", "began-as", x.began, "began-at-software-version", *x.lifecycle.software, "tokens", r.Tokens,
+			"attempts", r.Attempts, "at-other-software", r.OtherSoftware, "reason", r.Reason)
+	}
 	x.result = &r
 }
 
 // chooseServer returns the router's choice of a backend server for the next attempt.
-func (x *execution) chooseServer(ctx context.Context, avoid []deck.BackendName) (deck.BackendServer, *deck.Refusal) {
+func (x *execution) chooseServer(
+	ctx context.Context, avoid []deck.BackendName, software *deck.SoftwareVersion,
+) (deck.BackendServer, *deck.Refusal) {
 	x.chooseMu.Lock()
 	defer x.chooseMu.Unlock()
-	return x.adm.Choose(ctx, avoid)
+	return x.adm.Choose(ctx, avoid, software)
 }
 
 func (x *execution) armHedgeTimer() {
--- a/internal/route/attempt/lifecycle.go
+++ b/internal/route/attempt/lifecycle.go
@@ -1,6 +1,7 @@
 package attempt
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -39,8 +40,11 @@
 	Kind    EventKind
 	Attempt int
 	At      time.Time
-	Backend deck.BackendName  // for EventSending
-	BootID  string            // for EventAccepted
+	Backend deck.BackendName // for EventSending
+	BootID  string           // for EventAccepted
+
+	Software deck.SoftwareVersion // of the engine, for EventAccepted
+
 	Token   deck.Token        // for EventToken
 	Err     *deck.EngineError // for EventFailed
 	Closed  bool              // for EventFailed: the backend server takes no further requests
@@ -71,7 +75,10 @@
 	Tokens  int                  // for ActObserve
 	Backend deck.BackendName     // for ActObserve and ActReportCrash
 	BootID  string               // for ActReportCrash
-	Result  Result               // for ActFinish
+
+	Software *deck.SoftwareVersion // for ActObserve: of the response to the attempt; nil if none has come
+
+	Result Result // for ActFinish
 }
 
 // A Spec describes an attempt to start.
@@ -82,6 +89,8 @@
 	Delay     time.Duration      // wait before the start
 	Charge    bool               // counts against the retry budget and waits until the budget allows it
 	Hedge     bool               // second attempt for a slow first token; dropped without budget or another backend server
+
+	Software *deck.SoftwareVersion // the version that began the answer; nil if no token has been delivered
 }
 
 // activeAttempt is an attempt that may still contribute to the answer.
@@ -89,7 +98,8 @@
 	spec     Spec
 	backend  deck.BackendName
 	bootID   string
-	inFlight bool // the router counts it as in flight on the backend server
+	software *deck.SoftwareVersion // of the engine; nil until it has accepted the attempt
+	inFlight bool                  // the router counts it as in flight on the backend server
 	sent     bool
 }
 
@@ -99,9 +109,11 @@
 	attempts     map[int]*activeAttempt
 	attemptCount int // attempts so far; numbers the next one
 	avoid        []deck.BackendName
-	failures     int       // failed attempts since the last new token
-	notLoaded    int       // attempts since the last new token on engines that did not hold the model
-	lastProgress time.Time // time of the last sent attempt or new token
+	failures     int                   // failed attempts since the last new token
+	software     *deck.SoftwareVersion // that brought the first delivered token; nil if there is none
+	notLoaded    int                   // attempts since the last new token on engines without the model or of another software version
+	otherVersion int                   // attempts on engines of another software version
+	lastProgress time.Time             // time of the last sent attempt or new token
 	hedged       bool
 	mayHaveRun   bool // an engine accepted an attempt, or may have run one that has ended
 	finished     bool
@@ -169,16 +181,25 @@
 	}
 }
 
-// handleAccepted detects a restart of the engine: its boot ID differs from that seen on the connection which the attempt
-// replaces.
+// handleAccepted detects a restart of the engine, whose boot ID then differs from that seen on the connection which the attempt
+// replaces, and ends an attempt whose tokens would not fit the answer so far.
 func (l *Lifecycle) handleAccepted(a *activeAttempt, e Event) []Action {
 	l.mayHaveRun = true
 	previous := a.bootID
-	a.bootID = e.BootID
-	if previous == "" || previous == e.BootID {
-		return nil
+	a.bootID, a.software = e.BootID, &e.Software
+	var acts []Action
+	if previous != "" && previous != e.BootID {
+		acts = append(acts, Action{Kind: ActReportCrash, Attempt: e.Attempt, Backend: a.backend, BootID: previous})
 	}
-	return []Action{{Kind: ActReportCrash, Attempt: e.Attempt, Backend: a.backend, BootID: previous}}
+	if l.software == nil || *l.software == e.Software {
+		return acts
+	}
+	l.otherVersion++
+	return append(acts, l.handleFailure(a, Event{
+		Attempt: e.Attempt,
+		At:      e.At,
+		Err:     &deck.EngineError{Kind: deck.EngineOtherSoftware, BootID: e.BootID, Err: errSoftware},
+	})...)
 }
 
 func (l *Lifecycle) handleToken(a *activeAttempt, e Event) []Action {
@@ -204,9 +225,13 @@
 	}
 }
 
-// recordProgress resets the failure counts after new tokens and cancels the other attempt of a hedge.
+// recordProgress resets the failure counts after new tokens and cancels the other attempt of a hedge. The first token decides on the
+// software version of the answer.
 func (l *Lifecycle) recordProgress(e Event, tokens int) []Action {
 	a := l.attempts[e.Attempt]
+	if l.software == nil {
+		l.software = cmp.Or(a.software, new(deck.SoftwareVersion))
+	}
 	l.failures = 0
 	l.notLoaded = 0
 	l.lastProgress = e.At
@@ -228,7 +253,7 @@
 func (l *Lifecycle) handleFailure(a *activeAttempt, e Event) []Action {
 	l.dropAttempt(e.Attempt)
 	l.mayHaveRun = l.mayHaveRun || !provenNotRun(e.Err.Kind)
-	if e.Err.Kind == deck.EngineNotLoaded && l.mayHaveRun {
+	if waitsForEngine(e.Err.Kind) && l.mayHaveRun {
 		l.notLoaded++
 	} else {
 		l.failures++
@@ -263,10 +288,10 @@
 }
 
 func (l *Lifecycle) retryElsewhere(a *activeAttempt, k deck.EngineErrorKind) []Action {
-	s := Spec{Charge: !provenNotRun(k) || a.spec.Reconnect != ""}
+	s := Spec{Charge: !waitsForEngine(k) && !provenNotRun(k) || a.spec.Reconnect != ""}
 	if !slices.Contains(l.avoid, a.backend) {
 		l.avoid = append(l.avoid, a.backend)
-	} else if k == deck.EngineNotLoaded {
+	} else if waitsForEngine(k) {
 		s.Delay = retryDelay // every engine was tried; the model is being reloaded
 	}
 	return l.startAttempt(s)
@@ -308,7 +333,7 @@
 
 func (l *Lifecycle) startAttempt(s Spec) []Action {
 	l.attemptCount++
-	s.Offset = l.assembler.NextOffset()
+	s.Offset, s.Software = l.assembler.NextOffset(), l.software
 	if s.Avoid == nil {
 		s.Avoid = slices.Clone(l.avoid)
 	}
@@ -360,7 +385,7 @@
 func (l *Lifecycle) finish(r Result) []Action {
 	l.finished = true
 	r.Tokens = l.assembler.NextOffset()
-	r.Attempts = l.attemptCount
+	r.Attempts, r.OtherSoftware = l.attemptCount, l.otherVersion
 	return []Action{{Kind: ActFinish, Result: r}}
 }
 
--- a/internal/route/attempt/result.go
+++ b/internal/route/attempt/result.go
@@ -9,6 +9,9 @@
 // errOffset is the error of a stream whose offsets contradict the tokens already delivered.
 var errOffset = errors.New("token offsets do not continue the answer")
 
+// errSoftware is the error of a stream of another software version than the one that began the answer.
+var errSoftware = errors.New("the engine's software version does not continue the answer")
+
 // A ResultKind is the outcome of a request.
 type ResultKind int
 
@@ -30,6 +33,8 @@
 	Reason   string            // for Failed
 	Tokens   int               // tokens delivered
 	Attempts int               // attempts started
+
+	OtherSoftware int // attempts at engines of another software version than the one that began the answer
 }
 
 // provenNotRun reports whether the error proves that the engine did not run the attempt.
@@ -42,6 +47,12 @@
 	}
 }
 
+// waitsForEngine reports whether the error says that the engine can't run the attempt while another engine, or this one later, may: the
+// answer waits for such an engine.
+func waitsForEngine(k deck.EngineErrorKind) bool {
+	return k == deck.EngineNotLoaded || k == deck.EngineOtherSoftware
+}
+
 // isConnectionError reports whether the error may come from the connection rather than from the backend server.
 func isConnectionError(k deck.EngineErrorKind) bool {
 	return k == deck.EngineStalled || k == deck.EngineConnClosed
@@ -60,10 +71,11 @@
 	return append(acts, observe(a, endObservation(k), 0))
 }
 
-// endObservation returns the observation that ends a failed attempt. A rejected or refused request does not count as a server failure.
+// endObservation returns the observation that ends a failed attempt. A rejected or refused request does not count as a server failure,
+// nor does a software version that does not fit.
 func endObservation(k deck.EngineErrorKind) deck.ObservationKind {
 	switch k {
-	case deck.EngineStalled, deck.EngineRejected, deck.EngineRefused:
+	case deck.EngineStalled, deck.EngineRejected, deck.EngineRefused, deck.EngineOtherSoftware:
 		return deck.ObservedCancel
 	case deck.EngineCrashed:
 		return deck.ObservedCrash
@@ -77,7 +89,7 @@
 // endAction releases a failed attempt, and cancels it at the engine if the engine may still be running it.
 func endAction(e Event) Action {
 	switch e.Err.Kind {
-	case deck.EngineStalled, deck.EngineConnClosed, deck.EngineFailed:
+	case deck.EngineStalled, deck.EngineConnClosed, deck.EngineFailed, deck.EngineOtherSoftware:
 		return Action{Kind: ActCancel, Attempt: e.Attempt}
 	default:
 		return Action{Kind: ActRelease, Attempt: e.Attempt}
@@ -85,7 +97,7 @@
 }
 
 func observe(a *activeAttempt, kind deck.ObservationKind, tokens int) Action {
-	return Action{Kind: ActObserve, Observe: kind, Backend: a.backend, Tokens: tokens}
+	return Action{Kind: ActObserve, Observe: kind, Backend: a.backend, Tokens: tokens, Software: a.software}
 }
 
 func firstNonEmpty(values ...string) string {
--- a/internal/route/attempt/runner.go
+++ b/internal/route/attempt/runner.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"time"
 
+	"github.com/go-logr/logr"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
@@ -35,6 +36,7 @@
 	Restraints *restraint.Table // what backend servers say about the requests that they take
 	VM         deck.VMName
 	HedgeAfter time.Duration // wait for the first token before a hedge starts; 0 for the default
+	Log        logr.Logger
 
 	background      errgroup.Group
 	backgroundSlots chan struct{}
--- a/internal/route/attempt/runner_test.go
+++ b/internal/route/attempt/runner_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -51,7 +54,7 @@
 }
 
 // TestRunFuzz guards against combinations of engine faults, hedges, preemptions and disconnecting callers after which a caller
-// receives anything but its own answer exactly once or a correct refusal, or after which resources leak.
+// receives anything but its own answer exactly once, from one software version, or a correct refusal, or after which resources leak.
 func TestRunFuzz(t *testing.T) {
 	decktest.Check(t, func(rt *rapid.T) {
 		length := rapid.IntRange(0, 7).Draw(rt, "length")
@@ -60,6 +63,7 @@
 		for _, s := range f.router.Servers {
 			e := f.engines[s.Name]
 			e.Behaviours = rapid.SliceOfN(rapid.Custom(drawBehaviour), 0, 6).Draw(rt, "plan")
+			e.Software = rapid.SliceOfN(rapid.SampledFrom([]deck.SoftwareVersion{"", "v1", "v2"}), 1, 3).Draw(rt, "software")
 			e.CrashesOn = func(body string) bool { return poisoned && body == "r1" }
 		}
 		var callers []*caller
@@ -99,10 +103,16 @@
 
 // checkAnswer compares the tokens and the result of a caller with its own answer.
 func (f *fixture) checkAnswer(t *rapid.T, c *caller, want []string) {
+	versions := make(map[string]bool)
 	for i, token := range c.sink.tokens {
-		if i >= len(want) || token.Offset != i || string(token.Data) != want[i] {
+		text, version, _ := strings.Cut(string(token.Data), "@")
+		if i >= len(want) || token.Offset != i || text != want[i] {
 			t.Fatalf("%s received token %d %q at offset %d", c.body, token.Offset, token.Data, i)
 		}
+		versions[version] = true
+	}
+	if len(versions) > 1 {
+		t.Fatalf("%s received tokens of several software versions: %v", c.body, slices.Sorted(maps.Keys(versions)))
 	}
 	if c.result.Kind == Completed && len(c.sink.tokens) != len(want) {
 		t.Fatalf("%s: done after %d of %d tokens", c.body, len(c.sink.tokens), len(want))
@@ -235,7 +245,7 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			x := &execution{runner: f.runner, req: f.request("r"), events: make(chan taskEvent)}
 			x.adm, _ = f.router.Admit(ctx, x.req.Info)
-			server, _ := x.adm.Choose(ctx, nil)
+			server, _ := x.adm.Choose(ctx, nil, nil)
 			permit, _ := f.runner.Suspects.TryAcquire("r", server.Name)
 			var loop errgroup.Group
 			loop.Go(func() error {
--- a/internal/route/attempt/task.go
+++ b/internal/route/attempt/task.go
@@ -106,7 +106,7 @@
 	if t.spec.Reconnect != "" {
 		return t.reconnectServer, nil
 	}
-	server, refusal := t.execution.chooseServer(t.ctx, avoid)
+	server, refusal := t.execution.chooseServer(t.ctx, avoid, t.spec.Software)
 	if refusal != nil {
 		return server, refusal
 	}
@@ -144,11 +144,14 @@
 		return
 	}
 	defer func() { _ = stream.Close() }()
-	bootID := ""
+	accepted := Event{Kind: EventAccepted}
 	if b, ok := stream.(deck.BootIdentified); ok {
-		bootID = b.BootID()
+		accepted.BootID = b.BootID()
 	}
-	if !t.post(Event{Kind: EventAccepted, BootID: bootID}) {
+	if s, ok := stream.(deck.SoftwareIdentified); ok {
+		accepted.Software = s.Software()
+	}
+	if !t.post(accepted) {
 		return
 	}
 	t.receive(server.Name, stream)
--- a/internal/route/router/admission.go
+++ b/internal/route/router/admission.go
@@ -17,10 +17,12 @@
 var _ deck.Admission = (*admission)(nil)
 
 // Choose implements deck.Admission.Choose. It waits for a server with free capacity if all are busy.
-func (a *admission) Choose(ctx context.Context, avoid []deck.BackendName) (deck.BackendServer, *deck.Refusal) {
+func (a *admission) Choose(
+	ctx context.Context, avoid []deck.BackendName, software *deck.SoftwareVersion,
+) (deck.BackendServer, *deck.Refusal) {
 	for {
 		notified := make(chan *deck.Refusal, 1)
-		a.core.Reselect(a.request, avoid, func(r *deck.Refusal) { notified <- r })
+		a.core.Reselect(a.request, avoid, software, func(r *deck.Refusal) { notified <- r })
 		select {
 		case ref := <-notified:
 			if ref != nil {
--- a/internal/route/router/core.go
+++ b/internal/route/router/core.go
@@ -110,8 +110,8 @@
 }
 
 // Reselect requests a server for another attempt of an admitted request; notify is called as for Submit. A refusal means that
-// the model has no server left.
-func (c *Core) Reselect(req *Request, avoid []deck.BackendName, notify func(*deck.Refusal)) {
+// the model has no server left, or none of the software version if that is not nil.
+func (c *Core) Reselect(req *Request, avoid []deck.BackendName, software *deck.SoftwareVersion, notify func(*deck.Refusal)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.cfg.Clock.Now()
@@ -120,7 +120,8 @@
 		req.endWait(newRefusal(deck.RefusedOverload, "request is not admitted", 0))
 		return
 	}
-	if req.reserved != nil && !slices.Contains(avoid, req.reserved.server.name) {
+	req.software = software
+	if req.reserved != nil && !slices.Contains(avoid, req.reserved.server.name) && !req.reserved.server.excludes(software) {
 		req.endWait(nil)
 		return
 	}
@@ -233,6 +234,7 @@
 	for _, m := range slices.Sorted(maps.Keys(c.nonEmpty)) {
 		c.expireQueue(m, c.nonEmpty[m], now)
 	}
+	c.refuseStranded(now)
 	c.dispatch(nil, now)
 }
 
@@ -244,6 +246,22 @@
 	}
 }
 
+// refuseStranded ends the wait of requests for a server of their software version once none serves any more.
+func (c *Core) refuseStranded(now time.Time) {
+	var stranded []*Request
+	for _, req := range c.queued {
+		if req.software != nil && len(c.candidates(req, now)) == 0 {
+			stranded = append(stranded, req)
+		}
+	}
+	slices.SortFunc(stranded, func(a, b *Request) int { return cmp.Compare(a.id, b.id) })
+	for _, req := range stranded {
+		c.dequeue(req)
+		c.queue(req.info.Model).AddRunning(req.info.Caller)
+		req.endWait(c.noCandidateRefusal(req.info.Model, now))
+	}
+}
+
 // A queueHead is the next request of a model's queue.
 type queueHead struct {
 	model deck.ModelName
@@ -319,7 +337,7 @@
 
 // unconstrained reports whether the request needs nothing of a server but its model.
 func (c *Core) unconstrained(req *Request, now time.Time) bool {
-	return req.info.Adapter == "" && len(req.avoid) == 0 && c.suspects.Crashes(req.info.Digest, now) == 0
+	return req.info.Adapter == "" && req.software == nil && len(req.avoid) == 0 && c.suspects.Crashes(req.info.Digest, now) == 0
 }
 
 // enqueue adds a request to its queue and to the index of waiting requests.
--- a/internal/route/router/faults_test.go
+++ b/internal/route/router/faults_test.go
@@ -98,7 +98,7 @@
 		h := newHarness(t, engines)
 		w, b := h.run(deck.RequestInfo{})
 		h.observe(w, b, deck.ObservedCancel, 0)
-		h.core.Reselect(w.request, []deck.BackendName{b}, w.notify)
+		h.core.Reselect(w.request, []deck.BackendName{b}, nil, w.notify)
 		is.True(w.refusal == nil)
 		is.Equal(h.take(w) == b, engines == 1)
 	}
@@ -312,7 +312,7 @@
 	h.observe(victim, "e0", deck.ObservedCancel, 0)
 	is.Equal(short.notified, 1)
 	victim.notified = 0
-	h.core.Reselect(victim.request, nil, victim.notify)
+	h.core.Reselect(victim.request, nil, nil, victim.notify)
 	is.Equal(victim.notified, 0)
 	next := h.submit(deck.RequestInfo{})
 	for range 10 { // short requests keep arriving, and the long answer must still get its turn
--- a/internal/route/router/fuzz_test.go
+++ b/internal/route/router/fuzz_test.go
@@ -99,7 +99,7 @@
 		return
 	}
 	r.notified, r.waitStart = 0, o.clock.Now()
-	o.core.Reselect(r.request, []deck.BackendName{last}, r.notify)
+	o.core.Reselect(r.request, []deck.BackendName{last}, nil, r.notify)
 }
 
 func (o *oracle) release(r *trackedRequest) {
--- a/internal/route/router/observe.go
+++ b/internal/route/router/observe.go
@@ -21,6 +21,9 @@
 	if a == nil {
 		return
 	}
+	if o.Software != nil {
+		a.server.observeSoftware(*o.Software, now)
+	}
 	switch o.Kind {
 	case deck.ObservedStart:
 		a.startedAt, a.lastToken = now, now
@@ -120,6 +123,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.server(r.Backend)
+	s.observeSoftware(r.Software, requestedAt)
 	if s.hasReport && requestedAt.Before(s.requestedAt) {
 		return
 	}
--- a/internal/route/router/router_test.go
+++ b/internal/route/router/router_test.go
@@ -41,7 +41,7 @@
 		})
 		a, ref := r.Admit(ctx, deck.RequestInfo{Model: "m"})
 		is.True(ref == nil)
-		b, ref := a.Choose(ctx, nil)
+		b, ref := a.Choose(ctx, nil, nil)
 		is.True(ref == nil)
 		is.Equal(b.Name, deck.BackendName("e0"))
 		cancel()
--- a/internal/route/router/select.go
+++ b/internal/route/router/select.go
@@ -115,11 +115,11 @@
 	return cs
 }
 
-// candidate returns the state of one server as the choice needs it; ok is false if the request already has an attempt there. The
-// room is 0 if poison suspects would share the server.
+// candidate returns the state of one server as the choice needs it; ok is false if the request already has an attempt there, or if it
+// needs another software version. The room is 0 if poison suspects would share the server.
 func (c *Core) candidate(req *Request, b deck.BackendServer, now time.Time) (choose.Candidate, bool) {
 	s := c.server(b.Name)
-	if req.attemptOn(b.Name) != nil {
+	if req.attemptOn(b.Name) != nil || s.excludes(req.software) {
 		return choose.Candidate{}, false
 	}
 	weight := c.health.Weight(b.Name)
@@ -138,7 +138,7 @@
 		Weight:     weight,
 		ProbeDue:   c.health.ProbeDue(b.Name, probe, now),
 		Down:       now.Before(s.downUntil),
-		Avoid:      contains(req.avoid, b.Name),
+		Avoid:      contains(req.avoid, b.Name) || req.software != nil && s.software == nil,
 		PrefixHit:  c.prefixHints.Hit(b.Name, req.info.PrefixHashes),
 	}
 	if !c.suspects.MayShare(req.info.Digest, s, now) {
--- a/internal/route/router/server.go
+++ b/internal/route/router/server.go
@@ -29,7 +29,9 @@
 	inFlightAtReport int       // attempts of this VM when the last report arrived
 	requestedAt      time.Time // when the last report was requested
 	bootID           string
-	failures         int // consecutive
+	software         *deck.SoftwareVersion // by its last report or answer; nil if unknown
+	softwareAt       time.Time             // when the report was requested or the answer observed
+	failures         int                   // consecutive
 	downUntil        time.Time
 	lastInteractive  time.Time // when it was last chosen for interactive work
 	lastPreemption   time.Time // when an attempt here was last preempted
@@ -66,6 +68,19 @@
 	return n
 }
 
+// excludes reports whether the server is known to run another software version than the given one, unless that is nil.
+func (s *server) excludes(software *deck.SoftwareVersion) bool {
+	return software != nil && s.software != nil && *s.software != *software
+}
+
+// observeSoftware records what the server has said at the time about its software version.
+func (s *server) observeSoftware(v deck.SoftwareVersion, at time.Time) {
+	if at.Before(s.softwareAt) {
+		return
+	}
+	s.software, s.softwareAt = &v, at
+}
+
 func (s *server) add(a *attempt) {
 	s.attempts = append(s.attempts, a)
 	s.byClass[a.request.info.Class]++
--- a/internal/test/decktest/router.go
+++ b/internal/test/decktest/router.go
@@ -10,7 +10,7 @@
 )
 
 // A Router is a deck.Router that admits every request without waiting and chooses the first server that has no attempt of the
-// request in flight and is not to be avoided, or else the first that has no attempt in flight.
+// request in flight and is not to be avoided, or else the first that has no attempt in flight. It knows no software versions.
 type Router struct {
 	Servers []deck.BackendServer
 	Refusal *deck.Refusal // returned by every Admit if not nil
@@ -88,7 +88,9 @@
 
 var _ deck.Admission = (*admission)(nil)
 
-func (a *admission) Choose(_ context.Context, avoid []deck.BackendName) (deck.BackendServer, *deck.Refusal) {
+func (a *admission) Choose(
+	_ context.Context, avoid []deck.BackendName, _ *deck.SoftwareVersion,
+) (deck.BackendServer, *deck.Refusal) {
 	a.r.mu.Lock()
 	defer a.r.mu.Unlock()
 	var chosen *deck.BackendServer
--- a/internal/test/decktest/scriptedengine.go
+++ b/internal/test/decktest/scriptedengine.go
@@ -27,6 +27,7 @@
 	TokensFor  func(body string) []string // returns the tokens of the response to a request
 	CrashesOn  func(body string) bool     // reports whether a request crashes the engine; may be nil
 	Behaviours []AttemptBehaviour         // must be set before the first attempt
+	Software   []deck.SoftwareVersion     // of each engine process in turn, the last one for all further; tokens end with "@" and it
 
 	mu          sync.Mutex
 	bootID      int              // incremented when the engine process restarts
@@ -106,12 +107,20 @@
 			Failure: "crash-engine", TokensBeforeFailure: g.Offset % 2, FirstTokenDelay: 10 * time.Millisecond,
 		}
 	}
-	s := &stream{engine: e, behaviour: behaviour, bootID: fmt.Sprint(e.bootID), crashed: e.crashed}
+	s := &stream{engine: e, behaviour: behaviour, bootID: fmt.Sprint(e.bootID), software: e.software(), crashed: e.crashed}
 	s.prepareTokens(e.TokensFor(body), g.Offset)
 	e.openStreams[s] = true
 	return s, nil
 }
 
+// software returns the software version of the current engine process. The caller holds the lock.
+func (e *ScriptedEngine) software() deck.SoftwareVersion {
+	if len(e.Software) == 0 {
+		return ""
+	}
+	return e.Software[min(e.bootID, len(e.Software)-1)]
+}
+
 // crash ends the engine process with all its attempts and starts a new one.
 func (e *ScriptedEngine) crash() {
 	e.mu.Lock()
@@ -157,20 +166,31 @@
 	engine    *ScriptedEngine
 	behaviour AttemptBehaviour
 	bootID    string
+	software  deck.SoftwareVersion
 	crashed   chan struct{}
 	tokens    []deck.Token
 	sent      int
 }
 
-var _ deck.BootIdentified = (*stream)(nil)
+var (
+	_ deck.BootIdentified     = (*stream)(nil)
+	_ deck.SoftwareIdentified = (*stream)(nil)
+)
 
 // BootID implements deck.BootIdentified.BootID.
 func (s *stream) BootID() string { return s.bootID }
 
+// Software implements deck.SoftwareIdentified.Software.
+func (s *stream) Software() deck.SoftwareVersion { return s.software }
+
 // prepareTokens fills s.tokens with the tokens from the offset on and the end of the response.
 func (s *stream) prepareTokens(answer []string, offset int) {
 	for n := offset; n < len(answer); n++ {
-		s.tokens = append(s.tokens, deck.Token{Offset: n, Data: []byte(answer[n])})
+		data := answer[n]
+		if s.software != "" {
+			data += "@" + string(s.software)
+		}
+		s.tokens = append(s.tokens, deck.Token{Offset: n, Data: []byte(data)})
 	}
 	s.tokens = append(s.tokens, deck.Token{Offset: len(answer), Last: true})
 	if s.behaviour.ReorderTokens && len(s.tokens) > 3 {
--- a/scripts/faults/main.go
+++ b/scripts/faults/main.go
@@ -43,6 +43,7 @@
 		{"engine-pauses", enginePauses},
 		{"named-limit", namedLimit},
 		{"leaving-by-answer", leavingByAnswer},
+		{"software-of-streams", softwareOfStreams},
 		{"no-majority", noMajority},
 	}
 }
