Refuse requests that ask for the rest of an answer

What callers saw: a client that sends Last-Event-ID after its connection broke, as clients of event streams do, got status 200 and the answer from its start, from engines of any software version, and appended it to the part that it had.

Cause: the events of an answer carry IDs, but the inference API never read Last-Event-ID. No VM keeps answers, and no request names the one that it resumes, so nothing tells which software version began it.

Before: TestResumptionRefused: "200 != 400". After: go test -race ./internal/api/caller: ok.

--- a/internal/api/caller/infer.go
+++ b/internal/api/caller/infer.go
@@ -20,6 +20,11 @@
 		problem.write(w)
 		return
 	}
+	if r.Header.Get(wire.HeaderLastEventID) != "" {
+		// The caller would append an answer that begins anew to the events that it has.
+		invalidProblem("resumption_unsupported", "an answer can't be taken up in a further request; send it without Last-Event-ID").write(w)
+		return
+	}
 	q, err := decodeInference(body)
 	if err != nil {
 		invalidProblem("invalid_request", err.Error()).write(w)
--- a/internal/api/caller/software_test.go
+++ b/internal/api/caller/software_test.go
@@ -1,6 +1,8 @@
 package caller
 
 import (
+	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -21,3 +23,18 @@
 		is.Equal(e1.requests[1].Header.Get("Last-Event-ID"), "1")
 	})
 }
+
+// TestResumptionRefused guards against an answer from its start for a caller that asks for the rest of one, which it would append to what
+// it has.
+func TestResumptionRefused(t *testing.T) {
+	run(t, func(t *testing.T, f *fixture) {
+		is := is.New(t)
+		for _, body := range []string{streamBody, nonStreamBody} {
+			got := f.post(t.Context(), chatPath, body, "Last-Event-ID", "1")
+			is.Equal(got.status, http.StatusBadRequest)
+			is.Equal(got.headers.Get("Not-Run"), "true")
+			is.True(strings.Contains(got.body, `"code":"resumption_unsupported"`))
+		}
+		is.Equal(len(f.engines["e1"].requests), 0)
+	})
+}
