Move answers only to engines of their software version

The move of an answer's KV cache from a leaving engine compares the model's version, not that of the engine's software, so the cache could go to an engine that doesn't fit it. Entry VMs don't call it yet.

Change: RunningAnswer names the software version that began the answer, and only engines that have reported it are targets.

Before (field without the comparison): TestLongAnswerMovesToRemainingReplica: "<nil> != no other engine ...". After: go test -race ./internal/place/execute: ok.

--- a/internal/place/execute/drain.go
+++ b/internal/place/execute/drain.go
@@ -17,16 +17,17 @@
 	moveOverhead = 2 * time.Second
 )
 
-// ErrNoReplica is returned when no engine that stays has a ready replica of the model version.
-var ErrNoReplica = errors.New("no other engine has a ready replica of the model version")
+// ErrNoReplica is returned when no engine that stays has a ready replica of the model version and the answer's software version.
+var ErrNoReplica = errors.New("no other engine of the software version has a ready replica of the model version")
 
 // A RunningAnswer describes an answer that is running on a leaving engine, as known to its entry VM.
 type RunningAnswer struct {
 	ID        deck.RequestID
 	Model     deck.ModelName
 	Version   deck.VersionName
-	Tokens    int           // tokens in the KV cache: the prompt and the answer so far
-	Remaining time.Duration // estimated time to the end of the answer
+	Tokens    int                  // tokens in the KV cache: the prompt and the answer so far
+	Remaining time.Duration        // estimated time to the end of the answer
+	Software  deck.SoftwareVersion // that began the answer
 }
 
 // ShouldMove reports whether moving the answer's KV cache takes less time than waiting for the end of the answer.
@@ -36,9 +37,9 @@
 	return move < a.Remaining
 }
 
-// MoveAnswer copies the answer's KV cache from a leaving engine to the least loaded engine that stays and holds the same
-// version ready, and returns the name of that engine. The entry VM then resumes the stream there; until then, the answer
-// continues on the leaving engine.
+// MoveAnswer copies the answer's KV cache from a leaving engine to the least loaded engine that stays, holds the same version of
+// the model ready and has reported the software version that began the answer. It returns the name of that engine. The entry VM
+// then resumes the stream there; until then, the answer continues on the leaving engine.
 func (e *Executor) MoveAnswer(ctx context.Context, from deck.BackendServer, a RunningAnswer) (deck.BackendName, error) {
 	to, ok := e.moveTarget(from.Name, a)
 	if !ok {
@@ -62,9 +63,13 @@
 		r, _, _ := eng.ledger.Report()
 		return r.Running + r.Queued
 	}
+	software := func(eng *engine) deck.SoftwareVersion {
+		r, _, _ := eng.ledger.Report()
+		return r.Software
+	}
 	for _, r := range e.controller.residency.Replicas(a.Model) {
 		eng, ok := e.controller.engines[r.Backend]
-		if !ok || !r.Ready || r.Version != a.Version || r.Backend == from || eng.leaving {
+		if !ok || !r.Ready || r.Version != a.Version || r.Backend == from || eng.leaving || software(eng) != a.Software {
 			continue
 		}
 		if best == nil || load(eng) < load(best) {
--- a/internal/place/execute/drain_test.go
+++ b/internal/place/execute/drain_test.go
@@ -24,7 +24,8 @@
 	return nil
 }
 
-// Guards against copying a KV cache although the answer ends sooner, and against copying it to another leaving engine.
+// Guards against copying a KV cache although the answer ends sooner, and against copying it to another leaving engine or to one of
+// another software version.
 func TestLongAnswerMovesToRemainingReplica(t *testing.T) {
 	is := is.New(t)
 	v := deck.ModelVersion{KVBytesPerToken: 128 * deck.KiB}
@@ -49,6 +50,10 @@
 	sim.leaving = map[deck.BackendName]bool{from: true}
 	sim.run(time.Minute)
 	sim.controller.Residency()
+	a.Software = "v2"
+	_, err = e.MoveAnswer(t.Context(), sim.fakes[from].backend, a)
+	is.Equal(err, ErrNoReplica)
+	a.Software = ""
 	to, err := e.MoveAnswer(t.Context(), sim.fakes[from].backend, a)
 	is.NoErr(err)
 	is.True(to != from)
