Bound what engines answer to a VM that serves the inference API

Reports, cache events and answers to operations might have 4 MB each, and their heads 10 MB, from all engines at once: the executor orders operations from all of them, and the pollers have many requests open. Answers that didn't end, or stopped short, ended the process for lack of memory. A head now has 16 KB, a report 256 KB, the answer to an operation 16 KB. Beyond 8 KB reports and cache events take room in the memory for answers until they are decoded, 16 bytes for each byte, and fail without any; they are read again at the next poll.

--- a/internal/backend/engine/call.go
+++ b/internal/backend/engine/call.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/geraniumdeck/geraniumdeck/internal/api/inbound"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	wire "github.com/geraniumdeck/geraniumdeck/internal/wire/engine"
 	"github.com/geraniumdeck/geraniumdeck/internal/wire/eventstream"
@@ -24,6 +25,20 @@
 	kvTimeout    = 30 * time.Second
 )
 
+const (
+	maxReportBytes = 256 << 10 // a report has some kilobytes for hundreds of adapters
+	maxAnswerBytes = 16 << 10  // of a response that has no more than a few fields, or none that are used
+
+	// freeBodyBytes of a response take no room in the memory for answers.
+	freeBodyBytes = 8 << 10
+
+	// decodedBytes is how many bytes a byte of JSON may take when it is decoded.
+	decodedBytes = 16
+)
+
+// errNoRoom means that there is no memory for a response or an event.
+var errNoRoom = errors.New("no memory for the engine's answer beside others")
+
 // errUnframed means that the end of a response can't be told from a lost connection.
 var errUnframed = errors.New("the response has neither a length nor chunks")
 
@@ -31,7 +46,7 @@
 func (c *Client) CacheEvents(ctx context.Context, after uint64) (deck.CacheEvents, error) {
 	var w wire.CacheEvents
 	path := wire.PathCacheEvents + "?after=" + strconv.FormatUint(after, 10)
-	if err := c.getJSON(ctx, c.transport(false), path, &w); err != nil {
+	if err := c.getJSON(ctx, c.transport(false), path, wire.MaxJSONBytes, &w); err != nil {
 		return deck.CacheEvents{}, err
 	}
 	return w.CacheEvents(), nil
@@ -40,11 +55,11 @@
 // Cancel implements deck.Engine.Cancel. Cancelling is idempotent, so a failed request is retried once on a new connection.
 func (c *Client) Cancel(ctx context.Context, id deck.RequestID) error {
 	body := encode(wire.Cancel{RequestID: string(id)})
-	_, err := c.do(ctx, c.transport(false), c.newPost(wire.PathCancel, body), unaryTimeout, wire.MaxJSONBytes)
+	_, err := c.do(ctx, c.transport(false), c.newPost(wire.PathCancel, body), unaryTimeout, maxAnswerBytes)
 	if err == nil || ctx.Err() != nil {
 		return err
 	}
-	_, err = c.do(ctx, c.transport(true), c.newPost(wire.PathCancel, body), unaryTimeout, wire.MaxJSONBytes)
+	_, err = c.do(ctx, c.transport(true), c.newPost(wire.PathCancel, body), unaryTimeout, maxAnswerBytes)
 	return err
 }
 
@@ -57,7 +72,7 @@
 // ImportKV implements deck.Engine.ImportKV.
 func (c *Client) ImportKV(ctx context.Context, id deck.RequestID, kv []byte) error {
 	r := unaryRequest{method: http.MethodPost, path: kvPath(id), body: kv, contentType: "application/octet-stream"}
-	_, err := c.do(ctx, c.transport(false), r, kvTimeout, wire.MaxJSONBytes)
+	_, err := c.do(ctx, c.transport(false), r, kvTimeout, maxAnswerBytes)
 	return err
 }
 
@@ -66,7 +81,7 @@
 func (c *Client) SendOperation(ctx context.Context, op deck.Operation) deck.OperationResult {
 	r := c.newPost(wire.PathOperations, encode(wire.NewOperation(op)))
 	r.noRetry = true
-	data, err := c.do(ctx, c.transport(true), r, unaryTimeout, wire.MaxJSONBytes)
+	data, err := c.do(ctx, c.transport(true), r, unaryTimeout, maxAnswerBytes)
 	if err != nil {
 		return deck.OperationResult{Outcome: failureOutcome(err), Reason: err.Error()}
 	}
@@ -83,7 +98,7 @@
 // Report implements deck.Engine.Report.
 func (c *Client) Report(ctx context.Context) (deck.EngineReport, error) {
 	var w wire.Report
-	if err := c.getJSON(ctx, c.transport(false), wire.PathReport, &w); err != nil {
+	if err := c.getJSON(ctx, c.transport(false), wire.PathReport, maxReportBytes, &w); err != nil {
 		return deck.EngineReport{}, err
 	}
 	r, err := w.EngineReport()
@@ -112,20 +127,20 @@
 	path        string
 	body        []byte
 	contentType string
-	noRetry     bool // prevents the transport from sending it again
-	framed      bool // the response must have a length or chunks, since a part of its body looks like the whole
+	noRetry     bool               // prevents the transport from sending it again
+	decode      func([]byte) error // decodes the JSON of the response, which takes room in the client's memory until then; may be nil
+	framed      bool               // the response must have a length or chunks, since a part of its body looks like the whole
 }
 
 func (c *Client) newPost(path string, body []byte) unaryRequest {
 	return unaryRequest{method: http.MethodPost, path: path, body: body, contentType: "application/json"}
 }
 
-func (c *Client) getJSON(ctx context.Context, t *http.Transport, path string, out any) error {
-	data, err := c.do(ctx, t, unaryRequest{method: http.MethodGet, path: path}, unaryTimeout, wire.MaxJSONBytes)
-	if err != nil {
-		return err
-	}
-	return errors.Wrap(json.Unmarshal(data, out), path)
+func (c *Client) getJSON(ctx context.Context, t *http.Transport, path string, limit int64, out any) error {
+	r := unaryRequest{method: http.MethodGet, path: path}
+	r.decode = func(data []byte) error { return errors.Wrap(json.Unmarshal(data, out), path) }
+	_, err := c.do(ctx, t, r, unaryTimeout, limit)
+	return err
 }
 
 // do sends the request and returns the body of a successful response; a body of more than limit bytes is an error.
@@ -161,16 +176,44 @@
 	if r.framed && eventstream.EndsWithConnection(resp) {
 		return nil, &deck.EngineError{Kind: deck.EngineFailed, BootID: bootID, Err: errUnframed}
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
-	if err != nil {
+	body := io.LimitReader(resp.Body, limit+1)
+	if r.decode != nil {
+		hold := c.memory.Open(inbound.Answers, nil)
+		defer hold.Release()
+		body = &heldReader{reader: body, hold: hold}
+	}
+	data, err := io.ReadAll(body)
+	switch {
+	case errors.Is(err, errNoRoom):
+		return nil, &deck.EngineError{Kind: deck.EngineFailed, Err: err}
+	case err != nil:
 		return nil, classify(ctx, err, bootID)
-	}
-	if int64(len(data)) > limit {
+	case int64(len(data)) > limit:
 		return nil, &deck.EngineError{Kind: deck.EngineFailed, Err: errors.Newf("response body exceeds %d bytes", limit)}
+	case r.decode != nil:
+		return nil, r.decode(data)
 	}
 	return data, nil
 }
 
+// A heldReader reads JSON that takes room until it is decoded.
+type heldReader struct {
+	reader io.Reader
+	hold   *inbound.Hold
+	read   int
+}
+
+// Read implements io.Reader.Read.
+func (h *heldReader) Read(p []byte) (int, error) {
+	n, err := h.reader.Read(p)
+	before := max(0, h.read-freeBodyBytes)
+	h.read += n
+	if !h.hold.Grow(int64(decodedBytes * (max(0, h.read-freeBodyBytes) - before))) {
+		return n, errNoRoom
+	}
+	return n, err
+}
+
 func kvPath(id deck.RequestID) string {
 	return wire.PathKVPrefix + url.PathEscape(string(id))
 }
--- a/internal/backend/engine/call_test.go
+++ b/internal/backend/engine/call_test.go
@@ -4,12 +4,14 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/geraniumdeck/geraniumdeck/internal/api/inbound"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 )
 
@@ -87,3 +89,31 @@
 		is.Equal(cancels.Load(), int32(2))
 	})
 }
+
+// TestReportsTakeTheMemoryThatIsLeft guards against reports and cache events that together take a VM's memory, and against ordinary ones
+// that are refused for them.
+func TestReportsTakeTheMemoryThatIsLeft(t *testing.T) {
+	const report = `{"backend":"e","boot-id":"b","taken-at":"2026-03-01T00:00:00Z"`
+	for _, tc := range []struct {
+		bytes      int
+		full, read bool
+	}{{4 << 10, true, true}, {100 << 10, false, true}, {100 << 10, true, false}, {300 << 10, false, false}} {
+		h := func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, report+strings.Repeat(" ", tc.bytes)+"}")
+		}
+		withEngine(t, h, func(t *testing.T, r *testEnv) {
+			is := is.New(t)
+			memory := &inbound.Budget{Bytes: 32 << 20} // a quarter is for answers
+			r.client.BoundMemory(memory)
+			if tc.full {
+				is.True(memory.Open(inbound.Answers, nil).Grow(8 << 20))
+			}
+			held := memory.Usage(inbound.Answers).Bytes
+			_, err := r.client.Report(t.Context())
+			is.Equal(err == nil, tc.read)
+			_, err = r.client.CacheEvents(t.Context(), 0)
+			is.Equal(err == nil, tc.read || !tc.full)
+			is.Equal(memory.Usage(inbound.Answers).Bytes, held)
+		})
+	}
+}
--- a/internal/backend/engine/client.go
+++ b/internal/backend/engine/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/geraniumdeck/geraniumdeck/internal/api/inbound"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	wire "github.com/geraniumdeck/geraniumdeck/internal/wire/engine"
 	"github.com/geraniumdeck/geraniumdeck/internal/wire/eventstream"
@@ -39,6 +40,7 @@
 
 	leaving atomic.Pointer[string] // the boot ID with which the engine has said that it leaves; nil if it has not
 	name    deck.BackendName       // of the engine, for notices
+	memory  *inbound.Budget        // nil for no bound
 	notices deck.NoticeObserver    // nil if nobody observes them
 }
 
@@ -58,6 +60,11 @@
 	c.name, c.notices = name, o
 }
 
+// BoundMemory makes reports and cache events take room in b while they are read and decoded. It must be called before the first request.
+func (c *Client) BoundMemory(b *inbound.Budget) {
+	c.memory = b
+}
+
 // Close closes idle connections; running streams continue.
 func (c *Client) Close() {
 	c.pool.closeIdle()
@@ -162,7 +169,7 @@
 // time, so a reset before the first byte on such a connection is not by itself a sign of a crash.
 func (c *Client) hasBootID(ctx context.Context, bootID string) bool {
 	var r wire.Report
-	if err := c.getJSON(ctx, c.pool.unpooled(), wire.PathReport, &r); err != nil {
+	if err := c.getJSON(ctx, c.pool.unpooled(), wire.PathReport, maxReportBytes, &r); err != nil {
 		return false
 	}
 	return bootID == "" || r.BootID == bootID
--- a/internal/backend/engine/pool.go
+++ b/internal/backend/engine/pool.go
@@ -17,6 +17,7 @@
 	maxConnectionIdleTime = 10 * time.Second
 	maxIdleConnsPerEngine = 32
 	dialTimeout           = 2 * time.Second
+	maxHeadBytes          = 16 << 10 // of a response
 )
 
 // A DialFunc opens a network connection, as net.Dialer.DialContext does.
@@ -74,10 +75,11 @@
 
 func (p *pool) newTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:         p.connect,
-		DisableCompression:  true,
-		IdleConnTimeout:     maxConnectionIdleTime,
-		MaxIdleConnsPerHost: maxIdleConnsPerEngine,
+		DialContext:            p.connect,
+		DisableCompression:     true,
+		IdleConnTimeout:        maxConnectionIdleTime,
+		MaxIdleConnsPerHost:    maxIdleConnsPerEngine,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
--- a/internal/command/process/engines.go
+++ b/internal/command/process/engines.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 
+	"github.com/geraniumdeck/geraniumdeck/internal/api/inbound"
 	client "github.com/geraniumdeck/geraniumdeck/internal/backend/engine"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 )
@@ -11,6 +12,7 @@
 // engineClients keeps one client for each engine address, which holds the pool of connections to that engine.
 type engineClients struct {
 	clock   deck.Clock
+	memory  *inbound.Budget
 	notices deck.NoticeObserver
 
 	mu        sync.Mutex
@@ -28,6 +30,7 @@
 	if !ok {
 		c = client.New(b.Address, e.clock, nil)
 		c.ReportNotices(b.Name, e.notices)
+		c.BoundMemory(e.memory)
 		e.byAddress[b.Address] = c
 	}
 	return c
--- a/internal/command/process/placement.go
+++ b/internal/command/process/placement.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		return err
 	}
-	e := &engineClients{clock: d.clock, notices: d.restraints}
+	e := &engineClients{clock: d.clock, notices: d.restraints, memory: d.guard.Memory}
 	pub := feed.NewGlobalPublisher(d.feedConfig(), residencyPrefix+string(d.vm.DataCentre))
 	sh := &shareRenewer{deps: d, lease: l, client: peer.PoolClient{HTTP: d.client}}
 	col := execute.NewCollector(d.clock)
