--- a/internal/api/ingress/relay.go
+++ b/internal/api/ingress/relay.go
@@ -220,7 +220,7 @@
 	stallLimit := c.stallLimit()
 	stallTimer := time.AfterFunc(stallLimit, c.abortOnStall(ex.Abort))
 	defer stallTimer.Stop()
-	events := newEventReader(ex.Response.Body, c.lastEventID)
+	events := newEventReader(ex.Response.Body, c.lastEventID, c.openAhead())
 	if !c.headSent {
 		c.headSent = true
 		c.firstByte = time.Since(c.start)
@@ -317,7 +317,7 @@
 	c.recordPossibleCrash(now, s, err)
 	delete(c.requirements.Tried, s.ID) // an engine that broke one connection may continue the stream on another
 	c.interruptedAt = now
-	c.requirements.MaxWait = resumeTimeout
+	c.requirements.MaxWait = c.resumeTimeout()
 	return c.retryResult()
 }
 
--- a/internal/command/node/node.go
+++ b/internal/command/node/node.go
@@ -183,17 +183,21 @@
 	return d.DialContext(ctx, network, address)
 }
 
-// newPeerClient returns a client for requests to other VMs and to the platform.
+// dialPeer is dial with peerDialTimeout.
+func dialPeer(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerDialTimeout)
+	defer cancel()
+	return dial(ctx, network, address)
+}
+
+// newPeerClient returns a client for requests to other VMs, to the platform and, besides calls and orders, to engines.
 func newPeerClient() *http.Client {
 	return &http.Client{Transport: part.TrimHeadersTransport{Next: &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			ctx, cancel := context.WithTimeout(ctx, peerDialTimeout)
-			defer cancel()
-			return dial(ctx, network, address)
-		},
-		MaxIdleConnsPerHost: 4,
-		DisableCompression:  true,
-		IdleConnTimeout:     peerIdleTimeout,
+		DialContext:            dialPeer,
+		MaxIdleConnsPerHost:    4,
+		MaxResponseHeaderBytes: part.MaxResponseHeadBytes,
+		DisableCompression:     true,
+		IdleConnTimeout:        peerIdleTimeout,
 	}}}
 }
 
