Give each data centre of the scenario its own software version

Placement may load a model on another engine of a data centre after a crash, so the scenario software-of-streams, which waited for the same engine, failed after the other scenarios ("engine-1 does not serve the model", 1 of 1 full runs). Each data centre now has a version of its own, and the scenario waits until two of them serve the model. The checks are the same: no stream with tokens of two versions, and at least half of the streams whole.

--- a/scripts/faults/software.go
+++ b/scripts/faults/software.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"regexp"
+	"slices"
 	"strings"
 	"time"
 
@@ -15,55 +16,61 @@
 )
 
 const (
-	softwareStreams  = 12                     // at once, over all VMs
-	crashAfter       = 700 * time.Millisecond // after the start of the streams, about the middle of their answers
-	callersPatience  = 6 * time.Second        // in the round after which no engine of the version is left
-	softwareVersions = 2                      // among the engines
+	softwareStreams = 12                     // at once, over all VMs
+	crashAfter      = 700 * time.Millisecond // after the start of the streams, about the middle of their answers
+	callersPatience = 6 * time.Second        // in the round after which no engine of the version is left
 )
 
+// enginesByDataCentre are the engines of the example. Each data centre gets a software version of its own, since placement may load a
+// model on any engine of a data centre again.
+var enginesByDataCentre = [][]int{{1, 2}, {3}, {4}}
+
 var manualIsReady = regexp.MustCompile(`"model":"manual","version":"[^"]*","ready":true`)
 
-// softwareOfStreams serves streams at engines of two software versions. No stream may hold tokens of both when their engines crash,
+// softwareOfStreams serves streams at engines of several software versions. No stream may hold tokens of two when its engine crashes,
 // neither while one of its version serves nor afterwards, and at least half of the streams must go on while one does.
 func softwareOfStreams(ctx context.Context, d *deployment.Deployment) (string, error) {
-	var engines []int
-	err := deployment.Eventually(ctx, func() (err error) {
-		if engines, err = holders(ctx, d); err == nil && len(engines) < softwareVersions {
-			err = errors.Newf("engines %v serve the model, expected at least %d", engines, softwareVersions)
+	for i, engines := range enginesByDataCentre[1:] {
+		if err := crashEngines(ctx, d, engines, fmt.Sprintf(`{"crash":true,"software-version":"v%d"}`, 2+i)); err != nil {
+			return "", err
 		}
-		return err
-	})
-	if err != nil {
-		return "", err
-	}
-	for _, n := range engines[1:] {
-		err = errors.Join(err, setEngineFaults(ctx, d, n, `{"crash":true,"software-version":"v2"}`))
 	}
-	if err = errors.Join(err, awaitHolders(ctx, d, engines)); err != nil {
+	homes, err := awaitHomes(ctx, d)
+	if err != nil {
 		return "", err
 	}
-	whole, err := streamThroughCrash(ctx, d, engines[0], `{"crash":true}`)
-	if err = errors.Join(err, awaitHolders(ctx, d, engines)); err != nil {
+	whole, err := streamThroughCrash(ctx, d, homes[0], `{"crash":true}`)
+	if err != nil {
 		return "", err
 	}
 	if whole < softwareStreams/2 {
 		return "", errors.Newf("%d of %d streams went on", whole, softwareStreams)
 	}
+	if homes, err = awaitHomes(ctx, d); err != nil {
+		return "", err
+	}
 	lastCtx, cancel := context.WithTimeout(ctx, callersPatience)
 	defer cancel()
-	if _, err := streamThroughCrash(lastCtx, d, engines[0], `{"crash":true,"software-version":"v3"}`); err != nil {
+	if _, err := streamThroughCrash(lastCtx, d, homes[0], `{"crash":true,"software-version":"v9"}`); err != nil {
 		return "", err
 	}
-	return fmt.Sprintf("an engine crashed beside one of another software version: %d of %d streams were whole, none held tokens of both",
+	return fmt.Sprintf("engines crashed beside those of another software version: %d of %d streams were whole, none held tokens of two",
 		whole, softwareStreams), setAllEngineFaults(ctx, d, noFaults)
 }
 
-// streamThroughCrash starts streams at all VMs, crashes the engine by the given faults, and returns how many streams were whole.
-func streamThroughCrash(ctx context.Context, d *deployment.Deployment, engine int, faults string) (whole int, err error) {
+func crashEngines(ctx context.Context, d *deployment.Deployment, engines []int, faults string) (err error) {
+	for _, n := range engines {
+		err = errors.Join(err, setEngineFaults(ctx, d, n, faults))
+	}
+	return err
+}
+
+// streamThroughCrash starts streams at all VMs, crashes the engines by the given faults, and returns how many streams were whole.
+func streamThroughCrash(ctx context.Context, d *deployment.Deployment, engines []int, faults string) (whole int, err error) {
 	var g errgroup.Group
 	answers := make(chan deployment.ChatResponse, softwareStreams)
 	for n := range softwareStreams {
-		c, prompt := d.Caller(1+n%deployment.EntryVMCount), fmt.Sprintf("stream %d of %s at engine %d", n, faults, engine)
+		c, prompt := d.Caller(1+n%deployment.EntryVMCount), fmt.Sprintf("stream %d of %s", n, faults)
 		g.Go(func() error {
 			answer, _ := completeChat(ctx, c, "manual", prompt, longAnswerTokens, nil) // may be cut off
 			answers <- answer
@@ -71,7 +78,7 @@
 		})
 	}
 	deck.Sleep(ctx, crashAfter)
-	err = setEngineFaults(ctx, d, engine, faults)
+	err = crashEngines(ctx, d, engines, faults)
 	err = errors.Join(err, g.Wait())
 	close(answers)
 	for a := range answers {
@@ -90,33 +97,29 @@
 	return whole, err
 }
 
-// holders returns the numbers of the engines that entry-1 knows to serve the model manual.
-func holders(ctx context.Context, d *deployment.Deployment) (engines []int, err error) {
-	s, err := d.State(ctx, "entry-1")
-	for n := 1; n <= deployment.EngineCount; n++ {
-		if s.HasReadyModel("manual", fmt.Sprintf("engine-%d", n)) {
-			engines = append(engines, n)
+// awaitHomes waits until two data centres serve the model manual, and returns the engines of each.
+func awaitHomes(ctx context.Context, d *deployment.Deployment) (homes [][]int, err error) {
+	err = deployment.Eventually(ctx, func() error {
+		state, err := d.State(ctx, "entry-1")
+		if err != nil {
+			return err
 		}
-	}
-	return engines, err
-}
-
-// awaitHolders waits until all given engines serve the model manual again.
-func awaitHolders(ctx context.Context, d *deployment.Deployment, engines []int) error {
-	return deployment.Eventually(ctx, func() error {
-		for _, n := range engines {
-			body, err := deployment.Get(ctx, d.Address(deployment.ExampleEngineAddress(n)), "/engine/report")
-			if err != nil {
-				return err
-			}
-			if !manualIsReady.MatchString(body) {
-				return errors.Newf("engine-%d does not serve the model", n)
+		homes = nil
+		for _, engines := range enginesByDataCentre {
+			if slices.ContainsFunc(engines, func(n int) bool { return servesManual(ctx, d, state, n) }) {
+				homes = append(homes, engines)
 			}
 		}
-		now, err := holders(ctx, d)
-		if err == nil && len(now) < len(engines) {
-			err = errors.Newf("engines %v of %v serve the model", now, engines)
+		if len(homes) < 2 {
+			return errors.Newf("engines %v serve the model, expected two data centres", homes)
 		}
-		return err
+		return nil
 	})
+	return homes, err
+}
+
+// servesManual reports whether the engine serves the model manual, by its own report and by a VM's state.
+func servesManual(ctx context.Context, d *deployment.Deployment, state deployment.State, engine int) bool {
+	report, err := deployment.Get(ctx, d.Address(deployment.ExampleEngineAddress(engine)), "/engine/report")
+	return err == nil && manualIsReady.MatchString(report) && state.HasReadyModel("manual", fmt.Sprintf("engine-%d", engine))
 }
