Draw software versions in the fuzz test of the router

TestFuzzAdmission now has servers report software versions and requests whose answers began at one, and checks that such a request is refused only when no server may run its version, and is never sent to one that is known to run another. It fails without the filter in candidates and without refuseStranded. The router keeps the version by reference, which saves an allocation for each token, and loses a check of reserved servers that no sequence of calls reaches.

--- a/internal/route/router/core.go
+++ b/internal/route/router/core.go
@@ -121,7 +121,7 @@
 		return
 	}
 	req.software = software
-	if req.reserved != nil && !slices.Contains(avoid, req.reserved.server.name) && !req.reserved.server.excludes(software) {
+	if req.reserved != nil && !slices.Contains(avoid, req.reserved.server.name) {
 		req.endWait(nil)
 		return
 	}
--- a/internal/route/router/fuzz_test.go
+++ b/internal/route/router/fuzz_test.go
@@ -20,6 +20,7 @@
 	admitted  bool
 	server    deck.BackendName // of the running attempt; empty for none
 	released  bool
+	software  *deck.SoftwareVersion // that began its answer; nil if none or unknown
 }
 
 func (r *trackedRequest) isWaiting() bool { return r.notified == 0 && !r.released }
@@ -31,6 +32,26 @@
 	rt           *rapid.T
 	requests     []*trackedRequest
 	prevAttempts map[deck.BackendName]int // after the previous action
+	software     map[deck.BackendName]deck.SoftwareVersion
+}
+
+// report makes a server report a software version.
+func (o *oracle) report(t *rapid.T) {
+	b := rapid.SampledFrom(o.src.replicas["m"]).Draw(t, "replica").Backend
+	o.software[b] = rapid.SampledFrom([]deck.SoftwareVersion{"", v1, v2}).Draw(t, "software")
+	o.harness.report(b, o.software[b])
+}
+
+// checkSoftware fails if a request whose answer has begun was refused although a server may run its software version, or has one that
+// does not.
+func (o *oracle) checkSoftware(t *rapid.T, r *trackedRequest, refused bool) {
+	for _, replica := range o.src.replicas["m"] {
+		v, known := o.software[replica.Backend]
+		fits := !known || v == *r.software
+		if refused && fits || replica.Backend == r.server && !fits {
+			t.Fatalf("a request with software %q was refused: %t, or sent to one with %q", *r.software, refused, v)
+		}
+	}
 }
 
 func (o *oracle) submit(t *rapid.T) {
@@ -94,12 +115,15 @@
 	o.observe(r.submission, r.server, kind, 0)
 	last := r.server
 	r.server = ""
+	if v, known := o.software[last]; known && r.software == nil && r.request.tokensGenerated > 0 {
+		r.software = &v
+	}
 	if kind == deck.ObservedEnd {
 		o.release(r)
 		return
 	}
 	r.notified, r.waitStart = 0, o.clock.Now()
-	o.core.Reselect(r.request, []deck.BackendName{last}, nil, r.notify)
+	o.core.Reselect(r.request, []deck.BackendName{last}, r.software, r.notify)
 }
 
 func (o *oracle) release(r *trackedRequest) {
@@ -144,6 +168,11 @@
 		return
 	}
 	b, ok := o.core.TakeReserved(r.request)
+	if r.refusal != nil && r.software != nil {
+		o.checkSoftware(t, r, true)
+		o.release(r)
+		return
+	}
 	if r.refusal != nil {
 		if ok || r.admitted {
 			t.Fatalf("a request was refused with %q after it was admitted or reserved a server", r.refusal.Reason)
@@ -155,6 +184,9 @@
 		t.Fatal("an admitted request has no server")
 	}
 	r.server = b.Name
+	if r.software != nil {
+		o.checkSoftware(t, r, false)
+	}
 	if !r.admitted {
 		o.checkOrder(t, r)
 	}
@@ -202,14 +234,17 @@
 	t.Fatal("a waiting request starved")
 }
 
-// Guards against lost or doubly admitted requests, exceeded limits, starvation and refusals of requests that have started, under
-// random sequences of requests, tokens, failures and releases.
+// Guards against lost or doubly admitted requests, exceeded limits, starvation, refusals of requests that have started and servers of
+// another software version than their answers', under random sequences of requests, tokens, failures, reports and releases.
 func TestFuzzAdmission(t *testing.T) {
 	decktest.Check(t, func(rt *rapid.T) {
 		h := newHarness(t, rapid.IntRange(1, 3).Draw(rt, "engines"))
-		o := &oracle{harness: h, rt: rt, prevAttempts: make(map[deck.BackendName]int)}
+		o := &oracle{
+			harness: h, rt: rt, prevAttempts: make(map[deck.BackendName]int), software: make(map[deck.BackendName]deck.SoftwareVersion),
+		}
 		rt.Repeat(map[string]func(*rapid.T){
-			"submit": o.submit, "advance": o.advance, "tokens": o.tokens, "end": o.end, "leave": o.leave, "": o.check,
+			"submit": o.submit, "advance": o.advance, "tokens": o.tokens, "end": o.end, "leave": o.leave, "report": o.report,
+			"": o.check,
 		})
 		o.finishAll(rt)
 		if n := len(o.core.queued) + len(o.core.nonEmpty); n != 0 {
--- a/internal/route/router/observe.go
+++ b/internal/route/router/observe.go
@@ -22,7 +22,7 @@
 		return
 	}
 	if o.Software != nil {
-		a.server.observeSoftware(*o.Software, now)
+		a.server.observeSoftware(o.Software, now)
 	}
 	switch o.Kind {
 	case deck.ObservedStart:
@@ -123,7 +123,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.server(r.Backend)
-	s.observeSoftware(r.Software, requestedAt)
+	s.observeSoftware(&r.Software, requestedAt)
 	if s.hasReport && requestedAt.Before(s.requestedAt) {
 		return
 	}
--- a/internal/route/router/server.go
+++ b/internal/route/router/server.go
@@ -74,11 +74,10 @@
 }
 
 // observeSoftware records what the server has said at the time about its software version.
-func (s *server) observeSoftware(v deck.SoftwareVersion, at time.Time) {
-	if at.Before(s.softwareAt) {
-		return
+func (s *server) observeSoftware(v *deck.SoftwareVersion, at time.Time) {
+	if !at.Before(s.softwareAt) {
+		s.software, s.softwareAt = v, at
 	}
-	s.software, s.softwareAt = &v, at
 }
 
 func (s *server) add(a *attempt) {
