Bound the tokens that a VM holds for its callers

An event of an engine may have 1 MB. It was held several times over, in a buffer of the caller's stream even after it was sent, and decoded for documents, each of which collects up to 16 MB. Tokens after one that was left out waited, 255 of 1 MB each. Beyond 8 KB an event now takes room in the memory for answers until the next one comes, and for the whole call if it has to wait; a document takes room for its text beyond 16 KB.

--- a/internal/api/caller/infer.go
+++ b/internal/api/caller/infer.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/geraniumdeck/geraniumdeck/internal/api/inbound"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	"github.com/geraniumdeck/geraniumdeck/internal/route/attempt"
 	wire "github.com/geraniumdeck/geraniumdeck/internal/wire/engine"
@@ -137,7 +138,7 @@
 
 // serveDocument answers a non-streaming request with one JSON document.
 func (h *Handler) serveDocument(w http.ResponseWriter, r *http.Request, req attempt.Request) {
-	var sink collector
+	sink := collector{room: inbound.RoomOf(r.Context())}
 	result := h.runAttempts(r, req, &sink)
 	switch {
 	case result.Kind == attempt.Completed:
--- a/internal/api/caller/sink.go
+++ b/internal/api/caller/sink.go
@@ -95,13 +95,23 @@
 		s.sendHeader()
 	}
 	_ = s.rc.SetWriteDeadline(time.Now().Add(writeTimeout)) // not supported by httptest.ResponseRecorder
-	defer s.buf.Reset()
+	defer s.resetBuffer()
 	if _, err := s.w.Write(s.buf.Bytes()); err != nil {
 		return err
 	}
 	return s.rc.Flush()
 }
 
+// maxKeptBytes is the capacity up to which the buffer is kept for the next token.
+const maxKeptBytes = 16 << 10
+
+func (s *streamSink) resetBuffer() {
+	if s.buf.Cap() > maxKeptBytes {
+		s.buf = bytes.Buffer{}
+	}
+	s.buf.Reset()
+}
+
 func (s *streamSink) sendHeader() {
 	s.headerSent = true
 	s.w.Header().Set("Content-Type", "text/event-stream")
--- a/internal/backend/engine/client.go
+++ b/internal/backend/engine/client.go
@@ -70,7 +70,8 @@
 	c.pool.closeIdle()
 }
 
-// Generate implements deck.Engine.Generate. Its error is a *deck.EngineError or the context's error.
+// Generate implements deck.Engine.Generate. Its error is a *deck.EngineError or the context's error. Long events take space in the
+// inbound.Room of the context.
 func (c *Client) Generate(ctx context.Context, g deck.GenerationRequest) (deck.TokenStream, error) {
 	streamCtx, cancel := context.WithCancelCause(ctx)
 	stall := &stallTimer{cancel: cancel}
@@ -113,7 +114,7 @@
 		streamCtx:   streamCtx,
 		cancel:      cancel,
 		body:        body,
-		eventReader: newEventReader(body),
+		eventReader: newEventReader(body, inbound.RoomOf(ctx)),
 		bootID:      bootID,
 		unframed:    eventstream.EndsWithConnection(resp),
 		nextOffset:  g.Offset,
--- a/internal/backend/engine/stream.go
+++ b/internal/backend/engine/stream.go
@@ -30,6 +30,7 @@
 	bootID      string
 	unframed    bool // the response ends with its connection
 	nextOffset  int  // expected offset of the next token
+	gap         bool // a token was left out, so that later ones wait for it
 	done        bool
 }
 
@@ -94,6 +95,10 @@
 	if !json.Valid(ev.data) {
 		return deck.Token{}, errors.Newf("event %d is not JSON", offset)
 	}
+	s.gap = s.gap || offset > s.nextOffset
+	if s.gap && !s.eventReader.room.Grow(int64(len(ev.data))) {
+		return deck.Token{}, errNoRoom
+	}
 	s.nextOffset = max(s.nextOffset, offset+1)
 	return deck.Token{Offset: offset, Data: ev.data}, nil
 }
