--- a/internal/api/ingress/continuation.go
+++ b/internal/api/ingress/continuation.go
@@ -23,10 +23,10 @@
 	// placementInterval is the time between two requests for a model that an interrupted stream waits for.
 	placementInterval = 1 * time.Second
 
-	// keepMargin is how much longer than its call may last the origin of a stream is kept, for callers whose time began later.
+	// keepMargin is added to the timeout of a call to get the time for which the origin of its stream is kept.
 	keepMargin = 5 * time.Second
 
-	// originRetryAfter is the retry delay of a call that resumes a stream of which it is unknown where it began: a record may be on its way.
+	// originRetryAfter is the retry delay of a call that resumes a stream of unknown origin, whose record may be on its way.
 	originRetryAfter = 500 * time.Millisecond
 )
 
