--- a/internal/api/ingress/handler.go
+++ b/internal/api/ingress/handler.go
@@ -220,8 +220,8 @@
 	}
 	service := table.PickService(route, h.Random.Float64())
 	c.requirements = balance.Requirements{
-		PromptParts: call.Parts,
-		Draw:        h.Random.Float64(), Tried: make(map[deck.BackendName]bool), MaxWait: time.Duration(serverQueueShare * float64(route.LatencyTarget)),
+		PromptParts: call.Parts, Draw: h.Random.Float64(), Tried: make(map[deck.BackendName]bool),
+		MaxWait: time.Duration(serverQueueShare * float64(route.LatencyTarget)),
 	}
 	c.useService(service)
 	return c
--- a/internal/api/peer/viewwire.go
+++ b/internal/api/peer/viewwire.go
@@ -215,7 +215,8 @@
 func serverFromWire(w serverJSON) deck.Server {
 	s := deck.Server{
 		ID: deck.BackendName(w.ID), Service: deck.ServiceName(w.Service), Address: w.Address,
-		DataCentre: deck.DataCentre(w.DataCentre), Software: deck.SoftwareVersion(w.Software), Slots: w.Slots, Draining: w.Draining, StartUnixMs: w.Born, Ejected: w.Broken,
+		DataCentre: deck.DataCentre(w.DataCentre), Software: deck.SoftwareVersion(w.Software), Slots: w.Slots,
+		Draining: w.Draining, StartUnixMs: w.Born, Ejected: w.Broken,
 	}
 	for _, m := range w.Models {
 		s.Models = append(s.Models, deck.HeldModel{
--- a/internal/core/deck/server.go
+++ b/internal/core/deck/server.go
@@ -132,7 +132,8 @@
 // SameModels reports whether both descriptions are the same except for the adapters.
 func (s Server) SameModels(o Server) bool {
 	return s.ID == o.ID && s.Service == o.Service && s.Address == o.Address && s.DataCentre == o.DataCentre &&
-		s.Software == o.Software && s.Slots == o.Slots && s.Draining == o.Draining && s.StartUnixMs == o.StartUnixMs && s.Ejected == o.Ejected &&
+		s.Software == o.Software && s.Slots == o.Slots && s.Draining == o.Draining && s.StartUnixMs == o.StartUnixMs &&
+		s.Ejected == o.Ejected &&
 		slices.EqualFunc(s.Models, o.Models, func(a, b HeldModel) bool {
 			return a.Name == b.Name && a.Version == b.Version
 		})
--- a/internal/place/order/controller_test.go
+++ b/internal/place/order/controller_test.go
@@ -185,7 +185,8 @@
 					a := deck.AdapterName(fmt.Sprint("a", random.IntN(8)))
 					m := model(random.IntN(7))
 					g.Go(func() error {
-						_, _ = c.PlaceFor(context.Background(), "dc", deck.PlacementRequest{Service: "llm", Model: m, Adapter: a}) // the fake engines check the orders
+						r := deck.PlacementRequest{Service: "llm", Model: m, Adapter: a}
+						_, _ = c.PlaceFor(context.Background(), "dc", r) // the fake engines check the orders
 						return nil
 					})
 					<-time.After(250 * time.Millisecond)
--- a/internal/place/order/engine.go
+++ b/internal/place/order/engine.go
@@ -162,7 +162,8 @@
 // snapshot returns the engine's state for the planner.
 func (e *engine) snapshot(spec deck.EngineSpec, now time.Time) assign.Engine {
 	v := assign.Engine{
-		ID: e.id, DataCentre: e.server.DataCentre, Software: e.server.Software, Available: e.available(now), Models: make(map[deck.ModelName]bool),
+		ID: e.id, DataCentre: e.server.DataCentre, Software: e.server.Software, Available: e.available(now),
+		Models:            make(map[deck.ModelName]bool),
 		CapacityMegabytes: spec.WeightMegabytes, UsedMegabytes: e.usedMegabytes(spec),
 		AdapterMegabytes: make(map[deck.ModelName]float64), Cached: e.cached, Loading: e.loading,
 		Unloading: len(e.unloading) > 0 && e.loading == "",
