--- a/internal/api/caller/software_test.go
+++ b/internal/api/caller/software_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 
 	"github.com/matryer/is"
 )
@@ -17,6 +18,7 @@
 		e1.software, e1.faults = "v1", []string{"reset:2"}
 		e2.software = "v2"
 		is.Equal(f.post(t.Context(), chatPath, streamBody).body, completeStream())
+		synctest.Wait() // for the cancellation, which goes on in the background
 		is.Equal(len(e2.requests), 1)
 		is.Equal(len(e2.cancels), 1)
 		is.Equal(len(e1.requests), 2)
