Tell an answer that was reset during its upload from a whole one

Cause: the operating system reports a reset once, to the first read or write that comes. If the write of the upload learns of it, the read finds the end of the data, as after an orderly end of the connection, and for an answer without a length that is its end.

Change: httpresponse.Conn remembers how its writes failed. A read that finds the end of the data first ends a write in progress; if a write learned that the connection was lost, the read returns that error. After an orderly end of the server's data a write fails with EPIPE or is still waiting, so answers that end with their connection stay whole.

--- a/internal/backend/http1/conn.go
+++ b/internal/backend/http1/conn.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/httpresponse"
 )
 
 const (
@@ -46,7 +48,7 @@
 
 // A conn is one connection; its read loop detects that the server closed the connection even while it is idle.
 type conn struct {
-	socket net.Conn
+	socket *httpresponse.Conn
 	limit  *headLimiter // between socket and reader
 	reader *bufio.Reader
 
@@ -68,7 +70,8 @@
 	err  error
 }
 
-func newConn(socket net.Conn) *conn {
+func newConn(c net.Conn) *conn {
+	socket := httpresponse.NewConn(c)
 	limit := &headLimiter{source: socket}
 	return &conn{
 		socket: socket, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes),
--- /dev/null
+++ b/internal/wire/httpresponse/conn.go
@@ -0,0 +1,59 @@
+package httpresponse
+
+import (
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// A Conn is a connection to a server. The end of its data, which may be what ends a response, is told from a lost connection.
+type Conn struct {
+	net.Conn
+
+	writing  sync.Mutex // held during a write
+	writeErr error      // of the first write that failed; guarded by writing
+}
+
+// NewConn returns a Conn over the given connection.
+func NewConn(c net.Conn) *Conn {
+	return &Conn{Conn: c}
+}
+
+// Read implements io.Reader.Read. Its error is io.EOF only if the server has ended its data in order.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) {
+		if lost := c.lostInWrite(); lost != nil {
+			err = errors.Wrap(lost, "connection lost while the request was written")
+		}
+	}
+	return n, err
+}
+
+// Write implements io.Writer.Write.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// lostInWrite returns the error with which a write learned that the connection was lost; nil if it was not. The operating system reports
+// the loss once, to a write or to a read; after the write, the read finds the end of the data.
+func (c *Conn) lostInWrite() error {
+	_ = c.SetWriteDeadline(time.Unix(1, 0)) // ends a write that waits for the server to read; it fails on a closed connection only
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	var errno syscall.Errno
+	if errors.As(c.writeErr, &errno) && errno != syscall.EPIPE { // EPIPE is for a connection that ended in order before
+		return c.writeErr
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/wire/httpresponse/doc.go
@@ -0,0 +1,3 @@
+// Package httpresponse says which HTTP/1.1 responses are well-formed, and when one is whole (RFC 9112, RFC 9110). All clients of other
+// processes read through it.
+package httpresponse
