Check the status line of an answer

What callers saw: an engine in trouble sends an answer with the status 000. Here it was skipped as an interim head: the caller waited for another answer until its deadline (504), or was given one that stood in the body. Answers with the status 600, 999 or 101, of HTTP/2.0 and HTTP/0.9, and with a control byte in the reason phrase reached the caller as answers.

Cause: net/http accepts any three characters that make a number which isn't negative, and readResponse takes what is below 200 as interim.

Change: httpresponse.Conn checks the head of each response while its bytes arrive, before net/http reads them, and ends the connection's data with ErrMalformed. By RFC 9110 codes outside of 100 to 599 are invalid; 101 answers an upgrade, and none is sent.

--- a/internal/backend/http1/conn.go
+++ b/internal/backend/http1/conn.go
@@ -122,6 +122,10 @@
 			c.deliver(result{err: errNoRoom})
 			return
 		}
+		if err := c.socket.BeginResponse(begin); err != nil {
+			c.deliver(result{err: err})
+			return
+		}
 		resp, err := readResponse(c.reader, req) //nolint:bodyclose // the receiver of the result closes it
 		c.limit.stop()
 		if !c.deliver(result{resp, err}) || err != nil {
@@ -193,14 +197,14 @@
 	}
 }
 
-// readResponse reads a response and skips interim ones (1xx) other than 101.
+// readResponse reads a response and skips interim ones (1xx).
 func readResponse(r *bufio.Reader, req *http.Request) (*http.Response, error) {
 	for {
 		resp, err := http.ReadResponse(r, req)
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
 	}
--- a/internal/wire/httpresponse/conn.go
+++ b/internal/wire/httpresponse/conn.go
@@ -10,10 +10,15 @@
 	"github.com/cockroachdb/errors"
 )
 
-// A Conn is a connection to a server. The end of its data, which may be what ends a response, is told from a lost connection.
+// A Conn is a connection to a server. It checks the heads of responses, and tells the end of the data, which may be what ends a response,
+// from a lost connection.
 type Conn struct {
 	net.Conn
 
+	mu       sync.Mutex
+	head     *headChecker // of the response that is awaited or read; nil before the first request
+	rejected error        // since a head is malformed
+
 	writing  sync.Mutex // held during a write
 	writeErr error      // of the first write that failed; guarded by writing
 }
@@ -23,9 +28,40 @@
 	return &Conn{Conn: c}
 }
 
-// Read implements io.Reader.Read. Its error is io.EOF only if the server has ended its data in order.
+// BeginResponse says that the data goes on with the head of a response, of which the given bytes were read before. Its error is
+// ErrMalformed.
+func (c *Conn) BeginResponse(read []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head = &headChecker{}
+	return c.check(read)
+}
+
+// HasHead reports whether a whole head has come since the last call of BeginResponse.
+func (c *Conn) HasHead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head != nil && c.head.part == headEnd
+}
+
+// check checks data that was read. The caller holds c.mu.
+func (c *Conn) check(data []byte) error {
+	if c.rejected == nil && c.head != nil {
+		c.rejected = c.head.check(data)
+	}
+	return c.rejected
+}
+
+// Read implements io.Reader.Read. Its error is io.EOF only if the server has ended its data in order, and ErrMalformed from the first
+// malformed head on.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	rejected := c.check(p[:n])
+	c.mu.Unlock()
+	if rejected != nil {
+		return 0, rejected
+	}
 	if errors.Is(err, io.EOF) {
 		if lost := c.lostInWrite(); lost != nil {
 			err = errors.Wrap(lost, "connection lost while the request was written")
