Check the fields of an answer's head

What callers saw: an engine in trouble sends an answer in whose head the name of a field holds a blank. The caller got it as an answer; if the field was to say where the body ends, with a body that was not the engine's, chunk lengths included.

Cause: net/http accepts a blank in a name and takes the field for an unknown one. In the same way it joins folded lines, drops a length beside a transfer coding, and drops a transfer coding in HTTP/1.0.

RFC 9112 lets a gateway answer 502 to a folded line, calls a length beside a coding an error and a coding in HTTP/1.0 faulty. A blank between a name and its colon would have to be removed before the answer is forwarded; such an answer isn't forwarded, since it comes from a server in trouble and the line may be the rest of another one.

--- a/internal/api/ingress/malformed_test.go
+++ b/internal/api/ingress/malformed_test.go
@@ -52,6 +52,39 @@
 	}
 }
 
+func malformedFields() []rawAnswer {
+	chunked := chunk(engineText) + "0\r\n\r\n"
+	return []rawAnswer{
+		withLine("blank in a name", "Odd Name: x"), withLine("tab in a name", "Odd\tName: x"), withLine("NUL in a name", "Odd\x00Name: x"),
+		withLine("control byte in a name", "Odd\x01Name: x"), withLine("DEL in a name", "Odd\x7fName: x"), withLine("CR in a name", "Odd\rName: x"),
+		withLine("byte above ASCII in a name", "Odd\xe9Name: x"), withLine("separator in a name", "Odd(Name): x"), withLine("blank after a name", "Odd : x"),
+		withLine("empty name", ": x"), withLine("no colon", "Odd"), withLine("folded line", "Odd: x\r\n y"), withLine("folded line with a tab", "Odd: x\r\n\ty"),
+		withLine("NUL in a value", "Odd: x\x00y"), withLine("control byte in a value", "Odd: x\x01y"), withLine("CR in a value", "Odd: x\ry"),
+		framedBy("blank after the name of the length", "Content-Length : 4", engineText),
+		framedBy("blank after the name of the coding", "Transfer-Encoding : chunked", chunked),
+		framedBy("control byte in the name of the coding", "Transfer-Encoding\x01: chunked", chunked),
+		framedBy("coding in a folded line", "Odd: x\r\n Transfer-Encoding: chunked", chunked),
+		framedBy("length and coding", "Content-Length: 15\r\nTransfer-Encoding: chunked", chunked),
+		framedBy("two lengths", "Content-Length: 15\r\nContent-Length: 4", engineText),
+		framedBy("negative length", "Content-Length: -1", engineText),
+		framedBy("length with a sign", "Content-Length: +15", engineText),
+		framedBy("empty length", "Content-Length:", engineText),
+		framedBy("length beyond numbers", "Content-Length: 99999999999999999999", engineText),
+		framedBy("unknown coding", "Transfer-Encoding: gzip", engineText),
+		framedBy("two codings", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", chunked),
+		{"coding in HTTP/1.0", "HTTP/1.0 200 OK\r\n" + own + "Transfer-Encoding: chunked\r\n\r\n" + chunked},
+		{"interim head with a blank in a name", "HTTP/1.1 103 Early Hints\r\nOdd Name: x\r\n\r\n" + withLine("", "Odd: x").text},
+		{"interim head with a control byte in a name", "HTTP/1.1 103 Early Hints\r\nOdd\x01Name: x\r\n\r\n" + withLine("", "Odd: x").text},
+		{"blank in a name after an interim head", "HTTP/1.1 100 Continue\r\n\r\n" + withLine("", "Odd Name: x").text},
+		framedBy("trailer with a control byte in a name", "Transfer-Encoding: chunked", chunk(engineText)+"0\r\nOdd\x01Name: x\r\n\r\n"),
+		framedBy("trailer without an end", "Transfer-Encoding: chunked", chunk(engineText)+"0\r\nOdd: x\r\n"),
+		framedBy("length of a chunk that is no number", "Transfer-Encoding: chunked", "z\r\n"+engineText+"\r\n0\r\n\r\n"),
+		framedBy("chunk that is longer than its length", "Transfer-Encoding: chunked", "4\r\n"+engineText+"\r\n0\r\n\r\n"),
+		framedBy("no last chunk", "Transfer-Encoding: chunked", chunk(engineText)),
+		framedBy("less than the length", "Content-Length: 16", engineText),
+	}
+}
+
 func sound() []rawAnswer {
 	chunked := chunk(engineText) + "0\r\n\r\n"
 	return []rawAnswer{
@@ -118,6 +151,12 @@
 	}
 }
 
+// Guards against an answer with a malformed field, such as one with a blank or a control byte in its name, that reaches its caller, with
+// that line or with a body that is not the server's.
+func TestAnswerWithMalformedFieldIsNone(t *testing.T) {
+	testMalformed(t, malformedFields())
+}
+
 // Guards against sound answers that are turned away as malformed, and against unusual ones whose body is changed.
 func TestUnusualSoundAnswersAreRelayed(t *testing.T) {
 	for _, a := range sound() {
@@ -135,7 +174,7 @@
 
 // Guards against a stream with a malformed head that a caller receives, or that continues an interrupted one.
 func TestStreamWithMalformedHeadIsNone(t *testing.T) {
-	for _, line := range []string{"HTTP/1.1 000 Unknown\r\n", "HTTP/1.1 600 Unknown\r\n"} {
+	for _, line := range []string{"HTTP/1.1 000 Unknown\r\n", "HTTP/1.1 600 Unknown\r\n", "HTTP/1.1 200 OK\r\nOdd Name: x\r\n", "HTTP/1.1 200 OK\r\nOdd\x01Name: x\r\n"} {
 		is := is.New(t)
 		malformed := rawAnswer{"", line + own + streamHead + "\r\n" + chunk(events(3, 4)) + "0\r\n\r\n"}
 		h := newHarness(t, stream(false), newBackend(t, "b1", malformed.send))
