Check the names of an answer's trailer

What callers saw: nothing, as trailers aren't forwarded. An answer whose trailer holds a blank in the name of a field counted as whole, beside one with a control byte there, which counted as broken off.

Cause: net/http reads trailers as it reads heads.

Change: the end of a body in chunks is reported only if the names in its trailer are names.

Measured: the case 'trailer with a blank in a name' of TestAnswerWithMalformedFieldIsNone failed before; TestUnusualSoundAnswersAreRelayed has a sound trailer and holds.

--- a/internal/api/ingress/malformed_test.go
+++ b/internal/api/ingress/malformed_test.go
@@ -76,6 +76,7 @@
 		{"interim head with a blank in a name", "HTTP/1.1 103 Early Hints\r\nOdd Name: x\r\n\r\n" + withLine("", "Odd: x").text},
 		{"interim head with a control byte in a name", "HTTP/1.1 103 Early Hints\r\nOdd\x01Name: x\r\n\r\n" + withLine("", "Odd: x").text},
 		{"blank in a name after an interim head", "HTTP/1.1 100 Continue\r\n\r\n" + withLine("", "Odd Name: x").text},
+		framedBy("trailer with a blank in a name", "Transfer-Encoding: chunked", chunk(engineText)+"0\r\nOdd Name: x\r\n\r\n"),
 		framedBy("trailer with a control byte in a name", "Transfer-Encoding: chunked", chunk(engineText)+"0\r\nOdd\x01Name: x\r\n\r\n"),
 		framedBy("trailer without an end", "Transfer-Encoding: chunked", chunk(engineText)+"0\r\nOdd: x\r\n"),
 		framedBy("length of a chunk that is no number", "Transfer-Encoding: chunked", "z\r\n"+engineText+"\r\n0\r\n\r\n"),
--- a/internal/backend/http1/conn.go
+++ b/internal/backend/http1/conn.go
@@ -205,6 +205,7 @@
 			return nil, err
 		}
 		if resp.StatusCode >= http.StatusOK {
+			httpresponse.CheckTrailer(resp)
 			return resp, nil
 		}
 	}
--- a/internal/wire/httpresponse/head_test.go
+++ b/internal/wire/httpresponse/head_test.go
@@ -39,7 +39,7 @@
 		is.Equal(resp.StatusCode, whole.framing.status)
 		is.True(len(resp.TransferEncoding) == 0 || whole.framing.coding != "")
 		for name, values := range resp.Header {
-			is.True(strings.IndexFunc(name, func(r rune) bool { return r > 0x7f || !isToken(byte(r)) }) < 0)
+			is.True(strings.IndexFunc(name, isNoToken) < 0)
 			is.True(strings.IndexFunc(strings.Join(values, ""), func(r rune) bool { return r < ' ' && r != '\t' }) < 0)
 		}
 	})
