Don't take a malformed answer for a crash

What callers saw: an engine in trouble that answers a request with malformed answers counts as crashed by it, so a request that met several of them is refused as one that crashes servers (422).

Cause: any error after a call was sent counts as a possible crash, also one about an answer that came in full.

Change: a malformed answer is no evidence of a crash. Its server is avoided as before.

--- a/internal/api/ingress/malformed_test.go
+++ b/internal/api/ingress/malformed_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -194,3 +195,21 @@
 		is.Equal(res.body, events(1, 3))
 	}
 }
+
+// Guards against a request that is refused as one that crashes servers because servers in trouble have answered it with malformed answers.
+func TestMalformedAnswersAreNoCrashes(t *testing.T) {
+	trailer := framedBy("", "Transfer-Encoding: chunked", chunk(engineText)+"0\r\nOdd Name: x\r\n\r\n")
+	for _, a := range []rawAnswer{withStatusLine("HTTP/1.1 000 Unknown"), withLine("", "Odd\x01Name: x"), trailer} {
+		is := is.New(t)
+		var backends []*backend
+		for _, id := range []string{"b1", "b2", "b3", "b4", "b5", "b6"} {
+			backends = append(backends, newBackend(t, id, a.send))
+		}
+		routes := []deck.Route{{Prefix: "/p/", Kind: deck.CallIdempotent, MaxAttempts: len(backends)}}
+		h := newHarness(t, routes, backends...)
+		is.Equal(h.call(t, http.MethodPost, "/p/x", "lookup").status, http.StatusBadGateway)
+		is.Equal(len(h.handler.Poison.Report(time.Now()).Crashes), 0)
+		h.setServers(newBackend(t, "b7", answerWith("whole")))
+		is.Equal(h.call(t, http.MethodPost, "/p/x", "lookup").body, "whole")
+	}
+}
--- a/internal/api/ingress/suspect.go
+++ b/internal/api/ingress/suspect.go
@@ -7,9 +7,11 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/blame"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/httpresponse"
 )
 
 // isPoison reports whether the call, or a part of its prompt, crashes servers.
@@ -52,8 +54,12 @@
 }
 
 // recordPossibleCrash counts an interrupted call as a possible crash of the server. It is called for any error but errNoAnswer
-// after the call was sent, and for any error within an answer, also if the stall timer aborted the stream.
+// after the call was sent, and for any error within an answer, also if the stall timer aborted the stream. A server that sends a malformed
+// answer still runs.
 func (c *callRun) recordPossibleCrash(now time.Time, s deck.Server, err error) {
+	if errors.Is(err, httpresponse.ErrMalformed) {
+		return
+	}
 	c.logSuspect(s)
 	c.h.Poison.RecordCrash(now, InterruptedCall{
 		Fingerprint: c.fingerprint(), Server: s, Parts: c.withRepetitions(c.suspectParts(now, err)), SentAt: c.sentAt, Began: c.headReceived,
