Check the answers of plain services

What callers of the inference API saw: an answer of a plain service with the status 600 or 101, of HTTP/2.0, or with a blank in the name of a field reached them, some with a body that was not the service's, and was recorded for its idempotency key. One with the status 000 broke the caller's connection and was recorded as well.

Cause: that path reads answers with net/http's Transport.

Change: httpresponse.Transport is a Transport over Conns, which check each head.

--- a/internal/backend/service/client.go
+++ b/internal/backend/service/client.go
@@ -18,6 +18,7 @@
 	"github.com/geraniumdeck/geraniumdeck/internal/api/inbound"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	"github.com/geraniumdeck/geraniumdeck/internal/wire/eventstream"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/httpresponse"
 	"github.com/geraniumdeck/geraniumdeck/internal/wire/notice"
 )
 
@@ -48,7 +49,7 @@
 // A Client calls plain services and implements deck.ServiceClient.
 type Client struct {
 	dial      DialFunc
-	transport *http.Transport
+	transport *httpresponse.Transport
 }
 
 var _ deck.ServiceClient = (*Client)(nil)
@@ -63,9 +64,9 @@
 		dial: dial,
 		// Answers don't name their calls, so on a connection that has carried other calls a copy of an earlier answer could be taken for
 		// the one to the next call. net/http may also send a call again whose connection the instance had closed.
-		transport: &http.Transport{
+		transport: &httpresponse.Transport{Base: http.Transport{
 			DialContext: dial, DisableCompression: true, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes,
-		},
+		}},
 	}
 }
 
