Read an early answer of a plain service although its request can't be written

What callers saw: a plain service refuses a large body at once, or answers it without reading it, and closes its connection. The caller got a 502 and the call counted as one that may have run, where the service had said that it had not.

Cause: net/http gives up a connection, with the answer on it, as soon as a write fails. That the service has closed the connection makes it fail.

Change: a Conn of a Transport reports that a write has failed once its data has been read. A connection that was lost ends its data as well, so nothing waits longer.

--- a/internal/api/caller/broken_test.go
+++ b/internal/api/caller/broken_test.go
@@ -93,3 +93,18 @@
 	h := newPortal(t, responsetest.DialWriteFirst(s.Address, len(answer.Text)))
 	is.Equal(outcome(h, strings.Repeat("x", responsetest.UploadBytes)), "502 outcome-unknown")
 }
+
+// TestEarlyAnswerOfInstance guards against an early answer, such as a refusal of a large body, that does not reach its caller because the
+// rest of its request can't be written any more.
+func TestEarlyAnswerOfInstance(t *testing.T) {
+	for _, tc := range responsetest.EarlyAnswers("") {
+		t.Run(tc.Name, func(t *testing.T) {
+			is := is.New(t)
+			s := responsetest.NewUnreadServer(t, tc.Send)
+			h := newPortal(t, responsetest.DialWriteFirst(s.Address, len(tc.Text)))
+			w := book(h, "k", strings.Repeat("x", responsetest.UploadBytes))
+			is.Equal(w.Code, tc.Status)
+			is.Equal(w.Body.String(), tc.Body)
+		})
+	}
+}
--- a/internal/wire/httpresponse/conn.go
+++ b/internal/wire/httpresponse/conn.go
@@ -19,13 +19,28 @@
 	head     *headChecker // of the response that is awaited or read; nil before the first request
 	rejected error        // since a head is malformed
 
+	readFirst bool          // holds the failure of a write back until the data has been read
+	ended     chan struct{} // closed when no more data can be read
+	endOnce   sync.Once
+
 	writing  sync.Mutex // held during a write
 	writeErr error      // of the first write that failed; guarded by writing
 }
 
 // NewConn returns a Conn over the given connection.
 func NewConn(c net.Conn) *Conn {
-	return &Conn{Conn: c}
+	return &Conn{Conn: c, ended: make(chan struct{})}
+}
+
+// Close implements net.Conn.Close.
+func (c *Conn) Close() error {
+	c.end()
+	return c.Conn.Close()
+}
+
+// end says that no more data can be read.
+func (c *Conn) end() {
+	c.endOnce.Do(func() { close(c.ended) })
 }
 
 // BeginResponse says that the data goes on with the head of a response, of which the given bytes were read before. Its error is
@@ -56,6 +71,9 @@
 // malformed head on.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if err != nil {
+		defer c.end()
+	}
 	c.mu.Lock()
 	rejected := c.check(p[:n])
 	c.mu.Unlock()
@@ -72,6 +90,14 @@
 
 // Write implements io.Writer.Write.
 func (c *Conn) Write(p []byte) (int, error) {
+	n, err := c.write(p)
+	if err != nil && c.readFirst {
+		<-c.ended
+	}
+	return n, err
+}
+
+func (c *Conn) write(p []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
--- a/internal/wire/httpresponse/transport.go
+++ b/internal/wire/httpresponse/transport.go
@@ -59,6 +59,8 @@
 		if err != nil {
 			return nil, err
 		}
-		return NewConn(c), nil
+		conn := NewConn(c)
+		conn.readFirst = true // net/http gives an early response up once a write fails
+		return conn, nil
 	}
 }
