Check the answers of engines on the inference API's path

What callers saw: tokens of an answer of HTTP/2.0, or in whose head the name of a field holds a blank, were delivered as an engine's. An early refusal of a long prompt without a body was taken for a crash, and the prompt went to the next engine.

Cause: as for plain services, net/http's Transport.

Change: the pools of connections to engines are httpresponse.Transports. The stand-ins use small socket buffers, so that an upload of 2 MB is enough.

--- a/internal/api/caller/broken_test.go
+++ b/internal/api/caller/broken_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
 
+	"github.com/geraniumdeck/geraniumdeck/internal/backend/engine"
 	"github.com/geraniumdeck/geraniumdeck/internal/backend/service"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	"github.com/geraniumdeck/geraniumdeck/internal/test/decktest"
@@ -65,7 +67,7 @@
 // TestMalformedAnswerOfInstance guards against an answer that breaks the protocol, such as one with the status 000 or with a blank in the name
 // of a field, and that reaches its caller or is recorded for the idempotency key.
 func TestMalformedAnswerOfInstance(t *testing.T) {
-	testUnusableOfInstance(t, append(portalAnswers.MalformedStatusLines(), portalAnswers.MalformedFields()...))
+	testUnusableOfInstance(t, portalAnswers.Malformed())
 }
 
 // TestIncompleteAnswerOfInstance guards against an answer that was cut short and is recorded as the outcome of a call.
@@ -108,3 +110,66 @@
 		})
 	}
 }
+
+const brokenToken = `{"id":"c","choices":[{"index":0,"delta":{"content":"from a broken engine"}}]}`
+
+// newInference returns the handler of an entry VM whose first engine the dial function connects to; the second one is sound.
+func newInference(t *testing.T, dial engine.DialFunc) (http.Handler, *decktest.PoisonStore) {
+	t.Helper()
+	sound := httptest.NewServer(&fakeEngine{})
+	t.Cleanup(sound.Close)
+	clients := map[deck.BackendName]deck.Engine{
+		"e1": engine.New("e1:80", deck.SystemClock{}, dial),
+		"e2": engine.New(strings.TrimPrefix(sound.URL, "http://"), deck.SystemClock{}, nil),
+	}
+	poison := &decktest.PoisonStore{}
+	return &Handler{
+		Router: &decktest.Router{Servers: []deck.BackendServer{{Name: "e1"}, {Name: "e2"}}},
+		Engine: func(b deck.BackendServer) deck.Engine { return clients[b.Name] }, State: decktest.StateSource{Current: testState},
+		Poison: poison, Clock: deck.SystemClock{}, VM: "vm1", DataCentre: "here", MaxBodyBytes: 2 * responsetest.UploadBytes,
+	}, poison
+}
+
+func complete(h http.Handler, body string) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(http.MethodPost, chatPath, strings.NewReader(body)))
+	return w
+}
+
+// TestMalformedStreamOfEngine guards against tokens from an answer that breaks the protocol, such as one with a blank in the name of a field,
+// and against such an answer being taken for a crash. A trailer changes nothing: a stream is whole with its last event.
+func TestMalformedStreamOfEngine(t *testing.T) {
+	streams := responsetest.Template{
+		Fields: "Boot-ID: b1\r\nContent-Type: text/event-stream\r\n", Body: "id: 0\ndata: " + brokenToken + "\n\ndata: [DONE]\n\n",
+	}
+	for _, a := range append(streams.MalformedStatusLines(), streams.MalformedFields()...) {
+		t.Run(a.Name, func(t *testing.T) {
+			is := is.New(t)
+			s := responsetest.NewServer(t, a.Send)
+			h, poison := newInference(t, engine.DialFunc(dialTo(s)))
+			w := complete(h, streamBody)
+			is.Equal(w.Code, http.StatusOK)
+			is.Equal(withoutComments(w.Body.String()), completeStream())
+			is.True(s.Requests() > 0)
+			is.Equal(len(poison.CrashReports()), 0)
+		})
+	}
+}
+
+// TestEarlyRefusalOfEngine guards against an early refusal of a long prompt that does not reach its caller, or that is taken for a crash,
+// because the rest of the request can't be written any more.
+func TestEarlyRefusalOfEngine(t *testing.T) {
+	for _, tc := range responsetest.EarlyAnswers("Boot-ID: b1\r\n") {
+		if tc.Status == http.StatusOK {
+			continue // engines answer with streams only
+		}
+		t.Run(tc.Name, func(t *testing.T) {
+			is := is.New(t)
+			s := responsetest.NewUnreadServer(t, tc.Send)
+			h, poison := newInference(t, engine.DialFunc(responsetest.DialWriteFirst(s.Address, len(tc.Text))))
+			w := complete(h, strings.Replace(streamBody, "hi", strings.Repeat("x", responsetest.UploadBytes), 1))
+			is.Equal(w.Code, tc.Status)
+			is.Equal(len(poison.CrashReports()), 0)
+		})
+	}
+}
--- a/internal/api/ingress/malformed_test.go
+++ b/internal/api/ingress/malformed_test.go
@@ -73,7 +73,7 @@
 // Guards against an answer with a malformed field, such as one with a blank or a control byte in its name, that reaches its caller, with
 // that line or with a body that is not the server's.
 func TestAnswerWithMalformedFieldIsNone(t *testing.T) {
-	testUnusable(t, answers.MalformedFields())
+	testUnusable(t, append(answers.MalformedFields(), answers.MalformedTrailers()...))
 }
 
 // Guards against an answer that was cut short, or whose chunks are in disorder, and that reaches its caller as complete.
--- a/internal/backend/engine/call.go
+++ b/internal/backend/engine/call.go
@@ -17,6 +17,7 @@
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	wire "github.com/geraniumdeck/geraniumdeck/internal/wire/engine"
 	"github.com/geraniumdeck/geraniumdeck/internal/wire/eventstream"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/httpresponse"
 )
 
 // Timeouts of requests other than token streams.
@@ -136,7 +137,7 @@
 	return unaryRequest{method: http.MethodPost, path: path, body: body, contentType: "application/json"}
 }
 
-func (c *Client) getJSON(ctx context.Context, t *http.Transport, path string, limit int64, out any) error {
+func (c *Client) getJSON(ctx context.Context, t *httpresponse.Transport, path string, limit int64, out any) error {
 	r := unaryRequest{method: http.MethodGet, path: path}
 	r.decode = func(data []byte) error { return errors.Wrap(json.Unmarshal(data, out), path) }
 	_, err := c.do(ctx, t, r, unaryTimeout, limit)
@@ -144,7 +145,7 @@
 }
 
 // do sends the request and returns the body of a successful response; a body of more than limit bytes is an error.
-func (c *Client) do(ctx context.Context, t *http.Transport, r unaryRequest, timeout time.Duration, limit int64) ([]byte, error) {
+func (c *Client) do(ctx context.Context, t *httpresponse.Transport, r unaryRequest, timeout time.Duration, limit int64) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	reused := false
--- a/internal/backend/engine/identity.go
+++ b/internal/backend/engine/identity.go
@@ -8,6 +8,7 @@
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	wire "github.com/geraniumdeck/geraniumdeck/internal/wire/engine"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/httpresponse"
 )
 
 // errUnidentified means that a response on a reused connection may be a copy of an earlier one.
@@ -15,7 +16,7 @@
 
 // transport returns the transport of the next request. Connections to an engine that does not repeat the IDs of requests are not reused,
 // since nothing would tell the response to a request from a copy of an earlier one.
-func (c *Client) transport(unpooled bool) *http.Transport {
+func (c *Client) transport(unpooled bool) *httpresponse.Transport {
 	if unpooled || c.anonymous.Load() {
 		return c.pool.unpooled()
 	}
--- a/internal/backend/engine/pool.go
+++ b/internal/backend/engine/pool.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/httpresponse"
 )
 
 // Limits of pooled connections. When a network device on the path loses its state for a connection, it drops all further
@@ -37,12 +38,12 @@
 	clock deck.Clock
 
 	mu        sync.Mutex
-	current   *http.Transport
+	current   *httpresponse.Transport
 	createdAt time.Time
 }
 
 // pooled returns the transport for requests that may reuse an idle connection.
-func (p *pool) pooled() *http.Transport {
+func (p *pool) pooled() *httpresponse.Transport {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
@@ -58,9 +59,9 @@
 }
 
 // unpooled returns a transport that opens a new connection for each request and closes it afterwards.
-func (p *pool) unpooled() *http.Transport {
+func (p *pool) unpooled() *httpresponse.Transport {
 	t := p.newTransport()
-	t.DisableKeepAlives = true
+	t.Base.DisableKeepAlives = true
 	return t
 }
 
@@ -73,14 +74,14 @@
 	}
 }
 
-func (p *pool) newTransport() *http.Transport {
-	return &http.Transport{
+func (p *pool) newTransport() *httpresponse.Transport {
+	return &httpresponse.Transport{Base: http.Transport{
 		DialContext:            p.connect,
 		DisableCompression:     true,
 		IdleConnTimeout:        maxConnectionIdleTime,
 		MaxIdleConnsPerHost:    maxIdleConnsPerEngine,
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}
+	}}
 }
 
 func (p *pool) connect(ctx context.Context, network, address string) (net.Conn, error) {
--- a/internal/test/responsetest/conn.go
+++ b/internal/test/responsetest/conn.go
@@ -7,8 +7,10 @@
 	"time"
 )
 
-// UploadBytes is more than the socket buffers of both ends of a connection take.
-const UploadBytes = 12 << 20
+// UploadBytes is more than the socket buffers of both ends of a connection between DialWriteFirst and a Server take.
+const UploadBytes = 2 << 20
+
+const socketBufferBytes = 64 << 10
 
 // writeTimeout is how long a connection waits for a write to fail.
 const writeTimeout = 5 * time.Second
@@ -29,6 +31,7 @@
 		if err != nil {
 			return nil, err
 		}
+		_ = c.(*net.TCPConn).SetWriteBuffer(socketBufferBytes) // the upload then takes longer than its answer
 		return &WriteFirstConn{Conn: c, failed: make(chan struct{}), unread: n}, nil
 	}
 }
--- a/internal/test/responsetest/response.go
+++ b/internal/test/responsetest/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 )
 
@@ -63,7 +64,7 @@
 	return out
 }
 
-// MalformedFields returns responses in whose head, interim head or trailer a field breaks the protocol.
+// MalformedFields returns responses in whose head or interim head a field breaks the protocol.
 func (t Template) MalformedFields() []Response {
 	length := strings.TrimSuffix(t.length(), "\r\n")
 	shorter := fmt.Sprintf("%d", len(t.Body)-1)
@@ -92,10 +93,21 @@
 		{"interim head with a blank in a name", "HTTP/1.1 103 Early Hints\r\nOdd Name: x\r\n\r\n" + whole},
 		{"interim head with a control byte in a name", "HTTP/1.1 103 Early Hints\r\nOdd\x01Name: x\r\n\r\n" + whole},
 		{"blank in a name after an interim head", "HTTP/1.1 100 Continue\r\n\r\n" + t.WithLine("", "Odd Name: x").Text},
+	}
+}
+
+// MalformedTrailers returns responses in whose trailer a field breaks the protocol.
+func (t Template) MalformedTrailers() []Response {
+	return []Response{
 		t.WithTrailer("trailer with a blank in a name", "Odd Name: x\r\n"), t.WithTrailer("trailer with a control byte in a name", "Odd\x01Name: x\r\n"),
 	}
 }
 
+// Malformed returns all of these responses.
+func (t Template) Malformed() []Response {
+	return slices.Concat(t.MalformedStatusLines(), t.MalformedFields(), t.MalformedTrailers())
+}
+
 // Incomplete returns responses that end before they are whole.
 func (t Template) Incomplete() []Response {
 	whole := t.WithTrailer("", "Odd: x\r\n").Text
--- a/internal/test/responsetest/server.go
+++ b/internal/test/responsetest/server.go
@@ -59,6 +59,7 @@
 			}
 			g.Go(func() error {
 				defer func() { _ = c.Close() }()
+				_ = c.SetReadBuffer(socketBufferBytes) // as in DialWriteFirst
 				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
 					s.requests.Add(1)
 					answer(c, r)
