Check the answers of the platform, of engines to orders and of other VMs

What happened: a malformed answer to an order passed for the engine's word on it, and malformed reports, lists and messages of other VMs were believed.

Cause: these clients use net/http's Transport as well.

Change: they use httpresponse.Transport.

Answers that are cut short were turned away already.

--- a/internal/api/peer/replicaclient.go
+++ b/internal/api/peer/replicaclient.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/httpresponse"
 	"github.com/geraniumdeck/geraniumdeck/internal/wire/replication"
 )
 
@@ -21,10 +22,10 @@
 )
 
 // defaultReplicaClient uses no proxy because peers are addressed by IP.
-var defaultReplicaClient = &http.Client{Transport: &http.Transport{
+var defaultReplicaClient = &http.Client{Transport: &httpresponse.Transport{Base: http.Transport{
 	DialContext:     (&net.Dialer{Timeout: replicaDialTimeout}).DialContext,
 	IdleConnTimeout: replicaIdleTimeout,
-}}
+}}}
 
 // A ReplicaClient sends messages to other replicas over HTTP.
 type ReplicaClient struct {
--- a/internal/command/node/node.go
+++ b/internal/command/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/geraniumdeck/geraniumdeck/internal/core/kernel"
 	"github.com/geraniumdeck/geraniumdeck/internal/report/telemetry"
 	settings "github.com/geraniumdeck/geraniumdeck/internal/settings/node"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/httpresponse"
 	"github.com/geraniumdeck/geraniumdeck/platform"
 )
 
@@ -192,13 +193,13 @@
 
 // newPeerClient returns a client for requests to other VMs, to the platform and, besides calls and orders, to engines.
 func newPeerClient() *http.Client {
-	return &http.Client{Transport: part.TrimHeadersTransport{Next: &http.Transport{
+	return &http.Client{Transport: part.TrimHeadersTransport{Next: &httpresponse.Transport{Base: http.Transport{
 		DialContext:            dialPeer,
 		MaxIdleConnsPerHost:    4,
 		MaxResponseHeaderBytes: part.MaxResponseHeadBytes,
 		DisableCompression:     true,
 		IdleConnTimeout:        peerIdleTimeout,
-	}}}
+	}}}}
 }
 
 // newServerList returns the platform's list of backend servers.
--- /dev/null
+++ b/internal/command/process/broken_test.go
@@ -0,0 +1,51 @@
+package process
+
+import (
+	"context"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+	"go.opentelemetry.io/otel/metric/noop"
+
+	"github.com/geraniumdeck/geraniumdeck/internal/api/peer"
+	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
+	"github.com/geraniumdeck/geraniumdeck/internal/platform/vmlist"
+	"github.com/geraniumdeck/geraniumdeck/internal/state/lease"
+	"github.com/geraniumdeck/geraniumdeck/internal/test/responsetest"
+)
+
+// TestBrokenResponsesAreNone guards against a response that breaks the protocol or is incomplete and that is taken for the list of VMs or for
+// another VM's message; and against sound ones that are turned away.
+func TestBrokenResponsesAreNone(t *testing.T) {
+	traffic, err := newTrafficCounter(noop.Meter{})
+	is.New(t).NoErr(err)
+	client := newPeerClient(traffic)
+	for _, tc := range []struct {
+		name, body string
+		read       func(ctx context.Context, c *http.Client, address string) error
+	}{
+		{"list of VMs", `{"vms":[]}`, func(ctx context.Context, c *http.Client, address string) error {
+			_, err := vmlist.New("http://"+address, c).List(ctx)
+			return err
+		}},
+		{"other VM", `{"granted":true}`, func(ctx context.Context, c *http.Client, address string) error {
+			_, err := peer.LeaseClient{HTTP: c}.SendRequest(ctx, deck.Peer{Address: address}, lease.Request{})
+			return err
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			responses := responsetest.Template{Body: tc.body}
+			for _, r := range append(responses.Malformed(), responses.Incomplete()...) {
+				t.Run(r.Name, func(t *testing.T) {
+					is.New(t).True(tc.read(t.Context(), client, responsetest.NewServer(t, r.Send).Address) != nil)
+				})
+			}
+			for _, r := range responses.Sound() {
+				t.Run(r.Name, func(t *testing.T) {
+					is.New(t).NoErr(tc.read(t.Context(), client, responsetest.NewServer(t, r.Send).Address))
+				})
+			}
+		})
+	}
+}
--- a/internal/command/process/process.go
+++ b/internal/command/process/process.go
@@ -13,6 +13,7 @@
 	"github.com/geraniumdeck/geraniumdeck/internal/core/restraint"
 	settings "github.com/geraniumdeck/geraniumdeck/internal/settings/yaml"
 	"github.com/geraniumdeck/geraniumdeck/internal/state/feed"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/httpresponse"
 )
 
 // A Process runs the services and listeners of one VM.
@@ -70,13 +71,13 @@
 
 // newPeerClient returns the client for requests to other VMs, with few idle connections per VM.
 func newPeerClient(t *trafficCounter) *http.Client {
-	return &http.Client{Transport: part.TrimHeadersTransport{Next: &http.Transport{
+	return &http.Client{Transport: part.TrimHeadersTransport{Next: &httpresponse.Transport{Base: http.Transport{
 		DialContext:            t.dial,
 		MaxIdleConnsPerHost:    4,
 		MaxResponseHeaderBytes: part.MaxResponseHeadBytes,
 		DisableCompression:     true,                 // the messages are short
 		IdleConnTimeout:        part.IdleTimeout / 2, // below the server's, which then rarely closes a reused connection
-	}}}
+	}}}}
 }
 
 // address returns the address of a VM's peers' listener.
