Read the weight store's status to its end

What happened: a status that was cut short after its closing brace, or whose trailer was malformed, passed for a whole one.

Cause: a JSON decoder stops at the end of the first value.

Change: the client reads the body to its end first.

--- a/internal/api/caller/broken_test.go
+++ b/internal/api/caller/broken_test.go
@@ -1,8 +1,10 @@
 package caller
 
 import (
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -173,3 +175,14 @@
 		})
 	}
 }
+
+// TestCutRefusalOfEngine guards against the text of an engine's refusal that was cut short and reaches the caller as the whole.
+func TestCutRefusalOfEngine(t *testing.T) {
+	is := is.New(t)
+	const text = `{"error":{"message":"the prompt is too long","type":"invalid_request_error"}}`
+	cut := responsetest.Response{Text: "HTTP/1.1 413 Content Too Large\r\nContent-Length: " + strconv.Itoa(len(text)) + "\r\n\r\n" + text[:40]}
+	h, _ := newInference(t, engine.DialFunc(dialTo(responsetest.NewServer(t, cut.Send))))
+	w := complete(h, streamBody)
+	is.Equal(w.Code, http.StatusRequestEntityTooLarge)
+	is.True(json.Valid(w.Body.Bytes())) // of this VM
+}
--- a/internal/command/process/broken_test.go
+++ b/internal/command/process/broken_test.go
@@ -11,12 +11,13 @@
 	"github.com/geraniumdeck/geraniumdeck/internal/api/peer"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	"github.com/geraniumdeck/geraniumdeck/internal/platform/vmlist"
+	"github.com/geraniumdeck/geraniumdeck/internal/platform/weightstore"
 	"github.com/geraniumdeck/geraniumdeck/internal/state/lease"
 	"github.com/geraniumdeck/geraniumdeck/internal/test/responsetest"
 )
 
-// TestBrokenResponsesAreNone guards against a response that breaks the protocol or is incomplete and that is taken for the list of VMs or for
-// another VM's message; and against sound ones that are turned away.
+// TestBrokenResponsesAreNone guards against a response that breaks the protocol or is incomplete and that is taken for the list of VMs, for the
+// status of the weight store or for another VM's message; and against sound ones that are turned away.
 func TestBrokenResponsesAreNone(t *testing.T) {
 	traffic, err := newTrafficCounter(noop.Meter{})
 	is.New(t).NoErr(err)
@@ -29,6 +30,10 @@
 			_, err := vmlist.New("http://"+address, c).List(ctx)
 			return err
 		}},
+		{"weight store", `{"in-flight":1,"limit":9}`, func(ctx context.Context, c *http.Client, address string) error {
+			_, _, err := weightstore.New("http://"+address, c).Status(ctx)
+			return err
+		}},
 		{"other VM", `{"granted":true}`, func(ctx context.Context, c *http.Client, address string) error {
 			_, err := peer.LeaseClient{HTTP: c}.SendRequest(ctx, deck.Peer{Address: address}, lease.Request{})
 			return err
--- a/internal/platform/weightstore/client.go
+++ b/internal/platform/weightstore/client.go
@@ -46,8 +46,15 @@
 	if resp.StatusCode != http.StatusOK {
 		return 0, 0, errors.Newf("request weight store status: status %d", resp.StatusCode)
 	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes+1)) // to the end, since a part may look whole
+	if err != nil {
+		return 0, 0, errors.Wrap(err, "read weight store status")
+	}
+	if len(data) > maxBodyBytes {
+		return 0, 0, errors.Newf("weight store status exceeds %d bytes", maxBodyBytes)
+	}
 	var d statusResponse
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxBodyBytes)).Decode(&d); err != nil {
+	if err := json.Unmarshal(data, &d); err != nil {
 		return 0, 0, errors.Wrap(err, "decode weight store status")
 	}
 	if d.InFlight == nil || d.Limit == nil || *d.InFlight < 0 || *d.Limit < 0 {
