--- a/internal/api/ingress/malformed_test.go
+++ b/internal/api/ingress/malformed_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -141,3 +142,29 @@
 		is.Equal(h.call(t, http.MethodPost, "/p/x", "lookup").body, "whole")
 	}
 }
+
+// Guards against a liveness answer that breaks the protocol and whose load, or name of another server, is believed.
+func TestMalformedLivenessAnswerIsNone(t *testing.T) {
+	probed := responsetest.Template{Fields: answers.Fields + "Pace: 2.5\r\nServer-Name: e2\r\n", Body: engineText}
+	call := responsetest.Template{Fields: answers.Fields, Body: "e1"}.Unframed()
+	for _, a := range append(probed.MalformedStatusLines(), probed.MalformedFields()...) {
+		t.Run(a.Name, func(t *testing.T) {
+			is := is.New(t)
+			var probes atomic.Int32
+			s := responsetest.NewServer(t, func(c *net.TCPConn, r *http.Request) {
+				if r.URL.Path == healthPath {
+					probes.Add(1)
+					a.Send(c, r)
+					return
+				}
+				call.Send(c, r)
+			})
+			other := newBackend(t, "e3", engineAnswer("e3", healthWithSlowdown("e3", "1")))
+			h := newEngineHarness(t, standIn("e1", s), other)
+			res := h.call(t, http.MethodPost, "/p/x", "b")
+			is.NoErr(res.err)
+			is.Equal(res.body, "e1") // not the other one, as if this one were slow or another server
+			is.Equal(probes.Load(), int32(1))
+		})
+	}
+}
