--- a/internal/wire/httpresponse/head.go
+++ b/internal/wire/httpresponse/head.go
@@ -47,16 +47,16 @@
 	}
 }
 
-// maxNoted is how many bytes are kept of a status line, and of each name and value of a field.
-const maxNoted = 64
+// maxPrefix is how many bytes are kept of a status line, and of each name and value of a field; what matters is shorter.
+const maxPrefix = 64
 
 // A headChecker checks the head of a response while its bytes arrive, with the interim heads before it. It is stricter than net/http,
 // which reads a name with a blank as that of an unknown field, and a body that is not the server's if that field says where it ends. Its
 // zero value expects the status line.
 type headChecker struct {
 	part    headPart
-	cr      bool // the last byte was a CR
-	line    noted
+	cr      bool         // the last byte was a CR
+	line    prefix       // of the line, or of the name or value in it
 	field   framingField // whose value is read
 	framing framing
 }
@@ -131,7 +131,7 @@
 		switch {
 		case h.field == noFramingField:
 			return nil
-		case h.line.size > maxNoted:
+		case h.line.size > maxPrefix:
 			return malformed("long value that should say where the body ends")
 		}
 		return h.framing.readField(h.field, strings.Trim(h.line.text(), " \t"))
@@ -147,7 +147,7 @@
 // A framing is what a head says about the end of the body.
 type framing struct {
 	status int
-	old    bool // the version is HTTP/1.0
+	http10 bool // the version is HTTP/1.0
 	length string
 	coding string
 }
@@ -159,7 +159,7 @@
 	if !ok || len(minor) != 1 || !isNumber(minor) {
 		return malformed("HTTP version %q", version)
 	}
-	f.old = minor == "0"
+	f.http10 = minor == "0"
 	code, _, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
 	if len(code) != 3 || !isNumber(code) {
 		return malformed("status %q", code)
@@ -192,7 +192,7 @@
 // check returns an error if it is in doubt where the body ends.
 func (f *framing) check() error {
 	switch {
-	case f.coding != "" && f.old:
+	case f.coding != "" && f.http10:
 		return malformed("transfer coding in HTTP/1.0")
 	case f.coding != "" && f.length != "":
 		return malformed("length beside a transfer coding")
@@ -202,22 +202,22 @@
 
 const maxStatus = 599
 
-// A noted keeps the first bytes of a text.
-type noted struct {
-	bytes [maxNoted]byte
+// A prefix is the first bytes of a text.
+type prefix struct {
+	bytes [maxPrefix]byte
 	size  int // of the whole text
 }
 
-func (n *noted) add(b byte) {
-	if n.size < maxNoted {
-		n.bytes[n.size] = b
+func (p *prefix) add(b byte) {
+	if p.size < maxPrefix {
+		p.bytes[p.size] = b
 	}
-	n.size++
+	p.size++
 }
 
-func (n *noted) reset() { n.size = 0 }
+func (p *prefix) reset() { p.size = 0 }
 
-func (n *noted) text() string { return string(n.bytes[:min(n.size, maxNoted)]) }
+func (p *prefix) text() string { return string(p.bytes[:min(p.size, maxPrefix)]) }
 
 func isNumber(s string) bool {
 	return s != "" && strings.Trim(s, "0123456789") == ""
--- a/internal/wire/httpresponse/head_test.go
+++ b/internal/wire/httpresponse/head_test.go
@@ -18,7 +18,7 @@
 		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", "HTTP/1.0 200\n\nbody", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 None\r\n\r\n",
 		"HTTP/1.1 000 Odd\r\n\r\n", "HTTP/1.1 200 OK\r\nOdd Name: x\r\n\r\n", "HTTP/1.1 200 OK\r\nOdd: x\r\n y\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbody",
-		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked" + strings.Repeat(" ", maxNoted) + ", gzip\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked" + strings.Repeat(" ", maxPrefix) + ", gzip\r\n\r\n",
 	} {
 		f.Add([]byte(head))
 	}
