Check the answers that the command line reads from VMs

What happened: the command line took a malformed answer for a VM's word.

Cause: it used net/http's default client.

Change: its default client is one of httpresponse; it keeps to a proxy that the environment names.

Measured: 18 of 56 cases of TestBrokenResponsesAreNone in internal/api/operator failed before, all pass.

--- a/internal/api/operator/client.go
+++ b/internal/api/operator/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
 	"github.com/geraniumdeck/geraniumdeck/internal/report/burn"
+	"github.com/geraniumdeck/geraniumdeck/internal/wire/httpresponse"
 	"github.com/geraniumdeck/geraniumdeck/internal/wire/ticket"
 )
 
@@ -21,9 +22,11 @@
 // A Client sends requests to the operators' listener of one VM.
 type Client struct {
 	Address string       // IP:port
-	HTTP    *http.Client // nil for http.DefaultClient
+	HTTP    *http.Client // nil for a client that all Clients share
 }
 
+var defaultClient = &http.Client{Transport: &httpresponse.Transport{Base: http.Transport{Proxy: http.ProxyFromEnvironment}}}
+
 // A StatusError is an error response of a VM.
 type StatusError struct {
 	Address string // of the VM's operators' listener
@@ -86,7 +89,7 @@
 	}
 	hc := c.HTTP
 	if hc == nil {
-		hc = http.DefaultClient
+		hc = defaultClient
 	}
 	resp, err := hc.Do(req)
 	if err != nil {
