--- a/internal/wire/httpresponse/trailer.go
+++ b/internal/wire/httpresponse/trailer.go
@@ -25,25 +25,29 @@
 // Read implements io.Reader.Read.
 func (b *trailedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	var breach textproto.ProtocolError
+	if err == nil {
+		return n, nil
+	}
+	var breach textproto.ProtocolError // net/http reads only trailers with textproto here
 	switch {
 	case errors.As(err, &breach):
-		err = malformed("trailer: %s", breach.Error())
+		return n, malformed("trailer: %s", breach.Error())
 	case errors.Is(err, io.EOF):
-		err = b.checkNames(err)
+		return n, b.endOfTrailer()
+	default:
+		return n, err
 	}
-	return n, err
 }
 
-// checkNames returns err, or ErrMalformed if a name in the trailer is none.
-func (b *trailedBody) checkNames(err error) error {
+// endOfTrailer returns io.EOF, or ErrMalformed if a name in the trailer is none.
+func (b *trailedBody) endOfTrailer() error {
 	for name, values := range b.resp.Trailer {
 		announcedOnly := values == nil
 		if !announcedOnly && strings.IndexFunc(name, isNoToken) >= 0 {
 			return malformed("name %q in the trailer", name)
 		}
 	}
-	return err
+	return io.EOF
 }
 
 func isNoToken(r rune) bool {
