--- a/internal/command/node/broken_test.go
+++ b/internal/command/node/broken_test.go
@@ -5,7 +5,6 @@
 	"testing"
 
 	"github.com/go-logr/logr"
-	"github.com/matryer/is"
 
 	"github.com/geraniumdeck/geraniumdeck/internal/api/peer"
 	"github.com/geraniumdeck/geraniumdeck/internal/core/deck"
@@ -47,17 +46,7 @@
 		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			responses := responsetest.Template{Body: tc.body}
-			for _, r := range append(responses.Malformed(), responses.Incomplete()...) {
-				t.Run(r.Name, func(t *testing.T) {
-					is.New(t).True(tc.read(t.Context(), responsetest.NewServer(t, r.Send).Address) != nil)
-				})
-			}
-			for _, r := range responses.Sound() {
-				t.Run(r.Name, func(t *testing.T) {
-					is.New(t).NoErr(tc.read(t.Context(), responsetest.NewServer(t, r.Send).Address))
-				})
-			}
+			responsetest.CheckReader(t, responsetest.Template{Body: tc.body}, tc.read)
 		})
 	}
 }
--- a/internal/command/process/broken_test.go
+++ b/internal/command/process/broken_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"testing"
 
 	"github.com/matryer/is"
@@ -24,33 +23,23 @@
 	client := newPeerClient(traffic)
 	for _, tc := range []struct {
 		name, body string
-		read       func(ctx context.Context, c *http.Client, address string) error
+		read       func(ctx context.Context, address string) error
 	}{
-		{"list of VMs", `{"vms":[]}`, func(ctx context.Context, c *http.Client, address string) error {
-			_, err := vmlist.New("http://"+address, c).List(ctx)
+		{"list of VMs", `{"vms":[]}`, func(ctx context.Context, address string) error {
+			_, err := vmlist.New("http://"+address, client).List(ctx)
 			return err
 		}},
-		{"weight store", `{"in-flight":1,"limit":9}`, func(ctx context.Context, c *http.Client, address string) error {
-			_, _, err := weightstore.New("http://"+address, c).Status(ctx)
+		{"weight store", `{"in-flight":1,"limit":9}`, func(ctx context.Context, address string) error {
+			_, _, err := weightstore.New("http://"+address, client).Status(ctx)
 			return err
 		}},
-		{"other VM", `{"granted":true}`, func(ctx context.Context, c *http.Client, address string) error {
-			_, err := peer.LeaseClient{HTTP: c}.SendRequest(ctx, deck.Peer{Address: address}, lease.Request{})
+		{"other VM", `{"granted":true}`, func(ctx context.Context, address string) error {
+			_, err := peer.LeaseClient{HTTP: client}.SendRequest(ctx, deck.Peer{Address: address}, lease.Request{})
 			return err
 		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			responses := responsetest.Template{Body: tc.body}
-			for _, r := range append(responses.Malformed(), responses.Incomplete()...) {
-				t.Run(r.Name, func(t *testing.T) {
-					is.New(t).True(tc.read(t.Context(), client, responsetest.NewServer(t, r.Send).Address) != nil)
-				})
-			}
-			for _, r := range responses.Sound() {
-				t.Run(r.Name, func(t *testing.T) {
-					is.New(t).NoErr(tc.read(t.Context(), client, responsetest.NewServer(t, r.Send).Address))
-				})
-			}
+			responsetest.CheckReader(t, responsetest.Template{Body: tc.body}, tc.read)
 		})
 	}
 }
