--- a/internal/api/ingress/malformed_test.go
+++ b/internal/api/ingress/malformed_test.go
@@ -168,3 +168,26 @@
 		})
 	}
 }
+
+// Guards against a malformed answer that ends a call which another server is still answering.
+func TestMalformedAnswerEndsNoHedgedCall(t *testing.T) {
+	for _, a := range []responsetest.Response{answers.WithStatusLine("HTTP/1.1 000 Unknown"), answers.WithLine("", "Odd Name: x")} {
+		is := is.New(t)
+		asked := make(chan struct{})
+		first := newBackend(t, "b1", func(c net.Conn, r *http.Request) bool {
+			<-asked
+			<-time.After(50 * time.Millisecond) // the malformed answer comes first
+			return answerWith("first")(c, r)
+		})
+		second := responsetest.NewServer(t, func(c *net.TCPConn, r *http.Request) {
+			a.Send(c, r)
+			close(asked)
+		})
+		routes := idempotent()
+		routes[0].LatencyTarget = time.Minute // no timeout ends the first send
+		res := newHedgedHarness(t, routes, first, standIn("b2", second)).call(t, http.MethodGet, "/p/x", "")
+		is.NoErr(res.err)
+		is.Equal(res.body, "first")
+		is.Equal(second.Requests(), 1)
+	}
+}
