--- /dev/null
+++ b/review/standin-3/engine.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"bufio"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	healthPath = "/health"
+
+	headerAttempt   = "Geraniumdeck-Attempt-Id"
+	headerSignature = "Geraniumdeck-Response-Signature"
+)
+
+// An engineServer is a backend server of a plain service. It writes a line to its output when it begins and ends a request.
+type engineServer struct {
+	id         string
+	slots      int
+	work       time.Duration
+	deadlyBody string // of requests that crash the server as soon as it begins to run them; empty for none
+
+	running atomic.Int64
+	outMu   sync.Mutex
+}
+
+func engineMain(args []string) int {
+	var e engineServer
+	flags := flag.NewFlagSet("engine", flag.ContinueOnError)
+	address := flags.String("address", "", "IP:port")
+	flags.StringVar(&e.id, "id", "", "ID of this start")
+	flags.IntVar(&e.slots, "slots", 6, "requests that run at a time")
+	flags.DurationVar(&e.work, "work", 60*time.Millisecond, "time that a request takes")
+	flags.StringVar(&e.deadlyBody, "deadly-body", "", "body of requests that crash the server")
+	if err := flags.Parse(args); err != nil {
+		return statusUnable
+	}
+	l, err := net.Listen("tcp", *address) //nolint:noctx // at the start of the process
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return statusUnable
+	}
+	e.say("up")
+	srv := &http.Server{Handler: &e, ReadHeaderTimeout: 5 * time.Second}
+	fmt.Fprintln(os.Stderr, srv.Serve(l))
+	return statusUnable
+}
+
+func (e *engineServer) say(words ...string) {
+	e.outMu.Lock()
+	defer e.outMu.Unlock()
+	fmt.Println(strings.Join(words, " "))
+}
+
+// ServeHTTP implements http.Handler.
+func (e *engineServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Geraniumdeck-Instance-Id", e.id)
+	w.Header().Set("Geraniumdeck-Server-Load", fmt.Sprintf("%d,0,%d", min(e.running.Load(), int64(e.slots)), e.slots))
+	attempt := r.Header.Get(headerAttempt)
+	if attempt != "" {
+		w.Header().Set(headerAttempt, attempt)
+	}
+	if want := r.Header.Get("Geraniumdeck-Expect-Instance"); want != "" && want != e.id {
+		w.Header().Set("Geraniumdeck-Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if r.URL.Path == healthPath {
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer e.running.Add(-1)
+	if e.running.Add(1) > int64(e.slots) {
+		w.Header().Set("Geraniumdeck-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	e.say("begin", attempt)
+	if e.deadlyBody != "" && string(body) == e.deadlyBody {
+		e.say("crash", attempt)
+		os.Exit(statusBroken)
+	}
+	select {
+	case <-r.Context().Done():
+		e.say("dropped", attempt)
+		panic(http.ErrAbortHandler)
+	case <-time.After(e.work):
+	}
+	e.say("end", attempt)
+	w.Header().Set(headerSignature, "signed-"+e.id+"-"+attempt)
+	fmt.Fprintf(w, "answer of %s to %s", e.id, attempt) // fails if the channel is closed
+}
+
+// An engineEvent is a line that an engine has written.
+type engineEvent struct {
+	what, attempt string
+}
+
+// readEngineEvents passes on the lines of an engine until its output ends.
+func readEngineEvents(out io.Reader, handle func(engineEvent)) {
+	for lines := bufio.NewScanner(out); lines.Scan(); {
+		what, attempt, _ := strings.Cut(lines.Text(), " ")
+		handle(engineEvent{what, attempt})
+	}
+}
