--- a/review/standin-3/deployment.go
+++ b/review/standin-3/deployment.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -309,6 +310,9 @@
 	number   int // of the machine
 	work     time.Duration
 	deadly   string
+	versions []string                        // of the software at its starts, the last one for all further starts; nil for v1
+	keepsID  bool                            // it starts again under its ID
+	slots    int                             // 0 for engineSlots
 	downTime time.Duration                   // from a crash to the next start
 	onEvent  func(e *engine, ev engineEvent) // may be nil
 
@@ -350,8 +354,16 @@
 	}
 	e.starts++
 	id := fmt.Sprintf("i-%s-%d-%d", e.service, e.number, e.starts)
+	if e.keepsID {
+		id = fmt.Sprintf("i-%s-%d", e.service, e.number)
+	}
+	version := "v1"
+	if len(e.versions) > 0 {
+		version = e.versions[min(e.starts, len(e.versions))-1]
+	}
+	slots := cmp.Or(e.slots, engineSlots)
 	address := e.d.address(engineHost+e.number, engineOffset)
-	args := []string{"engine", "-address", address, "-id", id, "-slots", fmt.Sprint(engineSlots), "-work", e.work.String()}
+	args := []string{"engine", "-address", address, "-id", id, "-slots", fmt.Sprint(slots), "-work", e.work.String(), "-version", version}
 	if e.deadly != "" {
 		args = append(args, "-deadly-body", e.deadly)
 	}
@@ -370,11 +382,11 @@
 	zone := zones[e.number%len(zones)]
 	now := time.Now()
 	l := &listing{
-		id: id, service: e.service, address: address, zone: zone, slots: engineSlots, born: now, from: now.Add(listLag),
+		id: id, service: e.service, address: address, zone: zone, version: version, slots: slots, born: now, from: now.Add(listLag),
 	}
 	e.d.platform.add(l)
 	readEngineEvents(out, func(ev engineEvent) {
-		e.d.rec.printf("engine %s: %s %s", id, ev.what, ev.attempt)
+		e.d.rec.printf("engine %s %s: %s %s", id, version, ev.what, ev.attempt)
 		if ev.what == "up" {
 			select {
 			case up <- nil:
@@ -386,7 +398,7 @@
 		}
 	})
 	err = cmd.Wait()
-	e.d.platform.end(l)
+	e.d.platform.end(l, e.keepsID)
 	e.d.rec.printf("engine %s has ended: %v", id, err)
 	return true
 }
--- a/review/standin-3/engine.go
+++ b/review/standin-3/engine.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -27,6 +28,7 @@
 	slots      int
 	work       time.Duration
 	deadlyBody string // of requests that crash the server as soon as it begins to run them; empty for none
+	version    string // of its software
 
 	running atomic.Int64
 	outMu   sync.Mutex
@@ -40,6 +42,7 @@
 	flags.IntVar(&e.slots, "slots", 6, "requests that run at a time")
 	flags.DurationVar(&e.work, "work", 60*time.Millisecond, "time that a request takes")
 	flags.StringVar(&e.deadlyBody, "deadly-body", "", "body of requests that crash the server")
+	flags.StringVar(&e.version, "version", "v1", "version of the software")
 	if err := flags.Parse(args); err != nil {
 		return statusUnable
 	}
@@ -91,6 +94,10 @@
 		e.say("crash", attempt)
 		os.Exit(statusBroken)
 	}
+	if strings.HasPrefix(r.URL.Path, streamPrefix) {
+		e.stream(w, r, attempt)
+		return
+	}
 	select {
 	case <-r.Context().Done():
 		e.say("dropped", attempt)
@@ -102,6 +109,32 @@
 	fmt.Fprintf(w, "answer of %s to %s", e.id, attempt) // fails if the channel is closed
 }
 
+const (
+	streamPrefix = "/notes/" // of paths whose answers are streams
+	streamEvents = 50
+	eventGap     = 150 * time.Millisecond
+)
+
+// stream answers with a series of events that name the version of the software. It goes on after the event that the request names.
+func (e *engineServer) stream(w http.ResponseWriter, r *http.Request, attempt string) {
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 without the header
+	e.say("streams", attempt, "after event", strconv.Itoa(last))
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set(headerSignature, "signed-"+e.id+"-"+attempt)
+	flusher := http.NewResponseController(w)
+	for i := last + 1; i <= streamEvents; i++ {
+		fmt.Fprintf(w, "id: %d\ndata: note %d %s\n\n", i, i, e.version)
+		_ = flusher.Flush() // fails if the channel is closed
+		select {
+		case <-r.Context().Done():
+			e.say("dropped", attempt)
+			panic(http.ErrAbortHandler)
+		case <-time.After(eventGap):
+		}
+	}
+	e.say("end", attempt)
+}
+
 // An engineEvent is a line that an engine has written.
 type engineEvent struct {
 	what, attempt string
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -30,6 +30,7 @@
 	"unrelated-crashes": playUnrelatedCrashes,
 	"other-host":        playOtherHost,
 	"first-start":       playFirstStart,
+	"new-version":       playNewVersion,
 }
 
 func main() {
--- a/review/standin-3/platform.go
+++ b/review/standin-3/platform.go
@@ -15,11 +15,11 @@
 
 // A listing is one start of an engine as the platform's list shows it.
 type listing struct {
-	id, service, address, zone string
-	slots                      int
-	born                       time.Time
-	from                       time.Time // when the list begins to show it
-	until                      time.Time // when the list ceases to show it; zero if the engine runs
+	id, service, address, zone, version string
+	slots                               int
+	born                                time.Time
+	from                                time.Time // when the list begins to show it
+	until                               time.Time // when the list ceases to show it; zero if the engine runs
 }
 
 // A platform serves the list of backend servers.
@@ -44,14 +44,21 @@
 func (p *platform) add(l *listing) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	for _, other := range p.listings {
+		if other.id == l.id {
+			other.until = l.from
+		}
+	}
 	p.listings = append(p.listings, l)
 }
 
-// end says that the engine has crashed now.
-func (p *platform) end(l *listing) {
+// end says that the engine has crashed now. An engine that keeps its ID is listed as it was until the list shows its next start.
+func (p *platform) end(l *listing, keepsID bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l.until = time.Now().Add(crashedTime)
+	if !keepsID {
+		l.until = time.Now().Add(crashedTime)
+	}
 }
 
 // ServeHTTP implements http.Handler.
@@ -68,7 +75,7 @@
 			continue
 		}
 		instances = append(instances, map[string]any{
-			"id": l.id, "service": l.service, "address": l.address, "zone": l.zone, "version": "v1", "slots": l.slots, "state": "ready",
+			"id": l.id, "service": l.service, "address": l.address, "zone": l.zone, "version": l.version, "slots": l.slots, "state": "ready",
 			"coldLeftMs": 0, "stage": "unified", "models": []string{}, "born": l.born.UnixMilli(),
 		})
 	}
