Add a case of an engine that is ordered to load more than it holds

A manifest that no longer lists a model which an engine still holds lets the next load exceed the engine's memory: 290,800 of 230,000 MB, half a second after the acknowledgement.

--- a/review/standin-3/deployment.go
+++ b/review/standin-3/deployment.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -313,6 +314,8 @@
 	versions []string                        // of the software at its starts, the last one for all further starts; nil for v1
 	keepsID  bool                            // it starts again under its ID
 	slots    int                             // 0 for engineSlots
+	held     []string                        // models at the first start; the engine starts again without any
+	more     []string                        // further arguments
 	downTime time.Duration                   // from a crash to the next start
 	onEvent  func(e *engine, ev engineEvent) // may be nil
 
@@ -364,6 +367,14 @@
 	slots := cmp.Or(e.slots, engineSlots)
 	address := e.d.address(engineHost+e.number, engineOffset)
 	args := []string{"engine", "-address", address, "-id", id, "-slots", fmt.Sprint(slots), "-work", e.work.String(), "-version", version}
+	now := time.Now()
+	args = append(args, "-born", fmt.Sprint(now.UnixMilli()))
+	args = append(args, e.more...)
+	var held []string
+	if e.starts == 1 {
+		held = e.held
+		args = append(args, "-held", strings.Join(held, ","))
+	}
 	if e.deadly != "" {
 		args = append(args, "-deadly-body", e.deadly)
 	}
@@ -380,9 +391,8 @@
 		return false
 	}
 	zone := zones[e.number%len(zones)]
-	now := time.Now()
 	l := &listing{
-		id: id, service: e.service, address: address, zone: zone, version: version, slots: slots, born: now, from: now.Add(listLag),
+		id: id, service: e.service, address: address, zone: zone, version: version, slots: slots, born: now, from: now.Add(listLag), models: held,
 	}
 	e.d.platform.add(l)
 	readEngineEvents(out, func(ev engineEvent) {
@@ -393,6 +403,9 @@
 			default: // only the first start is waited for
 			}
 		}
+		if ev.what == "holds" && ev.attempt != "" {
+			e.d.platform.setModels(l, strings.Split(ev.attempt, ","))
+		}
 		if e.onEvent != nil {
 			e.onEvent(e, ev)
 		}
--- a/review/standin-3/engine.go
+++ b/review/standin-3/engine.go
@@ -29,6 +29,18 @@
 	work       time.Duration
 	deadlyBody string // of requests that crash the server as soon as it begins to run them; empty for none
 	version    string // of its software
+	events     int    // of a stream
+	born       int64  // start in Unix milliseconds
+
+	capacity  float64            // for weights, in megabytes; 0 for a plain service
+	sizes     map[string]float64 // of the models, in megabytes
+	loadTime  time.Duration      // from the store
+	modelsMu  sync.Mutex
+	held      map[string]bool
+	loading   string // empty for none
+	unloading string // empty for none
+	accepted  uint64 // orders
+	fence     uint64 // highest one seen
 
 	running atomic.Int64
 	outMu   sync.Mutex
@@ -43,6 +55,12 @@
 	flags.DurationVar(&e.work, "work", 60*time.Millisecond, "time that a request takes")
 	flags.StringVar(&e.deadlyBody, "deadly-body", "", "body of requests that crash the server")
 	flags.StringVar(&e.version, "version", "v1", "version of the software")
+	flags.Int64Var(&e.born, "born", 0, "start in Unix milliseconds")
+	flags.IntVar(&e.events, "events", 50, "events of a stream")
+	flags.Float64Var(&e.capacity, "capacity", 0, "megabytes for weights")
+	sizes := flags.String("sizes", "", "NAME=MEGABYTES of the models, separated by commas")
+	held := flags.String("held", "", "names of the models that are held at the start, separated by commas")
+	flags.DurationVar(&e.loadTime, "load-time", 3*time.Second, "time that a load takes")
 	if err := flags.Parse(args); err != nil {
 		return statusUnable
 	}
@@ -51,7 +69,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		return statusUnable
 	}
+	e.setModels(*sizes, *held)
 	e.say("up")
+	e.sayHeld()
 	srv := &http.Server{Handler: &e, ReadHeaderTimeout: 5 * time.Second}
 	fmt.Fprintln(os.Stderr, srv.Serve(l))
 	return statusUnable
@@ -65,24 +85,37 @@
 
 // ServeHTTP implements http.Handler.
 func (e *engineServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Geraniumdeck-Instance-Id", e.id)
 	w.Header().Set("Geraniumdeck-Server-Load", fmt.Sprintf("%d,0,%d", min(e.running.Load(), int64(e.slots)), e.slots))
 	attempt := r.Header.Get(headerAttempt)
 	if attempt != "" {
 		w.Header().Set(headerAttempt, attempt)
 	}
 	if want := r.Header.Get("Geraniumdeck-Expect-Instance"); want != "" && want != e.id {
+		w.Header().Set("Geraniumdeck-Instance-Id", e.id)
 		w.Header().Set("Geraniumdeck-Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if r.URL.Path == healthPath {
+	switch r.URL.Path {
+	case healthPath:
+		w.Header().Set("Geraniumdeck-Instance-Id", e.id)
+		return
+	case "/geraniumdeck/report":
+		e.report(w)
+		return
+	case "/geraniumdeck/order":
+		e.order(w, r)
 		return
 	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	if model := r.Header.Get("Geraniumdeck-Model"); model != "" && !e.holds(model) {
+		w.Header().Set("Geraniumdeck-Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	defer e.running.Add(-1)
 	if e.running.Add(1) > int64(e.slots) {
 		w.Header().Set("Geraniumdeck-Not-Executed", "1")
@@ -111,7 +144,6 @@
 
 const (
 	streamPrefix = "/notes/" // of paths whose answers are streams
-	streamEvents = 50
 	eventGap     = 150 * time.Millisecond
 )
 
@@ -122,7 +154,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set(headerSignature, "signed-"+e.id+"-"+attempt)
 	flusher := http.NewResponseController(w)
-	for i := last + 1; i <= streamEvents; i++ {
+	for i := last + 1; i <= e.events; i++ {
 		fmt.Fprintf(w, "id: %d\ndata: note %d %s\n\n", i, i, e.version)
 		_ = flusher.Flush() // fails if the channel is closed
 		select {
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -31,6 +31,7 @@
 	"other-host":        playOtherHost,
 	"first-start":       playFirstStart,
 	"new-version":       playNewVersion,
+	"retired-model":     playRetiredModel,
 }
 
 func main() {
--- a/review/standin-3/platform.go
+++ b/review/standin-3/platform.go
@@ -20,6 +20,8 @@
 	born                                time.Time
 	from                                time.Time // when the list begins to show it
 	until                               time.Time // when the list ceases to show it; zero if the engine runs
+
+	models []string // that it holds, as the list shows them
 }
 
 // A platform serves the list of backend servers.
@@ -52,6 +54,15 @@
 	p.listings = append(p.listings, l)
 }
 
+// setModels makes the list show, after its lag, which models the engine holds.
+func (p *platform) setModels(l *listing, names []string) {
+	time.AfterFunc(listLag, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		l.models = names
+	})
+}
+
 // end says that the engine has crashed now. An engine that keeps its ID is listed as it was until the list shows its next start.
 func (p *platform) end(l *listing, keepsID bool) {
 	p.mu.Lock()
@@ -76,7 +87,7 @@
 		}
 		instances = append(instances, map[string]any{
 			"id": l.id, "service": l.service, "address": l.address, "zone": l.zone, "version": l.version, "slots": l.slots, "state": "ready",
-			"coldLeftMs": 0, "stage": "unified", "models": []string{}, "born": l.born.UnixMilli(),
+			"coldLeftMs": 0, "stage": "unified", "models": heldModels(l.models), "born": l.born.UnixMilli(),
 		})
 	}
 	p.mu.Unlock()
--- a/review/standin-3/versions.go
+++ b/review/standin-3/versions.go
@@ -47,7 +47,7 @@
 		callers.Go(func() {
 			sleep(ctx, time.Duration(i)*100*time.Millisecond)
 			for time.Now().Before(end) && ctx.Err() == nil {
-				t.add(d.readStream(ctx, i))
+				t.add(d.readStream(ctx, i, ""))
 				sleep(ctx, 200*time.Millisecond)
 			}
 		})
@@ -69,7 +69,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.all++
-	if s.last == streamEvents {
+	if s.whole {
 		t.whole++
 	}
 	if len(s.versions) > 1 {
@@ -97,23 +97,24 @@
 type callerStream struct {
 	first    string // attempt that brought the first event
 	last     int    // ID of the last event
+	whole    bool
 	versions map[string]bool
 }
 
-// readStream asks for a stream, and takes it up once more if it breaks off.
-func (d *deployment) readStream(ctx context.Context, caller int) *callerStream {
+// readStream asks for a stream, of a model unless its name is empty, and takes it up once more if it breaks off.
+func (d *deployment) readStream(ctx context.Context, caller int, model string) *callerStream {
 	ctx, cancel := context.WithTimeout(ctx, streamBudget)
 	defer cancel()
 	s := &callerStream{versions: make(map[string]bool)}
-	for try := 0; try < 2 && s.last < streamEvents && ctx.Err() == nil; try++ {
-		text := d.readTry(ctx, caller, (caller+try)%entries, s)
+	for try := 0; try < 2 && !s.whole && ctx.Err() == nil; try++ {
+		text := d.readTry(ctx, caller, (caller+try)%entries, model, s)
 		d.rec.printf("caller-%d: %s; last event %d", caller, text, s.last)
 	}
 	return s
 }
 
 // readTry makes one attempt at the stream and returns how it ended.
-func (d *deployment) readTry(ctx context.Context, caller, entry int, s *callerStream) string {
+func (d *deployment) readTry(ctx context.Context, caller, entry int, model string, s *callerStream) string {
 	id := fmt.Sprintf("%016x", rand.Uint64())
 	deadline, _ := ctx.Deadline()
 	url := "http://" + d.address(entryHost+entry, callerOffset) + streamPrefix + "write"
@@ -124,6 +125,11 @@
 	req.Host = "notes.example"
 	req.Header.Set(headerAttempt, id)
 	req.Header.Set("Geraniumdeck-Deadline-Ms", fmt.Sprint(time.Until(deadline).Milliseconds()))
+	if model != "" {
+		req.Header.Set("Geraniumdeck-Model", model)
+		req.Header.Set("Geraniumdeck-Token-Usage", "715,280")
+		req.Header.Set("Geraniumdeck-Prompt-Prefix", "5c1e07a2:172,"+id+":543")
+	}
 	if s.last > 0 {
 		req.Header.Set("Last-Event-Id", strconv.Itoa(s.last))
 		req.Header.Set("Resumes", s.first)
@@ -157,5 +163,6 @@
 		}
 		s.versions[version] = true
 	}
+	s.whole = lines.Err() == nil
 	return fmt.Sprintf("%s ended with versions %v: %v", id, had, lines.Err())
 }
