--- a/review/standin-3/verdicts.go
+++ b/review/standin-3/verdicts.go
@@ -17,9 +17,10 @@
 
 	pollTime = 70 * time.Second // in which callers send requests
 
-	crashDownTime = 4500 * time.Millisecond // for_s of srv_crash
-	crashGap      = 8 * time.Second
-	crashCount    = 3
+	crashDownTime  = 4500 * time.Millisecond // for_s of srv_crash
+	deadlyDownTime = 2 * time.Second         // of an engine that a request has crashed
+	crashGap       = 8 * time.Second
+	crashCount     = 3
 )
 
 // Kinds of route.
@@ -99,12 +100,31 @@
 	return t.check(d.rec)
 }
 
-// playOtherHost lets a request that crashes its engines come to one host, while callers of another host, which another service serves,
-// send sound requests with the same path and body.
+const (
+	twinInterval    = 50 * time.Millisecond // between two requests of a caller of the other host
+	crasherInterval = time.Second
+
+	// allowedRetries is how often a request that crashes its engines may reach engines later than contactTime after it has crashed the third.
+	allowedRetries = 3
+	crashesToKnow  = 3
+)
+
+// playOtherHost lets a request that crashes its engines come to one host again and again, while callers of another host, which another
+// service serves, send sound requests with the same path and body.
 func playOtherHost(ctx context.Context, d *deployment, trouble bool) error {
 	const body = `{"page":1}`
+	var mu sync.Mutex
+	var crashes []time.Time
 	for i := range engineCount {
-		if err := d.addEngine(&engine{service: "manual", number: i, work: engineWork, deadly: body, downTime: crashDownTime}); err != nil {
+		e := &engine{service: "manual", number: i, work: engineWork, deadly: body, downTime: deadlyDownTime}
+		e.onEvent = func(_ *engine, ev engineEvent) {
+			if ev.what == "crash" {
+				mu.Lock()
+				defer mu.Unlock()
+				crashes = append(crashes, time.Now())
+			}
+		}
+		if err := d.addEngine(e); err != nil {
 			return err
 		}
 		if err := d.addEngine(&engine{service: "portal", number: engineCount + i, work: engineWork, downTime: crashDownTime}); err != nil {
@@ -119,13 +139,12 @@
 	var callers sync.WaitGroup
 	ctx, stop := context.WithTimeout(ctx, pollTime)
 	defer stop()
-	for i := range entries {
+	other := request{host: "portal.example", path: "/v1/list", body: body, budget: requestBudget, retries: 1, proper: true}
+	for i := range 2 * entries {
 		callers.Go(func() {
-			sleep(ctx, time.Duration(i)*requestInterval/entries)
-			d.poll(ctx, i, request{
-				caller: fmt.Sprintf("caller-%d", i), host: "portal.example", path: "/v1/list", body: body, budget: requestBudget, retries: 1,
-				proper: true,
-			}, requestInterval, &t)
+			r := other
+			r.caller = fmt.Sprintf("caller-%d", i)
+			d.poll(ctx, i%entries, r, twinInterval, &t)
 		})
 	}
 	if trouble {
@@ -133,9 +152,22 @@
 			sleep(ctx, crashGap)
 			d.poll(ctx, 0, request{
 				caller: "crasher", host: "manual.example", path: "/v1/list", body: body, budget: requestBudget, retries: 1,
-			}, 2*time.Second, &t)
+			}, crasherInterval, &t)
 		})
 	}
 	callers.Wait()
-	return t.check(d.rec)
+	mu.Lock()
+	defer mu.Unlock()
+	late := 0
+	for _, at := range crashes {
+		if len(crashes) >= crashesToKnow && at.After(crashes[crashesToKnow-1].Add(contactTime)) {
+			late++
+		}
+	}
+	d.rec.printf("crashes by the request: %d, of these later than %v after the third: %d (allowed %d)", len(crashes), contactTime, late, allowedRetries)
+	denied := t.check(d.rec)
+	if late > allowedRetries {
+		return fmt.Errorf("BUDGET: the request has crashed %d engines later than %v after the third: %w", late, contactTime, errBroken)
+	}
+	return denied
 }
