--- a/review/standin-3/engine.go
+++ b/review/standin-3/engine.go
@@ -46,7 +46,8 @@
 	outMu   sync.Mutex
 }
 
-func engineMain(args []string) int {
+// engineMain runs an engine until it crashes or is killed, and returns why it could not.
+func engineMain(args []string) error {
 	var e engineServer
 	flags := flag.NewFlagSet("engine", flag.ContinueOnError)
 	address := flags.String("address", "", "IP:port")
@@ -62,19 +63,23 @@
 	held := flags.String("held", "", "names of the models that are held at the start, separated by commas")
 	flags.DurationVar(&e.loadTime, "load-time", 3*time.Second, "time that a load takes")
 	if err := flags.Parse(args); err != nil {
-		return statusUnable
+		return err
 	}
 	l, err := net.Listen("tcp", *address) //nolint:noctx // at the start of the process
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return statusUnable
+		return err
 	}
 	e.setModels(*sizes, *held)
 	e.say("up")
 	e.sayHeld()
 	srv := &http.Server{Handler: &e, ReadHeaderTimeout: 5 * time.Second}
-	fmt.Fprintln(os.Stderr, srv.Serve(l))
-	return statusUnable
+	return srv.Serve(l)
+}
+
+// crash says why the engine crashes, and ends its process.
+func (e *engineServer) crash(words ...string) {
+	e.say(words...)
+	os.Exit(statusBroken)
 }
 
 func (e *engineServer) say(words ...string) {
@@ -124,8 +129,7 @@
 	}
 	e.say("begin", attempt)
 	if e.deadlyBody != "" && string(body) == e.deadlyBody {
-		e.say("crash", attempt)
-		os.Exit(statusBroken)
+		e.crash("crash", attempt)
 	}
 	if strings.HasPrefix(r.URL.Path, streamPrefix) {
 		e.stream(w, r, attempt)
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -36,7 +36,8 @@
 
 func main() {
 	if len(os.Args) >= 2 && os.Args[1] == "engine" {
-		os.Exit(engineMain(os.Args[2:]))
+		fmt.Fprintln(os.Stderr, engineMain(os.Args[2:]))
+		os.Exit(statusUnable)
 	}
 	if len(os.Args) != 4 {
 		fmt.Fprintln(os.Stderr, "usage: standin-3 CASE BINARY RECORD, or standin-3 engine FLAGS")
--- a/review/standin-3/models.go
+++ b/review/standin-3/models.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -136,8 +135,7 @@
 		sum += e.sizes[name]
 	}
 	if sum > e.capacity {
-		e.say("overload", fmt.Sprintf("ordered to load %s beside %v: %.0f of %.0f MB", model, e.sortedHeld(), sum, e.capacity))
-		os.Exit(statusBroken)
+		e.crash("overload", fmt.Sprintf("ordered to load %s beside %v: %.0f of %.0f MB", model, e.sortedHeld(), sum, e.capacity))
 	}
 }
 
