--- a/review/standin-3/deployment.go
+++ b/review/standin-3/deployment.go
@@ -46,11 +46,11 @@
 	network  string // first three numbers of the addresses
 	port     int    // first one
 	platform *platform
+	group    sync.WaitGroup
 
 	mu        sync.Mutex
 	processes []*process
 	engines   []*engine
-	closed    bool
 }
 
 // A process is a process of the system.
@@ -184,10 +184,10 @@
 		return nil, err
 	}
 	p := &process{name: name, cmd: cmd, exited: make(chan struct{})}
-	go func() {
+	d.group.Go(func() {
 		_ = cmd.Wait() // processes are killed
 		close(p.exited)
-	}()
+	})
 	d.mu.Lock()
 	d.processes = append(d.processes, p)
 	d.mu.Unlock()
@@ -220,7 +220,6 @@
 // close ends all processes that were started.
 func (d *deployment) close() {
 	d.mu.Lock()
-	d.closed = true
 	processes, engines := d.processes, d.engines
 	d.mu.Unlock()
 	for _, p := range processes {
@@ -231,6 +230,8 @@
 		e.stop()
 	}
 	_ = d.platform.server.Close()
+	d.platform.group.Wait()
+	d.group.Wait()
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(d.folder)
 	} else {
@@ -336,7 +337,7 @@
 	d.engines = append(d.engines, e)
 	d.mu.Unlock()
 	up := make(chan error, 1)
-	go func() {
+	d.group.Go(func() {
 		defer close(e.done)
 		for e.run(up) {
 			select {
@@ -344,7 +345,7 @@
 			case <-time.After(e.downTime):
 			}
 		}
-	}()
+	})
 	return <-up
 }
 
--- a/review/standin-3/platform.go
+++ b/review/standin-3/platform.go
@@ -27,6 +27,7 @@
 // A platform serves the list of backend servers.
 type platform struct {
 	server *http.Server
+	group  sync.WaitGroup
 
 	mu       sync.Mutex
 	listings []*listing
@@ -39,7 +40,7 @@
 	}
 	p := &platform{}
 	p.server = &http.Server{Handler: p, ReadHeaderTimeout: 5 * time.Second}
-	go func() { _ = p.server.Serve(l) }() // returns after Close
+	p.group.Go(func() { _ = p.server.Serve(l) }) // returns after Close
 	return p, nil
 }
 
