--- a/review/standin-3/deployment.go
+++ b/review/standin-3/deployment.go
@@ -88,6 +88,8 @@
 	entryHost    = 30
 	engineHost   = 50
 	platformHost = 100
+
+	maxHosts = 6 // of each kind
 )
 
 func (d *deployment) ip(host int) string {
@@ -98,14 +100,20 @@
 	return fmt.Sprintf("%s:%d", d.ip(host), d.port+offset)
 }
 
-// isFree reports whether nothing listens at the ports.
+// isFree reports whether nothing listens at the addresses.
 func (d *deployment) isFree() bool {
-	for offset := range portCount {
-		l, err := net.Listen("tcp", fmt.Sprintf("0.0.0.0:%d", d.port+offset)) //nolint:noctx // ends at once
-		if err != nil {
-			return false
+	hosts := []int{platformHost}
+	for i := range maxHosts {
+		hosts = append(hosts, controlHost+i, entryHost+i, engineHost+i)
+	}
+	for _, host := range hosts {
+		for offset := range portCount {
+			l, err := net.Listen("tcp", d.address(host, offset)) //nolint:noctx // ends at once
+			if err != nil {
+				return false
+			}
+			_ = l.Close()
 		}
-		_ = l.Close()
 	}
 	return true
 }
